Build the slices of an entry and run a request and a job through them in virtual time

Cause: nothing existed. Ruled out: takeover by a higher token before the lapse (needs a survey of all entries for every lost worker); a row per task (1,900 starts/s against several hundred writes/s).

--- /dev/null
+++ b/src/curranthall/dispatch.py
@@ -0,0 +1,698 @@
+"""Batch work and replicas: claim blocks, start tasks, record ends, resume exactly once."""
+
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from typing import Any, NamedTuple
+
+from curranthall.block import (
+    BLOCK_PREFIX,
+    BLOCK_TASKS,
+    QUEUE_PREFIX,
+    Fact,
+    Policy,
+    TaskState,
+    as_block,
+    attempt_of,
+    block_key,
+    copy_of,
+    customer_of,
+    done_key,
+    indices,
+    is_cancelled,
+    is_current,
+    is_finished,
+    is_obsolete,
+    queue_key,
+    startable,
+    state_of,
+    with_facts,
+    with_waiting_ended,
+)
+from curranthall.config import PERMIT_S, Config
+from curranthall.errors import AnswerLost, ConnectFailed, CurranthallError, Fenced, Refused
+from curranthall.events import Event, log
+from curranthall.lease import LOST, Held, LeaseKeeper
+from curranthall.model import (
+    BlockRow,
+    Change,
+    Commit,
+    HostState,
+    Outcome,
+    OutcomeKind,
+    Row,
+    Size,
+    StartOrder,
+    Task,
+)
+from curranthall.placement import Candidate, Placer, Want
+from curranthall.platform import Platform, commit_surely
+from curranthall.roster import SUSPICION_S, Roster, preferred
+from curranthall.rows import allows
+
+COMMIT_S = 1.0
+COMMIT_ROWS = 64
+CLAIM_BLOCKS = 8
+BACKLOG_TASKS = 64
+STARTS_AT_ONCE = 32
+SURVEY_S = 2.0
+URGENT_BOOST = 1_000
+
+Survey = dict[str, list[Task]]
+
+
+class Placed(NamedTuple):
+    """Where an attempt runs."""
+
+    attempt: int
+    worker: str
+
+
+class Ended(NamedTuple):
+    """A certain end that is not recorded yet, and the worker that holds its outcome."""
+
+    outcome: Outcome
+    held: Held | None
+    at: float
+
+
+class Adoption(NamedTuple):
+    """A block taken over whose running tasks are not known yet."""
+
+    at: float
+    not_before: float
+    clean: bool
+
+
+class Dispatcher:
+    """Run the blocks that this entry holds on the workers that it holds."""
+
+    def __init__(
+        self,
+        entry_id: str,
+        incarnation: int,
+        domain: str,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+        new_txn: Callable[[], str],
+        config: Config,
+        roster: Roster,
+        platform: Platform,
+        placer: Placer,
+        survey_peers: Callable[[str], Awaitable[Survey]],
+        spawn: Callable[[Coroutine[Any, Any, None]], None],
+    ) -> None:
+        self._id = entry_id
+        self._incarnation = incarnation
+        self._domain = domain
+        self._clock = clock
+        self._wall = wall
+        self._new_txn = new_txn
+        self._config = config
+        self._roster = roster
+        self._platform = platform
+        self.placer = placer
+        self._survey_peers = survey_peers
+        self._spawn = spawn
+        self.keeper: LeaseKeeper
+        self._facts: dict[str, dict[Task, Ended]] = defaultdict(dict)
+        self._placed: dict[tuple[str, int], Placed] = {}
+        self._adopting: dict[str, Adoption] = {}
+        self._committed_at = float("-inf")
+        self._surveyed_at = float("-inf")
+        self._since = clock()
+        self.draining = False
+        self.listed_at = float("-inf")
+        self.reasons: dict[str, str] = {}
+        self.counts: dict[str, int] = defaultdict(int)
+
+    # What the workers tell
+
+    def on_outcome(self, held: Held, task: Task, outcome: Outcome) -> None:
+        """Take in the certain end of an attempt on a worker that this entry holds."""
+        key = block_key(held.host.domain, task.job, task.number // BLOCK_TASKS)
+        self._config.also_follow(f"{BLOCK_PREFIX}{held.host.domain}/")
+        known = self._facts[key].get(task)
+        if known is None:
+            log(Event.TASK_ENDED, task=task, worker=held.host.name, how=outcome.kind.value)
+            self.placer.ended(held.host.name, self._class_of(key), outcome, self._clock())
+        if known is None or known.outcome.kind is OutcomeKind.LOST:
+            self._facts[key][task] = Ended(outcome, held, self._clock())
+
+    def on_gone(self, worker: str) -> None:
+        """Take the platform's word that a worker is no more."""
+        held = self.keeper.workers[worker]
+        tasks = {
+            Task(job, index, placed.attempt)
+            for (job, index), placed in self._placed.items()
+            if placed.worker == worker
+        }
+        for task in sorted(tasks | held.suspects):
+            self.on_outcome(held, task, LOST)
+        held.suspects.clear()
+
+    def own_survey(self, domain: str) -> Survey:
+        """List the attempts that may be on the workers of a domain that this entry holds."""
+        return {
+            held.host.name: sorted(held.lease.tasks())
+            for held in self.keeper.held()
+            if held.host.domain == domain and held.lease is not None
+        }
+
+    # One round
+
+    def step_workers(self) -> None:
+        """Stop what must not run and start what may; waits for nothing."""
+        self._note_placed()
+        self._clear_workers()
+        if not self.draining:
+            self._start_tasks()
+
+    async def step_table(self) -> None:
+        """Record ends, recover, release, adopt and claim blocks."""
+        await self._commit_facts()
+        await self._recover()
+        await self._check_elsewhere()
+        await self._release_blocks()
+        if not self.draining:
+            await self._adopt_blocks()
+            await self._claim_blocks()
+
+    def mine(self) -> Iterator[tuple[str, BlockRow]]:
+        """Give the blocks that this entry holds."""
+        for key, row in self._config.mirror.under(BLOCK_PREFIX):
+            if row["holder"] == self._id and row["incarnation"] == self._incarnation:
+                yield key, as_block(row)
+
+    def _note_placed(self) -> None:
+        for held in self.keeper.workers.values():
+            if held.lease is None:
+                continue
+            for task in held.lease.tasks():
+                self._placed[task.key] = Placed(task.attempt, held.host.name)
+
+    def _placed_in(self, key: str, row: BlockRow) -> set[int]:
+        found = set()
+        for index in indices(row):
+            placed = self._placed.get((row["job"], index))
+            if placed is None:
+                continue
+            over = placed.attempt < attempt_of(row, index)
+            if over or state_of(row, index) is not TaskState.OPEN:
+                del self._placed[(row["job"], index)]
+            else:
+                found.add(index)
+        # An end that is known but not recorded keeps its task from starting again.
+        found |= {task.number for task in self._facts.get(key, ()) if is_current(row, task)}
+        return found
+
+    # Stop what must not run
+
+    def _clear_workers(self) -> None:
+        for held in self.keeper.held():
+            lease = held.lease
+            assert lease is not None
+            out = self._must_empty(held)
+            for task in lease.running.keys() - lease.stopping:
+                verdict = self._verdict(held, task, out)
+                if verdict is not None:
+                    self.keeper.stop_soon(held, task, finish=verdict)
+
+    def _must_empty(self, held: Held) -> bool:
+        known = bool(self._config.rows("domain"))
+        out = known and not self._config.domain_in(held.host.domain)
+        return out or held.host.state is HostState.LEAVING
+
+    def _verdict(self, held: Held, task: Task, out: bool) -> bool | None:
+        """Tell whether a task must stop (None: no), and whether that finishes it."""
+        key = block_key(held.host.domain, task.job, task.number // BLOCK_TASKS)
+        row = self._block(key)
+        assert held.lease is not None
+        if self._is_past(key, row, task, held.lease.learned_at):
+            log(Event.ORPHAN_STOPPED, task=task, worker=held.host.name)
+            return False
+        if row is None or not is_current(row, task):
+            return None
+        if row["closed"]:
+            return True
+        if out and row["service"] and held.inflight:
+            return None
+        if out or is_cancelled(row, task.number):
+            log(Event.TASK_EVICTING, task=task, worker=held.host.name)
+            self.counts["evictions"] += 1
+            return False
+        return None
+
+    def _is_past(self, key: str, row: BlockRow | None, task: Task, learned_at: float) -> bool:
+        """Tell whether the table has certainly gone past an attempt seen on a worker."""
+        if row is not None and is_obsolete(row, task):
+            return True
+        # A claim is committed before a start, so only a read after the attempt was seen counts.
+        read_since = self._config.confirmed_at > learned_at
+        followed = any(key.startswith(prefix) for prefix in self._config.prefixes)
+        outside = row is None or task.number not in indices(row)
+        return outside and read_since and followed
+
+    def _block(self, key: str) -> BlockRow | None:
+        row = self._config.mirror.value(key)
+        return None if row is None else as_block(row)
+
+    # Record ends
+
+    async def _commit_facts(self) -> None:
+        now = self._clock()
+        if now - self._committed_at < COMMIT_S:
+            return
+        changed = self._changed_rows()
+        self._acknowledge_past()
+        if not changed:
+            return
+        self._committed_at = now
+        batch = dict(list(changed.items())[:COMMIT_ROWS])
+        if not await self._commit_rows(batch) and len(batch) > 1:
+            # One row that another entry changed must not hold up the others.
+            for key, row in batch.items():
+                await self._commit_rows({key: row})
+
+    def _changed_rows(self) -> dict[str, BlockRow]:
+        changed = {}
+        keys = set(self._facts) | {key for key, _ in self.mine()}
+        for key in sorted(keys):
+            row = self._block(key)
+            if row is None:
+                continue
+            known = self._facts.get(key, {})
+            facts = [Fact(task, ended.outcome) for task, ended in known.items()]
+            new = with_facts(row, facts, self._policy(row))
+            if row["holder"] == self._id and key not in self._adopting:
+                new = with_waiting_ended(new, self._placed_in(key, row))
+            if new != row or is_finished(new):
+                changed[key] = new
+        return changed
+
+    def _acknowledge_past(self) -> None:
+        for key, facts in list(self._facts.items()):
+            row = self._block(key)
+            past = {t: e for t, e in facts.items() if self._is_past(key, row, t, e.at)}
+            for task in past:
+                del facts[task]
+            if not facts:
+                del self._facts[key]
+            self._acknowledge(past)
+
+    async def _commit_rows(self, rows: dict[str, BlockRow]) -> bool:
+        writes: dict[str, Row | None] = {}
+        for key, row in rows.items():
+            writes[key] = row
+            if is_finished(row):
+                writes[key] = None
+                writes[done_key(row["job"], row["n"])] = row
+        facts = {key: dict(self._facts.get(key, {})) for key in rows}
+        if not await self._commit(writes, list(rows)):
+            return False
+        for key, row in rows.items():
+            if is_finished(row):
+                log(Event.BLOCK_DONE, block=key)
+            self._acknowledge(facts[key])
+            left = {t: e for t, e in self._facts.get(key, {}).items() if t not in facts[key]}
+            self._facts[key] = left
+            if not left:
+                del self._facts[key]
+        return True
+
+    async def _commit(self, writes: dict[str, Row | None], checked: list[str]) -> bool:
+        mirror = self._config.mirror
+        commit = Commit(self._new_txn(), {key: mirror.version(key) for key in checked}, writes)
+        try:
+            result = await commit_surely(self._platform, commit)
+        except CurranthallError:
+            return False
+        if result.is_err():
+            log(Event.COMMIT_CONFLICT, keys=",".join(checked))
+            return False
+        for key, value in writes.items():
+            mirror.take(Change(key, result.unwrap(), commit.txn, value))
+        return True
+
+    def _acknowledge(self, facts: dict[Task, Ended]) -> None:
+        by_worker: dict[str, list[Task]] = defaultdict(list)
+        for task, (_, held, _) in facts.items():
+            if held is not None and held.lease is not None and task in held.lease.outcomes:
+                by_worker[held.host.name].append(task)
+        for name, tasks in by_worker.items():
+            self.keeper.acknowledge_soon(self.keeper.workers[name], tasks)
+
+    # Take over
+
+    async def _adopt_blocks(self) -> None:
+        now = self._clock()
+        if now - self._since < 2 * SUSPICION_S or not self._config.may_start(self._domain):
+            return
+        prefix = f"{BLOCK_PREFIX}{self._domain}/"
+        for key, value in list(self._config.mirror.under(prefix)):
+            row = as_block(value)
+            if self._is_orphan(row) and self._preferred(key):
+                await self._adopt(key, row)
+
+    def _is_orphan(self, row: BlockRow) -> bool:
+        holder = row["holder"]
+        if holder is None:
+            return True
+        if holder == self._id:
+            return row["incarnation"] != self._incarnation
+        peer = self._roster.peers.get(holder)
+        if peer is None or not self._roster.is_live(holder):
+            return True
+        return row["incarnation"] < peer.beat["incarnation"]
+
+    async def _adopt(self, key: str, row: BlockRow) -> None:
+        new = copy_of(row)
+        new["holder"], new["incarnation"], new["clean"] = self._id, self._incarnation, False
+        clean = row["holder"] is None and row["clean"]
+        if not await self._commit({key: new}, [key]):
+            return
+        log(Event.BLOCK_TAKEN_OVER, block=key, of=row["holder"], clean=clean)
+        wait = 0.0 if clean else PERMIT_S
+        now = self._clock()
+        self._adopting[key] = Adoption(now, now + wait, clean)
+
+    async def _recover(self) -> None:
+        now = self._clock()
+        # The list must be as new as the adoption, or a worker of the past holder might be missing.
+        due = [
+            key
+            for key, adoption in self._adopting.items()
+            if now >= adoption.not_before and self.listed_at >= adoption.at
+        ]
+        if not due or now - self._surveyed_at < SURVEY_S / 4:
+            return
+        self._surveyed_at = now
+        for domain in sorted({key.split("/")[1] for key in due}):
+            found, missing = await self._survey(domain)
+            for key in due:
+                if key.split("/")[1] == domain:
+                    self._recovered(key, found, missing)
+
+    async def _survey(self, domain: str) -> tuple[Survey, list[str]]:
+        """Ask who runs what; name the workers of the domain that nobody vouches for."""
+        found = {**await self._survey_peers(domain), **self.own_survey(domain)}
+        missing = [
+            name
+            for name, held in self.keeper.workers.items()
+            if held.host.domain == domain
+            and held.host.state is not HostState.GONE
+            and name not in found
+        ]
+        return found, missing
+
+    def _recovered(self, key: str, found: Survey, missing: list[str]) -> None:
+        row = self._block(key)
+        if row is None or row["holder"] != self._id:
+            del self._adopting[key]
+            return
+        if missing:
+            self.reasons[key] = "waiting for proof: " + ",".join(sorted(missing))
+            log(Event.BLOCK_WAITS_FOR_PROOF, block=key, workers=",".join(sorted(missing)))
+            return
+        adoption = self._adopting.pop(key)
+        self.reasons.pop(key, None)
+        seen = {task: worker for worker, tasks in found.items() for task in tasks}
+        for task, worker in seen.items():
+            if task.job == row["job"] and task.number // BLOCK_TASKS == row["n"]:
+                self._placed[task.key] = Placed(task.attempt, worker)
+        log(Event.BLOCK_RECOVERED, block=key, running=len(seen))
+        if not adoption.clean:
+            self._lose_absent(key, row, set(seen))
+
+    def _lose_absent(self, key: str, row: BlockRow, seen: set[Task]) -> None:
+        for index in indices(row):
+            task = Task(row["job"], index, attempt_of(row, index))
+            if is_current(row, task) and state_of(row, index) is TaskState.OPEN:
+                if task not in seen and task not in self._facts[key]:
+                    self._facts[key][task] = Ended(LOST, None, self._clock())
+
+    async def _check_elsewhere(self) -> None:
+        """Resolve tasks that were started here and whose worker another entry holds now."""
+        now = self._clock()
+        if now - self._surveyed_at < SURVEY_S:
+            return
+        held = {name for name, w in self.keeper.workers.items() if w.lease is not None}
+        elsewhere = [
+            (Task(job, index, placed.attempt), placed.worker)
+            for (job, index), placed in self._placed.items()
+            if placed.worker not in held
+        ]
+        if not elsewhere:
+            return
+        self._surveyed_at = now
+        found = await self._survey_peers(self._domain)
+        for task, worker in elsewhere:
+            if worker in found and task not in found[worker]:
+                self._end_elsewhere(task, worker)
+
+    def _end_elsewhere(self, task: Task, worker: str) -> None:
+        self._placed.pop(task.key, None)
+        key = block_key(self._domain, task.job, task.number // BLOCK_TASKS)
+        row = self._block(key)
+        if row is not None and is_current(row, task):
+            self._facts[key].setdefault(task, Ended(LOST, None, self._clock()))
+
+    # Let go
+
+    async def _release_blocks(self) -> None:
+        for key, row in list(self.mine()):
+            if key in self._adopting or self._facts.get(key):
+                continue
+            domain = key.split("/")[1]
+            if self.draining:
+                await self._hand_back(key, row)
+            elif not self._config.domain_in(domain) and not row["service"]:
+                if not self._placed_in(key, row):
+                    await self._requeue(key, row)
+
+    async def _hand_back(self, key: str, row: BlockRow) -> None:
+        new = copy_of(row)
+        new["holder"], new["clean"] = None, True
+        if await self._commit({key: new}, [key]):
+            log(Event.BLOCK_RELEASED, block=key, to="domain")
+
+    async def _requeue(self, key: str, row: BlockRow) -> None:
+        new = copy_of(row)
+        new["holder"], new["clean"] = None, True
+        if await self._commit({key: None, queue_key(row["job"], row["n"]): new}, [key]):
+            log(Event.BLOCK_RELEASED, block=key, to="queue")
+
+    # Claim
+
+    async def _claim_blocks(self) -> None:
+        if not self._config.may_start(self._domain) or not self.keeper.held():
+            return
+        if self._backlog() >= BACKLOG_TASKS:
+            return
+        queued = [(key, as_block(row)) for key, row in self._config.mirror.under(QUEUE_PREFIX)]
+        wanted = [(key, row) for key, row in queued if self._admits(row) and self._preferred(key)]
+        wanted.sort(key=lambda item: self._urgency(item[1]))
+        claims = wanted[:CLAIM_BLOCKS]
+        if claims and not await self._claim(claims) and len(claims) > 1:
+            for claim in claims:
+                await self._claim([claim])
+
+    async def _claim(self, claims: list[tuple[str, BlockRow]]) -> bool:
+        writes: dict[str, Row | None] = {}
+        for key, row in claims:
+            new = copy_of(row)
+            new["holder"], new["incarnation"] = self._id, self._incarnation
+            new["clean"] = False
+            writes[key] = None
+            writes[block_key(self._domain, row["job"], row["n"])] = new
+        if not await self._commit(writes, list(writes)):
+            return False
+        for _, row in claims:
+            log(Event.BLOCK_CLAIMED, block=block_key(self._domain, row["job"], row["n"]))
+        return True
+
+    def _backlog(self) -> int:
+        total = 0
+        for key, row in self.mine():
+            total += sum(1 for _ in startable(row, self._placed_in(key, row)))
+        return total
+
+    def _admits(self, row: BlockRow) -> bool:
+        spec = self._class_row(row)
+        return spec is not None and allows(spec["domains"], self._domain)
+
+    def _preferred(self, key: str) -> bool:
+        """Spread claims: of the entries that can start tasks, one is first for each block."""
+        abroad = key.startswith(QUEUE_PREFIX)
+        able = [
+            peer.beat["id"]
+            for peer in self._roster.live()
+            if peer.beat["ready"] and peer.beat["workers"]
+            if abroad or peer.beat["domain"] == self._domain
+            if self._config.domain_in(peer.beat["domain"])
+        ]
+        return preferred(key, [*able, self._id]) == self._id
+
+    def _urgency(self, row: BlockRow) -> tuple[float, float]:
+        spec = self._class_row(row)
+        if spec is None:
+            return (0.0, row["deadline"])
+        boost = URGENT_BOOST if spec.get("kind") == "urgent" or row["service"] else 0
+        return (-(spec.get("priority", 100) + boost), row["deadline"])
+
+    # Start
+
+    def _start_tasks(self) -> None:
+        if not self._config.may_start(self._domain):
+            return
+        started = 0
+        for want, row in self._wants():
+            held = self._place(want)
+            if held is None:
+                continue
+            order = self._order(want, row)
+            seq = self.keeper.reserve(held, order)
+            self._placed[order.task.key] = Placed(order.task.attempt, held.host.name)
+            self._spawn(self._start(held, order, seq))
+            started += 1
+            if started >= STARTS_AT_ONCE:
+                return
+
+    def _wants(self) -> list[tuple[Want, BlockRow]]:
+        found: list[tuple[Want, BlockRow]] = []
+        now = self._clock()
+        cores = self.cores_by_customer()
+        mine = [(key, row) for key, row in self.mine() if key not in self._adopting]
+        for key, row in sorted(mine, key=lambda item: self._urgency(item[1])):
+            spec = self._class_row(row)
+            if spec is None or self.placer.backed_off(row["cls"], now):
+                continue
+            if not row["service"] and self._over_quota(row["customer"], cores, spec["cores"]):
+                self.reasons[key] = "quota of customer " + row["customer"]
+                continue
+            declared = Size(spec["cores"], spec["memory"], spec["accelerators"])
+            urgent = spec.get("kind") == "urgent"
+            for task, checkpoint in startable(row, self._placed_in(key, row)):
+                want = Want(task, row["cls"], row["service"], declared, urgent, checkpoint)
+                found.append((want, row))
+                if len(found) >= STARTS_AT_ONCE * 2:
+                    return found
+        return found
+
+    def cores_by_customer(self) -> dict[str, float]:
+        """Add up the batch cores that run for each customer on the held workers."""
+        cores: dict[str, float] = defaultdict(float)
+        for held in self.keeper.held():
+            assert held.lease is not None
+            sizes = {task: (run.service, run.size) for task, run in held.lease.running.items()}
+            for task, (_, order) in held.lease.pending.items():
+                sizes[task] = (order.service, order.size)
+            for task, (service, size) in sizes.items():
+                if not service:
+                    cores[customer_of(task.job)] += size.cores
+        return dict(cores)
+
+    def _over_quota(self, customer: str, own: dict[str, float], cores: float) -> bool:
+        row = self._config.rows("customer").get(customer)
+        if row is None:
+            return False
+        others = sum(p.beat["cores"].get(customer, 0.0) for p in self._roster.live())
+        return own.get(customer, 0.0) + others + cores > row["quota_cores"]
+
+    def _place(self, want: Want) -> Held | None:
+        by_name = {held.host.name: held for held in self._usable()}
+        if not by_name:
+            return None
+        size = self.placer.reservation(want)
+        candidates = [self._candidate(held) for held in by_name.values()]
+        name = self.placer.choose(want, size, candidates, self._clock())
+        key = f"{want.task.job}/{want.task.number}"
+        if name is None:
+            self.reasons[key] = self.placer.why_not(size, [c.total for c in candidates])
+            if want.urgent or want.service:
+                self._make_room(want, size, candidates, by_name)
+            return None
+        self.reasons.pop(key, None)
+        return by_name[name]
+
+    def _usable(self) -> list[Held]:
+        return [
+            held
+            for held in self.keeper.held()
+            if held.host.domain == self._domain and held.host.state is HostState.LIVE
+        ]
+
+    def _candidate(self, held: Held) -> Candidate:
+        lease = held.lease
+        assert lease is not None
+        classes = [run.service or run.cls for run in lease.running.values()]
+        classes += [order.service or order.cls for _, order in lease.pending.values()]
+        services = {run.service for run in lease.running.values() if run.service}
+        services |= {order.service for _, order in lease.pending.values() if order.service}
+        return Candidate(held.host.name, held.host.size, held.room(), tuple(classes), services)
+
+    def _make_room(
+        self, want: Want, size: Size, candidates: list[Candidate], held: dict[str, Held]
+    ) -> None:
+        evictable = {
+            name: {
+                task: run.size
+                for task, run in w.lease.running.items()
+                if not run.service and not self._is_urgent(run.cls)
+            }
+            for name, w in held.items()
+            if w.lease is not None
+        }
+        chosen = self.placer.victims(size, candidates, evictable)
+        if chosen is None:
+            return
+        name, victims = chosen
+        for task in victims:
+            log(Event.TASK_EVICTING, task=task, worker=name, for_=want.task)
+            self.counts["evictions"] += 1
+            self.keeper.stop_soon(held[name], task)
+
+    def _is_urgent(self, cls: str) -> bool:
+        spec = self._config.rows("class").get(cls)
+        return spec is not None and spec["kind"] == "urgent"
+
+    def _order(self, want: Want, row: BlockRow) -> StartOrder:
+        spec = self._class_row(row) or {}
+        seconds = 0.0 if row["service"] or spec.get("kind") == "watcher" else spec["seconds"]
+        seconds = row.get("seconds", seconds)
+        size = self.placer.reservation(want)
+        return StartOrder(
+            want.task, row["cls"], row["customer"], size, seconds, want.checkpoint, row["service"]
+        )
+
+    async def _start(self, held: Held, order: StartOrder, seq: int) -> None:
+        where = {"task": order.task, "worker": held.host.name}
+        try:
+            if not self._config.may_start(self._domain):
+                self.keeper.unreserve(held, order)
+                raise Refused(why="no permit")
+            await self.keeper.start(held, order, seq)
+        except (Fenced, Refused, ConnectFailed) as exc:
+            self._placed.pop(order.task.key, None)
+            log(Event.TASK_START_REFUSED, **where, why=exc)
+        except AnswerLost as exc:
+            log(Event.TASK_START_UNKNOWN, **where, why=exc)
+        else:
+            self.counts["starts"] += 1
+            log(Event.TASK_PLACED, **where, cores=order.size.cores)
+
+    # Rows
+
+    def _class_row(self, row: BlockRow) -> dict[str, Any] | None:
+        kind = "service" if row["service"] else "class"
+        found = self._config.rows(kind).get(row["service"] or row["cls"])
+        return None if found is None else dict(found)
+
+    def _class_of(self, key: str) -> str:
+        row = self._block(key)
+        return "" if row is None else row["cls"]
+
+    def _policy(self, row: BlockRow) -> Policy:
+        spec = self._class_row(row)
+        if spec is None or row["service"]:
+            return Policy(max_attempts=1_000_000)
+        return Policy(spec["max_attempts"], spec["on_worker_loss"])
--- /dev/null
+++ b/src/curranthall/edits.py
@@ -0,0 +1,161 @@
+"""Operators' edits: made on a row's version, committed with their history, never overwriting."""
+
+from collections.abc import Callable
+from typing import Any
+
+from curranthall.block import BLOCK_PREFIX, BLOCK_TASKS, SERVICE_JOB, block_key, new_block
+from curranthall.config import Config
+from curranthall.errors import BadInput, Conflict
+from curranthall.events import Event, log
+from curranthall.jobs import NAME
+from curranthall.model import Change, Commit, Row
+from curranthall.platform import Platform, commit_surely
+from curranthall.rows import CONFIG_PREFIX, KINDS, allows, check_row, config_key
+
+HISTORY_PREFIX = "history/"
+MAX_REPLICAS = BLOCK_TASKS
+
+
+class Edits:
+    """Change the operators' table."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        config: Config,
+        wall: Callable[[], float],
+        new_txn: Callable[[], str],
+    ) -> None:
+        self._platform = platform
+        self._config = config
+        self._wall = wall
+        self._new_txn = new_txn
+
+    async def edit(
+        self, who: str, kind: str, name: str, values: dict[str, Any], base: int
+    ) -> dict[str, Any]:
+        """Change columns of a row as it stood at version `base` (0: a new row)."""
+        if not NAME.fullmatch(name):
+            raise BadInput(field="name", found=name, allowed=NAME.pattern)
+        key = config_key(kind, name)
+        before = await self._fresh(key)
+        known = 0 if before is None or before.value is None else before.version
+        if known != base:
+            log(Event.EDIT_CONFLICT, key=key, base=base, found=known)
+            raise Conflict(key=key, base=base, version=known)
+        old = dict(before.value) if before is not None and before.value is not None else {}
+        new = check_row(kind, {**old, **values})
+        txn = self._new_txn()
+        writes: dict[str, Row | None] = {key: new}
+        checks = {key: base}
+        await self._add_replicas(kind, name, new, checks, writes)
+        writes[f"{HISTORY_PREFIX}{int(self._wall() * 1000):014d}-{txn}"] = {
+            "who": who,
+            "at": self._wall(),
+            "key": key,
+            "before": old or None,
+            "after": new,
+        }
+        result = await commit_surely(self._platform, Commit(txn, checks, writes))
+        if result.is_err():
+            log(Event.EDIT_CONFLICT, key=key, base=base)
+            raise Conflict(key=key, base=base)
+        revision = result.unwrap()
+        self._config.mirror.take(Change(key, revision, txn, new))
+        log(Event.EDIT_ACCEPTED, key=key, who=who, revision=revision)
+        return {"key": key, "version": revision, "revision": revision, "row": new}
+
+    async def _fresh(self, key: str) -> Change | None:
+        scan = await self._platform.scan(0, [key])
+        found = [change for change in scan.changes if change.key == key]
+        return found[0] if found else None
+
+    async def _add_replicas(
+        self,
+        kind: str,
+        name: str,
+        new: dict[str, Any],
+        checks: dict[str, int],
+        writes: dict[str, Row | None],
+    ) -> None:
+        """Keep one block of replicas for each service in each failure domain."""
+        scan = await self._platform.scan(0, [CONFIG_PREFIX])
+        rows = {c.key: c.value for c in scan.changes if c.value is not None}
+        rows[config_key(kind, name)] = new
+        domains = [key.split("/")[2] for key in rows if key.startswith(config_key("domain", ""))]
+        services = {
+            key.split("/")[2]: row
+            for key, row in rows.items()
+            if key.startswith(config_key("service", ""))
+        }
+        match kind:
+            case "service":
+                services = {name: new}
+            case "domain":
+                domains = [name]
+            case _:
+                return
+        wanted = {
+            block_key(domain, SERVICE_JOB + service, 0): (service, row)
+            for domain in domains
+            for service, row in services.items()
+            if allows(row["domains"], domain)
+        }
+        scan = await self._platform.scan(0, [f"{BLOCK_PREFIX}{d}/{SERVICE_JOB}" for d in domains])
+        known = {c.key: c for c in scan.changes if c.value is not None}
+        for key, (service, row) in wanted.items():
+            change = known.get(key)
+            self._set_replicas(key, service, row, change, checks, writes)
+
+    def _set_replicas(
+        self,
+        key: str,
+        service: str,
+        row: Row,
+        change: Change | None,
+        checks: dict[str, int],
+        writes: dict[str, Row | None],
+    ) -> None:
+        count = row["replicas"]
+        if change is None or change.value is None:
+            block: dict[str, Any] = {
+                **new_block(SERVICE_JOB + service, 0, row["customer"], service, 0, count, 0.0),
+                "service": service,
+            }
+        elif change.value["count"] != count:
+            block = {**change.value, "count": count}
+        else:
+            return
+        checks[key] = 0 if change is None else change.version
+        writes[key] = block
+
+    async def history(self) -> list[dict[str, Any]]:
+        """List the accepted edits, newest first."""
+        scan = await self._platform.scan(0, [HISTORY_PREFIX])
+        rows = [dict(c.value, revision=c.version) for c in scan.changes if c.value is not None]
+        return sorted(rows, key=lambda row: -row["revision"])
+
+    async def load(self, who: str, table: dict[str, dict[str, dict[str, Any]]]) -> list[str]:
+        """Write rows that are new or differ; give their keys."""
+        written = []
+        for kind in KINDS:
+            for name, values in table.get(kind, {}).items():
+                change = await self._fresh(config_key(kind, name))
+                old = None if change is None else change.value
+                if old is not None and dict(old) == check_row(kind, {**old, **values}):
+                    continue
+                base = 0 if change is None or old is None else change.version
+                await self.edit(who, kind, name, values, base)
+                written.append(config_key(kind, name))
+        return written
+
+    def table(self) -> dict[str, Any]:
+        """Give all rows in force with their versions."""
+        found: dict[str, Any] = {}
+        for kind in KINDS:
+            prefix = config_key(kind, "")
+            found[kind] = [
+                {"name": key[len(prefix) :], "version": self._config.mirror.version(key), **row}
+                for key, row in sorted(self._config.mirror.under(prefix))
+            ]
+        return found
--- /dev/null
+++ b/src/curranthall/events.py
@@ -0,0 +1,66 @@
+"""Numbered log events; docs/EVENTS.md is their catalogue."""
+
+from enum import Enum
+
+from absl import logging
+
+
+class Event(Enum):
+    """Every event that an entry logs, by number."""
+
+    ENTRY_STARTED = 1001
+    ENTRY_READY = 1002
+    ENTRY_DRAINING = 1003
+    ENTRY_STOPPED = 1004
+    LOOP_FAILED = 1005
+    PEER_UP = 1101
+    PEER_SUSPECTED = 1102
+    PEER_REFUSED = 1103
+    FRAME_REFUSED = 1104
+    LATE_ANSWER_DROPPED = 1105
+    CONFIG_IN_FORCE = 1201
+    PERMIT_LOST = 1202
+    PERMIT_REGAINED = 1203
+    PLATFORM_DOWN = 1204
+    PLATFORM_BACK = 1205
+    EDIT_ACCEPTED = 1206
+    EDIT_CONFLICT = 1207
+    LEASE_CLAIMED = 1301
+    LEASE_FENCED = 1302
+    LEASE_LAPSED = 1303
+    LEASE_RELEASED = 1304
+    TASK_VANISHED = 1305
+    BLOCK_CLAIMED = 1401
+    BLOCK_TAKEN_OVER = 1402
+    BLOCK_RECOVERED = 1403
+    BLOCK_WAITS_FOR_PROOF = 1404
+    BLOCK_RELEASED = 1405
+    BLOCK_DONE = 1406
+    COMMIT_CONFLICT = 1407
+    TASK_PLACED = 1501
+    TASK_START_REFUSED = 1502
+    TASK_START_UNKNOWN = 1503
+    TASK_ENDED = 1504
+    TASK_EVICTING = 1505
+    TASK_THROTTLED = 1506
+    TASK_KEPT_APART = 1507
+    TASK_NEVER_FITS = 1508
+    WORKER_QUARANTINED = 1509
+    CLASS_BACKED_OFF = 1510
+    ORPHAN_STOPPED = 1511
+    REQUEST_ROUTED = 1601
+    REQUEST_NOT_RUN = 1602
+    REQUEST_UNKNOWN = 1603
+    REQUEST_RETRIED = 1604
+    INPUT_REFUSED = 1605
+    JOB_ACCEPTED = 1701
+    JOB_CANCELLED = 1702
+    ACCESS_DENIED = 1801
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write one line: number, name and fields."""
+    if logging.get_verbosity() < logging.INFO:
+        return
+    text = " ".join(f"{key}={value}" for key, value in fields.items())
+    logging.info("E%d %s %s", event.value, event.name.lower().replace("_", "-"), text)
--- /dev/null
+++ b/src/curranthall/jobs.py
@@ -0,0 +1,220 @@
+"""Jobs as callers see them: submit once per key, status, cancel in waves, close, held tasks."""
+
+import re
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from curranthall.block import (
+    BLOCK_PREFIX,
+    BLOCK_TASKS,
+    DONE_PREFIX,
+    HELD,
+    QUEUE_PREFIX,
+    as_block,
+    attempt_of,
+    copy_of,
+    done_key,
+    is_finished,
+    job_id,
+    job_key,
+    new_block,
+    queue_key,
+    tally,
+    with_waiting_ended,
+)
+from curranthall.config import Config
+from curranthall.errors import BadDeadline, BadInput, Conflict, UnknownName
+from curranthall.events import Event, log
+from curranthall.model import BlockRow, Change, Commit, Row
+from curranthall.platform import Platform, commit_surely
+
+MAX_TASKS = 50_000
+MAX_DEADLINE_S = 400 * 86_400
+CHANGE_TRIES = 8
+NAME = re.compile(r"[A-Za-z0-9_-]{1,64}")
+
+BlockChange = Callable[[BlockRow], BlockRow]
+
+
+class JobSpec(NamedTuple):
+    """What a caller submits; `deadline_s` counts from the submission."""
+
+    customer: str
+    key: str
+    cls: str
+    tasks: int
+    deadline_s: float
+    seconds: float | None = None
+
+
+def job_spec(customer: str, value: dict[str, Any]) -> JobSpec:
+    """Read a submission; raise BadInput or BadDeadline."""
+    key, tasks = value.get("key"), value.get("tasks")
+    if not isinstance(key, str) or not NAME.fullmatch(key):
+        raise BadInput(field="key", found=key, allowed=NAME.pattern)
+    if not isinstance(tasks, int) or isinstance(tasks, bool) or not 1 <= tasks <= MAX_TASKS:
+        raise BadInput(field="tasks", found=tasks, allowed=f"1 to {MAX_TASKS}")
+    deadline = value.get("deadline_s")
+    if not isinstance(deadline, int | float) or not 0 < deadline <= MAX_DEADLINE_S:
+        raise BadDeadline(found=deadline, allowed=f"0 to {MAX_DEADLINE_S} s")
+    seconds = value.get("seconds")
+    if seconds is not None and (not isinstance(seconds, int | float) or not 0 < seconds < 1e7):
+        raise BadInput(field="seconds", found=seconds, allowed="0 to 1e7")
+    unknown = sorted(set(value) - {"key", "class", "tasks", "deadline_s", "seconds"})
+    if unknown:
+        raise BadInput(field=unknown[0], found="unknown field")
+    return JobSpec(customer, key, str(value.get("class")), tasks, float(deadline), seconds)
+
+
+class Jobs:
+    """Submit and steer jobs; every answer is given after the commit."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        config: Config,
+        wall: Callable[[], float],
+        new_txn: Callable[[], str],
+    ) -> None:
+        self._platform = platform
+        self._config = config
+        self._wall = wall
+        self._new_txn = new_txn
+
+    async def submit(self, spec: JobSpec) -> dict[str, Any]:
+        """Accept a job; the same key again gives the same job."""
+        self._config.row("customer", spec.customer)
+        self._config.row("class", spec.cls)
+        job = job_id(spec.customer, spec.key)
+        deadline = self._wall() + spec.deadline_s
+        writes: dict[str, Row | None] = {
+            job_key(job): {**spec._asdict(), "deadline": deadline, "job": job}
+        }
+        for n, first in enumerate(range(0, spec.tasks, BLOCK_TASKS)):
+            count = min(BLOCK_TASKS, spec.tasks - first)
+            row = new_block(job, n, spec.customer, spec.cls, first, count, deadline)
+            if spec.seconds is not None:
+                row["seconds"] = spec.seconds
+            writes[queue_key(job, n)] = row
+        commit = Commit(self._new_txn(), {job_key(job): 0}, writes)
+        result = await commit_surely(self._platform, commit)
+        if result.is_err():
+            return await self._existing(job, spec)
+        log(Event.JOB_ACCEPTED, job=job, tasks=spec.tasks)
+        return {"job": job, "tasks": spec.tasks, "repeated": False}
+
+    async def _existing(self, job: str, spec: JobSpec) -> dict[str, Any]:
+        scan = await self._platform.scan(0, [job_key(job)])
+        rows = [change.value for change in scan.changes if change.key == job_key(job)]
+        if not rows or rows[0] is None:
+            raise Conflict(job=job)
+        same = all(rows[0][field] == value for field, value in spec._asdict().items())
+        if not same:
+            raise Conflict(job=job, why="the key names another job")
+        return {"job": job, "tasks": rows[0]["tasks"], "repeated": True}
+
+    async def status(self, job: str) -> dict[str, Any]:
+        """Count a job's tasks by state."""
+        row, blocks = await self._read(job)
+        counts = tally(as_block(change.value) for change in blocks if change.value)
+        held = [
+            index
+            for change in blocks
+            if change.value
+            for index, how in change.value["ended"].items()
+            if how.startswith(HELD)
+        ]
+        done = not counts["open"] and not counts["held"]
+        where = sorted({change.key.split("/")[1] for change in blocks if _is_claimed(change)})
+        return {
+            "job": job,
+            "class": row["cls"],
+            "tasks": row["tasks"],
+            "deadline": row["deadline"],
+            "finished": done,
+            "counts": counts,
+            "held": held,
+            "domains": where,
+            "blocks_waiting": sum(change.key.startswith(QUEUE_PREFIX) for change in blocks),
+        }
+
+    async def cancel(self, job: str, low: int = 0, high: int | None = None) -> dict[str, Any]:
+        """Cancel a job, or the tasks from `low` up to `high`."""
+        limit = MAX_TASKS if high is None else high
+
+        def change(row: BlockRow) -> BlockRow:
+            new = copy_of(row)
+            new["cancel"] = [*row["cancel"], [low, limit]]
+            for index, how in row["ended"].items():
+                if how.startswith(HELD) and low <= int(index) < limit:
+                    new["ended"][index] = "cancelled"
+            return new
+
+        await self._change(job, change)
+        log(Event.JOB_CANCELLED, job=job, low=low, high=limit)
+        return {"job": job, "cancelled": [low, limit]}
+
+    async def close(self, job: str) -> dict[str, Any]:
+        """Close a watcher's order: its tasks end as done."""
+
+        def change(row: BlockRow) -> BlockRow:
+            new = copy_of(row)
+            new["closed"] = True
+            return new
+
+        await self._change(job, change)
+        return {"job": job, "closed": True}
+
+    async def resume(self, job: str) -> dict[str, Any]:
+        """Let held tasks run again, by an operator's decision."""
+
+        def change(row: BlockRow) -> BlockRow:
+            new = copy_of(row)
+            for index, how in row["ended"].items():
+                if how.startswith(HELD):
+                    del new["ended"][index]
+                    new["attempts"][index] = attempt_of(row, int(index)) + 1
+            return new
+
+        await self._change(job, change)
+        return {"job": job, "resumed": True}
+
+    async def _read(self, job: str) -> tuple[Row, list[Change]]:
+        domains = [f"{BLOCK_PREFIX}{name}/{job}/" for name in self._config.rows("domain")]
+        prefixes = [job_key(job), f"{QUEUE_PREFIX}{job}/", f"{DONE_PREFIX}{job}/", *domains]
+        scan = await self._platform.scan(0, prefixes)
+        live = [change for change in scan.changes if change.value is not None]
+        rows = [change.value for change in live if change.key == job_key(job)]
+        if not rows or rows[0] is None:
+            raise UnknownName(kind="job", name=job)
+        return rows[0], [change for change in live if not change.key.startswith("job/")]
+
+    async def _change(self, job: str, change: BlockChange) -> None:
+        for _ in range(CHANGE_TRIES):
+            _, blocks = await self._read(job)
+            writes: dict[str, Row | None] = {}
+            checks = {}
+            for block in blocks:
+                if block.value is not None and not block.key.startswith(DONE_PREFIX):
+                    checks[block.key] = block.version
+                    writes |= _changed(block.key, change(as_block(block.value)))
+            if not writes:
+                return
+            commit = Commit(self._new_txn(), checks, writes)
+            if (await commit_surely(self._platform, commit)).is_ok():
+                return
+        raise Conflict(job=job, why="its blocks keep changing; try again")
+
+
+def _is_claimed(change: Change) -> bool:
+    return change.key.startswith(BLOCK_PREFIX)
+
+
+def _changed(key: str, row: BlockRow) -> dict[str, Row | None]:
+    if not key.startswith(QUEUE_PREFIX):
+        return {key: row}
+    # Nobody holds a queued block, so its waiting tasks can end here.
+    ended = with_waiting_ended(row, set())
+    if is_finished(ended):
+        return {key: None, done_key(row["job"], row["n"]): ended}
+    return {key: ended}
--- /dev/null
+++ b/src/curranthall/standin/table.py
@@ -0,0 +1,116 @@
+"""The platform stand-in's state: table with transactions, objects, host list, faults."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from curranthall.errors import AnswerLost, Conflict, PlatformDown
+from curranthall.model import Change, Commit, Host, HostState, Scan
+
+WRITES_PER_S = 300
+READS_PER_S = 2_000
+LIST_LAG_S = 2.0
+
+Clock = Callable[[], float]
+
+
+class Rate:
+    """A token bucket of one second's size."""
+
+    def __init__(self, per_s: int, clock: Clock) -> None:
+        self._per_s = per_s
+        self._clock = clock
+        self._level = float(per_s)
+        self._at = clock()
+
+    def take(self) -> None:
+        """Take one; raise PlatformDown when empty."""
+        now = self._clock()
+        self._level = min(self._per_s, self._level + (now - self._at) * self._per_s)
+        self._at = now
+        if self._level < 1:
+            raise PlatformDown(why="rate", limit=self._per_s)
+        self._level -= 1
+
+
+class TableCore:
+    """Rows with versions; every commit raises the revision by one."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.rows: OrderedDict[str, Change] = OrderedDict()
+        self.revision = 0
+        self.commits: list[tuple[float, int, Commit]] = []
+        self.objects: dict[str, bytes] = {}
+        self._hosts: dict[str, Host] = {}
+        self._listed: list[tuple[float, Host]] = []
+        self.outage = False
+        self.slow_s = 0.0
+        self.lose_answers = 0
+        self._writes = Rate(WRITES_PER_S, clock)
+        self._reads = Rate(READS_PER_S, clock)
+        self.counts = {"reads": 0, "writes": 0}
+
+    def commit(self, commit: Commit) -> Result[int, Conflict]:
+        """Apply a transaction; raise AnswerLost after the effect when told to."""
+        self._admit()
+        self._writes.take()
+        self.counts["writes"] += 1
+        stale = [key for key, version in commit.checks.items() if self._version(key) != version]
+        if stale:
+            return Err(Conflict(keys=stale))
+        self.revision += 1
+        for key, value in commit.writes.items():
+            self.rows[key] = Change(key, self.revision, commit.txn, value)
+            self.rows.move_to_end(key)
+        self.commits.append((self._clock(), self.revision, commit))
+        self._lose()
+        return Ok(self.revision)
+
+    def scan(self, since: int, prefixes: list[str]) -> Scan:
+        """List changed rows, oldest change first."""
+        self._admit()
+        self._reads.take()
+        self.counts["reads"] += 1
+        found = []
+        wanted = tuple(prefixes)
+        for change in reversed(self.rows.values()):
+            if change.version <= since:
+                break
+            if change.key.startswith(wanted):
+                found.append(change)
+        return Scan(self.revision, found[::-1])
+
+    def hosts(self) -> list[Host]:
+        """Give the list as it stood a while ago."""
+        self._admit()
+        self._reads.take()
+        horizon = self._clock() - LIST_LAG_S
+        while self._listed and self._listed[0][0] <= horizon:
+            host = self._listed.pop(0)[1]
+            self._hosts[host.name] = host
+        return list(self._hosts.values())
+
+    def register(self, host: Host, lag: bool = True) -> None:
+        """Put a host on the list."""
+        self._listed.append((self._clock() if lag else float("-inf"), host))
+
+    def mark(self, name: str, state: HostState) -> None:
+        """Change a listed host's state."""
+        known = [host for _, host in self._listed if host.name == name]
+        host = known[-1] if known else self._hosts[name]
+        self.register(host._replace(state=state))
+
+    def _version(self, key: str) -> int:
+        change = self.rows.get(key)
+        return 0 if change is None or change.value is None else change.version
+
+    def _admit(self) -> None:
+        if self.outage:
+            raise PlatformDown(why="outage")
+
+    def _lose(self) -> None:
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise AnswerLost(what="commit")
