Serve requests and jobs from separate ports: entry process, stand-ins, demo, command line

Found on the way: a block's holder starts tasks only on workers that it holds, so one block per service put all replicas of a domain behind one entry; each replica has a block of its own now, dealt round the holders. Blocks are 64 tasks, not 256: with three or four workers an entry a large block strands work behind one holder. Ruled out: starting tasks through a peer (the place message needs an ordered link and a barrier of its own to keep an attempt from running twice).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: demo test lint binary bench slopes policy matrix scenarios-live
+
+.venv/ready: pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch .venv/ready
+
+demo: .venv/ready
+	$(BIN)/curranthall demo
+
+test: .venv/ready
+	$(BIN)/python -m tests
+
+lint: .venv/ready
+	$(BIN)/black --quiet --check src tests tools
+	$(BIN)/ruff check --quiet src tests tools
+	$(BIN)/mypy --no-error-summary
+
+binary: .venv/ready
+	$(BIN)/python tools/binary.py
+
+bench: .venv/ready
+	$(BIN)/python tools/bench.py
+
+slopes: .venv/ready
+	$(BIN)/python tools/slopes.py
+
+policy: .venv/ready
+	$(BIN)/python tools/policy.py
+
+matrix: .venv/ready
+	$(BIN)/python -m tests.matrix
+
+scenarios-live: .venv/ready
+	$(BIN)/python -m tests.live
--- /dev/null
+++ b/src/curranthall/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line with `python -m curranthall`."""
+
+from curranthall.cli import main
+
+main()
--- a/src/curranthall/block.py
+++ b/src/curranthall/block.py
@@ -6,7 +6,7 @@
 
 from curranthall.model import BlockRow, Outcome, OutcomeKind, Row, Task
 
-BLOCK_TASKS = 256
+BLOCK_TASKS = 64
 QUEUE_PREFIX = "queue/"
 BLOCK_PREFIX = "block/"
 DONE_PREFIX = "done/"
@@ -62,6 +62,16 @@
     return f"{JOB_PREFIX}{job}"
 
 
+def number_of(job: str, task: int) -> int:
+    """Tell in which block of a job a task is; replicas have a block each, to spread them."""
+    return task if job.startswith(SERVICE_JOB) else task // BLOCK_TASKS
+
+
+def key_of(domain: str, task: Task) -> str:
+    """Name the row of the block that a task on a domain's worker belongs to."""
+    return block_key(domain, task.job, number_of(task.job, task.number))
+
+
 def job_id(customer: str, key: str) -> str:
     """Name a job by its customer and the caller's job key."""
     return f"{customer}.{key}"
--- /dev/null
+++ b/src/curranthall/cli.py
@@ -0,0 +1,335 @@
+"""The command line."""
+
+import asyncio
+import json
+import sys
+from collections.abc import Coroutine
+from typing import Any
+
+from curranthall.errors import CurranthallError, SettingsInvalid
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+DEFAULT_AT = "127.0.0.1:8100"
+
+
+def _run(main: Coroutine[Any, Any, Any]) -> Any:
+    try:
+        return asyncio.run(main)
+    except KeyboardInterrupt:
+        return None
+    except CurranthallError as exc:
+        print(f"curranthall: {exc}", file=sys.stderr)
+        sys.exit(EXIT_FAILED)
+
+
+def _logs(on: bool) -> None:
+    from absl import logging
+
+    logging.set_verbosity(logging.INFO if on else logging.WARNING)
+    logging.use_absl_handler()
+
+
+def _print(value: Any, as_json: bool) -> None:
+    if as_json:
+        print(json.dumps(value, indent=2))
+        return
+    rows = value if isinstance(value, list) else [value]
+    print(_table(rows))
+
+
+def _table(rows: list[dict[str, Any]]) -> str:
+    if not rows:
+        return "(nothing)"
+    columns = list(dict.fromkeys(name for row in rows for name in row))
+    cells = [[_cell(row.get(name, "")) for name in columns] for row in rows]
+    widths = [max(len(line[i]) for line in [columns, *cells]) for i in range(len(columns))]
+    lines = [
+        "  ".join(text.ljust(width) for text, width in zip(line, widths, strict=True)).rstrip()
+        for line in [columns, *cells]
+    ]
+    return "\n".join(lines)
+
+
+def _cell(value: Any) -> str:
+    return json.dumps(value) if isinstance(value, dict | list) else str(value)
+
+
+class _Remote:
+    def __init__(self, at: str = DEFAULT_AT, token: str = "") -> None:
+        self._at = at
+        self._token = token
+
+    def _ask(self, path: str, value: Any = None) -> Any:
+        return _run(self._call(path, value))
+
+    async def _call(self, path: str, value: Any) -> Any:
+        from curranthall.client import OperatorClient
+
+        client = OperatorClient(self._at, self._token)
+        try:
+            return await (client.get(path) if value is None else client.post(path, value))
+        finally:
+            client.close()
+
+    def _change(self, kind: str, name: str, columns: dict[str, Any]) -> Any:
+        async def change() -> Any:
+            from curranthall.client import OperatorClient
+
+            client = OperatorClient(self._at, self._token)
+            try:
+                return await client.edit(kind, name, columns)
+            finally:
+                client.close()
+
+        return _run(change())
+
+    def _confirm(self, revision: int) -> None:
+        found = self._ask(f"/v1/force/{revision}")
+        if found["in_force"]:
+            print(f"revision {revision} is in force everywhere")
+            return
+        print(f"revision {revision} is not in force at: {', '.join(found['behind'])}")
+        sys.exit(EXIT_FAILED)
+
+
+class Table(_Remote):
+    """The operators' table."""
+
+    def show(self, kind: str = "", json: bool = False) -> None:
+        """Show the rows in force."""
+        table = self._ask("/v1/table")
+        if json:
+            _print(table, True)
+            return
+        for name, rows in table["rows"].items():
+            if kind in ("", name):
+                print(f"{name}:\n{_table(rows)}\n")
+
+    def set(self, kind: str, name: str, wait: bool = False, **columns: Any) -> None:
+        """Change columns of a row, or add a row."""
+        found = self._change(kind, name, columns)
+        print(f"{found['key']} is at version {found['version']}")
+        if wait:
+            self._confirm(found["revision"])
+
+    def load(self, file: str) -> None:
+        """Write the rows of a file (JSON with comments) that are new or differ."""
+        import json5
+
+        with open(file, encoding="utf-8") as text:
+            found = self._ask("/v1/import", json5.load(text))
+        print("\n".join(found["written"]) or "nothing to change")
+
+    def export(self) -> None:
+        """Print the rows so that `import` takes them."""
+        rows = self._ask("/v1/table")["rows"]
+        plain = {
+            kind: {
+                row["name"]: {k: v for k, v in row.items() if k not in ("name", "version")}
+                for row in listed
+            }
+            for kind, listed in rows.items()
+        }
+        print(json.dumps(plain, indent=2))
+
+    def history(self, json: bool = False) -> None:
+        """Show who changed what, newest first."""
+        _print(self._ask("/v1/history"), json)
+
+
+# `import` is a word of the language, so the method can't carry it itself.
+setattr(Table, "import", Table.load)
+
+
+class Domain(_Remote):
+    """Failure domains."""
+
+    def out(self, name: str, wait: bool = False) -> None:
+        """Take a failure domain out of service."""
+        self._switch(name, "out", wait)
+
+    def _switch(self, name: str, state: str, wait: bool) -> None:
+        found = self._change("domain", name, {"state": state})
+        print(f"failure domain {name}: {state}, revision {found['revision']}")
+        if wait:
+            self._confirm(found["revision"])
+
+    def into(self, name: str, wait: bool = False) -> None:
+        """Bring a failure domain back."""
+        self._switch(name, "in", wait)
+
+
+setattr(Domain, "in", Domain.into)
+
+
+class Job(_Remote):
+    """Jobs."""
+
+    def submit(
+        self, customer: str, key: str, cls: str, tasks: int, deadline_s: float, json: bool = False
+    ) -> None:
+        """Submit a job; the same key again is harmless."""
+        value = {
+            "customer": customer,
+            "key": key,
+            "class": cls,
+            "tasks": tasks,
+            "deadline_s": deadline_s,
+        }
+        _print(self._ask("/v1/jobs", value), json)
+
+    def status(self, job: str, json: bool = False) -> None:
+        """Count a job's tasks by state."""
+        _print(self._ask(f"/v1/jobs/{job}"), json)
+
+    def cancel(self, job: str) -> None:
+        """Cancel a job."""
+        _print(self._ask(f"/v1/jobs/{job}/cancel", {}), False)
+
+    def close(self, job: str) -> None:
+        """Close a watcher's order."""
+        _print(self._ask(f"/v1/jobs/{job}/close", {}), False)
+
+    def resume(self, job: str) -> None:
+        """Let a job's held tasks run again."""
+        _print(self._ask(f"/v1/jobs/{job}/resume", {}), False)
+
+
+class Standin:
+    """Stand-ins for the outside systems."""
+
+    def platform(self, port: int = 0) -> None:
+        """Run the platform stand-in."""
+        _run(_platform(port))
+
+    def worker(
+        self,
+        name: str,
+        domain: str,
+        platform: str,
+        port: int = 0,
+        cores: float = 16,
+        memory: float = 64,
+        serve_ms: float = 20,
+    ) -> None:
+        """Run a worker stand-in and put it on the platform's list."""
+        _run(_worker(name, domain, platform, port, cores, memory, serve_ms))
+
+
+async def _platform(port: int) -> None:
+    from curranthall.standin.servers import PlatformServer
+
+    found = await PlatformServer().start("127.0.0.1", port)
+    print(f"ready platform={found}", flush=True)
+    await asyncio.sleep(float("inf"))
+
+
+async def _worker(
+    name: str, domain: str, platform: str, port: int, cores: float, memory: float, serve_ms: float
+) -> None:
+    import time
+
+    from curranthall.model import Host, HostState, Size
+    from curranthall.standin.servers import WorkerServer
+
+    size = Size(cores, memory, 0)
+    host = Host(name, domain, f"{domain}-r1", "", size, 8, 64, HostState.LIVE)
+    server = WorkerServer(host, str(time.time_ns()), serve_ms / 1000)
+    found = await server.start("127.0.0.1", port)
+    await server.register(platform)
+    print(f"ready worker={found}", flush=True)
+    await asyncio.sleep(float("inf"))
+
+
+class Commands:
+    """A scheduler for latency-critical and batch work side by side on shared hosts."""
+
+    def __init__(self, at: str = DEFAULT_AT, token: str = "") -> None:
+        self.table = Table(at, token)
+        self.domain = Domain(at, token)
+        self.job = Job(at, token)
+        self.standin = Standin()
+        self._remote = _Remote(at, token)
+
+    def entry(self, settings: str) -> None:
+        """Run an entry; SIGTERM shuts it down gracefully."""
+        from curranthall.process import run_entry
+
+        cfg = _checked(settings)
+        _logs(cfg.log_decisions)
+        _run(run_entry(cfg))
+
+    def check(self, file: str) -> None:
+        """Check a settings file; list every error."""
+        cfg = _checked(file)
+        print(f"{file}: good, entry {cfg.id} in failure domain {cfg.domain}")
+
+    def demo(self, seconds: float = -1, logs: bool = False) -> None:
+        """Run everything in one process; --seconds 0: until Ctrl-C."""
+        from curranthall.demo import DEFAULT_SECONDS, run_demo
+
+        _logs(logs)
+        good = _run(run_demo(DEFAULT_SECONDS if seconds < 0 else seconds))
+        if good is False:
+            sys.exit(EXIT_FAILED)
+
+    def status(self, json: bool = False) -> None:
+        """Show what an entry sees."""
+        found = self._remote._ask("/v1/status")
+        if json:
+            _print(found, True)
+            return
+        peers, workers = found.pop("peers"), found.pop("workers")
+        _print(found, False)
+        print("\npeers:\n" + _table(peers))
+        print("\nworkers:\n" + _table([{"name": name, **row} for name, row in workers.items()]))
+
+    def load(
+        self,
+        callers: str,
+        service: str,
+        customer: str,
+        rate: float = 50,
+        seconds: float = 10,
+        deadline_ms: float = 1000,
+    ) -> None:
+        """Send a bounded load to callers' ports (commas between)."""
+        _run(_load(callers.split(","), service, customer, rate, seconds, deadline_ms))
+
+
+async def _load(
+    callers: list[str],
+    service: str,
+    customer: str,
+    rate: float,
+    seconds: float,
+    deadline_ms: float,
+) -> None:
+    from curranthall.load import Load
+
+    load = Load(callers, service, customer)
+    await load.run(rate, seconds, deadline_ms)
+    load.close()
+    for quantile in (0.5, 0.9, 0.99):
+        print(f"p{quantile * 100:g}_ms={load.quantile_ms(quantile):.2f}")
+    print(" ".join(f"{name}={count}" for name, count in sorted(load.outcomes.items())))
+
+
+def _checked(file: str) -> Any:
+    from curranthall.settings import load_settings
+
+    try:
+        return load_settings(file)
+    except SettingsInvalid as exc:
+        problems = exc.fields["problems"]
+        assert isinstance(problems, list)
+        print("\n".join(f"{file}: {problem}" for problem in problems), file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+def main() -> None:
+    """Run a command."""
+    from fire import Fire
+
+    Fire(Commands, name="curranthall")
--- /dev/null
+++ b/src/curranthall/client.py
@@ -0,0 +1,48 @@
+"""What the command line asks of an entry's operators' port."""
+
+import json
+from typing import Any
+
+from curranthall.errors import CurranthallError
+from curranthall.http import HttpClient
+
+TIMEOUT_S = 15.0
+
+
+class CallFailed(CurranthallError):
+    """The entry refused a command."""
+
+    code = "call-failed"
+
+
+class OperatorClient:
+    """Call one entry as an operator."""
+
+    def __init__(self, address: str, token: str) -> None:
+        self._http = HttpClient(address, 4)
+        self._headers = (("Authorization", f"Bearer {token}"),)
+
+    async def get(self, path: str) -> Any:
+        """Read."""
+        return await self._call("GET", path, b"")
+
+    async def post(self, path: str, value: object) -> Any:
+        """Write."""
+        return await self._call("POST", path, json.dumps(value).encode())
+
+    async def edit(self, kind: str, name: str, columns: dict[str, Any]) -> Any:
+        """Change a row on the version that is in force here."""
+        table = await self.get("/v1/table")
+        known = [row["version"] for row in table["rows"].get(kind, []) if row["name"] == name]
+        value = {"base": known[0] if known else 0, "set": columns}
+        return await self.post(f"/v1/table/{kind}/{name}", value)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+    async def _call(self, method: str, path: str, body: bytes) -> Any:
+        response = await self._http.call(method, path, body, TIMEOUT_S, self._headers)
+        if response.status >= 400:
+            raise CallFailed(status=response.status, **response.json())
+        return response.json()
--- a/src/curranthall/dispatch.py
+++ b/src/curranthall/dispatch.py
@@ -6,7 +6,6 @@
 
 from curranthall.block import (
     BLOCK_PREFIX,
-    BLOCK_TASKS,
     QUEUE_PREFIX,
     Fact,
     Policy,
@@ -22,6 +21,8 @@
     is_current,
     is_finished,
     is_obsolete,
+    key_of,
+    number_of,
     queue_key,
     startable,
     state_of,
@@ -51,8 +52,9 @@
 
 COMMIT_S = 1.0
 COMMIT_ROWS = 64
-CLAIM_BLOCKS = 8
-BACKLOG_TASKS = 64
+CLAIM_BLOCKS = 2
+BACKLOG_TASKS = 16
+IDLE_BLOCK_S = 10.0
 STARTS_AT_ONCE = 32
 SURVEY_S = 2.0
 URGENT_BOOST = 1_000
@@ -122,6 +124,7 @@
         self._since = clock()
         self.draining = False
         self.listed_at = float("-inf")
+        self._busy_at: dict[str, float] = {}
         self.reasons: dict[str, str] = {}
         self.counts: dict[str, int] = defaultdict(int)
 
@@ -129,7 +132,7 @@
 
     def on_outcome(self, held: Held, task: Task, outcome: Outcome) -> None:
         """Take in the certain end of an attempt on a worker that this entry holds."""
-        key = block_key(held.host.domain, task.job, task.number // BLOCK_TASKS)
+        key = key_of(held.host.domain, task)
         self._config.also_follow(f"{BLOCK_PREFIX}{held.host.domain}/")
         known = self._facts[key].get(task)
         if known is None:
@@ -224,7 +227,7 @@
 
     def _verdict(self, held: Held, task: Task, out: bool) -> bool | None:
         """Tell whether a task must stop (None: no), and whether that finishes it."""
-        key = block_key(held.host.domain, task.job, task.number // BLOCK_TASKS)
+        key = key_of(held.host.domain, task)
         row = self._block(key)
         assert held.lease is not None
         if self._is_past(key, row, task, held.lease.learned_at):
@@ -347,10 +350,12 @@
         now = self._clock()
         if now - self._since < 2 * SUSPICION_S or not self._config.may_start(self._domain):
             return
+        if not self._usable():
+            return
         prefix = f"{BLOCK_PREFIX}{self._domain}/"
         for key, value in list(self._config.mirror.under(prefix)):
             row = as_block(value)
-            if self._is_orphan(row) and self._preferred(key):
+            if self._is_orphan(row) and self._preferred(key, row):
                 await self._adopt(key, row)
 
     def _is_orphan(self, row: BlockRow) -> bool:
@@ -417,7 +422,7 @@
         self.reasons.pop(key, None)
         seen = {task: worker for worker, tasks in found.items() for task in tasks}
         for task, worker in seen.items():
-            if task.job == row["job"] and task.number // BLOCK_TASKS == row["n"]:
+            if task.job == row["job"] and number_of(task.job, task.number) == row["n"]:
                 self._placed[task.key] = Placed(task.attempt, worker)
         log(Event.BLOCK_RECOVERED, block=key, running=len(seen))
         if not adoption.clean:
@@ -451,7 +456,7 @@
 
     def _end_elsewhere(self, task: Task, worker: str) -> None:
         self._placed.pop(task.key, None)
-        key = block_key(self._domain, task.job, task.number // BLOCK_TASKS)
+        key = key_of(self._domain, task)
         row = self._block(key)
         if row is not None and is_current(row, task):
             self._facts[key].setdefault(task, Ended(LOST, None, self._clock()))
@@ -462,12 +467,26 @@
         for key, row in list(self.mine()):
             if key in self._adopting or self._facts.get(key):
                 continue
-            domain = key.split("/")[1]
+            if self._placed_in(key, row):
+                self._busy_at[key] = self._clock()
             if self.draining:
                 await self._hand_back(key, row)
-            elif not self._config.domain_in(domain) and not row["service"]:
-                if not self._placed_in(key, row):
-                    await self._requeue(key, row)
+            elif not self._placed_in(key, row):
+                await self._let_go(key, row)
+
+    async def _let_go(self, key: str, row: BlockRow) -> None:
+        """Give up a block of which nothing runs, when it can't go on here."""
+        domain_in = self._config.domain_in(key.split("/")[1])
+        if row["service"]:
+            if domain_in and not self._usable() and self._idle(key):
+                await self._hand_back(key, row)
+        elif not domain_in or self._idle(key):
+            await self._requeue(key, row)
+
+    def _idle(self, key: str) -> bool:
+        """Tell whether nothing of a block has run for a while."""
+        now = self._clock()
+        return now - self._busy_at.setdefault(key, now) > IDLE_BLOCK_S
 
     async def _hand_back(self, key: str, row: BlockRow) -> None:
         new = copy_of(row)
@@ -478,18 +497,21 @@
     async def _requeue(self, key: str, row: BlockRow) -> None:
         new = copy_of(row)
         new["holder"], new["clean"] = None, True
+        self._busy_at.pop(key, None)
         if await self._commit({key: None, queue_key(row["job"], row["n"]): new}, [key]):
             log(Event.BLOCK_RELEASED, block=key, to="queue")
 
     # Claim
 
     async def _claim_blocks(self) -> None:
-        if not self._config.may_start(self._domain) or not self.keeper.held():
+        if not self._config.may_start(self._domain) or not self._usable():
             return
         if self._backlog() >= BACKLOG_TASKS:
             return
         queued = [(key, as_block(row)) for key, row in self._config.mirror.under(QUEUE_PREFIX)]
-        wanted = [(key, row) for key, row in queued if self._admits(row) and self._preferred(key)]
+        wanted = [
+            (key, row) for key, row in queued if self._admits(row) and self._preferred(key, row)
+        ]
         wanted.sort(key=lambda item: self._urgency(item[1]))
         claims = wanted[:CLAIM_BLOCKS]
         if claims and not await self._claim(claims) and len(claims) > 1:
@@ -520,7 +542,7 @@
         spec = self._class_row(row)
         return spec is not None and allows(spec["domains"], self._domain)
 
-    def _preferred(self, key: str) -> bool:
+    def _preferred(self, key: str, row: BlockRow) -> bool:
         """Spread claims: of the entries that can start tasks, one is first for each block."""
         abroad = key.startswith(QUEUE_PREFIX)
         able = [
@@ -530,6 +552,11 @@
             if abroad or peer.beat["domain"] == self._domain
             if self._config.domain_in(peer.beat["domain"])
         ]
+        if row["service"]:
+            # Replicas go round the holders, so that they end up on different workers.
+            ring = sorted([*able, self._id])
+            first = ring.index(preferred(row["job"], ring))
+            return ring[(first + row["n"]) % len(ring)] == self._id
         return preferred(key, [*able, self._id]) == self._id
 
     def _urgency(self, row: BlockRow) -> tuple[float, float]:
--- a/src/curranthall/edits.py
+++ b/src/curranthall/edits.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from curranthall.block import BLOCK_PREFIX, BLOCK_TASKS, SERVICE_JOB, block_key, new_block
+from curranthall.block import BLOCK_PREFIX, SERVICE_JOB, block_key, new_block
 from curranthall.config import Config
 from curranthall.errors import BadInput, Conflict
 from curranthall.events import Event, log
@@ -13,7 +13,7 @@
 from curranthall.rows import CONFIG_PREFIX, KINDS, allows, check_row, config_key
 
 HISTORY_PREFIX = "history/"
-MAX_REPLICAS = BLOCK_TASKS
+MAX_REPLICAS = 256
 
 
 class Edits:
@@ -95,39 +95,12 @@
                 domains = [name]
             case _:
                 return
-        wanted = {
-            block_key(domain, SERVICE_JOB + service, 0): (service, row)
-            for domain in domains
-            for service, row in services.items()
-            if allows(row["domains"], domain)
-        }
         scan = await self._platform.scan(0, [f"{BLOCK_PREFIX}{d}/{SERVICE_JOB}" for d in domains])
         known = {c.key: c for c in scan.changes if c.value is not None}
-        for key, (service, row) in wanted.items():
-            change = known.get(key)
-            self._set_replicas(key, service, row, change, checks, writes)
-
-    def _set_replicas(
-        self,
-        key: str,
-        service: str,
-        row: Row,
-        change: Change | None,
-        checks: dict[str, int],
-        writes: dict[str, Row | None],
-    ) -> None:
-        count = row["replicas"]
-        if change is None or change.value is None:
-            block: dict[str, Any] = {
-                **new_block(SERVICE_JOB + service, 0, row["customer"], service, 0, count, 0.0),
-                "service": service,
-            }
-        elif change.value["count"] != count:
-            block = {**change.value, "count": count}
-        else:
-            return
-        checks[key] = 0 if change is None else change.version
-        writes[key] = block
+        for domain in domains:
+            for service, row in services.items():
+                if allows(row["domains"], domain):
+                    _set_replicas(domain, service, row, known, checks, writes)
 
     async def history(self) -> list[dict[str, Any]]:
         """List the accepted edits, newest first."""
@@ -159,3 +132,25 @@
                 for key, row in sorted(self._config.mirror.under(prefix))
             ]
         return found
+
+
+def _set_replicas(
+    domain: str,
+    service: str,
+    row: Row,
+    known: dict[str, Change],
+    checks: dict[str, int],
+    writes: dict[str, Row | None],
+) -> None:
+    """Give each replica a block of its own; one that is no longer wanted has no task."""
+    job = SERVICE_JOB + service
+    for n in range(MAX_REPLICAS):
+        key, count = block_key(domain, job, n), int(n < row["replicas"])
+        change = known.get(key)
+        if change is None or change.value is None:
+            if not count:
+                return
+            block = new_block(job, n, row["customer"], service, n, 1, 0.0)
+            checks[key], writes[key] = 0, {**block, "service": service}
+        elif change.value["count"] != count:
+            checks[key], writes[key] = change.version, {**change.value, "count": count}
--- a/src/curranthall/entry.py
+++ b/src/curranthall/entry.py
@@ -14,7 +14,7 @@
 from curranthall.link import Mesh
 from curranthall.model import Change, Commit, Host, HostState, Scan, Task
 from curranthall.placement import Placer
-from curranthall.platform import Platform
+from curranthall.platform import Platform, host_from_json, host_to_json
 from curranthall.request import Ask, Endpoints, Router
 from curranthall.roster import HEARTBEAT_S, Heartbeat, Roster, suspects
 from curranthall.rows import CONFIG_PREFIX
@@ -211,8 +211,7 @@
         try:
             hosts = await self.platform.hosts()
         except CurranthallError:
-            hosts = await self._hosts_from_peers()
-        if hosts is None:
+            await self._hosts_from_peers()
             return
         self.keeper.follow(hosts)
         self.dispatcher.listed_at = asked_at
@@ -220,20 +219,17 @@
             if host.state is HostState.GONE:
                 self.dispatcher.on_gone(host.name)
 
-    async def _hosts_from_peers(self) -> list[Host] | None:
+    async def _hosts_from_peers(self) -> None:
         """Learn the workers from a peer when the list can't be read and none is known yet."""
-        from curranthall.platform import host_from_json
-
         if self.keeper.workers:
-            return None
+            return
         for peer in self.mesh.peers():
             try:
                 found = await self.mesh.call(peer, "hosts", {}, CALL_S)
             except CurranthallError:
                 continue
             self.keeper.follow([host_from_json(value) for value in found])
-            return None
-        return None
+            return
 
     async def _beat(self) -> None:
         self._live = suspects(self.roster, self._live)
@@ -292,8 +288,6 @@
                 found = self.config.snapshot()
                 return {**found, "changes": [list(change) for change in found["changes"]]}
             case "hosts":
-                from curranthall.platform import host_to_json
-
                 return [host_to_json(held.host) for held in self.keeper.workers.values()]
             case _:
                 raise NotReady(why="unknown verb", verb=verb)
--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -93,6 +93,11 @@
         self.closing = False
         self.port = 0
 
+    @property
+    def active(self) -> int:
+        """Count the requests in flight."""
+        return self._active
+
     async def start(self, host: str, port: int) -> int:
         """Listen; return the port in use."""
         self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
--- /dev/null
+++ b/src/curranthall/standin/servers.py
@@ -0,0 +1,190 @@
+"""The stand-ins over HTTP."""
+
+import asyncio
+import base64
+import random
+from typing import Any
+from urllib.parse import unquote
+
+from curranthall.errors import AnswerLost, BadInput, CurranthallError, Fenced, UnknownName
+from curranthall.http import HttpClient, HttpServer, Request, Response, json_response
+from curranthall.model import Commit, Host, HostState, OutcomeKind, Size, StartOrder, Task, Token
+from curranthall.platform import host_from_json, host_to_json
+from curranthall.standin.engine import Run, WorkerEngine
+from curranthall.standin.table import TableCore
+from curranthall.worker import inventory_to_json
+
+FAULTS = frozenset({"outage", "slow_s", "lose_answers"})
+NEVER_S = 3_600.0
+
+
+class PlatformServer:
+    """The platform stand-in."""
+
+    def __init__(self) -> None:
+        self.core = TableCore(asyncio.get_running_loop().time)
+        self._http = HttpServer(self.handle, max_body=64 * 1_048_576)
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen."""
+        return await self._http.start(host, port)
+
+    async def close(self) -> None:
+        """Close the port."""
+        await self._http.drain(0)
+
+    async def handle(self, req: Request) -> Response:
+        """Answer one call."""
+        if req.path == "/fault":
+            return self._set_faults(req.json())
+        if self.core.slow_s:
+            await asyncio.sleep(self.core.slow_s)
+        try:
+            return self._route(req)
+        except AnswerLost:
+            # The effect stays; the caller never hears of it.
+            await asyncio.sleep(NEVER_S)
+            raise
+
+    def _route(self, req: Request) -> Response:
+        match req.method, req.path:
+            case "POST", "/table/commit":
+                result = self.core.commit(Commit(**req.json()))
+                if result.is_err():
+                    return json_response({"keys": result.unwrap_err().fields["keys"]}, 409)
+                return json_response({"revision": result.unwrap()})
+            case "POST", "/table/scan":
+                value = req.json()
+                scan = self.core.scan(value["since"], value["prefixes"])
+                return json_response({"revision": scan.revision, "changes": scan.changes})
+            case "GET", "/hosts":
+                return json_response([host_to_json(host) for host in self.core.hosts()])
+            case "POST", "/hosts":
+                self.core.register(host_from_json(req.json()), lag=False)
+                return json_response({})
+            case "POST", "/hosts/mark":
+                value = req.json()
+                self.core.mark(value["name"], HostState(value["state"]))
+                return json_response({})
+            case "GET", "/counts":
+                return json_response(self.core.counts)
+        if req.path.startswith("/objects/"):
+            return self._object(req, unquote(req.path.removeprefix("/objects/")))
+        raise UnknownName(kind="path", name=req.path)
+
+    def _object(self, req: Request, key: str) -> Response:
+        if req.method == "PUT":
+            self.core.objects[key] = base64.b64decode(req.json()["data"])
+            return json_response({})
+        data = self.core.objects.get(key)
+        if data is None:
+            raise UnknownName(kind="object", name=key)
+        return json_response({"data": base64.b64encode(data).decode()})
+
+    def _set_faults(self, faults: dict[str, Any]) -> Response:
+        if set(faults) - FAULTS:
+            raise BadInput(field="fault", allowed=sorted(FAULTS))
+        for name, value in faults.items():
+            setattr(self.core, name, value)
+        return json_response({"outage": self.core.outage})
+
+
+class WorkerServer:
+    """The worker stand-in."""
+
+    def __init__(self, host: Host, boot: str, serve_s: float, seed: int = 0) -> None:
+        self.engine = WorkerEngine(host, asyncio.get_running_loop().time, boot)
+        self.serve_s = serve_s
+        self._rng = random.Random(seed)
+        self._http = HttpServer(self.handle)
+
+    async def start(self, address: str, port: int) -> int:
+        """Listen."""
+        found = await self._http.start(address, port)
+        self.engine.host = self.engine.host._replace(address=f"{address}:{found}")
+        return found
+
+    async def register(self, platform: str) -> None:
+        """Put this worker on the platform's list."""
+        client = HttpClient(platform, 1)
+        await client.json("POST", "/hosts", host_to_json(self.engine.host))
+        client.close()
+
+    async def close(self) -> None:
+        """Close the port."""
+        await self._http.drain(0)
+
+    async def handle(self, req: Request) -> Response:
+        """Answer one call."""
+        try:
+            return await self._route(req)
+        except Fenced as exc:
+            fields = {"token": exc.fields["token"], "left_s": exc.fields.get("left_s", 0.0)}
+            return json_response(fields, 409)
+        except CurranthallError as exc:
+            return json_response({"why": str(exc)}, exc.status)
+
+    async def _route(self, req: Request) -> Response:
+        engine = self.engine
+        if req.path.startswith("/serve/"):
+            return await self._serve(req, unquote(req.path.removeprefix("/serve/")))
+        if req.path == "/runlog":
+            return json_response(engine.log)
+        if req.path == "/counts":
+            return json_response({"overcommits": engine.overcommits, "served": engine.served})
+        value = req.json()
+        token = Token(*value["token"])
+        match req.path:
+            case "/lease":
+                grant = engine.lease(
+                    token, value["echo"], value["seq"], value["seen"], value["term"]
+                )
+                listed = grant.inventory
+                inventory = None if listed is None else inventory_to_json(listed)
+                fields = {**grant._asdict(), "inventory": inventory, "changes": engine.changes}
+                return json_response(fields)
+            case "/release":
+                engine.release(token)
+            case "/start":
+                engine.start(token, value["seq"], _order(value["order"]))
+            case "/stop":
+                outcome = engine.stop(token, Task(*value["task"]), value["finish"])
+                wire = None if outcome is None else [outcome.kind.value, *outcome[1:]]
+                return json_response({"outcome": wire})
+            case "/throttle":
+                engine.throttle(token, Task(*value["task"]), value["on"])
+            case "/acknowledge":
+                engine.acknowledge(token, [Task(*task) for task in value["tasks"]])
+            case _:
+                raise UnknownName(kind="path", name=req.path)
+        return json_response({})
+
+    async def _serve(self, req: Request, service: str) -> Response:
+        request = req.headers.get("curranthall-request", "")
+        seconds = self.serve_s * (0.5 + self._rng.random())
+        body = await self.engine.serve(service, request, req.body, seconds)
+        return Response(200, body, (), "application/octet-stream")
+
+
+def _order(value: list[Any]) -> StartOrder:
+    task, cls, customer, size, *rest = value
+    return StartOrder(Task(*task), cls, customer, Size(*size), *rest)
+
+
+def judge(runs: list[Run]) -> dict[str, int]:
+    """Count what the run logs show: starts, ends, doubled runs."""
+    ended = {kind.value for kind in OutcomeKind}
+    active: dict[str, int] = {}
+    starts: set[tuple[str, int]] = set()
+    found = {"starts": 0, "done": 0, "doubled": 0}
+    for run in sorted(runs, key=lambda run: (run.at, run.what == "start")):
+        if run.what == "start":
+            found["starts"] += 1
+            twice = (run.name, run.attempt) in starts
+            found["doubled"] += int(twice or active.get(run.name, 0) > 0)
+            starts.add((run.name, run.attempt))
+            active[run.name] = active.get(run.name, 0) + 1
+        elif run.what in ended:
+            active[run.name] = active.get(run.name, 0) - 1
+            found["done"] += run.what == "done"
+    return found
