--- a/src/curranthall/block.py
+++ b/src/curranthall/block.py
@@ -42,19 +42,19 @@
     on_worker_loss: str = "resume"
 
 
-def queue_key(job: str, n: int) -> str:
-    """Name the row of an unclaimed block."""
-    return f"{QUEUE_PREFIX}{job}/{n}"
+def queue_key(job: str, first: int) -> str:
+    """Name the row of an unclaimed block by its first task."""
+    return f"{QUEUE_PREFIX}{job}/{first}"
 
 
-def block_key(domain: str, job: str, n: int) -> str:
+def block_key(domain: str, job: str, first: int) -> str:
     """Name the row of a claimed block."""
-    return f"{BLOCK_PREFIX}{domain}/{job}/{n}"
+    return f"{BLOCK_PREFIX}{domain}/{job}/{first}"
 
 
-def done_key(job: str, n: int) -> str:
+def done_key(job: str, first: int) -> str:
     """Name the row of a finished block."""
-    return f"{DONE_PREFIX}{job}/{n}"
+    return f"{DONE_PREFIX}{job}/{first}"
 
 
 def job_key(job: str) -> str:
@@ -62,21 +62,16 @@
     return f"{JOB_PREFIX}{job}"
 
 
-def number_of(job: str, task: int) -> int:
-    """Tell in which block of a job a task is; replicas have a block each, to spread them."""
-    return task if job.startswith(SERVICE_JOB) else task // BLOCK_TASKS
-
-
-def key_of(domain: str, task: Task) -> str:
-    """Name the row of the block that a task on a domain's worker belongs to."""
-    return block_key(domain, task.job, number_of(task.job, task.number))
-
-
 def job_id(customer: str, key: str) -> str:
     """Name a job by its customer and the caller's job key."""
     return f"{customer}.{key}"
 
 
+def service_job(service: str, domain: str) -> str:
+    """Name the job of a service's replicas in a failure domain; each replica is one task."""
+    return f"{SERVICE_JOB}{service}.{domain}"
+
+
 def customer_of(job: str) -> str:
     """Tell the customer from a job's name."""
     return job.split(".")[0]
@@ -88,12 +83,11 @@
 
 
 def new_block(
-    job: str, n: int, customer: str, cls: str, first: int, count: int, deadline: float
+    job: str, customer: str, cls: str, first: int, count: int, deadline: float
 ) -> BlockRow:
     """Make the row of a block that nobody has claimed."""
     return BlockRow(
         job=job,
-        n=n,
         customer=customer,
         cls=cls,
         first=first,
@@ -228,6 +222,34 @@
             yield Task(row["job"], index, attempt_of(row, index)), checkpoint
 
 
+def split(row: BlockRow, middle: int) -> tuple[BlockRow, BlockRow]:
+    """Cut a block in two before the task `middle`."""
+    head, tail = copy_of(row), copy_of(row)
+    offset = middle - row["first"]
+    done = int(row["done"], 16)
+    head["count"] = offset
+    head["done"] = format(done & ((1 << offset) - 1), "x")
+    tail["first"], tail["count"] = middle, row["count"] - offset
+    tail["done"] = format(done >> offset, "x")
+    for part in (head, tail):
+        kept = indices(part)
+        part["attempts"] = {i: v for i, v in row["attempts"].items() if int(i) in kept}
+        part["checkpoints"] = {i: v for i, v in row["checkpoints"].items() if int(i) in kept}
+        part["failures"] = {i: v for i, v in row["failures"].items() if int(i) in kept}
+        part["ended"] = {i: v for i, v in row["ended"].items() if int(i) in kept}
+    return head, tail
+
+
+def after_open(row: BlockRow, wanted: int) -> int:
+    """Give the task before which to cut so that the head has `wanted` open tasks."""
+    for index in indices(row):
+        if state_of(row, index) is TaskState.OPEN:
+            if not wanted:
+                return index
+            wanted -= 1
+    return row["first"] + row["count"]
+
+
 def tally(rows: Iterable[BlockRow]) -> dict[str, int]:
     """Count tasks by state."""
     counts = {state.value: 0 for state in TaskState}
--- a/src/curranthall/config.py
+++ b/src/curranthall/config.py
@@ -1,5 +1,6 @@
 """The table as an entry knows it, how fresh that is, and the permit to start tasks."""
 
+from collections import defaultdict
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -21,6 +22,7 @@
 
     def __init__(self) -> None:
         self.rows: dict[str, Change] = {}
+        self._parents: dict[str, set[str]] = defaultdict(set)
         # Rows may be known from a peer beyond what this entry's own scans have covered.
         self.scanned = 0
         self.revision = 0
@@ -30,6 +32,14 @@
         known = self.rows.get(change.key)
         if known is None or change.version > known.version:
             self.rows[change.key] = change
+            self._parents[change.key.rpartition("/")[0]].add(change.key)
+
+    def beside(self, parent: str) -> Iterator[tuple[str, Row]]:
+        """Give the live rows right below a name."""
+        for key in self._parents.get(parent, ()):
+            value = self.rows[key].value
+            if value is not None:
+                yield key, value
 
     def version(self, key: str) -> int:
         """Give the version to check in a transaction; 0 where there is no row."""
@@ -129,12 +139,17 @@
     def may_start(self, domain: str) -> bool:
         """Tell whether tasks may start in a failure domain right now."""
         age = self._clock() - self.confirmed_at
-        permitted = age < PERMIT_S - PERMIT_MARGIN_S
+        permitted = self._clock() < self.permit_until
         if permitted != self._permitted:
             self._permitted = permitted
             log(Event.PERMIT_REGAINED if permitted else Event.PERMIT_LOST, age_s=age)
         return permitted and self.domain_in(domain)
 
+    @property
+    def permit_until(self) -> float:
+        """Give the moment after which no task may start without a newer confirmation."""
+        return self.confirmed_at + PERMIT_S - PERMIT_MARGIN_S
+
     def domain_in(self, domain: str) -> bool:
         """Tell whether a failure domain is in service, as far as known."""
         row = self.mirror.value(config_key("domain", domain))
--- a/src/curranthall/dispatch.py
+++ b/src/curranthall/dispatch.py
@@ -10,6 +10,7 @@
     Fact,
     Policy,
     TaskState,
+    after_open,
     as_block,
     attempt_of,
     block_key,
@@ -21,9 +22,8 @@
     is_current,
     is_finished,
     is_obsolete,
-    key_of,
-    number_of,
     queue_key,
+    split,
     startable,
     state_of,
     with_facts,
@@ -53,8 +53,10 @@
 COMMIT_S = 1.0
 COMMIT_ROWS = 64
 CLAIM_BLOCKS = 2
-BACKLOG_TASKS = 16
+BACKLOG_TASKS = 4
+CLAIM_AHEAD = 4
 IDLE_BLOCK_S = 10.0
+SHED_S = 2.0
 STARTS_AT_ONCE = 32
 SURVEY_S = 2.0
 URGENT_BOOST = 1_000
@@ -116,7 +118,9 @@
         self._survey_peers = survey_peers
         self._spawn = spawn
         self.keeper: LeaseKeeper
-        self._facts: dict[str, dict[Task, Ended]] = defaultdict(dict)
+        self._ends: dict[tuple[str, Task], Ended] = {}
+        # Blocks whose running tasks are known: claimed from the queue, or recovered.
+        self._trusted: set[str] = set()
         self._placed: dict[tuple[str, int], Placed] = {}
         self._adopting: dict[str, Adoption] = {}
         self._committed_at = float("-inf")
@@ -125,6 +129,7 @@
         self.draining = False
         self.listed_at = float("-inf")
         self._busy_at: dict[str, float] = {}
+        self._shed_at: dict[str, tuple[int, float]] = {}
         self.reasons: dict[str, str] = {}
         self.counts: dict[str, int] = defaultdict(int)
 
@@ -132,14 +137,16 @@
 
     def on_outcome(self, held: Held, task: Task, outcome: Outcome) -> None:
         """Take in the certain end of an attempt on a worker that this entry holds."""
-        key = key_of(held.host.domain, task)
-        self._config.also_follow(f"{BLOCK_PREFIX}{held.host.domain}/")
-        known = self._facts[key].get(task)
+        domain = held.host.domain
+        self._config.also_follow(f"{BLOCK_PREFIX}{domain}/")
+        known = self._ends.get((domain, task))
         if known is None:
             log(Event.TASK_ENDED, task=task, worker=held.host.name, how=outcome.kind.value)
-            self.placer.ended(held.host.name, self._class_of(key), outcome, self._clock())
+            row = self._block_of(domain, task)[1]
+            cls = "" if row is None else row["cls"]
+            self.placer.ended(held.host.name, cls, outcome, self._clock())
         if known is None or known.outcome.kind is OutcomeKind.LOST:
-            self._facts[key][task] = Ended(outcome, held, self._clock())
+            self._ends[(domain, task)] = Ended(outcome, held, self._clock())
 
     def on_gone(self, worker: str) -> None:
         """Take the platform's word that a worker is no more."""
@@ -183,9 +190,12 @@
     def mine(self) -> Iterator[tuple[str, BlockRow]]:
         """Give the blocks that this entry holds."""
         for key, row in self._config.mirror.under(BLOCK_PREFIX):
-            if row["holder"] == self._id and row["incarnation"] == self._incarnation:
+            if self._is_mine(as_block(row)):
                 yield key, as_block(row)
 
+    def _is_mine(self, row: BlockRow) -> bool:
+        return row["holder"] == self._id and row["incarnation"] == self._incarnation
+
     def _note_placed(self) -> None:
         for held in self.keeper.workers.values():
             if held.lease is None:
@@ -205,7 +215,7 @@
             else:
                 found.add(index)
         # An end that is known but not recorded keeps its task from starting again.
-        found |= {task.number for task in self._facts.get(key, ()) if is_current(row, task)}
+        found |= {task.number for task in self._ends_in(key, row) if is_current(row, task)}
         return found
 
     # Stop what must not run
@@ -227,10 +237,10 @@
 
     def _verdict(self, held: Held, task: Task, out: bool) -> bool | None:
         """Tell whether a task must stop (None: no), and whether that finishes it."""
-        key = key_of(held.host.domain, task)
-        row = self._block(key)
+        domain = held.host.domain
         assert held.lease is not None
-        if self._is_past(key, row, task, held.lease.learned_at):
+        row = self._block_of(domain, task)[1]
+        if self._is_past(domain, row, task, held.lease.learned_at):
             log(Event.ORPHAN_STOPPED, task=task, worker=held.host.name)
             return False
         if row is None or not is_current(row, task):
@@ -245,20 +255,34 @@
             return False
         return None
 
-    def _is_past(self, key: str, row: BlockRow | None, task: Task, learned_at: float) -> bool:
+    def _is_past(self, domain: str, row: BlockRow | None, task: Task, learned_at: float) -> bool:
         """Tell whether the table has certainly gone past an attempt seen on a worker."""
-        if row is not None and is_obsolete(row, task):
-            return True
+        if row is not None:
+            return is_obsolete(row, task)
         # A claim is committed before a start, so only a read after the attempt was seen counts.
         read_since = self._config.confirmed_at > learned_at
-        followed = any(key.startswith(prefix) for prefix in self._config.prefixes)
-        outside = row is None or task.number not in indices(row)
-        return outside and read_since and followed
+        return read_since and f"{BLOCK_PREFIX}{domain}/" in self._config.prefixes
 
     def _block(self, key: str) -> BlockRow | None:
         row = self._config.mirror.value(key)
         return None if row is None else as_block(row)
 
+    def _block_of(self, domain: str, task: Task) -> tuple[str, BlockRow | None]:
+        """Find the claimed block that a task on a domain's worker belongs to."""
+        for key, row in self._config.mirror.beside(f"{BLOCK_PREFIX}{domain}/{task.job}"):
+            if task.number in indices(as_block(row)):
+                return key, as_block(row)
+        return "", None
+
+    def _ends_in(self, key: str, row: BlockRow) -> dict[Task, Ended]:
+        """Give the ends of a block's tasks that are not recorded yet."""
+        domain, within = key.split("/")[1], indices(row)
+        return {
+            task: ended
+            for (place, task), ended in self._ends.items()
+            if place == domain and task.job == row["job"] and task.number in within
+        }
+
     # Record ends
 
     async def _commit_facts(self) -> None:
@@ -278,48 +302,44 @@
 
     def _changed_rows(self) -> dict[str, BlockRow]:
         changed = {}
-        keys = set(self._facts) | {key for key, _ in self.mine()}
+        keys = {self._block_of(domain, task)[0] for domain, task in self._ends}
+        keys |= {key for key, _ in self.mine()}
         for key in sorted(keys):
             row = self._block(key)
             if row is None:
                 continue
-            known = self._facts.get(key, {})
-            facts = [Fact(task, ended.outcome) for task, ended in known.items()]
+            facts = [Fact(task, end.outcome) for task, end in self._ends_in(key, row).items()]
             new = with_facts(row, facts, self._policy(row))
-            if row["holder"] == self._id and key not in self._adopting:
+            if self._is_mine(row) and key in self._trusted:
                 new = with_waiting_ended(new, self._placed_in(key, row))
             if new != row or is_finished(new):
                 changed[key] = new
         return changed
 
     def _acknowledge_past(self) -> None:
-        for key, facts in list(self._facts.items()):
-            row = self._block(key)
-            past = {t: e for t, e in facts.items() if self._is_past(key, row, t, e.at)}
-            for task in past:
-                del facts[task]
-            if not facts:
-                del self._facts[key]
-            self._acknowledge(past)
+        past = {}
+        for (domain, task), ended in list(self._ends.items()):
+            if self._is_past(domain, self._block_of(domain, task)[1], task, ended.at):
+                past[task] = self._ends.pop((domain, task))
+        self._acknowledge(past)
 
     async def _commit_rows(self, rows: dict[str, BlockRow]) -> bool:
         writes: dict[str, Row | None] = {}
+        ends = {}
         for key, row in rows.items():
+            ends[key] = self._ends_in(key, row)
             writes[key] = row
             if is_finished(row):
                 writes[key] = None
-                writes[done_key(row["job"], row["n"])] = row
-        facts = {key: dict(self._facts.get(key, {})) for key in rows}
+                writes[done_key(row["job"], row["first"])] = row
         if not await self._commit(writes, list(rows)):
             return False
         for key, row in rows.items():
             if is_finished(row):
                 log(Event.BLOCK_DONE, block=key)
-            self._acknowledge(facts[key])
-            left = {t: e for t, e in self._facts.get(key, {}).items() if t not in facts[key]}
-            self._facts[key] = left
-            if not left:
-                del self._facts[key]
+            for task in ends[key]:
+                self._ends.pop((key.split("/")[1], task), None)
+            self._acknowledge(ends[key])
         return True
 
     async def _commit(self, writes: dict[str, Row | None], checked: list[str]) -> bool:
@@ -336,9 +356,9 @@
             mirror.take(Change(key, result.unwrap(), commit.txn, value))
         return True
 
-    def _acknowledge(self, facts: dict[Task, Ended]) -> None:
+    def _acknowledge(self, ends: dict[Task, Ended]) -> None:
         by_worker: dict[str, list[Task]] = defaultdict(list)
-        for task, (_, held, _) in facts.items():
+        for task, (_, held, _) in ends.items():
             if held is not None and held.lease is not None and task in held.lease.outcomes:
                 by_worker[held.host.name].append(task)
         for name, tasks in by_worker.items():
@@ -373,6 +393,7 @@
         new = copy_of(row)
         new["holder"], new["incarnation"], new["clean"] = self._id, self._incarnation, False
         clean = row["holder"] is None and row["clean"]
+        self._trusted.discard(key)
         if not await self._commit({key: new}, [key]):
             return
         log(Event.BLOCK_TAKEN_OVER, block=key, of=row["holder"], clean=clean)
@@ -382,6 +403,10 @@
 
     async def _recover(self) -> None:
         now = self._clock()
+        for key, _ in self.mine():
+            if key not in self._trusted and key not in self._adopting:
+                # An adoption whose answer was lost: what runs of it is not known either.
+                self._adopting[key] = Adoption(now, now + PERMIT_S, False)
         # The list must be as new as the adoption, or a worker of the past holder might be missing.
         due = [
             key
@@ -419,10 +444,11 @@
             log(Event.BLOCK_WAITS_FOR_PROOF, block=key, workers=",".join(sorted(missing)))
             return
         adoption = self._adopting.pop(key)
+        self._trusted.add(key)
         self.reasons.pop(key, None)
         seen = {task: worker for worker, tasks in found.items() for task in tasks}
         for task, worker in seen.items():
-            if task.job == row["job"] and number_of(task.job, task.number) == row["n"]:
+            if task.job == row["job"] and task.number in indices(row):
                 self._placed[task.key] = Placed(task.attempt, worker)
         log(Event.BLOCK_RECOVERED, block=key, running=len(seen))
         if not adoption.clean:
@@ -432,8 +458,9 @@
         for index in indices(row):
             task = Task(row["job"], index, attempt_of(row, index))
             if is_current(row, task) and state_of(row, index) is TaskState.OPEN:
-                if task not in seen and task not in self._facts[key]:
-                    self._facts[key][task] = Ended(LOST, None, self._clock())
+                if task not in seen:
+                    domain = key.split("/")[1]
+                    self._ends.setdefault((domain, task), Ended(LOST, None, self._clock()))
 
     async def _check_elsewhere(self) -> None:
         """Resolve tasks that were started here and whose worker another entry holds now."""
@@ -456,16 +483,16 @@
 
     def _end_elsewhere(self, task: Task, worker: str) -> None:
         self._placed.pop(task.key, None)
-        key = key_of(self._domain, task)
-        row = self._block(key)
+        row = self._block_of(self._domain, task)[1]
         if row is not None and is_current(row, task):
-            self._facts[key].setdefault(task, Ended(LOST, None, self._clock()))
+            end = Ended(LOST, None, self._clock())
+            self._ends.setdefault((self._domain, task), end)
 
     # Let go
 
     async def _release_blocks(self) -> None:
         for key, row in list(self.mine()):
-            if key in self._adopting or self._facts.get(key):
+            if key not in self._trusted or self._ends_in(key, row):
                 continue
             if self._placed_in(key, row):
                 self._busy_at[key] = self._clock()
@@ -473,6 +500,24 @@
                 await self._hand_back(key, row)
             elif not self._placed_in(key, row):
                 await self._let_go(key, row)
+            elif not row["service"]:
+                await self._shed(key, row)
+
+    async def _shed(self, key: str, row: BlockRow) -> None:
+        """Give the waiting end of a block back when it has found no room here for a while."""
+        placed = self._placed_in(key, row)
+        middle = max(placed) + 1
+        waiting = sum(1 for task, _ in startable(row, placed) if task.number >= middle)
+        now = self._clock()
+        if not waiting or self._shed_at.get(key, (0, now))[0] != waiting:
+            self._shed_at[key] = (waiting, now)
+        elif now - self._shed_at[key][1] > SHED_S:
+            del self._shed_at[key]
+            head, tail = split(row, middle)
+            tail["holder"], tail["clean"] = None, True
+            back = queue_key(row["job"], middle)
+            if await self._commit({key: head, back: tail}, [key, back]):
+                log(Event.BLOCK_RELEASED, block=back, to="queue")
 
     async def _let_go(self, key: str, row: BlockRow) -> None:
         """Give up a block of which nothing runs, when it can't go on here."""
@@ -498,7 +543,7 @@
         new = copy_of(row)
         new["holder"], new["clean"] = None, True
         self._busy_at.pop(key, None)
-        if await self._commit({key: None, queue_key(row["job"], row["n"]): new}, [key]):
+        if await self._commit({key: None, queue_key(row["job"], row["first"]): new}, [key]):
             log(Event.BLOCK_RELEASED, block=key, to="queue")
 
     # Claim
@@ -520,18 +565,32 @@
 
     async def _claim(self, claims: list[tuple[str, BlockRow]]) -> bool:
         writes: dict[str, Row | None] = {}
+        claimed = []
         for key, row in claims:
-            new = copy_of(row)
-            new["holder"], new["incarnation"] = self._id, self._incarnation
-            new["clean"] = False
+            middle = after_open(row, self._room_for(row) + CLAIM_AHEAD)
+            head, tail = split(row, middle)
+            head["holder"], head["incarnation"] = self._id, self._incarnation
+            head["clean"] = False
             writes[key] = None
-            writes[block_key(self._domain, row["job"], row["n"])] = new
+            claimed.append(block_key(self._domain, row["job"], row["first"]))
+            writes[claimed[-1]] = head
+            if tail["count"]:
+                writes[queue_key(row["job"], middle)] = tail
+        self._trusted.update(claimed)
         if not await self._commit(writes, list(writes)):
             return False
-        for _, row in claims:
-            log(Event.BLOCK_CLAIMED, block=block_key(self._domain, row["job"], row["n"]))
+        for key in claimed:
+            log(Event.BLOCK_CLAIMED, block=key)
         return True
 
+    def _room_for(self, row: BlockRow) -> int:
+        """Count how many more tasks of a block's class the held workers can take."""
+        spec = self._class_row(row)
+        if spec is None:
+            return 0
+        cores = spec["cores"]
+        return sum(int(held.room().cores / cores) for held in self._usable())
+
     def _backlog(self) -> int:
         total = 0
         for key, row in self.mine():
@@ -556,7 +615,7 @@
             # Replicas go round the holders, so that they end up on different workers.
             ring = sorted([*able, self._id])
             first = ring.index(preferred(row["job"], ring))
-            return ring[(first + row["n"]) % len(ring)] == self._id
+            return ring[(first + row["first"]) % len(ring)] == self._id
         return preferred(key, [*able, self._id]) == self._id
 
     def _urgency(self, row: BlockRow) -> tuple[float, float]:
@@ -588,7 +647,7 @@
         found: list[tuple[Want, BlockRow]] = []
         now = self._clock()
         cores = self.cores_by_customer()
-        mine = [(key, row) for key, row in self.mine() if key not in self._adopting]
+        mine = [(key, row) for key, row in self.mine() if key in self._trusted]
         for key, row in sorted(mine, key=lambda item: self._urgency(item[1])):
             spec = self._class_row(row)
             if spec is None or self.placer.backed_off(row["cls"], now):
@@ -697,7 +756,7 @@
             if not self._config.may_start(self._domain):
                 self.keeper.unreserve(held, order)
                 raise Refused(why="no permit")
-            await self.keeper.start(held, order, seq)
+            await self.keeper.start(held, order, seq, self._config.permit_until)
         except (Fenced, Refused, ConnectFailed) as exc:
             self._placed.pop(order.task.key, None)
             log(Event.TASK_START_REFUSED, **where, why=exc)
--- a/src/curranthall/edits.py
+++ b/src/curranthall/edits.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from curranthall.block import BLOCK_PREFIX, SERVICE_JOB, block_key, new_block
+from curranthall.block import BLOCK_PREFIX, SERVICE_JOB, block_key, new_block, service_job
 from curranthall.config import Config
 from curranthall.errors import BadInput, Conflict
 from curranthall.events import Event, log
@@ -143,14 +143,14 @@
     writes: dict[str, Row | None],
 ) -> None:
     """Give each replica a block of its own; one that is no longer wanted has no task."""
-    job = SERVICE_JOB + service
+    job = service_job(service, domain)
     for n in range(MAX_REPLICAS):
         key, count = block_key(domain, job, n), int(n < row["replicas"])
         change = known.get(key)
         if change is None or change.value is None:
             if not count:
                 return
-            block = new_block(job, n, row["customer"], service, n, 1, 0.0)
+            block = new_block(job, row["customer"], service, n, 1, 0.0)
             checks[key], writes[key] = 0, {**block, "service": service}
         elif change.value["count"] != count:
             checks[key], writes[key] = change.version, {**change.value, "count": count}
--- a/src/curranthall/jobs.py
+++ b/src/curranthall/jobs.py
@@ -90,12 +90,12 @@
         writes: dict[str, Row | None] = {
             job_key(job): {**spec._asdict(), "deadline": deadline, "job": job}
         }
-        for n, first in enumerate(range(0, spec.tasks, BLOCK_TASKS)):
+        for first in range(0, spec.tasks, BLOCK_TASKS):
             count = min(BLOCK_TASKS, spec.tasks - first)
-            row = new_block(job, n, spec.customer, spec.cls, first, count, deadline)
+            row = new_block(job, spec.customer, spec.cls, first, count, deadline)
             if spec.seconds is not None:
                 row["seconds"] = spec.seconds
-            writes[queue_key(job, n)] = row
+            writes[queue_key(job, first)] = row
         commit = Commit(self._new_txn(), {job_key(job): 0}, writes)
         result = await commit_surely(self._platform, commit)
         if result.is_err():
@@ -216,5 +216,5 @@
     # Nobody holds a queued block, so its waiting tasks can end here.
     ended = with_waiting_ended(row, set())
     if is_finished(ended):
-        return {key: None, done_key(row["job"], row["n"]): ended}
+        return {key: None, done_key(row["job"], row["first"]): ended}
     return {key: ended}
--- a/src/curranthall/lease.py
+++ b/src/curranthall/lease.py
@@ -41,6 +41,7 @@
 
     token: Token
     stamp: float
+    stamped_at: float
     usable_until: float
     lapsed_at: float
     changes: int = -1
@@ -54,6 +55,10 @@
     foreign_busy: int = 0
     learned_at: float = 0.0
 
+    def on_worker(self, moment: float) -> float:
+        """Translate a moment of this entry's clock to the worker's, never too late."""
+        return self.stamp + (moment - self.stamped_at)
+
     def reserved(self) -> Size:
         """Add up what running and pending attempts reserve."""
         total = NOTHING
@@ -77,10 +82,10 @@
     usable_until = sent_at + grant.left - MARGIN_S
     lapsed_at = now + TERM_S + DRIFT_S
     if lease is None or lease.token != grant.token:
-        return Lease(grant.token, grant.stamp, usable_until, lapsed_at)
+        return Lease(grant.token, grant.stamp, now, usable_until, lapsed_at)
     lease.usable_until = max(lease.usable_until, usable_until)
     lease.lapsed_at = lapsed_at
-    lease.stamp = grant.stamp
+    lease.stamp, lease.stamped_at = grant.stamp, now
     return lease
 
 
@@ -307,14 +312,18 @@
         if held.lease is not None:
             held.lease.pending.pop(order.task, None)
 
-    async def start(self, held: Held, order: StartOrder, seq: int) -> None:
-        """Start a reserved attempt; Fenced, Refused or ConnectFailed: it did not start."""
+    async def start(self, held: Held, order: StartOrder, seq: int, until: float) -> None:
+        """Start a reserved attempt; Fenced, Refused or ConnectFailed: it did not start.
+
+        The worker refuses it after `until`, on this entry's clock: a start that is delivered
+        late must not outlive the permit that it was sent under.
+        """
         lease = held.lease
         if lease is None or not held.usable(self._clock()):
             self.unreserve(held, order)
             raise Refused(why="lease not usable")
         try:
-            await held.worker.start(lease.token, seq, order)
+            await held.worker.start(lease.token, seq, order, lease.on_worker(until))
         except (Fenced, Refused, ConnectFailed):
             lease.pending.pop(order.task, None)
             raise
--- a/src/curranthall/model.py
+++ b/src/curranthall/model.py
@@ -169,7 +169,6 @@
     """A block of a job's tasks as it stands in the table."""
 
     job: str
-    n: int
     customer: str
     cls: str
     first: int
--- a/src/curranthall/standin/engine.py
+++ b/src/curranthall/standin/engine.py
@@ -26,9 +26,10 @@
 
 
 class Run(NamedTuple):
-    """One line of the run log."""
+    """One line of the run log: when it took effect and when it was written."""
 
     at: float
+    written_at: float
     worker: str
     what: str
     name: str
@@ -104,6 +105,12 @@
         self._check(token)
         self._released = True
 
+    @property
+    def is_free(self) -> bool:
+        """Tell whether nobody holds the worker."""
+        self.check_lapse()
+        return self._released
+
     @property
     def changes(self) -> int:
         """Count the changes of the inventory."""
@@ -132,7 +139,10 @@
             self._lapse_timer.cancel()
         loop = asyncio.get_running_loop()
         left = max(0.0, self._lease_end - self._clock())
-        self._lapse_timer = loop.call_later(left, self.check_lapse)
+        self._lapse_timer = loop.call_later(left, self._lapse_due)
+
+    def _lapse_due(self) -> None:
+        self.check_lapse()
 
     def _check(self, token: Token) -> None:
         self.check_lapse()
@@ -141,13 +151,13 @@
 
     # Tasks
 
-    def start(self, token: Token, seq: int, order: StartOrder) -> None:
+    def start(self, token: Token, seq: int, order: StartOrder, until: float) -> None:
         """Start an attempt; the same one again is harmless, an overtaken call is refused."""
         self._check(token)
         if order.task in self._active:
             return
-        if seq < self._seq:
-            raise Refused(why="overtaken")
+        if seq < self._seq or self._clock() > until:
+            raise Refused(why="overtaken or too late")
         if order.task in self._outcomes or self._conflicting(order.task):
             raise Refused(why="attempt exists")
         if not self._reserved().plus(order.size).fits(self.host.size):
@@ -229,9 +239,10 @@
         return int(act.progress)
 
     def _note(self, what: str, task: Task, checkpoint: int, at: float | None = None) -> None:
-        moment = self._clock() if at is None else at
+        now = self._clock()
+        moment = now if at is None else at
         name = f"{task.job}/{task.number}"
-        self.log.append(Run(moment, self.host.name, what, name, task.attempt, checkpoint))
+        self.log.append(Run(moment, now, self.host.name, what, name, task.attempt, checkpoint))
 
     # Endpoint
 
@@ -245,7 +256,8 @@
             self.overcommits += 1
             raise Refused(why="no slot")
         self.busy += 1
-        self.log.append(Run(self._clock(), self.host.name, "serve", request, 0, 0))
+        now = self._clock()
+        self.log.append(Run(now, now, self.host.name, "serve", request, 0, 0))
         try:
             await asyncio.sleep(seconds)
         finally:
--- a/src/curranthall/standin/servers.py
+++ b/src/curranthall/standin/servers.py
@@ -146,7 +146,7 @@
             case "/release":
                 engine.release(token)
             case "/start":
-                engine.start(token, value["seq"], _order(value["order"]))
+                engine.start(token, value["seq"], _order(value["order"]), value["until"])
             case "/stop":
                 outcome = engine.stop(token, Task(*value["task"]), value["finish"])
                 wire = None if outcome is None else [outcome.kind.value, *outcome[1:]]
--- a/src/curranthall/worker.py
+++ b/src/curranthall/worker.py
@@ -35,8 +35,8 @@
     async def release(self, token: Token) -> None:
         """Give the lease back."""
 
-    async def start(self, token: Token, seq: int, order: StartOrder) -> None:
-        """Start an attempt."""
+    async def start(self, token: Token, seq: int, order: StartOrder, until: float) -> None:
+        """Start an attempt, not after `until` on the worker's clock."""
 
     async def stop(self, token: Token, task: Task, finish: bool) -> Outcome | None:
         """Stop an attempt."""
@@ -76,9 +76,10 @@
         """Give the lease back."""
         await self._post("/release", {"token": token})
 
-    async def start(self, token: Token, seq: int, order: StartOrder) -> None:
+    async def start(self, token: Token, seq: int, order: StartOrder, until: float) -> None:
         """Start an attempt."""
-        await self._post("/start", {"token": token, "seq": seq, "order": order})
+        value = {"token": token, "seq": seq, "order": order, "until": until}
+        await self._post("/start", value)
 
     async def stop(self, token: Token, task: Task, finish: bool) -> Outcome | None:
         """Stop an attempt."""
