Commit rows only against the versions they were read at

Cause: loops over claimed blocks waited for one commit and then wrote the next row, read before the wait, against the version known after it; a holder that woke after 20 s overwrote its successor's split, and two blocks covered the same tasks. Ruled out: a fault of the split itself (head and tail add up; the drained and killed cases pass); the lease (every start carried a valid token). Conclusion: rows are read again after every wait; each commit says so.

--- a/src/curranthall/dispatch.py
+++ b/src/curranthall/dispatch.py
@@ -289,22 +289,21 @@
         now = self._clock()
         if now - self._committed_at < COMMIT_S:
             return
-        changed = self._changed_rows()
         self._acknowledge_past()
-        if not changed:
+        keys = {self._block_of(domain, task)[0] for domain, task in self._ends}
+        keys |= {key for key, _ in self.mine()}
+        batch = dict(list(self._changed_rows(sorted(keys)).items())[:COMMIT_ROWS])
+        if not batch:
             return
         self._committed_at = now
-        batch = dict(list(changed.items())[:COMMIT_ROWS])
         if not await self._commit_rows(batch) and len(batch) > 1:
             # One row that another entry changed must not hold up the others.
-            for key, row in batch.items():
-                await self._commit_rows({key: row})
+            for key in batch:
+                await self._commit_rows(self._changed_rows([key]))
 
-    def _changed_rows(self) -> dict[str, BlockRow]:
+    def _changed_rows(self, keys: list[str]) -> dict[str, BlockRow]:
         changed = {}
-        keys = {self._block_of(domain, task)[0] for domain, task in self._ends}
-        keys |= {key for key, _ in self.mine()}
-        for key in sorted(keys):
+        for key in keys:
             row = self._block(key)
             if row is None:
                 continue
@@ -324,6 +323,8 @@
         self._acknowledge(past)
 
     async def _commit_rows(self, rows: dict[str, BlockRow]) -> bool:
+        if not rows:
+            return True
         writes: dict[str, Row | None] = {}
         ends = {}
         for key, row in rows.items():
@@ -343,6 +344,11 @@
         return True
 
     async def _commit(self, writes: dict[str, Row | None], checked: list[str]) -> bool:
+        """Commit against the versions known now; the rows must have been read since the last wait.
+
+        A row read before a wait and committed with the version known after it would
+        overwrite what another entry wrote meanwhile.
+        """
         mirror = self._config.mirror
         commit = Commit(self._new_txn(), {key: mirror.version(key) for key in checked}, writes)
         try:
@@ -373,9 +379,9 @@
         if not self._usable():
             return
         prefix = f"{BLOCK_PREFIX}{self._domain}/"
-        for key, value in list(self._config.mirror.under(prefix)):
-            row = as_block(value)
-            if self._is_orphan(row) and self._preferred(key, row):
+        for key in [key for key, _ in self._config.mirror.under(prefix)]:
+            row = self._block(key)
+            if row is not None and self._is_orphan(row) and self._preferred(key, row):
                 await self._adopt(key, row)
 
     def _is_orphan(self, row: BlockRow) -> bool:
@@ -491,7 +497,10 @@
     # Let go
 
     async def _release_blocks(self) -> None:
-        for key, row in list(self.mine()):
+        for key in [key for key, _ in self.mine()]:
+            row = self._block(key)
+            if row is None or not self._is_mine(row):
+                continue
             if key not in self._trusted or self._ends_in(key, row):
                 continue
             if self._placed_in(key, row):
@@ -558,15 +567,18 @@
             (key, row) for key, row in queued if self._admits(row) and self._preferred(key, row)
         ]
         wanted.sort(key=lambda item: self._urgency(item[1]))
-        claims = wanted[:CLAIM_BLOCKS]
-        if claims and not await self._claim(claims) and len(claims) > 1:
-            for claim in claims:
-                await self._claim([claim])
+        keys = [key for key, _ in wanted[:CLAIM_BLOCKS]]
+        if keys and not await self._claim(keys) and len(keys) > 1:
+            for key in keys:
+                await self._claim([key])
 
-    async def _claim(self, claims: list[tuple[str, BlockRow]]) -> bool:
+    async def _claim(self, keys: list[str]) -> bool:
         writes: dict[str, Row | None] = {}
         claimed = []
-        for key, row in claims:
+        for key in keys:
+            row = self._block(key)
+            if row is None:
+                continue
             middle = after_open(row, self._room_for(row) + CLAIM_AHEAD)
             head, tail = split(row, middle)
             head["holder"], head["incarnation"] = self._id, self._incarnation
@@ -577,6 +589,8 @@
             if tail["count"]:
                 writes[queue_key(row["job"], middle)] = tail
         self._trusted.update(claimed)
+        if not writes:
+            return True
         if not await self._commit(writes, list(writes)):
             return False
         for key in claimed:
