Show each guard's worth: with it taken away its invariant breaks

Cause: a green matrix proves nothing of a guard that no case needs. Conclusion: the mechanisms are needed, each for the invariant it was built for.

--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,117 @@
+"""Each guard taken away: the invariant it holds must be seen to break."""
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+from unittest.mock import patch
+
+from curranthall.config import Config
+from curranthall.dispatch import Dispatcher
+from curranthall.lease import LeaseKeeper
+from curranthall.model import Task
+from curranthall.request import Endpoints
+from curranthall.standin.engine import WorkerEngine
+from tests.matrix import Case, Fault, play
+from tests.scenario import Player, Script, Step
+from tests.virtual import run
+
+SEED = 1
+
+
+def script(*steps: Step, workers: int = 2) -> Script:
+    return Script(2, 2, workers, list(steps))
+
+
+def played(steps: Script, seed: int = SEED) -> list[str]:
+    async def go() -> list[str]:
+        return await Player(steps, seed).play()
+
+    found: list[str] = run(go())
+    return found
+
+
+CUT_OUT = script(
+    Step(3, "submit", ("j1", "engrave", "80")),
+    Step(5, "cut", ("d1", "d2")),
+    Step(5, "cut", ("d1", "platform")),
+    Step(5.5, "take_out", ("d1",)),
+    Step(30, "no_starts", ("d1", "8.5")),
+)
+PEERS_CUT = script(
+    *[Step(0, "submit", (f"w{n}", "monogram", "5")) for n in range(6)],
+    Step(5, "cut", ("d1e1", "d1e2")),
+    Step(20, "heal", ()),
+    Step(40, "heal", ()),
+    workers=3,
+)
+SLOW = script(
+    Step(0, "slow", ("0.9", "60")),
+    Step(1, "submit", ("j1", "engrave", "60")),
+    Step(2, "submit", ("j2", "engrave", "60")),
+    Step(70, "heal", ()),
+)
+WORKER_CUT = script(
+    Step(0, "submit", ("w1", "monogram", "8")),
+    Step(5, "cut", ("d1w1", "d1e1")),
+    Step(5, "cut", ("d1w1", "d1e2")),
+    Step(30, "heal", ()),
+    Step(40, "heal", ()),
+)
+
+
+class Guards(unittest.TestCase):
+    def assert_guards(
+        self, target: Any, name: str, without: Callable[..., Any], steps: Script, sign: str
+    ) -> None:
+        self.assertEqual(played(steps), [])
+        with patch.object(target, name, without):
+            wrong = played(steps)
+        self.assertTrue(any(sign in text for text in wrong), wrong)
+
+    def test_permit(self) -> None:
+        self.assertEqual(played(CUT_OUT), [])
+        endless = property(lambda self: self._clock() + 1e9)
+        with patch.object(Config, "permit_until", endless):
+            wrong = played(CUT_OUT)
+        self.assertTrue(any("after it was out" in text for text in wrong), wrong)
+
+    def test_lapse_is_proved_before_a_restart(self) -> None:
+        def early(self: Any, held: Any, wanted: bool) -> Any:
+            # Takes silence for the end, as if a failed renewal proved anything.
+            lease = held.lease
+            if lease is not None and self._clock() > lease.lapsed_at - 7.0:
+                lease.lapsed_at = self._clock()
+            return original(self, held, wanted)
+
+        original = LeaseKeeper._advance
+        self.assert_guards(LeaseKeeper, "_advance", early, WORKER_CUT, "runs on")
+
+    def test_worker_stops_what_lapsed(self) -> None:
+        def ignore(self: WorkerEngine) -> None:
+            if self._lease_end and self._clock() >= self._lease_end:
+                self._lease_end, self._released = 0.0, True
+
+        self.assert_guards(WorkerEngine, "check_lapse", ignore, WORKER_CUT, "runs on")
+
+    def test_release_keeps_its_tasks_back(self) -> None:
+        def never(self: Dispatcher, key: str, task: Task) -> bool:
+            return False
+
+        self.assert_guards(Dispatcher, "_is_leaving", never, SLOW, "started twice")
+
+    def test_copy_of_a_request_is_refused(self) -> None:
+        case = Case((Fault("mesh.forward", "message-twice", "-"),), 2)
+        with patch.object(Endpoints, "_check_copy", lambda self, ask: None):
+            wrong = run(play(case))[0]
+        self.assertTrue(any("ran 2 times" in text for text in wrong), wrong)
+
+    def test_late_start_is_refused(self) -> None:
+        late = Case((Fault("task.start", "message-late", "-"),), 1)
+        self.assertEqual(run(play(late))[0], [])
+
+    def test_takeover_waits_for_the_survey(self) -> None:
+        def hasty(self: Dispatcher, key: str, found: Any, missing: Any) -> None:
+            self._adopting.pop(key)
+            self._trusted.add(key)
+
+        self.assert_guards(Dispatcher, "_recovered", hasty, PEERS_CUT, "started twice")
