Learn sizes and interference from reports; throttle, evict and keep apart by them

Cause: placement knew declared sizes only, and usage reports were dropped. Ruled out: reports inside the inventory (an unchanged inventory is not sent again). Conclusion: wired through lease, dispatcher and stand-in; not yet weighed.

--- a/Makefile
+++ b/Makefile
@@ -20,16 +20,16 @@
 	$(BIN)/mypy --no-error-summary
 
 binary: .venv/ready
-	$(BIN)/python tools/binary.py
+	$(BIN)/python -m tools.binary
 
 bench: .venv/ready
-	$(BIN)/python tools/bench.py
+	$(BIN)/python -m tools.bench
 
 slopes: .venv/ready
-	$(BIN)/python tools/slopes.py
+	$(BIN)/python -m tools.slopes
 
 policy: .venv/ready
-	$(BIN)/python tools/policy.py
+	$(BIN)/python -m tools.policy
 
 matrix: .venv/ready
 	$(BIN)/python -m tests.matrix
--- /dev/null
+++ b/src/curranthall/blame.py
@@ -0,0 +1,58 @@
+"""Whose fault failures are: a worker is quarantined, a class backs off."""
+
+from typing import NamedTuple
+
+from curranthall.model import OutcomeKind
+
+QUARANTINE_CLASSES = 2
+QUARANTINE_FAILURES = 4
+QUARANTINE_S = 30.0
+QUARANTINE_MAX_S = 600.0
+BACKOFF_WORKERS = 3
+BACKOFF_S = 10.0
+BACKOFF_MAX_S = 600.0
+BLAME_WINDOW_S = 120.0
+
+
+class _Failure(NamedTuple):
+    at: float
+    worker: str
+    cls: str
+
+
+class Blame:
+    """Tell a bad worker from a bad class."""
+
+    def __init__(self) -> None:
+        self._failures: list[_Failure] = []
+        self._quarantined: dict[str, float] = {}
+        self._backed_off: dict[str, tuple[float, float]] = {}
+
+    def ended(self, worker: str, cls: str, kind: OutcomeKind, now: float) -> None:
+        """Take in how an attempt ended."""
+        if kind is OutcomeKind.DONE:
+            self._failures = [f for f in self._failures if f.worker != worker or f.cls != cls]
+            self._backed_off.pop(cls, None)
+            return
+        if kind is not OutcomeKind.FAILED:
+            return
+        self._failures.append(_Failure(now, worker, cls))
+        self._failures = [f for f in self._failures if now - f.at < BLAME_WINDOW_S]
+        here = [f for f in self._failures if f.worker == worker]
+        elsewhere = {f.worker for f in self._failures if f.cls == cls}
+        if len({f.cls for f in here}) >= QUARANTINE_CLASSES or (
+            len(here) >= QUARANTINE_FAILURES and len(elsewhere) == 1
+        ):
+            self._quarantined[worker] = now + QUARANTINE_S
+        elif len(elsewhere) >= BACKOFF_WORKERS:
+            last = self._backed_off.get(cls, (0.0, BACKOFF_S / 2))[1]
+            wait = min(last * 2, BACKOFF_MAX_S)
+            self._backed_off[cls] = (now + wait, wait)
+
+    def is_quarantined(self, worker: str, now: float) -> bool:
+        """Tell whether a worker gets nothing; after its time one task probes it."""
+        return now < self._quarantined.get(worker, 0.0)
+
+    def is_backed_off(self, cls: str, now: float) -> bool:
+        """Tell whether a class waits."""
+        return now < self._backed_off.get(cls, (0.0, 0.0))[0]
--- a/src/curranthall/dispatch.py
+++ b/src/curranthall/dispatch.py
@@ -32,6 +32,7 @@
 from curranthall.config import PERMIT_S, Config
 from curranthall.errors import AnswerLost, ConnectFailed, CurranthallError, Fenced, Refused
 from curranthall.events import Event, log
+from curranthall.ladder import Evict, Ladder, Throttle, Unthrottle
 from curranthall.lease import LOST, Held, LeaseKeeper
 from curranthall.model import (
     BlockRow,
@@ -40,6 +41,7 @@
     HostState,
     Outcome,
     OutcomeKind,
+    Report,
     Row,
     Size,
     StartOrder,
@@ -122,6 +124,7 @@
         self._roster = roster
         self._platform = platform
         self.placer = placer
+        self._ladder = Ladder(placer.interference)
         self._survey_peers = survey_peers
         self._spawn = spawn
         self.keeper: LeaseKeeper
@@ -156,6 +159,24 @@
         if known is None or known.outcome.kind is OutcomeKind.LOST:
             self._ends[(domain, task)] = Ended(outcome, held, self._clock())
 
+    def on_report(self, held: Held, report: Report) -> None:
+        """Learn from a report and act on a service that is slowed down."""
+        self.placer.observe(report)
+        if held.lease is None:
+            return
+        action = self._ladder.decide(held.host.name, report, held.lease.running, self._clock())
+        match action:
+            case Throttle(task):
+                log(Event.TASK_THROTTLED, task=task, worker=held.host.name, on=True)
+                self.keeper.throttle_soon(held, task, True)
+            case Unthrottle(task):
+                log(Event.TASK_THROTTLED, task=task, worker=held.host.name, on=False)
+                self.keeper.throttle_soon(held, task, False)
+            case Evict(task):
+                log(Event.TASK_EVICTING, task=task, worker=held.host.name, why="interference")
+                self.counts["evictions"] += 1
+                self.keeper.stop_soon(held, task)
+
     def on_gone(self, worker: str) -> None:
         """Take the platform's word that a worker is no more."""
         held = self.keeper.workers[worker]
--- a/src/curranthall/entry.py
+++ b/src/curranthall/entry.py
@@ -85,7 +85,14 @@
             self.spawn,
         )
         holder = f"{identity.id}.{identity.incarnation}"
-        self.keeper = LeaseKeeper(holder, clock, connect, self.dispatcher.on_outcome, self.spawn)
+        self.keeper = LeaseKeeper(
+            holder,
+            clock,
+            connect,
+            self.dispatcher.on_outcome,
+            self.spawn,
+            self.dispatcher.on_report,
+        )
         self.dispatcher.keeper = self.keeper
         self.endpoints = Endpoints(self.keeper, self.config, clock)
         self.router = Router(
@@ -143,6 +150,12 @@
         """Tell whether callers may be sent here."""
         return self.config.revision > 0 and not self.draining
 
+    @property
+    def control_bytes(self) -> int:
+        """Count what was sent and received for control, requests left out but for their mesh."""
+        workers = sum(held.worker.control_bytes for held in self.keeper.workers.values())
+        return self.platform.traffic + self.mesh.traffic + workers
+
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run something beside the loops."""
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -245,6 +245,7 @@
         self._free: list[_Pooled] = []
         self._room = asyncio.Semaphore(limit)
         self.opened = 0
+        self.bytes = 0
 
     async def call(
         self,
@@ -300,8 +301,10 @@
             named = [("Host", f"{self._host}:{self._port}"), ("Content-Length", str(len(body)))]
             head = conn.send(h11.Request(method=method, target=path, headers=[*named, *headers]))
             data = conn.send(h11.Data(data=body)) or b""
-            writer.write((head or b"") + data + (conn.send(h11.EndOfMessage()) or b""))
-            response = await _receive(conn, reader)
+            wire = (head or b"") + data + (conn.send(h11.EndOfMessage()) or b"")
+            writer.write(wire)
+            self.bytes += len(wire)
+            response = await self._receive(conn, reader)
             if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
                 conn.start_next_cycle()
                 self._free.append(pooled)
@@ -311,24 +314,25 @@
             if not kept:
                 writer.close()
 
-
-async def _receive(conn: h11.Connection, reader: asyncio.StreamReader) -> Response:
-    head: h11.Response | None = None
-    body = bytearray()
-    while True:
-        event = conn.next_event()
-        match event:
-            case h11.NEED_DATA:
-                conn.receive_data(await reader.read(READ_BYTES))
-            case h11.Response():
-                head = event
-            case h11.Data():
-                body += event.data
-            case h11.EndOfMessage():
-                assert head is not None
-                headers = tuple((n.decode(), v.decode("latin-1")) for n, v in head.headers)
-                return Response(head.status_code, bytes(body), headers)
-            case h11.ConnectionClosed():
-                raise EOFError
-            case _:
-                pass
+    async def _receive(self, conn: h11.Connection, reader: asyncio.StreamReader) -> Response:
+        head: h11.Response | None = None
+        body = bytearray()
+        while True:
+            event = conn.next_event()
+            match event:
+                case h11.NEED_DATA:
+                    data = await reader.read(READ_BYTES)
+                    self.bytes += len(data)
+                    conn.receive_data(data)
+                case h11.Response():
+                    head = event
+                case h11.Data():
+                    body += event.data
+                case h11.EndOfMessage():
+                    assert head is not None
+                    headers = tuple((n.decode(), v.decode("latin-1")) for n, v in head.headers)
+                    return Response(head.status_code, bytes(body), headers)
+                case h11.ConnectionClosed():
+                    raise EOFError
+                case _:
+                    pass
--- a/src/curranthall/lease.py
+++ b/src/curranthall/lease.py
@@ -14,6 +14,7 @@
     LeaseGrant,
     Outcome,
     OutcomeKind,
+    Report,
     Running,
     Size,
     StartOrder,
@@ -145,7 +146,9 @@
         connect: Callable[[Host], Worker],
         on_outcome: Callable[[Held, Task, Outcome], None],
         spawn: Callable[[Coroutine[Any, Any, None]], None],
+        on_report: Callable[[Held, Report], None] = lambda held, report: None,
     ) -> None:
+        self._on_report = on_report
         self._holder = holder
         self._clock = clock
         self._connect = connect
@@ -227,6 +230,8 @@
             held.draining = False
             log(Event.LEASE_CLAIMED, worker=held.host.name, token=grant.token.counter)
         held.lease.changes = changes
+        if grant.report is not None:
+            self._on_report(held, grant.report)
         if grant.inventory is None:
             unsure = [task for task, (at, _) in held.lease.pending.items() if at < seq]
             for task in unsure:
--- a/src/curranthall/link.py
+++ b/src/curranthall/link.py
@@ -21,6 +21,10 @@
 class Mesh(Protocol):
     """What the slices ask of the mesh."""
 
+    @property
+    def traffic(self) -> int:
+        """Count the bytes sent and received."""
+
     def peers(self) -> list[str]:
         """Name the peers with an open link."""
 
@@ -93,9 +97,14 @@
         self._dialing: dict[str, asyncio.Task[None]] = {}
         self._running: set[asyncio.Task[None]] = set()
         self.handler: Handler | None = None
-        self.bytes_sent = 0
+        self._bytes = 0
         self.port = 0
 
+    @property
+    def traffic(self) -> int:
+        """Count the bytes sent and received."""
+        return self._bytes
+
     async def start(self, host: str, port: int) -> int:
         """Listen for peers."""
         from websockets.asyncio.server import serve
@@ -156,7 +165,7 @@
         from websockets.exceptions import ConnectionClosed
 
         data = dumps(frame)
-        self.bytes_sent += len(data)
+        self._bytes += len(data)
         try:
             await link.send(data)
         except ConnectionClosed as exc:
@@ -260,6 +269,7 @@
         from cbor2 import CBORDecodeError, loads
 
         data = await link.recv()
+        self._bytes += len(data)
         try:
             frame = loads(data) if isinstance(data, bytes) else None
         except CBORDecodeError:
--- a/src/curranthall/model.py
+++ b/src/curranthall/model.py
@@ -102,8 +102,6 @@
     cls: str
     size: Size
     service: str = ""
-    usage: float = 0.0
-    slowdown: float = 1.0
     throttled: bool = False
 
 
@@ -116,6 +114,22 @@
     busy: int
 
 
+class Report(NamedTuple):
+    """What a worker measured some while ago, by its own clock.
+
+    `usage` names each task that ran then by its service or class, with the cores it used;
+    `slowdowns` gives each service's latency over its latency when alone.
+    """
+
+    stamp: float
+    usage: list[tuple[str, float]]
+    slowdowns: list[tuple[str, float]]
+
+    def is_service(self, name: str) -> bool:
+        """Tell whether a name is a service's."""
+        return any(name == service for service, _ in self.slowdowns)
+
+
 class LeaseGrant(NamedTuple):
     """A worker's answer to a lease call.
 
@@ -127,6 +141,7 @@
     stamp: float
     left: float
     inventory: Inventory | None
+    report: Report | None = None
 
 
 class StartOrder(NamedTuple):
--- a/src/curranthall/operators.py
+++ b/src/curranthall/operators.py
@@ -143,6 +143,7 @@
             "waiting": dict(list(entry.dispatcher.reasons.items())[:50]),
             "requests": dict(entry.router.counts),
             "tasks": dict(entry.dispatcher.counts),
+            "control_bytes": entry.control_bytes,
         }
 
 
--- a/src/curranthall/platform.py
+++ b/src/curranthall/platform.py
@@ -17,6 +17,10 @@
 class Platform(Protocol):
     """What an entry asks of the platform; each call raises PlatformDown or AnswerLost."""
 
+    @property
+    def traffic(self) -> int:
+        """Count the bytes sent and received."""
+
     async def commit(self, commit: Commit) -> Result[int, Conflict]:
         """Apply a transaction; give its revision, or the conflict."""
 
@@ -87,6 +91,11 @@
         response = await self._call("GET", "/objects/" + quote(key, safe=""), None)
         return base64.b64decode(response.json()["data"]) if response.status == 200 else None
 
+    @property
+    def traffic(self) -> int:
+        """Count the bytes sent and received."""
+        return self._http.bytes
+
     def close(self) -> None:
         """Close the connections."""
         self._http.close()
--- a/src/curranthall/standin/engine.py
+++ b/src/curranthall/standin/engine.py
@@ -13,6 +13,7 @@
     LeaseGrant,
     Outcome,
     OutcomeKind,
+    Report,
     Running,
     Size,
     StartOrder,
@@ -67,6 +68,7 @@
         self._seq = 0
         self._released = True
         self._changes = 0
+        self._report: Report | None = None
         self._lapse_timer: asyncio.TimerHandle | None = None
         self.busy = 0
         self.served: dict[str, int] = {}
@@ -90,7 +92,12 @@
         self._watch_lapse()
         unchanged = seen == self._changes
         inventory = None if unchanged else self.inventory()
-        return LeaseGrant(self.token, now, self._lease_end - now, inventory)
+        report, self._report = self._report, None
+        return LeaseGrant(self.token, now, self._lease_end - now, inventory, report)
+
+    def measure(self, report: Report) -> None:
+        """Have a report go out with the next renewal."""
+        self._report = report
 
     def _claim(self, token: Token, end: float) -> None:
         if not self._released or token <= self.token:
--- a/src/curranthall/worker.py
+++ b/src/curranthall/worker.py
@@ -10,6 +10,7 @@
     LeaseGrant,
     Outcome,
     OutcomeKind,
+    Report,
     Running,
     Size,
     StartOrder,
@@ -53,6 +54,10 @@
     def close(self) -> None:
         """Close the connections."""
 
+    @property
+    def control_bytes(self) -> int:
+        """Count the bytes of all but requests."""
+
 
 class HttpWorker:
     """A worker over HTTP; all its connections are this entry's to count."""
@@ -69,7 +74,10 @@
         reply = (await self._post("/lease", value)).json()
         listed = reply["inventory"]
         inventory = None if listed is None else inventory_from_json(listed)
-        grant = LeaseGrant(Token(*reply["token"]), reply["stamp"], reply["left"], inventory)
+        measured = reply["report"]
+        report = None if measured is None else Report(*measured)
+        token = Token(*reply["token"])
+        grant = LeaseGrant(token, reply["stamp"], reply["left"], inventory, report)
         return grant, reply["changes"]
 
     async def release(self, token: Token) -> None:
@@ -106,6 +114,11 @@
             raise AnswerLost(status=response.status)
         return response.body
 
+    @property
+    def control_bytes(self) -> int:
+        """Count the bytes of all but requests."""
+        return self._control.bytes
+
     def close(self) -> None:
         """Close the connections."""
         self._control.close()
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -226,6 +226,8 @@
 class FakePlatform:
     """The platform as one entry reaches it."""
 
+    traffic = 0
+
     def __init__(self, who: str, net: Net, core: TableCore) -> None:
         self._who = who
         self._net = net
@@ -268,6 +270,8 @@
 class FakeWorker:
     """A worker as one entry reaches it."""
 
+    control_bytes = 0
+
     def __init__(self, who: str, net: Net, world: "World", name: str) -> None:
         self._who, self._net, self._world, self._name = who, net, world, name
 
@@ -315,6 +319,8 @@
 class FakeMesh:
     """The mesh as one entry reaches it."""
 
+    traffic = 0
+
     def __init__(self, who: str, net: Net, world: "World") -> None:
         self._who, self._net, self._world = who, net, world
 
