--- a/src/curranthall/ladder.py
+++ b/src/curranthall/ladder.py
@@ -7,7 +7,8 @@
 from curranthall.learning import Interference
 from curranthall.model import Report, Running, Task
 
-HIGH_SLOWDOWN = 1.15
+THROTTLE_SLOWDOWN = 1.3
+EVICT_SLOWDOWN = 1.45
 LOW_SLOWDOWN = 1.05
 CALM_REPORTS = 2
 ACTION_GAP_S = 20.0
@@ -69,7 +70,7 @@
     ) -> Action | None:
         if rung.throttled and rung.calm >= CALM_REPORTS:
             return Unthrottle(rung.throttled.pop())
-        if slowdown < HIGH_SLOWDOWN:
+        if slowdown < THROTTLE_SLOWDOWN:
             return None
         batch = [task for task, run in running.items() if not run.service]
         guilt = {t: self._interference.pair(service, running[t].cls) for t in batch}
@@ -78,7 +79,7 @@
         if suspect is not None and guilt[suspect] > PAIR_WORTH_ACTING:
             rung.throttled.append(suspect)
             return Throttle(suspect)
-        if rung.throttled:
+        if rung.throttled and slowdown > EVICT_SLOWDOWN:
             worst = max(rung.throttled, key=lambda task: guilt[task])
             rung.throttled.remove(worst)
             return Evict(worst)
--- a/src/curranthall/learning.py
+++ b/src/curranthall/learning.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from itertools import accumulate
 
-USAGE_BINS = 32
-BIN_RATIO = 0.25
+USAGE_BINS = 64
+BIN_RATIO = 0.1
 USAGE_QUANTILE = 0.95
 USAGE_FULL_TRUST = 24
 LEARNING_RATE = 0.3
