--- a/src/curranthall/cli.py
+++ b/src/curranthall/cli.py
@@ -330,6 +330,11 @@
 
 def main() -> None:
     """Run a command."""
+    match sys.argv[1:]:
+        case ["entry", "--settings", file] | ["entry", file] if not file.startswith("-"):
+            # The daemon's memory is limited, so it does without the command line's library.
+            Commands().entry(file)
+            return
     from fire import Fire
 
     Fire(Commands, name="curranthall")
--- a/src/curranthall/config.py
+++ b/src/curranthall/config.py
@@ -75,6 +75,7 @@
         self._new_prefixes: list[str] = []
         self.mirror = Mirror()
         self.confirmed_at = float("-inf")
+        self.on_change: Callable[[], None] = lambda: None
         self._down = False
         self._permitted = False
 
@@ -122,6 +123,8 @@
             return
         for change in scan.changes:
             self.mirror.take(change)
+        if scan.changes:
+            self.on_change()
         if any(change.key.startswith(CONFIG_PREFIX) for change in scan.changes):
             log(Event.CONFIG_IN_FORCE, revision=scan.revision)
         self.mirror.scanned = scan.revision
@@ -142,6 +145,7 @@
         permitted = self._clock() < self.permit_until
         if permitted != self._permitted:
             self._permitted = permitted
+            self.on_change()
             log(Event.PERMIT_REGAINED if permitted else Event.PERMIT_LOST, age_s=age)
         return permitted and self.domain_in(domain)
 
--- a/src/curranthall/dispatch.py
+++ b/src/curranthall/dispatch.py
@@ -59,6 +59,7 @@
 CLAIM_AHEAD = 4
 IDLE_BLOCK_S = 10.0
 SHED_S = 2.0
+IDLE_STEP_S = 1.0
 STARTS_AT_ONCE = 32
 SURVEY_S = 2.0
 URGENT_BOOST = 1_000
@@ -138,6 +139,8 @@
         self._since = clock()
         self.draining = False
         self.listed_at = float("-inf")
+        self._due = {"workers": True, "table": True}
+        self._stepped_at = {"workers": float("-inf"), "table": float("-inf")}
         self._leaving: dict[str, Leaving] = {}
         self._busy_at: dict[str, float] = {}
         self._shed_at: dict[str, tuple[int, float]] = {}
@@ -152,6 +155,7 @@
         self._config.also_follow(f"{BLOCK_PREFIX}{domain}/")
         known = self._ends.get((domain, task))
         if known is None:
+            self.touch()
             log(Event.TASK_ENDED, task=task, worker=held.host.name, how=outcome.kind.value)
             row = self._block_of(domain, task)[1]
             cls = "" if row is None else row["cls"]
@@ -199,8 +203,23 @@
 
     # One round
 
+    def touch(self) -> None:
+        """Note that something changed, so that the next steps look at it."""
+        self._due = {"workers": True, "table": True}
+
+    def _is_due(self, step: str) -> bool:
+        """Tell whether a step has something to look at; time alone makes it due, but seldom."""
+        now = self._clock()
+        due = self._due[step] or self.draining or now - self._stepped_at[step] >= IDLE_STEP_S
+        if due:
+            self._due[step] = False
+            self._stepped_at[step] = now
+        return due
+
     def step_workers(self) -> None:
         """Stop what must not run and start what may; waits for nothing."""
+        if not self._is_due("workers"):
+            return
         self._note_placed()
         self._clear_workers()
         if not self.draining:
@@ -208,6 +227,8 @@
 
     async def step_table(self) -> None:
         """Record ends, recover, release, adopt and claim blocks."""
+        if not self._is_due("table"):
+            return
         await self._commit_facts()
         await self._recover()
         await self._check_elsewhere()
@@ -320,6 +341,7 @@
     async def _commit_facts(self) -> None:
         now = self._clock()
         if now - self._committed_at < COMMIT_S:
+            self._due["table"] |= bool(self._ends)
             return
         self._acknowledge_past()
         keys = {self._block_of(domain, task)[0] for domain, task in self._ends}
@@ -390,6 +412,7 @@
         if result.is_err():
             log(Event.COMMIT_CONFLICT, keys=",".join(checked))
             return False
+        self.touch()
         for key, value in writes.items():
             mirror.take(Change(key, result.unwrap(), commit.txn, value))
         return True
@@ -483,6 +506,7 @@
             return
         adoption = self._adopting.pop(key)
         self._trusted.add(key)
+        self.touch()
         self.reasons.pop(key, None)
         seen = {task: worker for worker, tasks in found.items() for task in tasks}
         for task, worker in seen.items():
@@ -821,6 +845,7 @@
 
     async def _start(self, held: Held, order: StartOrder, seq: int) -> None:
         where = {"task": order.task, "worker": held.host.name}
+        self.touch()
         try:
             if not self._config.may_start(self._domain):
                 self.keeper.unreserve(held, order)
@@ -828,6 +853,7 @@
             await self.keeper.start(held, order, seq, self._config.permit_until)
         except (Fenced, Refused, ConnectFailed) as exc:
             self._placed.pop(order.task.key, None)
+            self.touch()
             log(Event.TASK_START_REFUSED, **where, why=exc)
         except AnswerLost as exc:
             log(Event.TASK_START_UNKNOWN, **where, why=exc)
--- a/src/curranthall/entry.py
+++ b/src/curranthall/entry.py
@@ -94,6 +94,8 @@
             self.dispatcher.on_report,
         )
         self.dispatcher.keeper = self.keeper
+        self.keeper.on_change = self.dispatcher.touch
+        self.config.on_change = self.dispatcher.touch
         self.endpoints = Endpoints(self.keeper, self.config, clock)
         self.router = Router(
             identity.id,
--- a/src/curranthall/lease.py
+++ b/src/curranthall/lease.py
@@ -154,6 +154,7 @@
         self._connect = connect
         self._on_outcome = on_outcome
         self._spawn = spawn
+        self.on_change: Callable[[], None] = lambda: None
         self.workers: dict[str, Held] = {}
 
     def held(self) -> list[Held]:
@@ -248,6 +249,7 @@
         self._report(held, vanished, LOST)
         self._report(held, unsure, NOT_STARTED)
         held.lease.learned_at = self._clock()
+        self.on_change()
         self._repeat_outcomes(held)
 
     def _repeat_outcomes(self, held: Held) -> None:
--- a/tools/rig.py
+++ b/tools/rig.py
@@ -68,7 +68,7 @@
         """Start the process and wait for its ports."""
         with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             json.dump(self._settings, file)
-        command = (sys.executable, "-m", "curranthall", "entry", file.name)
+        command = (sys.executable, "-m", "curranthall", "entry", "--settings", file.name)
         self.process = await asyncio.create_subprocess_exec(
             *command, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL
         )
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -1,6 +1,7 @@
 """Measure what an entry pays per worker, task, start, request, peer and configuration row."""
 
 import asyncio
+import sys
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -134,6 +135,8 @@
         ("request", [0, 50, 100, 200], lambda n: with_rig(8, 1, requests(n))),
     ]
     for name, sizes, run in plans:
+        if sys.argv[1:] and name not in sys.argv[1:]:
+            continue
         samples = []
         for size in sizes:
             found = await run(size)
