--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -173,15 +173,13 @@
                 raise MalformedHttp(why=str(exc)) from exc
             match event:
                 case h11.NEED_DATA:
-                    data = await _read_some(
-                        reader, limit - loop.time(), bool(conn.trailing_data[0])
-                    )
-                    if not data and head is None and not conn.trailing_data[0]:
+                    started = head is not None or bool(conn.trailing_data[0])
+                    data = await _read_some(reader, limit - loop.time(), started)
+                    if not data and not started:
                         return None
-                    started = bool(conn.trailing_data[0]) or head is not None
-                    conn.receive_data(data)
                     if not started:
                         limit = loop.time() + REQUEST_READ_S
+                    conn.receive_data(data)
                 case h11.Request():
                     head = event
                 case h11.Data():
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,64 @@
+"""Settings: every error, with its path, what was found and what is allowed."""
+
+import unittest
+from pathlib import Path
+from typing import Any
+
+from curranthall.errors import SettingsInvalid
+from curranthall.rows import check_row
+from curranthall.settings import Settings, load_settings, settings_from
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+GOOD: dict[str, Any] = {
+    "id": "e1",
+    "domain": "d1",
+    "caller": "127.0.0.1:1",
+    "operators": "127.0.0.1:2",
+    "mesh": "127.0.0.1:3",
+    "platform": "127.0.0.1:4",
+    "mesh_key": "0123456789abcdef",
+    "operator_tokens": {"ann": "0123456789abcdef"},
+}
+
+
+def problems(value: dict[str, Any]) -> list[str]:
+    try:
+        settings_from(value)
+    except SettingsInvalid as exc:
+        found = exc.fields["problems"]
+        assert isinstance(found, list)
+        return sorted(str(problem) for problem in found)
+    return []
+
+
+class SettingsTest(unittest.TestCase):
+    def test_good(self) -> None:
+        self.assertIsInstance(settings_from(GOOD), Settings)
+
+    def test_examples(self) -> None:
+        for name in ("order-desk.json", "sheet-desk.json"):
+            self.assertIsInstance(load_settings(str(EXAMPLES / name)), Settings)
+
+    def test_tables_of_the_examples(self) -> None:
+        import json5
+
+        for name in ("order-desk.table.json", "sheet-desk.table.json"):
+            table = json5.loads((EXAMPLES / name).read_text())
+            for kind, rows in table.items():
+                for row in rows.values():
+                    check_row(kind, row)
+
+    def test_every_error_at_once(self) -> None:
+        bad = {**GOOD, "caller": "nowhere", "max_body_bytes": 3, "peeers": [], "peers": ["x"]}
+        del bad["domain"]
+        found = problems(bad)
+        self.assertEqual(len(found), 5, found)
+        self.assertIn("caller: found 'nowhere'; allowed: host:port", found)
+        self.assertIn("domain: found nothing; allowed: a value: this key is required", found)
+        self.assertIn("peers.0: found 'x'; allowed: host:port", found)
+        self.assertTrue(any(text.startswith("peeers: found unknown key") for text in found))
+
+    def test_secrets_are_not_shown(self) -> None:
+        found = problems({**GOOD, "mesh_key": "short"})
+        self.assertEqual(len(found), 1)
+        self.assertNotIn("short", found[0])
