--- a/src/curranthall/blame.py
+++ b/src/curranthall/blame.py
@@ -2,12 +2,12 @@
 
 from typing import NamedTuple
 
+from curranthall.events import Event, log
 from curranthall.model import OutcomeKind
 
 QUARANTINE_CLASSES = 2
 QUARANTINE_FAILURES = 4
 QUARANTINE_S = 30.0
-QUARANTINE_MAX_S = 600.0
 BACKOFF_WORKERS = 3
 BACKOFF_S = 10.0
 BACKOFF_MAX_S = 600.0
@@ -43,11 +43,14 @@
         if len({f.cls for f in here}) >= QUARANTINE_CLASSES or (
             len(here) >= QUARANTINE_FAILURES and len(elsewhere) == 1
         ):
+            if not self.is_quarantined(worker, now):
+                log(Event.WORKER_QUARANTINED, worker=worker, seconds=QUARANTINE_S)
             self._quarantined[worker] = now + QUARANTINE_S
         elif len(elsewhere) >= BACKOFF_WORKERS:
             last = self._backed_off.get(cls, (0.0, BACKOFF_S / 2))[1]
             wait = min(last * 2, BACKOFF_MAX_S)
             self._backed_off[cls] = (now + wait, wait)
+            log(Event.CLASS_BACKED_OFF, cls=cls, seconds=wait)
 
     def is_quarantined(self, worker: str, now: float) -> bool:
         """Tell whether a worker gets nothing; after its time one task probes it."""
--- a/src/curranthall/dispatch.py
+++ b/src/curranthall/dispatch.py
@@ -643,7 +643,8 @@
         wanted = [
             (key, row) for key, row in queued if self._admits(row) and self._preferred(key, row)
         ]
-        wanted.sort(key=lambda item: self._urgency(item[1]))
+        cores = self.cores_by_customer()
+        wanted.sort(key=lambda item: self._urgency(item[1], cores))
         keys = [key for key, _ in wanted[:CLAIM_BLOCKS]]
         if keys and not await self._claim(keys) and len(keys) > 1:
             for key in keys:
@@ -709,12 +710,16 @@
             return ring[(first + row["first"]) % len(ring)] == self._id
         return preferred(key, [*able, self._id]) == self._id
 
-    def _urgency(self, row: BlockRow) -> tuple[float, float]:
+    def _urgency(self, row: BlockRow, cores: dict[str, float]) -> tuple[float, float, float]:
+        """Order by priority, then by the customer's use against its weight, then by deadline."""
         spec = self._class_row(row)
         if spec is None:
-            return (0.0, row["deadline"])
+            return (0.0, 0.0, row["deadline"])
         boost = URGENT_BOOST if spec.get("kind") == "urgent" or row["service"] else 0
-        return (-(spec.get("priority", 100) + boost), row["deadline"])
+        customer = self._config.rows("customer").get(row["customer"])
+        weight = 1.0 if customer is None else customer["weight"]
+        used = cores.get(row["customer"], 0.0) / weight
+        return (-(spec.get("priority", 100) + boost), used, row["deadline"])
 
     # Start
 
@@ -739,7 +744,7 @@
         now = self._clock()
         cores = self.cores_by_customer()
         mine = [(key, row) for key, row in self.mine() if key in self._trusted]
-        for key, row in sorted(mine, key=lambda item: self._urgency(item[1])):
+        for key, row in sorted(mine, key=lambda item: self._urgency(item[1], cores)):
             spec = self._class_row(row)
             if spec is None or self.placer.backed_off(row["cls"], now):
                 continue
@@ -786,7 +791,10 @@
         name = self.placer.choose(want, size, candidates, self._clock())
         key = f"{want.task.job}/{want.task.number}"
         if name is None:
-            self.reasons[key] = self.placer.why_not(size, [c.total for c in candidates])
+            totals = [worker.host.size for worker in self.keeper.workers.values()]
+            if key not in self.reasons and not any(size.fits(total) for total in totals):
+                log(Event.TASK_NEVER_FITS, task=want.task, cores=size.cores, memory=size.memory)
+            self.reasons[key] = self.placer.why_not(size, totals)
             if want.urgent or want.service:
                 self._make_room(want, size, candidates, by_name)
             return None
