--- /dev/null
+++ b/src/curranthall/claim.py
@@ -0,0 +1,92 @@
+"""Blocks claimed from the queue, cut to the room at hand."""
+
+from curranthall.block import (
+    QUEUE_PREFIX,
+    after_open,
+    as_block,
+    block_key,
+    queue_key,
+    split,
+    startable,
+)
+from curranthall.events import Event, log
+from curranthall.ledger import Ledger
+from curranthall.model import (
+    BlockRow,
+    Row,
+)
+from curranthall.rows import allows
+from curranthall.takeover import Takeover
+
+CLAIM_BLOCKS = 2
+BACKLOG_TASKS = 4
+CLAIM_AHEAD = 4
+
+
+class Claims:
+    """Claim blocks by priority, share and deadline."""
+
+    def __init__(self, ledger: Ledger, takeover: Takeover) -> None:
+        self._ledger = ledger
+        self._takeover = takeover
+
+    async def claim_blocks(self) -> None:
+        if not self._ledger.config.may_start(self._ledger.domain) or not self._ledger.usable():
+            return
+        if self._backlog() >= BACKLOG_TASKS:
+            return
+        mirror = self._ledger.config.mirror
+        queued = [(key, as_block(row)) for key, row in mirror.under(QUEUE_PREFIX)]
+        wanted = [(key, row) for key, row in queued if self._is_wanted(key, row)]
+        cores = self._ledger.cores_by_customer()
+        wanted.sort(key=lambda item: self._ledger.urgency(item[1], cores))
+        keys = [key for key, _ in wanted[:CLAIM_BLOCKS]]
+        if keys and not await self._claim(keys) and len(keys) > 1:
+            for key in keys:
+                await self._claim([key])
+
+    async def _claim(self, keys: list[str]) -> bool:
+        writes: dict[str, Row | None] = {}
+        claimed = []
+        for key in keys:
+            row = self._ledger.block(key)
+            if row is None:
+                continue
+            middle = after_open(row, self._room_for(row) + CLAIM_AHEAD)
+            head, tail = split(row, middle)
+            head["holder"], head["incarnation"] = self._ledger.id, self._ledger.incarnation
+            head["clean"] = False
+            writes[key] = None
+            claimed.append(block_key(self._ledger.domain, row["job"], row["first"]))
+            writes[claimed[-1]] = head
+            if tail["count"]:
+                writes[queue_key(row["job"], middle)] = tail
+        self._ledger.trusted.update(claimed)
+        if not writes:
+            return True
+        if not await self._ledger.commit(writes, list(writes)):
+            return False
+        for key in claimed:
+            log(Event.BLOCK_CLAIMED, block=key)
+        return True
+
+    def _room_for(self, row: BlockRow) -> int:
+        """Count how many more tasks of a block's class the held workers can take."""
+        spec = self._ledger.class_row(row)
+        if spec is None:
+            return 0
+        cores = spec["cores"]
+        return sum(int(held.room().cores / cores) for held in self._ledger.usable())
+
+    def _backlog(self) -> int:
+        total = 0
+        for key, row in self._ledger.mine():
+            total += sum(1 for _ in startable(row, self._ledger.placed_in(key, row)))
+        return total
+
+    def _is_wanted(self, key: str, row: BlockRow) -> bool:
+        return self._admits(row) and self._takeover.is_preferred(key, row)
+
+    def _admits(self, row: BlockRow) -> bool:
+        spec = self._ledger.class_row(row)
+        return spec is not None and allows(spec["domains"], self._ledger.domain)
--- a/src/curranthall/entry.py
+++ b/src/curranthall/entry.py
@@ -7,10 +7,11 @@
 
 from curranthall.block import BLOCK_PREFIX, QUEUE_PREFIX
 from curranthall.config import POLL_S, Config
-from curranthall.dispatch import Dispatcher, Survey
+from curranthall.dispatch import Dispatcher
 from curranthall.errors import AnswerLost, CurranthallError, NotReady, PeerUnreachable
 from curranthall.events import Event, log
 from curranthall.lease import LeaseKeeper
+from curranthall.ledger import Ledger
 from curranthall.link import Mesh
 from curranthall.model import Change, Commit, Host, HostState, Scan, Task
 from curranthall.placement import Placer
@@ -18,6 +19,7 @@
 from curranthall.request import Ask, Endpoints, Router
 from curranthall.roster import HEARTBEAT_S, Heartbeat, Roster, suspects
 from curranthall.rows import CONFIG_PREFIX
+from curranthall.takeover import Survey
 from curranthall.worker import Worker
 
 ENTRY_PREFIX = "entry/"
@@ -70,20 +72,17 @@
         ]
         self.config = Config(platform, clock, prefixes, self._scan_via_peer)
         self.roster = Roster(identity.id, identity.domain, clock)
-        self.dispatcher = Dispatcher(
+        self.ledger = Ledger(
             identity.id,
             identity.incarnation,
             identity.domain,
             clock,
-            wall,
             self.new_txn,
             self.config,
             self.roster,
             platform,
-            Placer(),
-            self._survey_peers,
-            self.spawn,
         )
+        self.dispatcher = Dispatcher(self.ledger, Placer(), self._survey_peers, self.spawn)
         holder = f"{identity.id}.{identity.incarnation}"
         self.keeper = LeaseKeeper(
             holder,
@@ -93,9 +92,9 @@
             self.spawn,
             self.dispatcher.on_report,
         )
-        self.dispatcher.keeper = self.keeper
-        self.keeper.on_change = self.dispatcher.touch
-        self.config.on_change = self.dispatcher.touch
+        self.ledger.keeper = self.keeper
+        self.keeper.on_change = self.ledger.touch
+        self.config.on_change = self.ledger.touch
         self.endpoints = Endpoints(self.keeper, self.config, clock)
         self.router = Router(
             identity.id,
@@ -129,7 +128,7 @@
         """Shut down gracefully: no request cut off, leases and blocks handed back."""
         log(Event.ENTRY_DRAINING, id=self.identity.id)
         self.draining = True
-        self.dispatcher.draining = True
+        self.ledger.draining = True
         await self._beat()
         await asyncio.sleep(NOTICE_S)
         limit = self.clock() + DRAIN_S
@@ -145,7 +144,7 @@
 
     def _busy(self) -> bool:
         serving = any(held.inflight for held in self.keeper.workers.values())
-        return serving or any(True for _ in self.dispatcher.mine())
+        return serving or any(True for _ in self.ledger.mine())
 
     @property
     def ready(self) -> bool:
@@ -229,7 +228,7 @@
             await self._hosts_from_peers()
             return
         self.keeper.follow(hosts)
-        self.dispatcher.listed_at = asked_at
+        self.ledger.listed_at = asked_at
         for host in hosts:
             if host.state is HostState.GONE:
                 self.dispatcher.on_gone(host.name)
@@ -262,7 +261,7 @@
             ready=self.ready,
             workers=self.endpoints.views() if not self.draining else {},
             demand={name: count for name, count in self.router.demand.items() if count},
-            cores=self.dispatcher.cores_by_customer(),
+            cores=self.ledger.cores_by_customer(),
         )
 
     async def _hold_workers(self) -> None:
@@ -320,7 +319,7 @@
         return await self.endpoints.serve(body["worker"], ask)
 
     def _answer_survey(self, domain: str) -> dict[str, list[list[Any]]]:
-        found = self.dispatcher.own_survey(domain)
+        found = self.dispatcher.takeover.own_survey(domain)
         return {name: [list(task) for task in tasks] for name, tasks in found.items()}
 
     # What this entry asks of peers
--- a/src/curranthall/metrics.py
+++ b/src/curranthall/metrics.py
@@ -39,7 +39,7 @@
         self._set("requests_sent", "requests sent to endpoints", {}, entry.endpoints.sent)
         for outcome, count in entry.router.counts.items():
             self._set("requests", "requests by outcome", {"outcome": outcome}, count)
-        for what, count in entry.dispatcher.counts.items():
+        for what, count in entry.ledger.counts.items():
             self._set("task_events", "starts and evictions", {"what": what}, count)
 
     def _set(self, name: str, help_text: str, labels: dict[str, str], value: float) -> None:
--- a/src/curranthall/operators.py
+++ b/src/curranthall/operators.py
@@ -139,10 +139,10 @@
             "ready": entry.ready,
             "peers": entry.roster.status(),
             "workers": workers,
-            "blocks": len(list(entry.dispatcher.mine())),
-            "waiting": dict(list(entry.dispatcher.reasons.items())[:50]),
+            "blocks": len(list(entry.ledger.mine())),
+            "waiting": dict(list(entry.ledger.reasons.items())[:50]),
             "requests": dict(entry.router.counts),
-            "tasks": dict(entry.dispatcher.counts),
+            "tasks": dict(entry.ledger.counts),
             "control_bytes": entry.control_bytes,
         }
 
--- /dev/null
+++ b/src/curranthall/start.py
@@ -0,0 +1,163 @@
+"""Tasks started on held workers, under a permit."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from curranthall.block import (
+    startable,
+)
+from curranthall.errors import AnswerLost, ConnectFailed, Fenced, Refused
+from curranthall.events import Event, log
+from curranthall.lease import Held
+from curranthall.ledger import Ledger, Placed
+from curranthall.model import (
+    BlockRow,
+    Size,
+    StartOrder,
+)
+from curranthall.placement import Candidate, Placer, Want
+from curranthall.release import Releases
+
+STARTS_AT_ONCE = 32
+
+
+class Starts:
+    """Choose workers for waiting tasks and start them."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        releases: Releases,
+        placer: Placer,
+        spawn: Callable[[Coroutine[Any, Any, None]], None],
+    ) -> None:
+        self._ledger = ledger
+        self._releases = releases
+        self.placer = placer
+        self._spawn = spawn
+
+    def start_tasks(self) -> None:
+        if not self._ledger.config.may_start(self._ledger.domain):
+            return
+        started = 0
+        for want, row in self._wants():
+            held = self._place(want)
+            if held is None:
+                continue
+            order = self._order(want, row)
+            seq = self._ledger.keeper.reserve(held, order)
+            self._ledger.placed[order.task.key] = Placed(order.task.attempt, held.host.name)
+            self._spawn(self._start(held, order, seq))
+            started += 1
+            if started >= STARTS_AT_ONCE:
+                return
+
+    def _wants(self) -> list[tuple[Want, BlockRow]]:
+        found: list[tuple[Want, BlockRow]] = []
+        now = self._ledger.clock()
+        cores = self._ledger.cores_by_customer()
+        mine = [(key, row) for key, row in self._ledger.mine() if key in self._ledger.trusted]
+        for key, row in sorted(mine, key=lambda item: self._ledger.urgency(item[1], cores)):
+            spec = self._ledger.class_row(row)
+            if spec is None or self.placer.backed_off(row["cls"], now):
+                continue
+            if not row["service"] and self._over_quota(row["customer"], cores, spec["cores"]):
+                self._ledger.reasons[key] = "quota of customer " + row["customer"]
+                continue
+            declared = Size(spec["cores"], spec["memory"], spec["accelerators"])
+            urgent = spec.get("kind") == "urgent"
+            for task, checkpoint in startable(row, self._ledger.placed_in(key, row)):
+                if self._releases.is_leaving(key, task):
+                    break
+                want = Want(task, row["cls"], row["service"], declared, urgent, checkpoint)
+                found.append((want, row))
+                if len(found) >= STARTS_AT_ONCE * 2:
+                    return found
+        return found
+
+    def _over_quota(self, customer: str, own: dict[str, float], cores: float) -> bool:
+        row = self._ledger.config.rows("customer").get(customer)
+        if row is None:
+            return False
+        others = sum(p.beat["cores"].get(customer, 0.0) for p in self._ledger.roster.live())
+        return own.get(customer, 0.0) + others + cores > row["quota_cores"]
+
+    def _place(self, want: Want) -> Held | None:
+        by_name = {held.host.name: held for held in self._ledger.usable()}
+        if not by_name:
+            return None
+        size = self.placer.reservation(want)
+        candidates = [self._candidate(held) for held in by_name.values()]
+        name = self.placer.choose(want, size, candidates, self._ledger.clock())
+        key = f"{want.task.job}/{want.task.number}"
+        if name is None:
+            totals = [worker.host.size for worker in self._ledger.keeper.workers.values()]
+            if key not in self._ledger.reasons and not any(size.fits(total) for total in totals):
+                log(Event.TASK_NEVER_FITS, task=want.task, cores=size.cores, memory=size.memory)
+            self._ledger.reasons[key] = self.placer.why_not(size, totals)
+            if want.urgent or want.service:
+                self._make_room(want, size, candidates, by_name)
+            return None
+        self._ledger.reasons.pop(key, None)
+        return by_name[name]
+
+    def _candidate(self, held: Held) -> Candidate:
+        lease = held.lease
+        assert lease is not None
+        classes = [run.service or run.cls for run in lease.running.values()]
+        classes += [order.service or order.cls for _, order in lease.pending.values()]
+        services = {run.service for run in lease.running.values() if run.service}
+        services |= {order.service for _, order in lease.pending.values() if order.service}
+        return Candidate(held.host.name, held.host.size, held.room(), tuple(classes), services)
+
+    def _make_room(
+        self, want: Want, size: Size, candidates: list[Candidate], held: dict[str, Held]
+    ) -> None:
+        evictable = {
+            name: {
+                task: run.size
+                for task, run in w.lease.running.items()
+                if not run.service and not self._is_urgent(run.cls)
+            }
+            for name, w in held.items()
+            if w.lease is not None
+        }
+        chosen = self.placer.victims(size, candidates, evictable)
+        if chosen is None:
+            return
+        name, victims = chosen
+        for task in victims:
+            log(Event.TASK_EVICTING, task=task, worker=name, for_=want.task)
+            self._ledger.counts["evictions"] += 1
+            self._ledger.keeper.stop_soon(held[name], task)
+
+    def _is_urgent(self, cls: str) -> bool:
+        spec = self._ledger.config.rows("class").get(cls)
+        return spec is not None and spec["kind"] == "urgent"
+
+    def _order(self, want: Want, row: BlockRow) -> StartOrder:
+        spec = self._ledger.class_row(row) or {}
+        seconds = 0.0 if row["service"] or spec.get("kind") == "watcher" else spec["seconds"]
+        seconds = row.get("seconds", seconds)
+        size = self.placer.reservation(want)
+        return StartOrder(
+            want.task, row["cls"], row["customer"], size, seconds, want.checkpoint, row["service"]
+        )
+
+    async def _start(self, held: Held, order: StartOrder, seq: int) -> None:
+        where = {"task": order.task, "worker": held.host.name}
+        self._ledger.touch()
+        try:
+            if not self._ledger.config.may_start(self._ledger.domain):
+                self._ledger.keeper.unreserve(held, order)
+                raise Refused(why="no permit")
+            await self._ledger.keeper.start(held, order, seq, self._ledger.config.permit_until)
+        except (Fenced, Refused, ConnectFailed) as exc:
+            self._ledger.placed.pop(order.task.key, None)
+            self._ledger.touch()
+            log(Event.TASK_START_REFUSED, **where, why=exc)
+        except AnswerLost as exc:
+            log(Event.TASK_START_UNKNOWN, **where, why=exc)
+        else:
+            self._ledger.counts["starts"] += 1
+            log(Event.TASK_PLACED, **where, cores=order.size.cores)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -428,8 +428,6 @@
         for job in self.accepted:
             status = await self._jobs().status(job)
             if not status["finished"]:
-                reasons = {
-                    name: entry.dispatcher.reasons for name, entry in self.world.entries.items()
-                }
+                reasons = {name: entry.ledger.reasons for name, entry in self.world.entries.items()}
                 return f"{job} is left hanging: {status} {reasons}"
         return ""
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -6,11 +6,12 @@
 from unittest.mock import patch
 
 from curranthall.config import Config
-from curranthall.dispatch import Dispatcher
 from curranthall.lease import LeaseKeeper
 from curranthall.model import Task
+from curranthall.release import Releases
 from curranthall.request import Endpoints
 from curranthall.standin.engine import WorkerEngine
+from curranthall.takeover import Takeover
 from tests.matrix import Case, Fault, play
 from tests.scenario import Player, Script, Step
 from tests.virtual import run
@@ -46,9 +47,8 @@
 )
 SLOW = script(
     Step(0, "slow", ("0.9", "60")),
-    Step(1, "submit", ("j1", "engrave", "60")),
-    Step(2, "submit", ("j2", "engrave", "60")),
-    Step(70, "heal", ()),
+    *[Step(1 + 0.7 * n, "submit", (f"j{n}", "engrave", "30")) for n in range(6)],
+    Step(100, "heal", ()),
 )
 WORKER_CUT = script(
     Step(0, "submit", ("w1", "monogram", "8")),
@@ -61,11 +61,17 @@
 
 class Guards(unittest.TestCase):
     def assert_guards(
-        self, target: Any, name: str, without: Callable[..., Any], steps: Script, sign: str
+        self,
+        target: Any,
+        name: str,
+        without: Callable[..., Any],
+        steps: Script,
+        sign: str,
+        seed: int = SEED,
     ) -> None:
-        self.assertEqual(played(steps), [])
+        self.assertEqual(played(steps, seed), [])
         with patch.object(target, name, without):
-            wrong = played(steps)
+            wrong = played(steps, seed)
         self.assertTrue(any(sign in text for text in wrong), wrong)
 
     def test_permit(self) -> None:
@@ -94,10 +100,10 @@
         self.assert_guards(WorkerEngine, "check_lapse", ignore, WORKER_CUT, "runs on")
 
     def test_release_keeps_its_tasks_back(self) -> None:
-        def never(self: Dispatcher, key: str, task: Task) -> bool:
+        def never(self: Releases, key: str, task: Task) -> bool:
             return False
 
-        self.assert_guards(Dispatcher, "_is_leaving", never, SLOW, "started twice")
+        self.assert_guards(Releases, "is_leaving", never, SLOW, "started twice", seed=2)
 
     def test_copy_of_a_request_is_refused(self) -> None:
         case = Case((Fault("mesh.forward", "message-twice", "-"),), 2)
@@ -110,8 +116,8 @@
         self.assertEqual(run(play(late))[0], [])
 
     def test_takeover_waits_for_the_survey(self) -> None:
-        def hasty(self: Dispatcher, key: str, found: Any, missing: Any) -> None:
+        def hasty(self: Takeover, key: str, found: Any, missing: Any) -> None:
             self._adopting.pop(key)
-            self._trusted.add(key)
+            self._ledger.trusted.add(key)
 
-        self.assert_guards(Dispatcher, "_recovered", hasty, PEERS_CUT, "started twice")
+        self.assert_guards(Takeover, "_recovered", hasty, PEERS_CUT, "started twice")
