--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test lint binary bench slopes policy matrix scenarios-live
+.PHONY: demo test lint binary bench slopes policy requests matrix scenarios-live
 
 .venv/ready: pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -28,6 +28,9 @@
 slopes: .venv/ready
 	$(BIN)/python -m tools.slopes
 
+requests: .venv/ready
+	$(BIN)/python -m tools.requests
+
 policy: .venv/ready
 	$(BIN)/python -m tools.policy
 
--- a/src/curranthall/request.py
+++ b/src/curranthall/request.py
@@ -1,9 +1,8 @@
 """A request's way: choose an endpoint, wait for a slot by deadline, send, retry within a budget."""
 
 import asyncio
-import heapq
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -59,39 +58,44 @@
 
 
 class _Waiter(NamedTuple):
+    customer: str
     deadline: float
-    number: int
     fut: asyncio.Future[None]
 
 
 class Gate:
-    """The slots of one held worker and the requests that wait for one."""
+    """The slots of one held worker and the requests that wait for one.
+
+    A free slot goes to the customer with the fewest slots for its weight, and among its
+    requests to the one with the nearest deadline.
+    """
 
     def __init__(self) -> None:
         self.latency = FIRST_LATENCY_S
         self.penalty_until = 0.0
         self._waiters: list[_Waiter] = []
-        self._number = 0
+        self._inside: dict[str, int] = defaultdict(int)
+        self._weights: dict[str, float] = {}
 
     @property
     def waiting(self) -> int:
         """Count the waiting requests."""
         return len(self._waiters)
 
-    async def enter(self, held: Held, deadline: float, now: float) -> None:
-        """Take a slot, by deadline; raise NotRun when there won't be one in time."""
-        if self._free(held) > 0:
-            held.inflight += 1
+    async def enter(self, held: Held, ask: Ask, weight: float, now: float) -> None:
+        """Take a slot; raise NotRun when there won't be one in time."""
+        self._weights[ask.customer] = weight
+        if self._free(held) > 0 and not self._waiters:
+            self._let_in(held, ask.customer)
             return
-        rounds = (len(self._waiters) + 1) / held.host.slots + 1
-        if len(self._waiters) >= MAX_WAITING or now + rounds * self.latency > deadline:
+        rounds = self._ahead(ask.customer) / held.host.slots + 1
+        if now + rounds * self.latency > ask.deadline or not self._has_room_for(ask.customer):
             raise NotRun(why="overload", worker=held.host.name)
-        self._number += 1
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(deadline, self._number, fut)
-        heapq.heappush(self._waiters, waiter)
+        waiter = _Waiter(ask.customer, ask.deadline, fut)
+        self._waiters.append(waiter)
         try:
-            async with asyncio.timeout(max(0.0, deadline - now - self.latency)):
+            async with asyncio.timeout(max(0.0, ask.deadline - now - self.latency)):
                 await fut
         except TimeoutError as exc:
             self._give_up(held, waiter)
@@ -100,28 +104,55 @@
             self._give_up(held, waiter)
             raise
 
-    def leave(self, held: Held, took: float | None) -> None:
+    def leave(self, held: Held, customer: str, took: float | None) -> None:
         """Give a slot back and let the next one in."""
         held.inflight -= 1
+        self._inside[customer] -= 1
+        if not self._inside[customer]:
+            del self._inside[customer]
         if took is not None:
             self.latency += LATENCY_WEIGHT * (took - self.latency)
-        self.admit_next(held)
-
-    def admit_next(self, held: Held) -> None:
-        """Let waiting requests in while slots are free."""
         while self._waiters and self._free(held) > 0:
-            waiter = heapq.heappop(self._waiters)
+            waiter = min(self._waiters, key=self._order)
+            self._waiters.remove(waiter)
             if not waiter.fut.done():
-                held.inflight += 1
+                self._let_in(held, waiter.customer)
                 waiter.fut.set_result(None)
 
+    def _let_in(self, held: Held, customer: str) -> None:
+        held.inflight += 1
+        self._inside[customer] += 1
+
+    def _order(self, waiter: _Waiter) -> tuple[float, float]:
+        used = self._inside.get(waiter.customer, 0) / self._weights[waiter.customer]
+        return used, waiter.deadline
+
+    def _ahead(self, customer: str) -> int:
+        """Count the waiting requests that go first: of others no more than of this customer."""
+        counts = Counter(waiter.customer for waiter in self._waiters)
+        own = counts[customer] + 1
+        return own + sum(min(n, own) for name, n in counts.items() if name != customer)
+
+    def _has_room_for(self, customer: str) -> bool:
+        """Make room for one more, at the cost of the customer with the most waiting."""
+        if len(self._waiters) < MAX_WAITING:
+            return True
+        counts = Counter(waiter.customer for waiter in self._waiters)
+        greedy, most = counts.most_common(1)[0]
+        if counts[customer] + 1 >= most:
+            return False
+        last = max((w for w in self._waiters if w.customer == greedy), key=lambda w: w.deadline)
+        self._waiters.remove(last)
+        if not last.fut.done():
+            last.fut.set_exception(NotRun(why="overload, displaced"))
+        return True
+
     def _give_up(self, held: Held, waiter: _Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
-            heapq.heapify(self._waiters)
-        elif waiter.fut.done() and not waiter.fut.cancelled():
+        elif waiter.fut.done() and not waiter.fut.cancelled() and not waiter.fut.exception():
             # The slot came at the same moment; it goes to the next one.
-            self.leave(held, None)
+            self.leave(held, waiter.customer, None)
 
     def _free(self, held: Held) -> int:
         foreign = held.lease.foreign_busy if held.lease is not None else 0
@@ -174,7 +205,9 @@
         if held is None or not held.usable(self._clock()) or not self._open(held):
             raise NotRun(why="worker not usable here", worker=worker)
         gate = self.gates[worker]
-        await gate.enter(held, ask.deadline, self._clock())
+        customer = self._config.rows("customer").get(ask.customer)
+        weight = 1.0 if customer is None else customer["weight"]
+        await gate.enter(held, ask, weight, self._clock())
         started, took = self._clock(), None
         try:
             # The wait may have outlived the lease.
@@ -184,7 +217,7 @@
             took = self._clock() - started
             return body
         finally:
-            gate.leave(held, took)
+            gate.leave(held, ask.customer, took)
 
     def _check_copy(self, ask: Ask) -> None:
         """Refuse a second copy of a forwarded request; the first one may have run."""
