--- a/src/curranthall/request.py
+++ b/src/curranthall/request.py
@@ -35,8 +35,6 @@
 ABROAD_S = 0.002
 FIRST_TRY_SHARE = 0.6
 COPY_S = 30.0
-ACTIVE_S = 1.0
-KEPT_BACK = 2
 
 
 class Ask(NamedTuple):
@@ -78,7 +76,6 @@
         self._waiters: list[_Waiter] = []
         self._inside: dict[str, int] = defaultdict(int)
         self._weights: dict[str, float] = {}
-        self._seen_at: dict[str, float] = {}
 
     @property
     def waiting(self) -> int:
@@ -88,8 +85,7 @@
     async def enter(self, held: Held, ask: Ask, weight: float, now: float) -> None:
         """Take a slot; raise NotRun when there won't be one in time."""
         self._weights[ask.customer] = weight
-        self._seen_at[ask.customer] = now
-        if self._may_enter(held, ask.customer, now) and not self._waiters:
+        if self._free(held) > 0 and not self._waiters:
             self._let_in(held, ask.customer)
             return
         rounds = self._ahead(ask.customer) / held.host.slots + 1
@@ -102,13 +98,13 @@
             async with asyncio.timeout(max(0.0, ask.deadline - now - self.latency)):
                 await fut
         except TimeoutError as exc:
-            self._give_up(held, waiter, asyncio.get_running_loop().time())
+            self._give_up(held, waiter)
             raise NotRun(why="no slot in time", worker=held.host.name) from exc
         except asyncio.CancelledError:
-            self._give_up(held, waiter, asyncio.get_running_loop().time())
+            self._give_up(held, waiter)
             raise
 
-    def leave(self, held: Held, customer: str, took: float | None, now: float) -> None:
+    def leave(self, held: Held, customer: str, took: float | None) -> None:
         """Give a slot back and let the next one in."""
         held.inflight -= 1
         self._inside[customer] -= 1
@@ -116,25 +112,13 @@
             del self._inside[customer]
         if took is not None:
             self.latency += LATENCY_WEIGHT * (took - self.latency)
-        while self._waiters:
+        while self._waiters and self._free(held) > 0:
             waiter = min(self._waiters, key=self._order)
-            if not self._may_enter(held, waiter.customer, now):
-                return
             self._waiters.remove(waiter)
             if not waiter.fut.done():
                 self._let_in(held, waiter.customer)
                 waiter.fut.set_result(None)
 
-    def _may_enter(self, held: Held, customer: str, now: float) -> bool:
-        """Keep slots back from a customer over its part while others were here of late."""
-        active = {
-            name: self._weights[name] for name, at in self._seen_at.items() if now - at < ACTIVE_S
-        }
-        total = sum(active.values()) or 1.0
-        part = held.host.slots * active.get(customer, 1.0) / total
-        over = len(active) > 1 and self._inside.get(customer, 0) >= part
-        return self._free(held) > (KEPT_BACK if over else 0)
-
     def _let_in(self, held: Held, customer: str) -> None:
         held.inflight += 1
         self._inside[customer] += 1
@@ -163,12 +147,12 @@
             last.fut.set_exception(NotRun(why="overload, displaced"))
         return True
 
-    def _give_up(self, held: Held, waiter: _Waiter, now: float) -> None:
+    def _give_up(self, held: Held, waiter: _Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
         elif waiter.fut.done() and not waiter.fut.cancelled() and not waiter.fut.exception():
             # The slot came at the same moment; it goes to the next one.
-            self.leave(held, waiter.customer, None, now)
+            self.leave(held, waiter.customer, None)
 
     def _free(self, held: Held) -> int:
         foreign = held.lease.foreign_busy if held.lease is not None else 0
@@ -233,7 +217,7 @@
             took = self._clock() - started
             return body
         finally:
-            gate.leave(held, ask.customer, took, self._clock())
+            gate.leave(held, ask.customer, took)
 
     def _check_copy(self, ask: Ask) -> None:
         """Refuse a second copy of a forwarded request; the first one may have run."""
