--- a/src/curranthall/rows.py
+++ b/src/curranthall/rows.py
@@ -1,9 +1,8 @@
 """The operators' table: its kinds of row, their columns and what each may hold."""
 
-from typing import Any, NamedTuple, NotRequired, TypedDict
+from typing import Any, NamedTuple
 
-from voluptuous import All, Coerce, In, Invalid, MultipleInvalid, Range, Schema
-from voluptuous import Any as Either
+from voluptuous import All, Coerce, In, MultipleInvalid, Range, Schema
 
 from curranthall.errors import BadInput
 
@@ -18,37 +17,6 @@
     help: str
 
 
-class DomainRow(TypedDict):
-    """A failure domain."""
-
-    state: str
-
-
-class CustomerRow(TypedDict):
-    """A customer."""
-
-    weight: float
-    limit: int
-    quota_cores: float
-
-
-class ClassRow(TypedDict):
-    """A job class, or a service's replicas."""
-
-    kind: str
-    cores: float
-    memory: float
-    accelerators: int
-    seconds: float
-    priority: int
-    max_attempts: int
-    on_worker_loss: str
-    domains: str
-    customer: NotRequired[str]
-    deadline_ms: NotRequired[float]
-    replicas: NotRequired[int]
-
-
 def _number(low: float, high: float) -> Any:
     return All(Coerce(float), Range(min=low, max=high))
 
@@ -114,6 +82,3 @@
 def allows(domains: str, domain: str) -> bool:
     """Tell whether a row's domains column admits a failure domain."""
     return domains == "*" or domain in [name.strip() for name in domains.split(",")]
-
-
-__all__ = ["KINDS", "Column", "Either", "Invalid", "allows", "check_row", "config_key"]
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,83 @@
+"""The worker's own guards: tokens, stamps, late and overtaken calls."""
+
+import asyncio
+import unittest
+
+from curranthall.errors import Fenced, Refused
+from curranthall.lease import granted
+from curranthall.model import Host, HostState, OutcomeKind, Size, StartOrder, Task, Token
+from curranthall.standin.engine import TERM_S, WorkerEngine
+from tests.virtual import run
+
+A1, B2 = Token(1, "a"), Token(2, "b")
+ORDER = StartOrder(Task("j", 0, 0), "c", "acme", Size(1, 1, 0), 100.0, 0)
+FOREVER = float("inf")
+
+
+def engine() -> WorkerEngine:
+    host = Host("w", "d", "r", "x", Size(8, 8, 0), 8, 64, HostState.LIVE)
+    return WorkerEngine(host, asyncio.get_running_loop().time, "b1")
+
+
+class Engine(unittest.TestCase):
+    def test_late_renewal_does_not_stretch_the_lease(self) -> None:
+        async def main() -> None:
+            worker, clock = engine(), asyncio.get_running_loop().time
+            sent_at = clock()
+            grant = worker.lease(A1, 0.0, 1, -1, TERM_S)
+            lease = granted(None, grant, sent_at, clock())
+            await asyncio.sleep(TERM_S - 1)
+            # Sent long ago, with the first stamp; its answer is lost.
+            worker.lease(A1, grant.stamp, 2, 0, TERM_S)
+            await asyncio.sleep(lease.lapsed_at - clock())
+            self.assertTrue(worker.is_free, "the holder's proof of lapse must hold")
+
+        run(main())
+
+    def test_old_token_is_refused(self) -> None:
+        async def main() -> None:
+            worker = engine()
+            worker.lease(A1, 0.0, 1, -1, TERM_S)
+            with self.assertRaises(Fenced):
+                worker.lease(B2, 0.0, 1, -1, TERM_S)
+            worker.release(A1)
+            worker.lease(B2, 0.0, 1, -1, TERM_S)
+            for call in (
+                lambda: worker.start(A1, 9, ORDER, FOREVER),
+                lambda: worker.stop(A1, ORDER.task, False),
+                lambda: worker.lease(A1, 0.0, 9, -1, TERM_S),
+                lambda: worker.acknowledge(A1, [ORDER.task]),
+            ):
+                with self.assertRaises(Fenced):
+                    call()
+            self.assertEqual(worker.log, [])
+
+        run(main())
+
+    def test_late_and_overtaken_starts_are_refused(self) -> None:
+        async def main() -> None:
+            worker, now = engine(), asyncio.get_running_loop().time()
+            worker.lease(A1, 0.0, 1, -1, TERM_S)
+            with self.assertRaises(Refused):
+                worker.start(A1, 2, ORDER, now - 0.1)
+            worker.lease(A1, now, 5, -1, TERM_S)
+            with self.assertRaises(Refused):
+                worker.start(A1, 4, ORDER, FOREVER)
+            worker.start(A1, 6, ORDER, FOREVER)
+            worker.start(A1, 6, ORDER, FOREVER)
+            self.assertEqual([line.what for line in worker.log], ["start"])
+
+        run(main())
+
+    def test_lapse_stops_and_keeps_the_checkpoint(self) -> None:
+        async def main() -> None:
+            worker = engine()
+            worker.lease(A1, 0.0, 1, -1, TERM_S)
+            worker.start(A1, 2, ORDER, FOREVER)
+            await asyncio.sleep(TERM_S + 1)
+            found = worker.inventory()
+            self.assertEqual(found.running, {})
+            outcome = found.outcomes[ORDER.task]
+            self.assertEqual((outcome.kind, outcome.checkpoint), (OutcomeKind.EVICTED, 8))
+
+        run(main())
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,75 @@
+"""Placement's parts: sizes, interference, blame, the ladder."""
+
+import unittest
+
+from curranthall.blame import BACKOFF_S, QUARANTINE_S, Blame
+from curranthall.ladder import ACTION_GAP_S, Evict, Ladder, Throttle, Unthrottle
+from curranthall.learning import Interference, Usage
+from curranthall.model import NOTHING, OutcomeKind, Report, Running, Size, Task
+from curranthall.placement import Candidate, Placer, Want
+
+BIG, SMALL = Size(8, 8, 0), Size(1, 1, 0)
+T0, T1 = Task("j", 0, 0), Task("j", 1, 0)
+
+
+def report(slowdown: float) -> Report:
+    return Report(0.0, [("s", 1.0), ("loud", 1.0)], [("s", slowdown)])
+
+
+class Parts(unittest.TestCase):
+    def test_sizes_grow_at_once_and_shrink_with_evidence(self) -> None:
+        usage = Usage()
+        self.assertEqual(usage.factor(), 1.0)
+        usage.add(2.95)
+        self.assertGreaterEqual(usage.factor(), 2.95)
+        thin = Usage()
+        thin.add(0.3)
+        self.assertGreater(thin.factor(), 0.9)
+        for _ in range(100):
+            thin.add(0.3)
+        self.assertLess(thin.factor(), 0.5)
+
+    def test_interference_finds_the_guilty_class(self) -> None:
+        learned = Interference()
+        for _ in range(60):
+            learned.observe("s", ["loud", "calm"], 1.4)
+            learned.observe("s", ["calm", "calm"], 1.0)
+        self.assertGreater(learned.pair("s", "loud"), 0.3)
+        self.assertLess(learned.pair("s", "calm"), 0.1)
+
+    def test_blame_tells_a_worker_from_a_class(self) -> None:
+        blame = Blame()
+        for cls in ("a", "b"):
+            blame.ended("bad", cls, OutcomeKind.FAILED, 1.0)
+        self.assertTrue(blame.is_quarantined("bad", 2.0))
+        self.assertFalse(blame.is_quarantined("bad", 1.0 + QUARANTINE_S))
+        for worker in ("w1", "w2", "w3"):
+            blame.ended(worker, "doomed", OutcomeKind.FAILED, 1.0)
+        self.assertTrue(blame.is_backed_off("doomed", 1.0 + BACKOFF_S / 2))
+        self.assertFalse(blame.is_quarantined("w1", 2.0))
+
+    def test_ladder_throttles_then_evicts_and_lets_go(self) -> None:
+        learned = Interference()
+        for _ in range(30):
+            learned.observe("s", ["loud"], 1.6)
+        ladder = Ladder(learned)
+        running = {T0: Running("loud", SMALL), T1: Running("s", SMALL, "s")}
+        self.assertEqual(ladder.decide("w", report(1.6), running, 0.0), Throttle(T0))
+        self.assertIsNone(ladder.decide("w", report(1.6), running, 1.0))
+        later = ACTION_GAP_S + 1
+        self.assertEqual(ladder.decide("w", report(1.6), running, later), Evict(T0))
+        ladder = Ladder(learned)
+        ladder.decide("w", report(1.6), running, 0.0)
+        ladder.decide("w", report(1.0), running, 5.0)
+        self.assertEqual(ladder.decide("w", report(1.0), running, later), Unthrottle(T0))
+
+    def test_never_more_than_the_room(self) -> None:
+        placer = Placer()
+        want = Want(T0, "c", "", BIG, False, 0)
+        full = Candidate("w", BIG, SMALL, (), set())
+        self.assertIsNone(placer.choose(want, BIG, [full], 0.0))
+        self.assertIn("waiting", placer.why_not(BIG, [BIG]))
+        self.assertIn("fits no worker", placer.why_not(BIG, [SMALL]))
+        chosen = placer.victims(BIG, [full], {"w": {T0: Size(4, 4, 0), T1: Size(3, 3, 0)}})
+        self.assertEqual(chosen, ("w", [T0, T1]))
+        self.assertIsNone(placer.victims(BIG, [full], {"w": {T0: NOTHING}}))
