--- a/src/curranthall/request.py
+++ b/src/curranthall/request.py
@@ -392,6 +392,7 @@
     def _price(self, holder: str, name: str, view: WorkerView) -> Choice:
         near = view["domain"] == self._domain
         own = self._outstanding[name]
-        load = max(view["inflight"], own) + view["waiting"] + 1
+        # A peer's view is up to a heartbeat old: all entries that trust it crowd one worker.
+        load = view["inflight"] + view["waiting"] + 1 if holder == self._id else own + 1
         cost = load / view["slots"] * view["latency"] + (0.0 if near else ABROAD_S)
         return Choice(holder, name, cost, near)
