--- a/src/curranthall/request.py
+++ b/src/curranthall/request.py
@@ -35,7 +35,6 @@
 ABROAD_S = 0.002
 FIRST_TRY_SHARE = 0.6
 COPY_S = 30.0
-CHOICES = 4
 
 
 class Ask(NamedTuple):
@@ -373,7 +372,7 @@
         pool = near or found
         if not pool:
             return None
-        two = self._rng.sample(pool, min(CHOICES, len(pool)))
+        two = self._rng.sample(pool, min(2, len(pool)))
         best = min(two, key=lambda choice: choice.cost)
         far = [choice for choice in found if not choice.near]
         if near and far and best.cost > PENALTY_LATENCY_S / 2:
