Refuse to take out a failure domain that isn't known; name types in settings' errors

Cause: domain out with a mistyped name added a new domain, out of service, and said so as if the wanted one had left; seen while walking the commands. test_ports failed without the check.

--- a/src/curranthall/cli.py
+++ b/src/curranthall/cli.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import sys
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from curranthall.errors import CurranthallError, SettingsInvalid
@@ -61,29 +61,23 @@
         self._token = token
 
     def _ask(self, path: str, value: Any = None) -> Any:
-        return _run(self._call(path, value))
+        def call(client: Any) -> Any:
+            return client.get(path) if value is None else client.post(path, value)
 
-    async def _call(self, path: str, value: Any) -> Any:
+        return _run(self._with_client(call))
+
+    def _change(self, kind: str, name: str, columns: dict[str, Any]) -> Any:
+        return _run(self._with_client(lambda client: client.edit(kind, name, columns)))
+
+    async def _with_client(self, act: Callable[[Any], Awaitable[Any]]) -> Any:
         from curranthall.client import OperatorClient
 
         client = OperatorClient(self._at, self._token)
         try:
-            return await (client.get(path) if value is None else client.post(path, value))
+            return await act(client)
         finally:
             client.close()
 
-    def _change(self, kind: str, name: str, columns: dict[str, Any]) -> Any:
-        async def change() -> Any:
-            from curranthall.client import OperatorClient
-
-            client = OperatorClient(self._at, self._token)
-            try:
-                return await client.edit(kind, name, columns)
-            finally:
-                client.close()
-
-        return _run(change())
-
     def _confirm(self, revision: int) -> None:
         found = self._ask(f"/v1/force/{revision}")
         if found["in_force"]:
@@ -150,7 +144,7 @@
         self._switch(name, "out", wait)
 
     def _switch(self, name: str, state: str, wait: bool) -> None:
-        found = self._change("domain", name, {"state": state})
+        found = _run(self._with_client(lambda client: client.switch(name, state)))
         print(f"failure domain {name}: {state}, revision {found['revision']}")
         if wait:
             self._confirm(found["revision"])
--- a/src/curranthall/client.py
+++ b/src/curranthall/client.py
@@ -30,8 +30,16 @@
         """Write."""
         return await self._call("POST", path, json.dumps(value).encode())
 
+    async def switch(self, domain: str, state: str) -> Any:
+        """Take a failure domain out or bring it back; a name that is not known is refused."""
+        rows = (await self.get("/v1/table"))["rows"]["domain"]
+        names = [row["name"] for row in rows]
+        if domain not in names:
+            raise CallFailed(error="unknown-name", domain=domain, known=",".join(names))
+        return await self.edit("domain", domain, {"state": state})
+
     async def edit(self, kind: str, name: str, columns: dict[str, Any]) -> Any:
-        """Change a row on the version that is in force here."""
+        """Change a row on the version that is in force here, or add it."""
         table = await self.get("/v1/table")
         known = [row["version"] for row in table["rows"].get(kind, []) if row["name"] == name]
         value = {"base": known[0] if known else 0, "set": columns}
--- a/src/curranthall/settings.py
+++ b/src/curranthall/settings.py
@@ -5,6 +5,7 @@
 from curranthall.errors import SettingsInvalid
 
 MIN_KEY_CHARS = 16
+TYPE_NAMES = {"str": "a string", "int": "a whole number", "bool": "true or false"}
 
 
 class Settings(NamedTuple):
@@ -101,4 +102,5 @@
             for part in error.path:
                 found = found[part]
             shown = "a secret" if "token" in path or "key" in path else repr(found)
-            return Problem(path, shown, message.removeprefix("expected "))
+            plain = message.removeprefix("expected ")
+            return Problem(path, shown, TYPE_NAMES.get(plain, plain))
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -132,6 +132,9 @@
         self.assertEqual(caught.exception.fields["error"], "conflict")
         force = await operator.get(f"/v1/force/{found['revision']}")
         self.assertTrue(force["in_force"], force)
+        with self.assertRaises(CurranthallError) as caught:
+            await operator.switch("nowhere", "out")
+        self.assertEqual(caught.exception.fields["error"], "unknown-name")
         last = (await operator.get("/v1/history"))[0]
         self.assertEqual((last["who"], last["after"]["weight"]), ("demo", 4.0))
         operator.close()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -49,10 +49,18 @@
                     check_row(kind, row)
 
     def test_every_error_at_once(self) -> None:
-        bad = {**GOOD, "caller": "nowhere", "max_body_bytes": 3, "peeers": [], "peers": ["x"]}
+        bad = {
+            **GOOD,
+            "caller": "nowhere",
+            "max_body_bytes": 3,
+            "id": 7,
+            "peeers": [],
+            "peers": ["x"],
+        }
         del bad["domain"]
         found = problems(bad)
-        self.assertEqual(len(found), 5, found)
+        self.assertEqual(len(found), 6, found)
+        self.assertIn("id: found 7; allowed: a string", found)
         self.assertIn("caller: found 'nowhere'; allowed: host:port", found)
         self.assertIn("domain: found nothing; allowed: a value: this key is required", found)
         self.assertIn("peers.0: found 'x'; allowed: host:port", found)
