--- /dev/null
+++ b/src/curranthall/cells/dispatcher.py
@@ -0,0 +1,751 @@
+"""The decisions of a cell's holder: which run starts and stops where, and what is recorded.
+
+Nothing here waits or calls: events come in with the local time, orders go out through `orders`.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from curranthall.cells.fleet import Member, Run, RunState, Unrecorded
+from curranthall.cells.placement import Wish, choose
+from curranthall.cells.ports import (
+    Ending,
+    EndKind,
+    Listed,
+    Order,
+    Snapshot,
+    StartResult,
+    StartTask,
+    StopTask,
+)
+from curranthall.dag import Job, Phase, Progress, Step, TaskId
+from curranthall.dag.progress import Key
+from curranthall.events import Event, log
+from curranthall.model import Host, Size
+
+# A start that is carried out later than this is refused by the worker's clock.
+START_WINDOW_S = 1.5
+# A stop without an answer is sent again.
+STOP_RETRY_S = 0.6
+# Run numbers: the epoch in the high digits, a counter in the low ones.
+RUNS_PER_EPOCH = 1_000_000
+# A job past this many times its objective earns nothing more, so it yields.
+LATE_FACTOR = 3.0
+# A worker that refused for want of room is left until its next snapshot, this long at most.
+NO_ROOM_PAUSE_S = 0.5
+# A job whose start is malformed to the worker is not tried again for a while.
+MALFORMED_PAUSE_S = 5.0
+# A task that found no worker this long may be handed to another cell.
+STRANDED_S = 0.5
+
+
+class Queue(NamedTuple):
+    """What the configuration says of a queue; times in milliseconds."""
+
+    name: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    objective_ms: int = 0
+
+
+class Bounds(NamedTuple):
+    """The platform's bounds that decisions need, in seconds."""
+
+    max_hold_s: float = 6.0
+    gang_timeout_s: float = 3.0
+    early_s: float = 0.25
+    status_s: float = 120.0
+
+
+@dataclass(slots=True, eq=False)
+class Batch:
+    """One occurrence of one step: the tasks that wait and those with runs."""
+
+    tracked: "Tracked"
+    occurrence: int
+    number: int
+    step: Step
+    waiting: set[int] = field(default_factory=set)
+    active: dict[int, list[Run]] = field(default_factory=dict)
+    stranded_since: float | None = None
+
+    def siblings(self) -> dict[str, int]:
+        """Count the runs by worker."""
+        counts: dict[str, int] = {}
+        for runs in self.active.values():
+            for run in runs:
+                counts[run.worker] = counts.get(run.worker, 0) + 1
+        return counts
+
+    def task(self, index: int) -> TaskId:
+        """Name a task."""
+        return TaskId(self.tracked.job.id, self.occurrence, self.number, index)
+
+
+@dataclass(slots=True, eq=False)
+class Tracked:
+    """A job that this cell runs tasks of."""
+
+    job: Job
+    progress: Progress
+    version: int
+    queue: Queue
+    due: float
+    prior: bool = False
+    began: bool = False
+    batches: dict[tuple[int, int], Batch] = field(default_factory=dict)
+    checkpoints: dict[Key, str] = field(default_factory=dict)
+    failed_on: dict[Key, set[str]] = field(default_factory=dict)
+    change: int = 0
+    recorded: int = 0
+    pause_until: float = 0.0
+    final_at: float | None = None
+
+    @property
+    def shown(self) -> Phase:
+        """Give the phase to show: final only once recorded."""
+        phase = self.progress.phase
+        if phase.final and self.recorded < self.change:
+            return Phase.RUNNING
+        return Phase.RUNNING if phase is Phase.QUEUED and self.began else phase
+
+    def objective_at(self) -> float:
+        """Give the local time by which the job should be shown as completed."""
+        chain_s = self.job.chain_ms() / 1000
+        return self.due + self.queue.stretch * chain_s + self.queue.objective_ms / 1000
+
+    def hopeless_at(self) -> float:
+        """Give the local time after which the job earns nothing."""
+        return self.due + LATE_FACTOR * (self.objective_at() - self.due)
+
+
+class Dispatcher:
+    """Decides for one cell under one epoch."""
+
+    def __init__(
+        self,
+        cell: str,
+        epoch: int,
+        bounds: Bounds,
+        queue_of: Callable[[Job], Queue],
+        wall_ms: Callable[[], float],
+    ) -> None:
+        self.cell = cell
+        self.epoch = epoch
+        self.bounds = bounds
+        self.members: dict[str, Member] = {}
+        self.tracked: dict[str, Tracked] = {}
+        self.orders: deque[Order] = deque()
+        self.dirty: dict[str, Tracked] = {}
+        self.urgent = False
+        self.closed = False
+        self.unknown: set[str] = set()
+        self._queue_of = queue_of
+        self._wall_ms = wall_ms
+        self._ready: dict[tuple[str, int, int], Batch] = {}
+        self._timed: dict[tuple[str, int], float] = {}
+        self._unproven: set[str] = set()
+        self._proof_at = 0.0
+        self._last_run = epoch * RUNS_PER_EPOCH
+
+    # The cell's workers
+
+    def take_over(self, roster: Iterable[Host], proof_at: float) -> None:
+        """Begin with the former holder's workers; after `proof_at` their leases are over."""
+        for host in roster:
+            self.members[host.name] = Member(host, prior=True, in_roster=True)
+        self._unproven = set(self.members)
+        self._proof_at = proof_at
+
+    def see_host(self, host: Host) -> Member | None:
+        """Take in a worker's listing; give the member when it is new."""
+        member = self.members.get(host.name)
+        if member is None:
+            member = self.members[host.name] = Member(host)
+            return member
+        member.host, member.missing_since = host, None
+        return None
+
+    def miss_host(self, name: str, now: float) -> None:
+        """Note that a worker is no longer listed."""
+        member = self.members.get(name)
+        if member is not None and member.missing_since is None:
+            member.missing_since = now
+
+    def roster(self) -> list[Host]:
+        """List the workers that may run something of this cell."""
+        return [member.host for member in self.members.values()]
+
+    def confirm_roster(self, names: Iterable[str]) -> None:
+        """Note the workers that the committed owner row names: they may be used."""
+        for name in names:
+            if name in self.members:
+                self.members[name].in_roster = True
+
+    # Jobs
+
+    def adopt(self, job: Job, progress: Progress, version: int, now: float, prior: bool) -> None:
+        """Start to track a job."""
+        if job.id in self.tracked:
+            return
+        due = now - (self._wall_ms() - job.accepted_ms) / 1000
+        tracked = Tracked(job, progress, version, self._queue_of(job), due, prior)
+        self.tracked[job.id] = tracked
+        self.unknown.discard(job.id)
+        if progress.phase.final:
+            tracked.final_at = now
+        else:
+            tracked.began = progress.phase is Phase.RUNNING
+            self._open_steps(tracked, now)
+        for member in self.members.values():
+            member.strays.pop(job.id, None)
+            parked, member.parked = member.parked, []
+            for ending in parked:
+                self._on_end(member, ending, now)
+
+    def refresh(self, job_id: str, progress: Progress, version: int, now: float) -> None:
+        """Take in a newer row of a tracked job."""
+        tracked = self.tracked[job_id]
+        if version <= tracked.version:
+            return
+        was_final = tracked.progress.phase.final
+        own_facts = tracked.recorded < tracked.change
+        tracked.progress.merge(progress)
+        tracked.version = version
+        if own_facts:
+            self.dirty[job_id] = tracked
+        if tracked.progress.phase.final and not was_final:
+            self._close(tracked, now)
+            log(Event.JOB_CLOSED, job=job_id, phase=tracked.progress.phase.name.lower())
+        elif not tracked.progress.phase.final:
+            self._open_steps(tracked, now)
+
+    def reconfigure(self) -> None:
+        """Take in a new configuration of the queues."""
+        for tracked in self.tracked.values():
+            tracked.queue = self._queue_of(tracked.job)
+
+    def forget_stray(self, job_id: str) -> None:
+        """Stop what runs of a job that is over or was never stored."""
+        self.unknown.discard(job_id)
+        for member in self.members.values():
+            for task, run in member.strays.pop(job_id, ()):
+                log(Event.RUN_UNKNOWN, task=task, run=run, worker=member.name, outcome="stopped")
+                self.orders.append(StopTask(member.name, task, run))
+            member.parked = [end for end in member.parked if end.task.job != job_id]
+
+    def _open_steps(self, tracked: Tracked, now: float) -> None:
+        job, progress = tracked.job, tracked.progress
+        for occurrence in range(job.occurrences):
+            if job.timed and not self._is_due(tracked, occurrence, now):
+                continue
+            for number, step in enumerate(job.steps):
+                if (occurrence, number) in tracked.batches:
+                    self._share_out(tracked.batches[occurrence, number], now)
+                elif all(progress.step_done(job, occurrence, i) for i in step.after):
+                    self._open(tracked, occurrence, number, now)
+
+    def _is_due(self, tracked: Tracked, occurrence: int, now: float) -> bool:
+        wait_s = (tracked.job.due_ms(occurrence) - self._wall_ms()) / 1000
+        if wait_s <= 0:
+            return True
+        self._timed[tracked.job.id, occurrence] = now + wait_s
+        return False
+
+    def _open(self, tracked: Tracked, occurrence: int, number: int, now: float) -> None:
+        batch = Batch(tracked, occurrence, number, tracked.job.steps[number])
+        tracked.batches[occurrence, number] = batch
+        self._share_out(batch, now)
+
+    def _share_out(self, batch: Batch, now: float) -> None:
+        """Take the tasks of a batch that are this cell's and neither done nor at work."""
+        progress = batch.tracked.progress
+        for index in range(batch.step.width):
+            key = batch.occurrence, batch.number, index
+            mine = progress.owner(key) == self.cell
+            done = progress.is_done(*key) and not batch.step.lasting
+            if mine and not done and index not in batch.active:
+                batch.waiting.add(index)
+            else:
+                batch.waiting.discard(index)
+            if done:
+                for run in list(batch.active.get(index, ())):
+                    self._stop(run, now)
+        if batch.waiting:
+            self._ready[batch.tracked.job.id, batch.occurrence, batch.number] = batch
+
+    def _close(self, tracked: Tracked, now: float) -> None:
+        """Stop all of a job that is over."""
+        tracked.final_at = now
+        for batch in tracked.batches.values():
+            batch.waiting.clear()
+            self._ready.pop((tracked.job.id, batch.occurrence, batch.number), None)
+            for runs in list(batch.active.values()):
+                for run in list(runs):
+                    self._stop(run, now)
+        for key in [key for key in self._timed if key[0] == tracked.job.id]:
+            del self._timed[key]
+
+    # Recording
+
+    def _touch(self, tracked: Tracked, urgent: bool = False) -> None:
+        tracked.change += 1
+        self.dirty[tracked.job.id] = tracked
+        self.urgent = self.urgent or urgent
+
+    def note_recorded(self, tracked: Tracked, change: int, version: int) -> None:
+        """Note that the row holds all up to a change."""
+        tracked.recorded = max(tracked.recorded, change)
+        tracked.version = max(tracked.version, version)
+
+    def cursor(self, member: Member) -> int:
+        """Give the number up to which a worker's ends may be acknowledged."""
+        for number in sorted(member.unrecorded):
+            job, change = member.unrecorded[number]
+            tracked = self.tracked.get(job)
+            if tracked is not None and tracked.recorded < change:
+                return number - 1
+            del member.unrecorded[number]
+        parked = [end.number for end in member.parked]
+        return min(parked) - 1 if parked else member.seen
+
+    # What workers say
+
+    def on_snapshot(self, member: Member, snapshot: Snapshot, asked_at: float, now: float) -> None:
+        """Take in what runs and what ended on a worker."""
+        if member.note_answer(snapshot, now):
+            log(Event.WORKER_REBORN, worker=member.name, born=snapshot.born)
+        if member.name in self._unproven:
+            self._unproven.discard(member.name)
+        for ending in snapshot.ended:
+            if ending.number > member.seen:
+                member.seen = ending.number
+                self._on_end(member, ending, now)
+        listed = set()
+        for entry in snapshot.running:
+            listed.add((entry.task, entry.run))
+            self._on_listed(member, entry, asked_at, now)
+        for run in list(member.runs.values()):
+            if (run.task, run.number) not in listed and asked_at > run.sure_from:
+                log(Event.RUN_VANISHED, task=run.task, run=run.number, worker=member.name)
+                self._drop(run, now)
+
+    def _on_listed(self, member: Member, entry: Listed, asked_at: float, now: float) -> None:
+        run = member.runs.get((entry.task, entry.run))
+        if run is None:
+            run = self._find_listed(member, entry, now)
+            if run is None:
+                return
+        if run.state in (RunState.STARTING, RunState.UNSURE):
+            self._confirm(run, asked_at)
+        if entry.checkpoint:
+            run.checkpoint = entry.checkpoint
+        if entry.percent != run.percent:
+            run.percent, run.moved_at = entry.percent, now
+        run.gauge = entry.gauge
+
+    def _find_listed(self, member: Member, entry: Listed, now: float) -> Run | None:
+        """Adopt a run that this holder did not start, or stop it."""
+        task = entry.task
+        tracked = self.tracked.get(task.job)
+        if tracked is None:
+            self.unknown.add(task.job)
+            member.strays.setdefault(task.job, set()).add((task, entry.run))
+            return None
+        if task.step >= len(tracked.job.steps):
+            self.orders.append(StopTask(member.name, task, entry.run))
+            return None
+        self._infer_done(tracked, task, now)
+        batch = self._batch(tracked, task)
+        run = Run(task, entry.run, member.name, batch.step, RunState.RUNNING, now)
+        run.sure_from, run.moved_at = now, now
+        others = batch.active.get(task.number, [])
+        self._enter(batch, run, member)
+        over = tracked.progress.phase.final or (
+            tracked.progress.is_done(*task[1:]) and not batch.step.lasting
+        )
+        if over or (others and not batch.step.copies):
+            self._stop(run, now)
+        return run
+
+    def _infer_done(self, tracked: Tracked, task: TaskId, now: float) -> None:
+        """Steps before one that runs have ended: a former holder started it only then."""
+        for before in tracked.job.steps[task.step].after:
+            full = (1 << tracked.job.steps[before].width) - 1
+            if tracked.progress.done.get((task.occurrence, before), 0) != full:
+                tracked.progress.done[task.occurrence, before] = full
+                self._touch(tracked)
+                earlier = TaskId(task.job, task.occurrence, before, 0)
+                self._infer_done(tracked, earlier, now)
+                batch = tracked.batches.get((task.occurrence, before))
+                if batch is not None:
+                    self._share_out(batch, now)
+
+    def _batch(self, tracked: Tracked, task: TaskId) -> Batch:
+        key = task.occurrence, task.step
+        if key not in tracked.batches:
+            tracked.batches[key] = Batch(tracked, *key, tracked.job.steps[task.step])
+        return tracked.batches[key]
+
+    def _enter(self, batch: Batch, run: Run, member: Member) -> None:
+        batch.active.setdefault(run.task.number, []).append(run)
+        batch.waiting.discard(run.task.number)
+        member.add(run)
+
+    def _confirm(self, run: Run, known_at: float) -> None:
+        """Note that a run is there."""
+        if run.state is not RunState.STOPPING:
+            run.state = RunState.RUNNING
+        run.sure_from = known_at
+        tracked = self.tracked[run.task.job]
+        if not tracked.began:
+            tracked.began = True
+            if tracked.progress.phase is Phase.QUEUED:
+                tracked.progress.phase = Phase.RUNNING
+
+    def _on_end(self, member: Member, ending: Ending, now: float) -> None:
+        task = ending.task
+        tracked = self.tracked.get(task.job)
+        if tracked is None:
+            if ending.kind in (EndKind.DONE, EndKind.FAILED):
+                self.unknown.add(task.job)
+                member.parked.append(ending)
+            return
+        run = member.runs.get((task, ending.run))
+        if tracked.progress.phase.final or task.step >= len(tracked.job.steps):
+            if run is not None:
+                self._drop(run, now)
+            return
+        if ending.checkpoint:
+            tracked.checkpoints[task[1:]] = ending.checkpoint
+        step = tracked.job.steps[task.step]
+        if member.note_end(ending.kind, now):
+            log(Event.WORKER_QUARANTINED, worker=member.name, why="its runs fail")
+        log(Event.RUN_ENDED, task=task, run=ending.run, worker=member.name, how=ending.kind.value)
+        if run is not None:
+            run.checkpoint = ending.checkpoint or run.checkpoint
+        match ending.kind:
+            case EndKind.DONE if not step.lasting:
+                self._on_done(tracked, task, now)
+            case EndKind.FAILED if not step.lasting:
+                self._on_failed(tracked, task, ending, member)
+        if not step.lasting and ending.kind in (EndKind.DONE, EndKind.FAILED):
+            member.unrecorded[ending.number] = Unrecorded(task.job, tracked.change)
+        if run is not None:
+            self._drop(run, now)
+        if tracked.progress.phase.final and tracked.final_at is None:
+            self._close(tracked, now)
+
+    def _on_done(self, tracked: Tracked, task: TaskId, now: float) -> None:
+        step, progress = tracked.job.steps[task.step], tracked.progress
+        tracked.checkpoints.pop(task[1:], None)
+        if step.gang:
+            progress.done[task.occurrence, task.step] = (1 << step.width) - 1
+        else:
+            progress.add_done(*task[1:])
+        complete = progress.all_done(tracked.job)
+        if complete:
+            progress.phase = Phase.COMPLETED
+        away = progress.cell != self.cell
+        step_complete = progress.step_done(tracked.job, task.occurrence, task.step)
+        self._touch(tracked, urgent=complete or (away and step_complete))
+        if step_complete and not complete:
+            self._open_steps(tracked, now)
+        batch = tracked.batches.get((task.occurrence, task.step))
+        if batch is not None:
+            self._share_out(batch, now)
+
+    def _on_failed(self, tracked: Tracked, task: TaskId, ending: Ending, member: Member) -> None:
+        key = task[1:]
+        tracked.failed_on.setdefault(key, set()).add(member.name)
+        tracked.checkpoints.pop(key, None)
+        count = tracked.progress.add_failure(key, ending.run)
+        if tracked.job.steps[task.step].gang:
+            runs = [r for k, s in tracked.progress.failures.items() if k[:2] == key[:2] for r in s]
+            count = len(set(runs))
+        failed = count >= tracked.queue.max_attempts
+        if failed:
+            tracked.progress.phase = Phase.FAILED
+        self._touch(tracked, urgent=failed)
+
+    def _drop(self, run: Run, now: float) -> None:
+        """Forget a run that is over; its task waits again unless it is done."""
+        member = self.members.get(run.worker)
+        if member is not None:
+            member.remove(run)
+        tracked = self.tracked.get(run.task.job)
+        if tracked is None:
+            return
+        batch = tracked.batches[run.task.occurrence, run.task.step]
+        runs = batch.active.get(run.task.number, [])
+        if run in runs:
+            runs.remove(run)
+        if not runs:
+            batch.active.pop(run.task.number, None)
+        if run.checkpoint and run.step.checkpointing:
+            tracked.checkpoints[run.task[1:]] = run.checkpoint
+        if tracked.progress.phase.final:
+            return
+        if run.step.gang:
+            self._break_gang(batch, now)
+        else:
+            self._share_out(batch, now)
+
+    def _break_gang(self, batch: Batch, now: float) -> None:
+        """Members work only together: the rest stop, and start again once all are over."""
+        for runs in list(batch.active.values()):
+            for run in list(runs):
+                self._stop(run, now)
+        if not batch.active:
+            self._share_out(batch, now)
+
+    # Orders and their answers
+
+    def _stop(self, run: Run, now: float) -> None:
+        if run.state is RunState.STOPPING:
+            return
+        run.state, run.stop_sent_at = RunState.STOPPING, now
+        self.orders.append(StopTask(run.worker, run.task, run.number))
+
+    def find(self, order: StartTask | StopTask) -> Run | None:
+        """Give the run that an order is about."""
+        member = self.members.get(order.worker)
+        return member.runs.get((order.task, order.run)) if member else None
+
+    def on_start_result(self, order: StartTask, result: StartResult, now: float) -> None:
+        """Take in a worker's answer to a start."""
+        run, member = self.find(order), self.members.get(order.worker)
+        if run is None or member is None:
+            return
+        if result is StartResult.STARTED:
+            run.moved_at = now
+            self._confirm(run, now)
+            return
+        log(Event.RUN_REFUSED, task=run.task, worker=member.name, why=result.value)
+        match result:
+            case StartResult.NO_ROOM:
+                member.avoid_until = max(member.avoid_until, now + NO_ROOM_PAUSE_S)
+            case StartResult.UNHEALTHY | StartResult.OTHER_BOOT | StartResult.TOO_LATE:
+                member.avoid_until = max(member.avoid_until, now + NO_ROOM_PAUSE_S)
+            case StartResult.MALFORMED:
+                self.tracked[run.task.job].pause_until = now + MALFORMED_PAUSE_S
+        self._drop(run, now)
+
+    def on_start_unsent(self, order: StartTask, now: float) -> None:
+        """Note that a start never left this process."""
+        run = self.find(order)
+        if run is not None:
+            self.on_silence(order.worker, now)
+            self._drop(run, now)
+
+    def on_start_unanswered(self, order: StartTask, now: float) -> None:
+        """Note that a start may or may not be carried out: stop it and find out."""
+        run = self.find(order)
+        if run is None or run.state is not RunState.STARTING:
+            return
+        log(Event.RUN_UNSURE, task=run.task, run=run.number, worker=run.worker)
+        window_s = START_WINDOW_S * 1.05
+        run.sure_from = run.sent_at + window_s
+        self._stop(run, now)
+
+    def on_stop_answered(self, order: StopTask, now: float) -> None:
+        """Note that a run is over or will never start: the next snapshot shows it."""
+        run = self.find(order)
+        if run is not None:
+            run.sure_from = min(run.sure_from, now)
+
+    def on_silence(self, worker: str, now: float) -> None:
+        """Note that a worker did not answer."""
+        member = self.members.get(worker)
+        if member is not None and member.silent_since is None:
+            member.silent_since = now
+            log(Event.WORKER_SILENT, worker=worker, running=len(member.runs))
+
+    # Time
+
+    def tick(self, now: float) -> None:
+        """Do what time alone brings about."""
+        for key, at in list(self._timed.items()):
+            if now >= at:
+                del self._timed[key]
+                tracked = self.tracked.get(key[0])
+                if tracked is not None and not tracked.progress.phase.final:
+                    self._open_steps(tracked, now)
+        if self._unproven and now >= self._proof_at:
+            log(Event.CELL_PROVEN, cell=self.cell, by="lapse", workers=len(self._unproven))
+            self._unproven.clear()
+        for member in list(self.members.values()):
+            self._tick_member(member, now)
+        self._forget_old(now)
+
+    def _tick_member(self, member: Member, now: float) -> None:
+        for run in list(member.runs.values()):
+            if run.state is RunState.STOPPING and now - run.stop_sent_at > STOP_RETRY_S:
+                run.stop_sent_at = now
+                self.orders.append(StopTask(run.worker, run.task, run.number))
+        lapsed = member.silent_since is not None and now > member.lapses_at()
+        if lapsed and member.runs:
+            log(Event.WORKER_LAPSED, worker=member.name, runs=len(member.runs))
+            for run in list(member.runs.values()):
+                self._drop(run, now)
+        if member.missing_since is not None and lapsed and member.name not in self._unproven:
+            del self.members[member.name]
+
+    def _forget_old(self, now: float) -> None:
+        keep_s = self.bounds.status_s
+        old = [
+            tracked
+            for tracked in self.tracked.values()
+            if tracked.final_at is not None and now - tracked.final_at > keep_s
+        ]
+        for tracked in old:
+            if tracked.recorded >= tracked.change:
+                del self.tracked[tracked.job.id]
+
+    # Placing
+
+    def plan(self, now: float) -> None:
+        """Start what can be started."""
+        if self.closed:
+            return
+        usable = [member for member in self.members.values() if member.usable(now)]
+        refused: list[tuple[str, bool, Size]] = []
+        for batch in sorted(self._ready.values(), key=lambda batch: self._order(batch, now)):
+            if not batch.waiting:
+                del self._ready[batch.tracked.job.id, batch.occurrence, batch.number]
+            elif not self._held_back(batch, now):
+                self._place(batch, usable, refused, now)
+
+    def _order(self, batch: Batch, now: float) -> tuple[int, int, float]:
+        tracked = batch.tracked
+        if batch.step.lasting:
+            return 0, 0, tracked.due
+        hopeless = now > tracked.hopeless_at()
+        return 2 if hopeless else 1, tracked.queue.priority, tracked.objective_at()
+
+    def _held_back(self, batch: Batch, now: float) -> bool:
+        tracked = batch.tracked
+        return now < tracked.pause_until or (tracked.prior and bool(self._unproven))
+
+    def _place(
+        self,
+        batch: Batch,
+        usable: list[Member],
+        refused: list[tuple[str, bool, Size]],
+        now: float,
+    ) -> None:
+        if batch.step.gang:
+            self._place_gang(batch, usable, now)
+            return
+        tracked, step = batch.tracked, batch.step
+        service = tracked.queue.service
+        for _, filling, size in refused:
+            if filling == step.filling and size.fits(step.size):
+                return
+        siblings = batch.siblings()
+        racks = self._racks(siblings) if step.same_rack else frozenset()
+        for index in sorted(batch.waiting):
+            avoid = frozenset(tracked.failed_on.get((batch.occurrence, batch.number, index), ()))
+            wish = Wish(service, step, siblings, avoid, racks)
+            member = choose(wish, usable)
+            if member is None:
+                plain = not (step.requires or step.max_per_worker)
+                if plain:
+                    refused.append((service, step.filling, step.size))
+                batch.stranded_since = batch.stranded_since or now
+                return
+            self._start(batch, index, member, self._next_run(tracked), now)
+            siblings[member.name] = siblings.get(member.name, 0) + 1
+            if step.same_rack:
+                racks = self._racks(siblings)
+        batch.stranded_since = None
+
+    def _place_gang(self, batch: Batch, usable: list[Member], now: float) -> None:
+        """Start all members of a gang at once, or none."""
+        tracked, step = batch.tracked, batch.step
+        if batch.active or len(batch.waiting) < step.width:
+            return
+        plan: list[Member] = []
+        counted: list[tuple[Member, Run]] = []
+        siblings: dict[str, int] = {}
+        for index in range(step.width):
+            racks = self._racks(siblings) if step.same_rack else frozenset()
+            member = choose(Wish(tracked.queue.service, step, siblings, frozenset(), racks), usable)
+            if member is None:
+                break
+            plan.append(member)
+            trial = Run(batch.task(index), 0, member.name, step, RunState.STARTING, now)
+            member.add(trial)
+            counted.append((member, trial))
+            siblings[member.name] = siblings.get(member.name, 0) + 1
+        for member, trial in counted:
+            member.remove(trial)
+        if len(plan) < step.width:
+            batch.stranded_since = batch.stranded_since or now
+            return
+        number = self._next_run(tracked)
+        keys = [(batch.occurrence, batch.number, index) for index in range(step.width)]
+        saved = next((tracked.checkpoints[key] for key in keys if key in tracked.checkpoints), "")
+        for key in keys:
+            tracked.checkpoints[key] = saved
+        for index, member in enumerate(plan):
+            self._start(batch, index, member, number, now)
+        batch.stranded_since = None
+
+    def _racks(self, siblings: dict[str, int]) -> frozenset[str]:
+        names = [name for name in siblings if name in self.members]
+        return frozenset(self.members[name].host.rack for name in names)
+
+    def _next_run(self, tracked: Tracked) -> int:
+        self._last_run = max(self._last_run, tracked.progress.run_floor) + 1
+        return self._last_run
+
+    def _start(self, batch: Batch, index: int, member: Member, number: int, now: float) -> None:
+        tracked, task = batch.tracked, batch.task(index)
+        checkpoint = tracked.checkpoints.get(task[1:], "") if batch.step.checkpointing else ""
+        run = Run(task, number, member.name, batch.step, RunState.STARTING, now, checkpoint)
+        run.moved_at = now
+        self._enter(batch, run, member)
+        deadline_ms = member.clock_now(now) + int(START_WINDOW_S * 1000)
+        member.granted_ms = max(member.granted_ms, deadline_ms)
+        self.orders.append(
+            StartTask(member.name, task, number, tracked.job.spec, checkpoint, deadline_ms)
+        )
+        log(
+            Event.RUN_PLACED,
+            task=task,
+            run=number,
+            worker=member.name,
+            queue=tracked.queue.name,
+            waited_ms=int((now - tracked.due) * 1000),
+            idle_cores=round(member.idle_cores, 1),
+        )
+
+    # Figures
+
+    def waiting_jobs(self) -> dict[str, int]:
+        """Count by queue the jobs of which nothing has begun."""
+        counts: dict[str, int] = {}
+        for tracked in self.tracked.values():
+            if not (tracked.began or tracked.job.timed or tracked.progress.phase.final):
+                if tracked.progress.cell == self.cell:
+                    counts[tracked.job.queue] = counts.get(tracked.job.queue, 0) + 1
+        return counts
+
+    def load(self, now: float) -> dict[str, tuple[float, float, float]]:
+        """Give by service the usable cores, those asked for, and the waiting core-seconds."""
+        sums: dict[str, list[float]] = {}
+        for member in self.members.values():
+            if not self.closed and member.usable(now):
+                row = sums.setdefault(member.host.service, [0.0, 0.0, 0.0])
+                row[0] += member.host.size.cores
+                row[1] += member.host.size.cores - member.idle_cores
+        for batch in self._ready.values():
+            row = sums.setdefault(batch.tracked.queue.service, [0.0, 0.0, 0.0])
+            step = batch.step
+            row[2] += len(batch.waiting) * step.size.cores * step.estimate_ms / 1000
+        return {service: (row[0], row[1], row[2]) for service, row in sums.items()}
--- /dev/null
+++ b/src/curranthall/cells/fleet.py
@@ -0,0 +1,180 @@
+"""A cell's workers: what runs on each, its room, its clock, and when its lease is surely over."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from curranthall.cells.ports import Ending, EndKind, Snapshot
+from curranthall.dag import Step, TaskId
+from curranthall.model import NOTHING, Host, HostState, Size
+
+# The worker's clock may be 2 % slow (the platform's bound), and answers take a while.
+CLOCK_DRIFT = 0.02
+LAPSE_SLACK_S = 0.2
+# A worker that has not answered for this long gets no new task.
+STALE_ANSWER_S = 2.5
+# A health judgement from a worker's own refusal lasts this long.
+SICK_S = 2.0
+# Ends remembered to judge a worker by, and the failures among them that put it aside.
+RECENT_ENDS = 6
+FAILURES_TO_QUARANTINE = 3
+QUARANTINE_S = 5.0
+# A run whose progress stands still this long is stalled.
+STALL_S = 1.5
+
+
+class RunState(Enum):
+    """What is known of a run."""
+
+    STARTING = "starting"
+    UNSURE = "unsure"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One start of a task on one worker."""
+
+    task: TaskId
+    number: int
+    worker: str
+    step: Step
+    state: RunState
+    sent_at: float
+    checkpoint: str = ""
+    # A snapshot that was asked for after this time and doesn't list the run proves it over.
+    sure_from: float = float("inf")
+    stop_sent_at: float = 0.0
+    percent: float = 0.0
+    moved_at: float = 0.0
+    gauge: float = 0.0
+    pace: int = 100
+
+
+class Unrecorded(NamedTuple):
+    """An end that may be acknowledged once the job's row holds the change."""
+
+    job: str
+    change: int
+
+
+@dataclass(slots=True, eq=False)
+class Member:
+    """A worker of the cell."""
+
+    host: Host
+    prior: bool = False
+    runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
+    used: Size = NOTHING
+    filling_cores: float = 0.0
+    serving: int = 0
+    born: int = 0
+    clock_ms: int = 0
+    clock_at: float = 0.0
+    granted_ms: int = 0
+    settled: bool = False
+    in_roster: bool = False
+    answered_at: float = 0.0
+    silent_since: float | None = None
+    missing_since: float | None = None
+    seen: int = 0
+    unrecorded: dict[int, Unrecorded] = field(default_factory=dict)
+    parked: list[Ending] = field(default_factory=list)
+    strays: dict[str, set[tuple[TaskId, int]]] = field(default_factory=dict)
+    avoid_until: float = 0.0
+    recent: deque[bool] = field(default_factory=lambda: deque(maxlen=RECENT_ENDS))
+
+    @property
+    def name(self) -> str:
+        """Name the worker."""
+        return self.host.name
+
+    @property
+    def room(self) -> Size:
+        """Give the size that is not reserved."""
+        return self.host.size.minus(self.used)
+
+    @property
+    def idle_cores(self) -> float:
+        """Give the cores that neither reservations nor filling tasks ask for."""
+        return self.host.size.cores - self.used.cores - self.filling_cores
+
+    def usable(self, now: float) -> bool:
+        """Tell whether a task may be started here."""
+        return (
+            self.settled
+            and self.in_roster
+            and self.missing_since is None
+            and self.host.state is HostState.LIVE
+            and self.silent_since is None
+            and now - self.answered_at < STALE_ANSWER_S
+            and now >= self.avoid_until
+            and not self.strays
+        )
+
+    def add(self, run: Run) -> None:
+        """Count a run's size."""
+        self.runs[run.task, run.number] = run
+        self.used = self.used.plus(run.step.reserved)
+        if run.step.filling:
+            self.filling_cores += run.step.size.cores
+        self.serving += run.step.target_ms > 0
+
+    def remove(self, run: Run) -> bool:
+        """Take a run's size away; tell whether it was counted."""
+        if self.runs.pop((run.task, run.number), None) is None:
+            return False
+        self.used = self.used.minus(run.step.reserved)
+        if run.step.filling:
+            self.filling_cores -= run.step.size.cores
+        self.serving -= run.step.target_ms > 0
+        return True
+
+    def clock_now(self, now: float) -> int:
+        """Estimate the worker's clock; it may run slower than this, not faster."""
+        return self.clock_ms + int((now - self.clock_at) * 1000)
+
+    def lapses_at(self) -> float:
+        """Give the local time at which every lease that was ever sent is surely over."""
+        left_s = (self.granted_ms - self.clock_ms) / 1000
+        return self.clock_at + max(left_s, 0.0) / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
+
+    def grant(self, now: float, hold_s: float) -> int | None:
+        """Give the lease end to send, on the worker's clock."""
+        if not self.born:
+            return None
+        self.granted_ms = max(self.granted_ms, self.clock_now(now) + int(hold_s * 1000))
+        return self.granted_ms
+
+    def note_answer(self, snapshot: Snapshot, now: float) -> bool:
+        """Take in an answer's clock; tell whether it comes from another boot than before."""
+        reborn = self.born not in (0, snapshot.born)
+        if reborn:
+            self.seen = 0
+            self.unrecorded.clear()
+            self.parked.clear()
+            self.strays.clear()
+            self.granted_ms = 0
+        self.born = snapshot.born
+        self.clock_ms, self.clock_at = snapshot.clock_ms, now
+        self.answered_at, self.silent_since, self.settled = now, None, True
+        return reborn
+
+    def note_end(self, kind: EndKind, now: float) -> bool:
+        """Judge the worker by an end; tell whether it is put aside now."""
+        if kind in (EndKind.DONE, EndKind.FAILED):
+            self.recent.append(kind is EndKind.FAILED)
+        if sum(self.recent) < FAILURES_TO_QUARANTINE:
+            return False
+        self.recent.clear()
+        self.avoid_until = max(self.avoid_until, now + QUARANTINE_S)
+        return True
+
+    def stalled(self, now: float) -> int:
+        """Count the runs whose progress stands still."""
+        return sum(
+            run.state is RunState.RUNNING and run.pace > 0 and now - run.moved_at > STALL_S
+            for run in self.runs.values()
+        )
--- /dev/null
+++ b/src/curranthall/cells/owner.py
@@ -0,0 +1,168 @@
+"""Who holds a cell: its row in the store, and when another entry may take it."""
+
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from cbor2 import dumps, loads
+
+from curranthall.model import Host, HostState, Size
+from curranthall.store import Listing
+
+CELL_TABLE = "cells"
+CELL_PART = ""
+# A holder renews its row this often, and all entries read the rows this often.
+RENEW_S = 0.8
+# A row unchanged this long has lost its holder: three renewals missed.
+VACANT_S = 2.4
+# A holder that can't renew its row orders nothing more after this; it outlasts the
+# outages of the store that a cell is to bridge, and bounds what a successor waits for.
+ORDER_LIMIT_S = 12.0
+# Reads of the rows further apart than this say nothing of the time between.
+GAP_S = 1.6
+# Entries take turns by how well they suit, so that few of them race for a row.
+PER_HELD_CELL_S = 0.3
+OTHER_DOMAIN_S = 0.6
+WEAKNESS_S = 0.15
+# An entry that gave a cell up because it can't reach its workers leaves it to others.
+ABSTAIN_S = 6.0
+
+
+class Owner(NamedTuple):
+    """A cell's row; an empty holder has released it."""
+
+    holder: str
+    address: str
+    incarnation: int
+    epoch: int
+    roster: list[Host]
+    load: dict[str, tuple[float, float, float]]
+    waiting: dict[str, int]
+
+    def encode(self) -> bytes:
+        """Write the row's value."""
+        roster = [[*host._replace(state=host.state.value)] for host in self.roster]  # type: ignore
+        return dumps([*self[:4], roster, self.load, self.waiting])
+
+
+def decode_owner(data: bytes) -> Owner:
+    """Read a row's value; raise ValueError."""
+    holder, address, incarnation, epoch, roster, load, waiting = loads(data)
+    hosts = [_host(values) for values in roster]
+    loads_by_service = {service: tuple(row) for service, row in load.items()}
+    return Owner(holder, address, incarnation, epoch, hosts, loads_by_service, waiting)
+
+
+def _host(values: list[Any]) -> Host:
+    host = Host(*values)
+    return host._replace(
+        size=Size(*host.size), state=HostState(host.state), labels=tuple(host.labels)
+    )
+
+
+class Claimant(NamedTuple):
+    """The entry that may take a cell."""
+
+    name: str
+    address: str
+    incarnation: int
+    domain: str
+    strength: float
+
+
+@dataclass(slots=True)
+class Sighting:
+    """A cell's row as last read, and since when it has not changed."""
+
+    owner: Owner | None
+    version: int
+    since: float
+
+
+class Vacancy(NamedTuple):
+    """A cell that may be taken; its workers may obey the former holder until `proof_at`."""
+
+    cell: str
+    owner: Owner | None
+    version: int
+    proof_at: float
+
+
+@dataclass(slots=True)
+class OwnerWatch:
+    """What one entry has seen of the cells' rows."""
+
+    cells: tuple[str, ...]
+    max_hold_s: float
+    sightings: dict[str, Sighting] = field(default_factory=dict)
+    read_at: float = 0.0
+    epoch_seen: int = 0
+    abstain_until: dict[str, float] = field(default_factory=dict)
+
+    def observe(self, listing: Listing, now: float) -> None:
+        """Take in a read of the rows."""
+        gap = now - self.read_at > GAP_S
+        self.read_at = now
+        self.epoch_seen = max(self.epoch_seen, listing.version)
+        found = {row.key: row for row in listing.rows}
+        for cell in self.cells:
+            row = found.get(cell)
+            version = row.version if row else 0
+            known = self.sightings.get(cell)
+            if known is None or known.version != version:
+                owner = decode_owner(row.value) if row and row.value is not None else None
+                self.sightings[cell] = Sighting(owner, version, now)
+            elif gap:
+                # A holder that could not renew while the store was away gets its time again.
+                known.since = now
+
+    def note(self, cell: str, owner: Owner, version: int, now: float) -> None:
+        """Take in a row that this entry wrote."""
+        self.sightings[cell] = Sighting(owner, version, now)
+
+    def holder(self, cell: str) -> Owner | None:
+        """Give the row of a cell that is held."""
+        sighting = self.sightings.get(cell)
+        if sighting is None or sighting.owner is None or not sighting.owner.holder:
+            return None
+        return sighting.owner
+
+    def fresh(self, cell: str, now: float) -> Owner | None:
+        """Give the row of a cell whose holder renews it."""
+        owner = self.holder(cell)
+        fresh = owner is not None and now - self.sightings[cell].since < VACANT_S
+        return owner if fresh else None
+
+    def vacancies(self, me: Claimant, held: int, now: float) -> list[Vacancy]:
+        """List the cells that this entry may take now."""
+        found = []
+        for cell, sighting in self.sightings.items():
+            if now < self.abstain_until.get(cell, 0.0):
+                continue
+            vacancy = self._vacancy(cell, sighting, me, held, now)
+            if vacancy is not None:
+                found.append(vacancy)
+        return found
+
+    def _vacancy(
+        self, cell: str, sighting: Sighting, me: Claimant, held: int, now: float
+    ) -> Vacancy | None:
+        owner, turn_s = sighting.owner, self._turn_s(cell, me, held)
+        ended = now + self.max_hold_s * 1.03 + 0.5
+        if owner is None or not owner.holder:
+            if now - sighting.since < turn_s:
+                return None
+            return Vacancy(cell, owner, sighting.version, ended)
+        mine = owner.address == me.address
+        if mine and owner.incarnation == me.incarnation:
+            return None
+        if mine:
+            # The former process on this address is gone: this one has its port.
+            return Vacancy(cell, owner, sighting.version, ended)
+        if now - sighting.since < VACANT_S + turn_s:
+            return None
+        return Vacancy(cell, owner, sighting.version, max(ended, sighting.since + ORDER_LIMIT_S))
+
+    def _turn_s(self, cell: str, me: Claimant, held: int) -> float:
+        away = OTHER_DOMAIN_S if me.domain != cell else 0.0
+        weak = WEAKNESS_S * max(0.0, 2.0 - me.strength) / 2.0
+        return away + held * PER_HELD_CELL_S + weak
--- /dev/null
+++ b/src/curranthall/cells/ports.py
@@ -0,0 +1,111 @@
+"""What a cell asks of a worker, and what a worker answers."""
+
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+from curranthall.dag import TaskId
+
+
+class EndKind(Enum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class Listed(NamedTuple):
+    """A run that a worker lists; `gauge` is a serving task's tail in ms, else the cores in use."""
+
+    task: TaskId
+    run: int
+    checkpoint: str
+    percent: float
+    gauge: float
+
+
+class Ending(NamedTuple):
+    """The end of a run, numbered within the worker's boot."""
+
+    number: int
+    task: TaskId
+    run: int
+    kind: EndKind
+    checkpoint: str
+
+
+class Snapshot(NamedTuple):
+    """A worker's answer to a hold; `clock_ms` is its steady clock, `born` names its boot."""
+
+    clock_ms: int
+    born: int
+    running: list[Listed]
+    ended: list[Ending]
+
+
+class StartResult(Enum):
+    """A worker's answer to a start."""
+
+    STARTED = "started"
+    FENCED = "fenced"
+    OLD_RUN = "old-run"
+    TOO_LATE = "too-late"
+    NO_ROOM = "no-room"
+    NO_TICKET = "no-ticket"
+    MALFORMED = "malformed"
+    UNHEALTHY = "unhealthy"
+    OTHER_BOOT = "other-boot"
+
+
+class StartTask(NamedTuple):
+    """An order to start a run; `deadline_ms` is on the worker's clock."""
+
+    worker: str
+    task: TaskId
+    run: int
+    spec: str
+    checkpoint: str
+    deadline_ms: int
+    ticket: str = ""
+
+
+class StopTask(NamedTuple):
+    """An order to stop a run."""
+
+    worker: str
+    task: TaskId
+    run: int
+
+
+class PaceTask(NamedTuple):
+    """An order to let a run work at a share, in percent."""
+
+    worker: str
+    task: TaskId
+    run: int
+    percent: int
+
+
+Order = StartTask | StopTask | PaceTask
+
+
+class WorkerPort(Protocol):
+    """Calls to one worker; each raises ConnectFailed (no effect), AnswerLost or Fenced."""
+
+    async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
+        """Extend the lease, acknowledge ends, and list what runs and what ended."""
+
+    async def start(self, epoch: int, order: StartTask) -> StartResult:
+        """Start a run."""
+
+    async def stop(self, epoch: int, order: StopTask) -> None:
+        """Stop a run."""
+
+    async def pace(self, epoch: int, order: PaceTask) -> None:
+        """Set the share at which a run works."""
+
+    def close(self) -> None:
+        """Close the connections."""
--- /dev/null
+++ b/src/curranthall/cells/records.py
@@ -0,0 +1,115 @@
+"""Rows of jobs: the immutable job, its progress, and the part both share."""
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from curranthall.dag import Job, Progress
+from curranthall.dag.model import decode_job
+from curranthall.dag.progress import decode_progress
+from curranthall.events import Event, log
+from curranthall.store import ABSENT, Check, Committed, Put, Row, Stale, Store
+
+JOB_TABLE = "jobs"
+PROGRESS_TABLE = "progress"
+# One part takes 200 transactions a second, one after another; four leave room when it is slow.
+PARTS = ("0", "1", "2", "3")
+
+
+class Stored(NamedTuple):
+    """A job and its progress as read."""
+
+    job: Job
+    progress: Progress
+    version: int
+
+
+def part_of(job_id: str) -> str:
+    """Name the part of a job's rows: a caller's id alone decides, so no id is stored twice."""
+    return PARTS[int(job_id[-1], 16) % len(PARTS)]
+
+
+async def create(store: Store, job: Job, progress: Progress) -> Committed | Stale:
+    """Write both rows of a job that is not there yet."""
+    return await store.commit(
+        part_of(job.id),
+        [Check(PROGRESS_TABLE, job.id, ABSENT)],
+        [
+            Put(JOB_TABLE, job.id, job.encode()),
+            Put(PROGRESS_TABLE, job.id, progress.encode()),
+        ],
+        [],
+    )
+
+
+async def read_progress(store: Store, job_id: str) -> tuple[Progress, int] | None:
+    """Read a job's progress and its version; None when there is no such job."""
+    listing = await store.scan(PROGRESS_TABLE, part_of(job_id), job_id, job_id + "\0")
+    for row in listing.rows:
+        progress = progress_of(row)
+        if progress is not None:
+            return progress, row.version
+    return None
+
+
+async def read_job(store: Store, job_id: str) -> Stored | None:
+    """Read a job whole; None when there is no such job."""
+    found = await read_progress(store, job_id)
+    if found is None:
+        return None
+    listing = await store.scan(JOB_TABLE, part_of(job_id), job_id, job_id + "\0")
+    for row in listing.rows:
+        job = job_of(row)
+        if job is not None:
+            return Stored(job, *found)
+    return None
+
+
+async def read_all(store: Store, cell: str) -> tuple[list[Stored], int]:
+    """Read the jobs with tasks in a cell, and a version from which the feed misses nothing."""
+    found: list[Stored] = []
+    first = 0
+    for part in PARTS:
+        listing = await store.scan(PROGRESS_TABLE, part)
+        first = min(first or listing.version, listing.version)
+        rows = {row.key: (progress_of(row), row.version) for row in listing.rows}
+        wanted = {
+            key: (progress, version)
+            for key, (progress, version) in rows.items()
+            if progress is not None and concerns(progress, cell) and not progress.phase.final
+        }
+        if wanted:
+            jobs = await store.scan(JOB_TABLE, part, min(wanted), max(wanted) + "\0")
+            for job in _jobs(jobs.rows):
+                if job.id in wanted:
+                    found.append(Stored(job, *wanted[job.id]))
+    return found, first
+
+
+def concerns(progress: Progress, cell: str) -> bool:
+    """Tell whether a cell runs tasks of a job."""
+    return progress.cell == cell or cell in progress.elsewhere.values()
+
+
+def progress_of(row: Row) -> Progress | None:
+    """Decode a progress row; skip one that can't be read."""
+    try:
+        return None if row.value is None else decode_progress(row.value)
+    except (ValueError, KeyError, TypeError, EOFError) as exc:
+        log(Event.ROW_SKIPPED, table=row.table, key=row.key, why=repr(exc))
+        return None
+
+
+def job_of(row: Row) -> Job | None:
+    """Decode a job's row; skip one that can't be read."""
+    try:
+        return None if row.value is None else decode_job(row.value)
+    except (ValueError, KeyError, TypeError, EOFError) as exc:
+        log(Event.ROW_SKIPPED, table=row.table, key=row.key, why=repr(exc))
+        return None
+
+
+def _jobs(rows: Iterable[Row]) -> Iterator[Job]:
+    for row in rows:
+        job = job_of(row)
+        if job is not None:
+            yield job
--- /dev/null
+++ b/src/curranthall/cells/runtime.py
@@ -0,0 +1,482 @@
+"""A held cell at work: carries the dispatcher's orders out and brings it what happens."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from curranthall.cells.dispatcher import Dispatcher, Tracked
+from curranthall.cells.fleet import Member
+from curranthall.cells.owner import (
+    CELL_PART,
+    CELL_TABLE,
+    ORDER_LIMIT_S,
+    RENEW_S,
+    Owner,
+    decode_owner,
+)
+from curranthall.cells.ports import PaceTask, StartTask, StopTask, WorkerPort
+from curranthall.cells.records import (
+    PARTS,
+    PROGRESS_TABLE,
+    Stored,
+    concerns,
+    part_of,
+    progress_of,
+    read_all,
+    read_job,
+)
+from curranthall.errors import (
+    AnswerLost,
+    ConnectFailed,
+    CurranthallError,
+    Fenced,
+    HistoryLost,
+    PlatformDown,
+)
+from curranthall.events import Event, log
+from curranthall.model import Host
+from curranthall.store import Check, Committed, Put, Row, Stale, Store
+
+TICK_S = 0.1
+# Holds: how long a worker may keep one open, and the least pause between two.
+BUSY_WAIT_MS = 1_000
+IDLE_WAIT_MS = 2_000
+HOLD_PAUSE_S = 0.05
+SILENT_PAUSE_S = 0.2
+# Ends are recorded together: at once when a job is over, else after this long.
+RECORD_S = 0.15
+GATHER_S = 0.01
+MAX_ROWS = 45
+STORE_RETRY_S = 0.2
+# The feed of progress rows: how long a read waits, and the pause that gathers changes.
+FEED_WAIT_MS = 1_500
+FEED_PAUSE_S = 0.4
+# Workers silent for this long, at least half of them, mean that this entry is cut off.
+CUT_OFF_S = 1.0
+
+
+class Holding(NamedTuple):
+    """How a cell was taken."""
+
+    owner: Owner
+    version: int
+    taken_at: float
+
+
+class CellRuntime:
+    """One held cell."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        holding: Holding,
+        store: Store,
+        connect: Callable[[Host], WorkerPort],
+        clock: Callable[[], float],
+        on_end: Callable[["CellRuntime", str], None],
+        on_renewed: Callable[[str, Owner, int], None],
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.cell = dispatcher.cell
+        self.owner = holding.owner
+        self.confirmed_at = holding.taken_at
+        self._version = holding.version
+        self._store = store
+        self._connect = connect
+        self._clock = clock
+        self._on_end = on_end
+        self._on_renewed = on_renewed
+        self._ports: dict[str, WorkerPort] = {}
+        self._holds: dict[str, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._wake = asyncio.Event()
+        self._record = asyncio.Event()
+        self._renew_now = asyncio.Event()
+        self._commits = 0
+        self._ended = False
+        self._feed_from = 0
+        self._resolving = False
+        self.loaded = False
+
+    # Life
+
+    def start(self) -> None:
+        """Start the loops."""
+        for loop in (self._renew_loop, self._work_loop, self._tick_loop, self._load_jobs):
+            self._spawn(loop())
+        for part in PARTS:
+            self._spawn(self._record_loop(part))
+        for member in list(self.dispatcher.members.values()):
+            self._watch(member)
+
+    def end(self, why: str) -> None:
+        """Stop all loops; what runs goes on until another holder comes."""
+        if self._ended:
+            return
+        self._ended = True
+        log(Event.CELL_LOST, cell=self.cell, epoch=self.dispatcher.epoch, why=why)
+        for task in [*self._tasks, *self._holds.values()]:
+            task.cancel()
+        for port in self._ports.values():
+            port.close()
+        self._on_end(self, why)
+
+    async def release(self) -> None:
+        """Give the cell back: record what is known, then free the row."""
+        self.dispatcher.closed = True
+        for _ in range(3):
+            if not self.dispatcher.dirty:
+                break
+            await asyncio.gather(*(self._record_part(part) for part in PARTS))
+        freed = self.owner._replace(holder="", roster=self.dispatcher.roster(), load={}, waiting={})
+        try:
+            await self._put_owner(freed)
+        except (PlatformDown, AnswerLost) as exc:
+            log(Event.STORE_FAILED, what="release", error=exc)
+        self.end("released")
+
+    def permitted(self) -> bool:
+        """Tell whether this holder may still give orders."""
+        return self._clock() - self.confirmed_at < ORDER_LIMIT_S
+
+    def wake(self) -> None:
+        """Have orders planned and carried out soon."""
+        self._wake.set()
+
+    def _spawn(self, coroutine: Awaitable[Any]) -> None:
+        task = asyncio.ensure_future(self._guard(coroutine))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _guard(self, coroutine: Awaitable[Any]) -> None:
+        try:
+            await coroutine
+        except Fenced as exc:
+            self.end(f"fenced by {exc}")
+        except CurranthallError as exc:
+            log(Event.LOOP_FAILED, where=self.cell, error=exc)
+        except Exception as exc:
+            # A defect must not leave a cell held and idle: another entry takes it.
+            log(Event.LOOP_FAILED, where=self.cell, error=repr(exc))
+            self.end("defect")
+            raise
+
+    # The row
+
+    async def _renew_loop(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(RENEW_S):
+                    await self._renew_now.wait()
+            except TimeoutError:
+                pass
+            self._renew_now.clear()
+            await self._renew()
+
+    async def _renew(self) -> None:
+        now = self._clock()
+        if self._cut_off(now):
+            await self.release()
+            return
+        fresh = self.owner._replace(
+            roster=self.dispatcher.roster(),
+            load=self.dispatcher.load(now),
+            waiting=self.dispatcher.waiting_jobs(),
+        )
+        try:
+            if await self._put_owner(fresh):
+                self.confirmed_at = max(self.confirmed_at, now)
+                self.dispatcher.confirm_roster([host.name for host in fresh.roster])
+                self.wake()
+            else:
+                self.end("deposed")
+        except (PlatformDown, AnswerLost) as exc:
+            log(Event.STORE_FAILED, what="renewal", error=exc)
+
+    async def _put_owner(self, owner: Owner) -> bool:
+        """Write the row; tell whether it is still this holder's."""
+        for _ in range(2):
+            match await self._store.commit(
+                CELL_PART,
+                [Check(CELL_TABLE, self.cell, self._version)],
+                [Put(CELL_TABLE, self.cell, owner.encode())],
+                [],
+            ):
+                case Committed(version):
+                    self.owner, self._version = owner, version
+                    self._on_renewed(self.cell, owner, version)
+                    return True
+                case Stale(rows):
+                    if not self._late_own(rows):
+                        return False
+        return False
+
+    def _late_own(self, rows: list[Row]) -> bool:
+        """Take in an own renewal that took effect without an answer."""
+        for row in rows:
+            if row.key == self.cell and row.value is not None:
+                found = decode_owner(row.value)
+                if found[:4] == self.owner[:4]:
+                    self._version = row.version
+                    return True
+        return False
+
+    def _cut_off(self, now: float) -> bool:
+        members = [m for m in self.dispatcher.members.values() if m.missing_since is None]
+        silent = [
+            m for m in members if m.silent_since is not None and now - m.silent_since > CUT_OFF_S
+        ]
+        return bool(members) and 2 * len(silent) > len(members)
+
+    # Workers
+
+    def on_hosts(self, hosts: dict[str, Host]) -> None:
+        """Take in the listed workers of the cell's failure domain."""
+        now = self._clock()
+        for host in hosts.values():
+            if host.domain != self.cell:
+                continue
+            member = self.dispatcher.see_host(host)
+            if member is not None:
+                self._renew_now.set()
+                self._watch(member)
+        for name in list(self.dispatcher.members):
+            if name not in hosts:
+                self.dispatcher.miss_host(name, now)
+        self.wake()
+
+    def _watch(self, member: Member) -> None:
+        if member.name not in self._holds:
+            self._ports[member.name] = self._connect(member.host)
+            self._holds[member.name] = asyncio.ensure_future(self._guard(self._hold_loop(member)))
+
+    async def _hold_loop(self, member: Member) -> None:
+        while self.dispatcher.members.get(member.name) is member:
+            pause = await self._hold(member)
+            self.wake()
+            await asyncio.sleep(pause)
+        self._holds.pop(member.name, None)
+        self._ports.pop(member.name).close()
+
+    async def _hold(self, member: Member) -> float:
+        dispatcher, asked_at = self.dispatcher, self._clock()
+        lease = member.grant(asked_at, dispatcher.bounds.max_hold_s) if self.permitted() else None
+        wait_ms = BUSY_WAIT_MS if member.runs else IDLE_WAIT_MS
+        if lease is None or member.silent_since is not None:
+            wait_ms = 0
+        try:
+            snapshot = await self._ports[member.name].hold(
+                dispatcher.epoch, dispatcher.cursor(member), lease, wait_ms
+            )
+        except (ConnectFailed, AnswerLost):
+            dispatcher.on_silence(member.name, self._clock())
+            return SILENT_PAUSE_S
+        dispatcher.on_snapshot(member, snapshot, asked_at, self._clock())
+        if dispatcher.unknown and not self._resolving:
+            self._resolving = True
+            self._spawn(self._resolve_unknown())
+        return HOLD_PAUSE_S if lease is not None else 0.0
+
+    async def _resolve_unknown(self) -> None:
+        """Look up the jobs that workers know and this holder doesn't."""
+        try:
+            while self.dispatcher.unknown and not self.loaded:
+                await asyncio.sleep(TICK_S)
+            for job_id in list(self.dispatcher.unknown):
+                try:
+                    stored = await read_job(self._store, job_id)
+                except (PlatformDown, AnswerLost):
+                    await asyncio.sleep(STORE_RETRY_S)
+                    continue
+                if stored is None:
+                    self.dispatcher.forget_stray(job_id)
+                else:
+                    self.dispatcher.adopt(*stored, self._clock(), True)
+                    self.wake()
+        finally:
+            self._resolving = False
+
+    # Orders
+
+    async def _work_loop(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            if self.permitted():
+                self.dispatcher.plan(self._clock())
+            orders = self.dispatcher.orders
+            while orders:
+                self._carry_out(orders.popleft())
+            if self.dispatcher.dirty:
+                self._record.set()
+            # Events that come together are planned for together.
+            await asyncio.sleep(0.003)
+
+    def _carry_out(self, order: StartTask | StopTask | PaceTask) -> None:
+        port = self._ports.get(order.worker)
+        if port is None:
+            return
+        match order:
+            case StartTask():
+                self._spawn(self._send_start(port, order))
+            case StopTask():
+                self._spawn(self._send_stop(port, order))
+            case PaceTask():
+                self._spawn(self._send_pace(port, order))
+
+    async def _send_start(self, port: WorkerPort, order: StartTask) -> None:
+        dispatcher = self.dispatcher
+        try:
+            result = await port.start(dispatcher.epoch, order)
+        except ConnectFailed:
+            dispatcher.on_start_unsent(order, self._clock())
+        except AnswerLost:
+            dispatcher.on_start_unanswered(order, self._clock())
+        else:
+            dispatcher.on_start_result(order, result, self._clock())
+        self.wake()
+
+    async def _send_stop(self, port: WorkerPort, order: StopTask) -> None:
+        try:
+            await port.stop(self.dispatcher.epoch, order)
+        except (ConnectFailed, AnswerLost) as exc:
+            log(Event.ORDER_UNANSWERED, what="stop", task=order.task, error=exc)
+            return
+        self.dispatcher.on_stop_answered(order, self._clock())
+
+    async def _send_pace(self, port: WorkerPort, order: PaceTask) -> None:
+        try:
+            await port.pace(self.dispatcher.epoch, order)
+        except (ConnectFailed, AnswerLost) as exc:
+            log(Event.ORDER_UNANSWERED, what="pace", task=order.task, error=exc)
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.dispatcher.tick(self._clock())
+            self.wake()
+
+    # Records
+
+    async def _record_loop(self, part: str) -> None:
+        while True:
+            await self._record.wait()
+            await asyncio.sleep(GATHER_S if self.dispatcher.urgent else RECORD_S)
+            if not await self._record_part(part):
+                await asyncio.sleep(STORE_RETRY_S)
+            if not self.dispatcher.dirty:
+                self._record.clear()
+                self.dispatcher.urgent = False
+
+    async def _record_part(self, part: str) -> bool:
+        """Write the changed rows of a part; tell whether the store answered."""
+        dirty = self.dispatcher.dirty
+        batch = [tracked for job, tracked in dirty.items() if part_of(job) == part][:MAX_ROWS]
+        if not batch:
+            return True
+        changes = []
+        for tracked in batch:
+            del dirty[tracked.job.id]
+            self._commits += 1
+            tracked.progress.writer = f"{self.dispatcher.epoch}.{self._commits}"
+            changes.append((tracked, tracked.change, tracked.progress.writer))
+        checks = [Check(PROGRESS_TABLE, t.job.id, t.version) for t in batch]
+        puts = [Put(PROGRESS_TABLE, t.job.id, t.progress.encode()) for t in batch]
+        try:
+            match await self._store.commit(part, checks, puts, []):
+                case Committed(version):
+                    for tracked, change, _ in changes:
+                        self.dispatcher.note_recorded(tracked, change, version)
+                case Stale(rows):
+                    self._reconcile(changes, rows)
+        except (PlatformDown, AnswerLost) as exc:
+            log(Event.STORE_FAILED, what="record", rows=len(batch), error=exc)
+            for tracked in batch:
+                dirty[tracked.job.id] = tracked
+            return False
+        self.wake()
+        return True
+
+    def _reconcile(self, changes: list[tuple[Tracked, int, str]], rows: list[Row]) -> None:
+        """Take in the rows that another writer changed, and write the rest again."""
+        found = {row.key: row for row in rows}
+        for tracked, _, _ in changes:
+            self.dispatcher.dirty[tracked.job.id] = tracked
+            row = found.get(tracked.job.id)
+            if row is None or row.version == tracked.version:
+                continue
+            progress = progress_of(row)
+            if progress is not None:
+                self.dispatcher.refresh(tracked.job.id, progress, row.version, self._clock())
+
+    # Jobs
+
+    def offer(self, stored: Stored) -> None:
+        """Take in a job that an entry just accepted for this cell."""
+        if concerns(stored.progress, self.cell):
+            self.dispatcher.adopt(*stored, self._clock(), False)
+            self.wake()
+
+    def refresh(self, job_id: str, row: Row) -> None:
+        """Take in a row that another writer changed."""
+        progress = progress_of(row)
+        if progress is not None and job_id in self.dispatcher.tracked:
+            self.dispatcher.refresh(job_id, progress, row.version, self._clock())
+            self.wake()
+
+    async def _load_jobs(self) -> None:
+        """Read all jobs of the cell, then follow their rows."""
+        while not self.loaded:
+            try:
+                stored, self._feed_from = await read_all(self._store, self.cell)
+            except (PlatformDown, AnswerLost) as exc:
+                log(Event.STORE_FAILED, what="load", error=exc)
+                await asyncio.sleep(STORE_RETRY_S)
+                continue
+            for found in stored:
+                self.dispatcher.adopt(*found, self._clock(), True)
+            self.loaded = True
+            log(Event.CELL_LOADED, cell=self.cell, jobs=len(stored))
+            self.wake()
+        while True:
+            await self._follow()
+
+    async def _follow(self) -> None:
+        try:
+            page = await self._store.feed(PROGRESS_TABLE, self._feed_from, FEED_WAIT_MS)
+        except HistoryLost:
+            log(Event.FEED_RESTARTED, table=PROGRESS_TABLE, after=self._feed_from)
+            await self._reload()
+            return
+        except (PlatformDown, AnswerLost) as exc:
+            log(Event.STORE_FAILED, what="feed", error=exc)
+            await asyncio.sleep(STORE_RETRY_S)
+            return
+        for row in page.rows:
+            await self._on_row(row)
+        self._feed_from = max(self._feed_from, page.version)
+        await asyncio.sleep(FEED_PAUSE_S)
+
+    async def _on_row(self, row: Row) -> None:
+        if row.key in self.dispatcher.tracked:
+            self.refresh(row.key, row)
+            return
+        progress = progress_of(row)
+        if progress is None or progress.phase.final or not concerns(progress, self.cell):
+            return
+        stored = await read_job(self._store, row.key)
+        if stored is not None:
+            self.offer(stored)
+
+    async def _reload(self) -> None:
+        try:
+            stored, self._feed_from = await read_all(self._store, self.cell)
+        except (PlatformDown, AnswerLost) as exc:
+            log(Event.STORE_FAILED, what="reload", error=exc)
+            await asyncio.sleep(STORE_RETRY_S)
+            return
+        for found in stored:
+            if found.job.id in self.dispatcher.tracked:
+                self.dispatcher.refresh(found.job.id, found.progress, found.version, self._clock())
+            else:
+                self.offer(found)
--- /dev/null
+++ b/src/curranthall/cells/succession.py
@@ -0,0 +1,159 @@
+"""An entry's part in holding cells: it reads their rows, takes vacant ones, gives them back."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from curranthall.cells.dispatcher import Bounds, Dispatcher, Queue
+from curranthall.cells.owner import (
+    ABSTAIN_S,
+    CELL_PART,
+    CELL_TABLE,
+    RENEW_S,
+    Claimant,
+    Owner,
+    OwnerWatch,
+    Vacancy,
+)
+from curranthall.cells.ports import WorkerPort
+from curranthall.cells.runtime import CellRuntime, Holding
+from curranthall.dag import Job
+from curranthall.errors import AnswerLost, PlatformDown
+from curranthall.events import Event, log
+from curranthall.model import Host
+from curranthall.store import Check, Committed, Put, Stale, Store
+
+
+class Surroundings(NamedTuple):
+    """What a held cell needs from its process."""
+
+    store: Store
+    connect: Callable[[Host], WorkerPort]
+    clock: Callable[[], float]
+    wall_ms: Callable[[], float]
+    queue_of: Callable[[Job], Queue]
+    hosts: Callable[[], dict[str, Host] | None]
+    evacuated: Callable[[], frozenset[str]]
+
+
+class Succession:
+    """The cells that this entry holds, and what it knows of the others."""
+
+    def __init__(
+        self, me: Claimant, cells: tuple[str, ...], bounds: Bounds, around: Surroundings
+    ) -> None:
+        self.me = me
+        self.watch = OwnerWatch(cells, bounds.max_hold_s)
+        self.held: dict[str, CellRuntime] = {}
+        self.read_ok_at = 0.0
+        self._bounds = bounds
+        self._around = around
+        self._leaving = False
+
+    async def run(self) -> None:
+        """Read the rows for ever; take the cells that fall to this entry."""
+        while True:
+            await self._look()
+            await asyncio.sleep(RENEW_S)
+
+    async def _look(self) -> None:
+        around = self._around
+        asked_at = around.clock()
+        try:
+            listing = await around.store.scan(CELL_TABLE, CELL_PART)
+        except (PlatformDown, AnswerLost) as exc:
+            log(Event.STORE_FAILED, what="cells", error=exc)
+            return
+        self.read_ok_at = asked_at
+        self.watch.observe(listing, around.clock())
+        if self._leaving or around.hosts() is None:
+            return
+        for vacancy in self.watch.vacancies(self.me, len(self.held), around.clock()):
+            if vacancy.cell not in self.held:
+                await self._take(vacancy)
+
+    async def _take(self, vacancy: Vacancy) -> None:
+        around = self._around
+        # The store's version only grows, so each taking has a greater epoch than any before.
+        former = vacancy.owner.epoch if vacancy.owner else 0
+        epoch = max(self.watch.epoch_seen, former) + 1
+        roster = vacancy.owner.roster if vacancy.owner else []
+        me = self.me
+        owner = Owner(me.name, me.address, me.incarnation, epoch, roster, {}, {})
+        sent_at = around.clock()
+        try:
+            answer = await around.store.commit(
+                CELL_PART,
+                [Check(CELL_TABLE, vacancy.cell, vacancy.version)],
+                [Put(CELL_TABLE, vacancy.cell, owner.encode())],
+                [],
+            )
+        except (PlatformDown, AnswerLost) as exc:
+            log(Event.STORE_FAILED, what="take", error=exc)
+            return
+        match answer:
+            case Committed(version):
+                self._hold(vacancy, Holding(owner, version, sent_at))
+            case Stale():
+                log(Event.CELL_CONTESTED, cell=vacancy.cell, epoch=epoch)
+
+    def _hold(self, vacancy: Vacancy, holding: Holding) -> None:
+        around, owner = self._around, holding.owner
+        log(
+            Event.CELL_TAKEN,
+            cell=vacancy.cell,
+            epoch=owner.epoch,
+            former=vacancy.owner.holder if vacancy.owner else None,
+            workers=len(owner.roster),
+            proof_in_s=round(vacancy.proof_at - around.clock(), 2),
+        )
+        dispatcher = Dispatcher(
+            vacancy.cell, owner.epoch, self._bounds, around.queue_of, around.wall_ms
+        )
+        dispatcher.take_over(owner.roster, vacancy.proof_at)
+        dispatcher.closed = vacancy.cell in around.evacuated()
+        runtime = CellRuntime(
+            dispatcher,
+            holding,
+            around.store,
+            around.connect,
+            around.clock,
+            self._on_end,
+            self._on_renewed,
+        )
+        self.held[vacancy.cell] = runtime
+        self._on_renewed(vacancy.cell, owner, holding.version)
+        runtime.start()
+        hosts = around.hosts()
+        if hosts is not None:
+            runtime.on_hosts(hosts)
+
+    def _on_renewed(self, cell: str, owner: Owner, version: int) -> None:
+        self.watch.note(cell, owner, version, self._around.clock())
+
+    def _on_end(self, runtime: CellRuntime, why: str) -> None:
+        if self.held.get(runtime.cell) is runtime:
+            del self.held[runtime.cell]
+        self.watch.abstain_until[runtime.cell] = self._around.clock() + ABSTAIN_S
+
+    def on_hosts(self, hosts: dict[str, Host]) -> None:
+        """Pass the listed workers on to the held cells."""
+        for runtime in list(self.held.values()):
+            runtime.on_hosts(hosts)
+
+    def on_evacuated(self, domains: frozenset[str]) -> None:
+        """Close the cells of failure domains that are taken out, and open the others."""
+        for cell, runtime in self.held.items():
+            if not self._leaving:
+                runtime.dispatcher.closed = cell in domains
+            runtime.wake()
+
+    async def leave(self) -> None:
+        """Give all cells back."""
+        self._leaving = True
+        await asyncio.gather(*(runtime.release() for runtime in list(self.held.values())))
+
+    def stop(self) -> None:
+        """End all loops at once."""
+        for runtime in list(self.held.values()):
+            runtime.end("stopped")
--- a/src/curranthall/config.py
+++ b/src/curranthall/config.py
@@ -7,8 +7,8 @@
 from curranthall.errors import CurranthallError, UnknownName
 from curranthall.events import Event, log
 from curranthall.model import Change, Row, Scan
-from curranthall.platform import Platform
 from curranthall.rows import CONFIG_PREFIX, config_key
+from curranthall.table import Platform
 
 POLL_S = 0.5
 PERMIT_S = 2.0
--- /dev/null
+++ b/src/curranthall/daemon.py
@@ -0,0 +1,211 @@
+"""The process on an entry host of the platform: composes the slices and follows the store."""
+
+import asyncio
+import os
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from curranthall.catalogue import Catalogue, DomainOut, Operation, Operations
+from curranthall.cells.dispatcher import Bounds
+from curranthall.cells.owner import Claimant
+from curranthall.cells.ports import WorkerPort
+from curranthall.cells.succession import Succession, Surroundings
+from curranthall.errors import AnswerLost, PlatformDown
+from curranthall.events import Event, log
+from curranthall.intake import Intake
+from curranthall.link import SocketMesh
+from curranthall.model import Host
+from curranthall.store import ABSENT, Check, Put, Row, Stale, Store
+from curranthall.watch import TableWatch
+
+ENTRY_TABLE = "entries"
+MESH_KEY = "mesh-key"
+MESH_KEY_BYTES = 32
+STORE_RETRY_S = 0.1
+# An entry whose last read of the store is older than this takes no new connections.
+READY_S = 2.5
+# Changes of the workers' list are gathered for this long.
+HOST_PAUSE_S = 0.2
+DIAL_S = 0.5
+
+
+class Deployment(NamedTuple):
+    """What a process is told at its start; addresses are host:port, times in seconds."""
+
+    name: str
+    domain: str
+    domains: tuple[str, ...]
+    front: str
+    readiness: str
+    mesh: str
+    store: str
+    strength: float
+    grace_s: float
+    bounds: Bounds
+
+
+class Dialect(NamedTuple):
+    """How the platform's rows are read."""
+
+    host_table: str
+    operation_table: str
+    read_host: Callable[[Row], Host | None]
+    read_operation: Callable[[Row], Operation | None]
+
+
+def boot_clock() -> float:
+    """Give seconds that count while the machine is suspended, too."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def wall_ms() -> float:
+    """Give milliseconds since 1970."""
+    return time.time() * 1000
+
+
+class Daemon:
+    """One entry on the platform."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        store: Store,
+        dialect: Dialect,
+        connect: Callable[[Host], WorkerPort],
+    ) -> None:
+        self.deployment = deployment
+        self.operations = Operations()
+        self.leaving = False
+        self._store = store
+        self._dialect = dialect
+        self._hosts: dict[str, Host] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._mesh: SocketMesh | None = None
+        self._operation_watch = TableWatch(store, dialect.operation_table, self._on_operations)
+        self._host_watch = TableWatch(
+            store, dialect.host_table, self._on_hosts, pause_s=HOST_PAUSE_S
+        )
+        me = Claimant(
+            deployment.name,
+            deployment.mesh,
+            time.time_ns() // 1_000_000 ^ int.from_bytes(os.urandom(3), "big") << 44,
+            deployment.domain,
+            deployment.strength,
+        )
+        around = Surroundings(
+            store,
+            connect,
+            boot_clock,
+            wall_ms,
+            self.operations.queue_of,
+            lambda: self._hosts,
+            lambda: self.operations.out,
+        )
+        self.succession = Succession(me, deployment.domains, deployment.bounds, around)
+        self.intake = Intake(self.succession, store, self, boot_clock, lambda: self.operations.out)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether new connections should come here."""
+        fresh = boot_clock() - self.succession.read_ok_at < READY_S
+        return self.operations.catalogue is not None and fresh and not self.leaving
+
+    async def start(self) -> None:
+        """Start the loops; what needs the store waits for it."""
+        for loop in (self._operation_watch.run, self._host_watch.run, self._join, self._dial):
+            self._tasks.append(asyncio.create_task(loop()))
+
+    async def leave(self) -> None:
+        """Give back what is held."""
+        self.leaving = True
+        await self.succession.leave()
+
+    async def stop(self) -> None:
+        """End all loops."""
+        for task in self._tasks:
+            task.cancel()
+        self.succession.stop()
+        if self._mesh is not None:
+            await self._mesh.close()
+
+    # Peers, for the intake
+
+    def cast(self, peer: str, verb: str, body: object) -> None:
+        """Send to a peer without an answer."""
+        if self._mesh is not None:
+            self._mesh.cast(peer, verb, body)
+
+    async def call(self, peer: str, verb: str, body: object, timeout: float) -> object:
+        """Ask a peer."""
+        if self._mesh is None:
+            raise PlatformDown(why="no mesh yet")
+        return await self._mesh.call(peer, verb, body, timeout)
+
+    async def _join(self) -> None:
+        """Open the mesh with the deployment's shared key, then take part in holding cells."""
+        key = await self._mesh_key()
+        self._mesh = SocketMesh(self.deployment.mesh, key)
+        self._mesh.handler = self.intake.handle
+        host, _, port = self.deployment.mesh.rpartition(":")
+        await self._mesh.start(host, int(port))
+        await self.succession.run()
+
+    async def _mesh_key(self) -> bytes:
+        while True:
+            try:
+                listing = await self._store.scan(ENTRY_TABLE, "", MESH_KEY, MESH_KEY + "\0")
+                for row in listing.rows:
+                    if row.value:
+                        return row.value
+                key = os.urandom(MESH_KEY_BYTES)
+                answer = await self._store.commit(
+                    "",
+                    [Check(ENTRY_TABLE, MESH_KEY, ABSENT)],
+                    [Put(ENTRY_TABLE, MESH_KEY, key)],
+                    [],
+                )
+                if not isinstance(answer, Stale):
+                    return key
+            except (PlatformDown, AnswerLost) as exc:
+                log(Event.STORE_FAILED, what="mesh key", error=exc)
+                await asyncio.sleep(STORE_RETRY_S)
+
+    async def _dial(self) -> None:
+        """Keep links to the holders of the cells, and to no others."""
+        while True:
+            await asyncio.sleep(DIAL_S)
+            if self._mesh is None:
+                continue
+            watch = self.succession.watch
+            owners = [watch.holder(cell) for cell in watch.cells]
+            wanted = {owner.address for owner in owners if owner is not None}
+            self._mesh.retain(wanted - {self.deployment.mesh})
+
+    # The operator and the workers' list
+
+    def _on_operations(self) -> None:
+        out = set()
+        for row in self._operation_watch.rows.values():
+            match self._dialect.read_operation(row):
+                case Catalogue() as catalogue:
+                    self._on_catalogue(catalogue)
+                case DomainOut(domain):
+                    out.add(domain)
+        if frozenset(out) != self.operations.out:
+            self.operations.out = frozenset(out)
+            log(Event.DOMAINS_OUT, domains=sorted(out))
+            self.succession.on_evacuated(self.operations.out)
+
+    def _on_catalogue(self, catalogue: Catalogue) -> None:
+        if not self.operations.apply(catalogue):
+            return
+        log(Event.CONFIG_IN_FORCE, version=catalogue.version, routes=len(catalogue.routes))
+        for runtime in self.succession.held.values():
+            runtime.dispatcher.reconfigure()
+
+    def _on_hosts(self) -> None:
+        rows = self._host_watch.rows.values()
+        hosts = [host for row in rows if (host := self._dialect.read_host(row)) is not None]
+        self._hosts = {host.name: host for host in hosts}
+        self.succession.on_hosts(self._hosts)
--- /dev/null
+++ b/src/curranthall/dag/model.py
@@ -0,0 +1,107 @@
+"""A job: steps of equal tasks, ordered by dependencies, run once or at due times."""
+
+from typing import Any, NamedTuple
+
+from cbor2 import dumps, loads
+
+from curranthall.model import Size
+
+
+class TaskId(NamedTuple):
+    """One task: occurrence, step and index within a job."""
+
+    job: str
+    occurrence: int
+    step: int
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.job}.{self.occurrence}.{self.step}.{self.number}"
+
+    @classmethod
+    def parse(cls, text: str) -> "TaskId":
+        """Read the text form; raise ValueError."""
+        job, occurrence, step, index = text.split(".")
+        return cls(job, int(occurrence), int(step), int(index))
+
+
+class Step(NamedTuple):
+    """A number of equal tasks and where they may run; times in milliseconds."""
+
+    width: int
+    size: Size
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ""
+    near_rack: str = ""
+    max_per_worker: int = 0
+    copies: bool = False
+    lasting: bool = False
+    image: str = ""
+    target_ms: int = 0
+    filling: bool = False
+    max_unavailable: int = 0
+
+    @property
+    def reserved(self) -> Size:
+        """Give what a task takes of a worker's size; a filling task takes no cores."""
+        return self.size._replace(cores=0.0) if self.filling else self.size
+
+
+class Job(NamedTuple):
+    """A job as accepted; `accepted_ms` and `first_due_ms` count from 1970."""
+
+    id: str
+    queue: str
+    service: str
+    spec: str
+    steps: tuple[Step, ...]
+    accepted_ms: int
+    occurrences: int = 1
+    first_due_ms: int = 0
+    interval_ms: int = 0
+
+    @property
+    def timed(self) -> bool:
+        """Tell whether the job runs at due times."""
+        return self.first_due_ms > 0
+
+    @property
+    def lasting(self) -> bool:
+        """Tell whether the job runs until it is cancelled."""
+        return any(step.lasting for step in self.steps)
+
+    def due_ms(self, occurrence: int) -> int:
+        """Give an occurrence's due time."""
+        return self.first_due_ms + occurrence * self.interval_ms
+
+    def chain_ms(self) -> int:
+        """Estimate the longest chain of dependent steps."""
+        ends: list[int] = []
+        for step in self.steps:
+            ends.append(step.estimate_ms + max((ends[i] for i in step.after), default=0))
+        return max(ends, default=0)
+
+    def work_core_ms(self) -> float:
+        """Estimate the work of one occurrence in core-milliseconds."""
+        return sum(step.width * step.size.cores * step.estimate_ms for step in self.steps)
+
+    def encode(self) -> bytes:
+        """Write the job as a row's value."""
+        fields = {**self._asdict(), "steps": [list(step) for step in self.steps]}
+        return dumps(fields)
+
+
+def decode_job(data: bytes) -> Job:
+    """Read a row's value; raise ValueError."""
+    fields: dict[str, Any] = loads(data)
+    steps = [_step(values) for values in fields.pop("steps")]
+    return Job(steps=tuple(steps), **fields)
+
+
+def _step(values: list[Any]) -> Step:
+    step = Step(*values)
+    return step._replace(size=Size(*step.size), after=tuple(step.after))
--- /dev/null
+++ b/src/curranthall/dag/progress.py
@@ -0,0 +1,115 @@
+"""How far a job is: facts that only grow, so that two writers' rows merge without loss."""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import Any
+
+from cbor2 import dumps, loads
+
+from curranthall.dag.model import Job
+
+Key = tuple[int, int, int]
+
+
+class Phase(IntEnum):
+    """The phase that callers are shown; a greater one wins in a merge."""
+
+    QUEUED = 0
+    RUNNING = 1
+    FAILED = 2
+    COMPLETED = 3
+    CANCELLED = 4
+
+    @property
+    def final(self) -> bool:
+        """Tell whether the phase can't change any more."""
+        return self >= Phase.FAILED
+
+
+@dataclass(slots=True)
+class Progress:
+    """A job's mutable row; keys are (occurrence, step, index)."""
+
+    cell: str
+    phase: Phase = Phase.QUEUED
+    done: dict[tuple[int, int], int] = field(default_factory=dict)
+    failures: dict[Key, set[int]] = field(default_factory=dict)
+    elsewhere: dict[Key, str] = field(default_factory=dict)
+    run_floor: int = 0
+    moves: int = 0
+    writer: str = ""
+
+    def is_done(self, occurrence: int, step: int, index: int) -> bool:
+        """Tell whether a task has ended as done."""
+        return bool(self.done.get((occurrence, step), 0) >> index & 1)
+
+    def add_done(self, occurrence: int, step: int, index: int) -> bool:
+        """Record a task as done; tell whether that is new."""
+        mask = self.done.get((occurrence, step), 0)
+        self.done[occurrence, step] = mask | 1 << index
+        return not mask >> index & 1
+
+    def add_failure(self, key: Key, run: int) -> int:
+        """Record a failed run; give the number of the task's failed runs."""
+        runs = self.failures.setdefault(key, set())
+        runs.add(run)
+        return len(runs)
+
+    def step_done(self, job: Job, occurrence: int, step: int) -> bool:
+        """Tell whether all tasks of a step have ended as done."""
+        return self.done.get((occurrence, step), 0) == (1 << job.steps[step].width) - 1
+
+    def all_done(self, job: Job) -> bool:
+        """Tell whether every task of every occurrence has ended as done."""
+        if job.lasting:
+            return False
+        return all(
+            self.step_done(job, occurrence, step)
+            for occurrence in range(job.occurrences)
+            for step in range(len(job.steps))
+        )
+
+    def owner(self, key: Key) -> str:
+        """Name the cell that runs a task."""
+        return self.elsewhere.get(key, self.cell)
+
+    def merge(self, other: "Progress") -> None:
+        """Take in the committed row; the one with more moves says where tasks belong."""
+        # A committed final phase stands, whatever this side was about to write.
+        self.phase = other.phase if other.phase.final else max(self.phase, other.phase)
+        for step, mask in other.done.items():
+            self.done[step] = self.done.get(step, 0) | mask
+        for key, runs in other.failures.items():
+            self.failures.setdefault(key, set()).update(runs)
+        self.run_floor = max(self.run_floor, other.run_floor)
+        if other.moves >= self.moves:
+            self.cell, self.moves = other.cell, other.moves
+            self.elsewhere = dict(other.elsewhere)
+
+    def encode(self) -> bytes:
+        """Write the row's value; empty parts are left out."""
+        value: dict[str, Any] = {"c": self.cell, "p": int(self.phase), "w": self.writer}
+        if self.done:
+            value["d"] = [[*key, mask] for key, mask in self.done.items()]
+        if self.failures:
+            value["f"] = [[*key, sorted(runs)] for key, runs in self.failures.items()]
+        if self.elsewhere:
+            value["e"] = [[*key, cell] for key, cell in self.elsewhere.items()]
+        if self.moves:
+            value["m"], value["r"] = self.moves, self.run_floor
+        return dumps(value)
+
+
+def decode_progress(data: bytes) -> Progress:
+    """Read a row's value; raise ValueError."""
+    value: dict[str, Any] = loads(data)
+    return Progress(
+        value["c"],
+        Phase(value["p"]),
+        {(k, step): mask for k, step, mask in value.get("d", ())},
+        {(k, step, index): set(runs) for k, step, index, runs in value.get("f", ())},
+        {(k, step, index): cell for k, step, index, cell in value.get("e", ())},
+        value.get("r", 0),
+        value.get("m", 0),
+        value.get("w", ""),
+    )
--- a/src/curranthall/edits.py
+++ b/src/curranthall/edits.py
@@ -9,8 +9,8 @@
 from curranthall.events import Event, log
 from curranthall.jobs import NAME
 from curranthall.model import Change, Commit, Row
-from curranthall.platform import Platform, commit_surely
 from curranthall.rows import CONFIG_PREFIX, KINDS, allows, check_row, config_key
+from curranthall.table import Platform, commit_surely
 
 HISTORY_PREFIX = "history/"
 MAX_REPLICAS = 256
--- a/src/curranthall/entry.py
+++ b/src/curranthall/entry.py
@@ -15,10 +15,10 @@
 from curranthall.link import Mesh
 from curranthall.model import Change, Commit, Host, HostState, Scan, Task
 from curranthall.placement import Placer
-from curranthall.platform import Platform, host_from_json, host_to_json
 from curranthall.request import Ask, Endpoints, Router
 from curranthall.roster import HEARTBEAT_S, Heartbeat, Roster, suspects
 from curranthall.rows import CONFIG_PREFIX
+from curranthall.table import Platform, host_from_json, host_to_json
 from curranthall.takeover import Survey
 from curranthall.worker import Worker
 
--- a/src/curranthall/errors.py
+++ b/src/curranthall/errors.py
@@ -92,6 +92,13 @@
     status = 503
 
 
+class HistoryLost(CurranthallError):
+    """The feed no longer holds the changes after the version asked for."""
+
+    code = "history-lost"
+    status = 503
+
+
 class AnswerLost(CurranthallError):
     """A call was sent and no answer came; its effect is unknown."""
 
--- a/src/curranthall/events.py
+++ b/src/curranthall/events.py
@@ -1,5 +1,8 @@
 """Numbered log events; docs/EVENTS.md is their catalogue."""
 
+import json
+import sys
+import time
 from enum import Enum
 
 from absl import logging
@@ -55,11 +58,64 @@
     JOB_ACCEPTED = 1701
     JOB_CANCELLED = 1702
     ACCESS_DENIED = 1801
+    DAEMON_STARTED = 2001
+    DAEMON_LEAVING = 2002
+    DAEMON_STOPPED = 2003
+    SETTINGS_RELOADED = 2004
+    STORE_FAILED = 2101
+    FEED_RESTARTED = 2102
+    ROW_SKIPPED = 2103
+    DOMAINS_OUT = 2104
+    CELL_TAKEN = 2201
+    CELL_CONTESTED = 2202
+    CELL_LOADED = 2203
+    CELL_PROVEN = 2204
+    CELL_LOST = 2205
+    JOB_STORED = 2301
+    JOB_KNOWN = 2302
+    JOB_REFUSED = 2303
+    JOB_UNSURE = 2304
+    JOB_CLOSED = 2305
+    JOB_MOVED = 2306
+    RUN_PLACED = 2401
+    RUN_REFUSED = 2402
+    RUN_UNSURE = 2403
+    RUN_ENDED = 2404
+    RUN_VANISHED = 2405
+    RUN_UNKNOWN = 2406
+    RUN_PACED = 2407
+    ORDER_UNANSWERED = 2408
+    WORKER_SILENT = 2501
+    WORKER_LAPSED = 2502
+    WORKER_REBORN = 2503
+
+
+_as_json = False
+
+
+def use_json() -> None:
+    """Write each event as one JSON object a line to standard output."""
+    global _as_json
+    _as_json = True
 
 
 def log(event: Event, **fields: object) -> None:
     """Write one line: number, name and fields."""
+    if _as_json:
+        _write_json(event, fields)
+        return
     if logging.get_verbosity() < logging.INFO:
         return
     text = " ".join(f"{key}={value}" for key, value in fields.items())
     logging.info("E%d %s %s", event.value, event.name.lower().replace("_", "-"), text)
+
+
+def _write_json(event: Event, fields: dict[str, object]) -> None:
+    plain = {key: _plain(value) for key, value in fields.items()}
+    line = {"t": round(time.time(), 3), "event": event.value, "name": event.name, **plain}
+    sys.stdout.write(json.dumps(line) + "\n")
+    sys.stdout.flush()
+
+
+def _plain(value: object) -> object:
+    return value if isinstance(value, str | int | float | list | None) else str(value)
--- /dev/null
+++ b/src/curranthall/intake/intake.py
@@ -0,0 +1,271 @@
+"""Accept, show and cancel jobs at any entry; the store's row is the truth."""
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+from typing import Any, NamedTuple, Protocol
+
+from curranthall.cells import records
+from curranthall.cells.records import PROGRESS_TABLE, Stored
+from curranthall.cells.succession import Succession
+from curranthall.dag import Job, Phase, Progress
+from curranthall.dag.model import decode_job
+from curranthall.dag.progress import decode_progress
+from curranthall.errors import AnswerLost, CurranthallError, PlatformDown
+from curranthall.events import Event, log
+from curranthall.store import Check, Committed, Put, Row, Stale, Store
+
+# How long the holder of a job's cell is asked for its phase before the store is read.
+ASK_HOLDER_S = 0.25
+# A phase read from the store answers for this long.
+READ_FRESH_S = 0.3
+# A caller that names no deadline waits this long.
+DEFAULT_WAIT_S = 2.5
+# Kept back from the caller's deadline for the answer's way.
+ANSWER_S = 0.15
+STORE_RETRY_S = 0.1
+# A cell of another failure domain is taken only when it is less loaded by this much.
+HOME_BONUS = 0.15
+# Cells hold their workers this long before urgent figures matter.
+MIN_CORES = 1e-6
+
+
+class Verdict(Enum):
+    """What became of a job that was handed in."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class Known(NamedTuple):
+    """A job's phase as shown; None means that there is no such job."""
+
+    phase: Phase | None
+
+
+class Peers(Protocol):
+    """What the intake asks of the links between entries."""
+
+    def cast(self, peer: str, verb: str, body: Any) -> None:
+        """Send without an answer; a message that can't be sent is dropped."""
+
+    async def call(self, peer: str, verb: str, body: Any, timeout: float) -> Any:
+        """Send and wait; raise a CurranthallError."""
+
+
+class _Seen(NamedTuple):
+    cell: str
+    phase: Phase
+    at: float
+
+
+class Intake:
+    """Serves callers at one entry."""
+
+    def __init__(
+        self,
+        succession: Succession,
+        store: Store,
+        peers: Peers,
+        clock: Callable[[], float],
+        evacuated: Callable[[], frozenset[str]],
+    ) -> None:
+        self._succession = succession
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._evacuated = evacuated
+        self._seen: dict[str, _Seen] = {}
+        self._sent: dict[str, float] = {}
+        self._sent_at = 0.0
+
+    # Accepting
+
+    async def submit(self, job: Job, wait_s: float) -> Verdict:
+        """Store a job; accepted means committed, refused that it never runs."""
+        until = self._clock() + wait_s - ANSWER_S
+        progress = Progress(self.choose_cell(job), writer=self._succession.me.name)
+        asked = False
+        while True:
+            try:
+                answer = await records.create(self._store, job, progress)
+            except PlatformDown as exc:
+                if not asked:
+                    log(Event.JOB_REFUSED, job=job.id, queue=job.queue, why=exc)
+                    return Verdict.REFUSED
+            except AnswerLost as exc:
+                # The write may still take effect, so only the store can tell from here on.
+                asked = True
+                log(Event.STORE_FAILED, what="accept", job=job.id, error=exc)
+            else:
+                return self._accepted(job, progress, answer)
+            if self._clock() > until:
+                log(Event.JOB_UNSURE, job=job.id, queue=job.queue)
+                return Verdict.UNKNOWN
+            await asyncio.sleep(STORE_RETRY_S)
+
+    def _accepted(self, job: Job, progress: Progress, answer: Committed | Stale) -> Verdict:
+        match answer:
+            case Committed(version):
+                stored = Stored(job, progress, version)
+                log(Event.JOB_STORED, job=job.id, queue=job.queue, cell=progress.cell)
+                self._hand_over(stored)
+            case Stale():
+                log(Event.JOB_KNOWN, job=job.id, queue=job.queue)
+        return Verdict.ACCEPTED
+
+    def _hand_over(self, stored: Stored) -> None:
+        cell = stored.progress.cell
+        self._seen[stored.job.id] = _Seen(cell, Phase.QUEUED, self._clock())
+        runtime = self._succession.held.get(cell)
+        if runtime is not None:
+            runtime.offer(stored)
+            return
+        owner = self._succession.watch.holder(cell)
+        if owner is not None:
+            body = [stored.job.encode(), stored.progress.encode(), stored.version]
+            self._peers.cast(owner.address, "job", body)
+
+    def choose_cell(self, job: Job) -> str:
+        """Give the cell with the least work for its cores, the own one preferred."""
+        now, closed = self._clock(), self._evacuated()
+        home = self._succession.me.domain
+        best, best_rank = home, float("inf")
+        if now - self._sent_at > 1.0:
+            self._sent, self._sent_at = {}, now
+        for cell in self._succession.watch.cells:
+            owner = self._succession.watch.fresh(cell, now)
+            if owner is None or cell in closed:
+                continue
+            cores, asked, waiting = owner.load.get(job.service, (0.0, 0.0, 0.0))
+            if cores < MIN_CORES:
+                continue
+            waiting += self._sent.get(cell, 0.0)
+            rank = (asked + waiting) / cores - (HOME_BONUS if cell == home else 0.0)
+            if rank < best_rank:
+                best, best_rank = cell, rank
+        self._sent[best] = self._sent.get(best, 0.0) + job.work_core_ms() / 1000
+        return best
+
+    # Showing
+
+    async def phase(self, job_id: str) -> Known:
+        """Give a job's phase; raise PlatformDown or AnswerLost when it can't be known."""
+        local = self._local(job_id)
+        if local is not None:
+            return Known(local)
+        seen = self._seen.get(job_id)
+        if seen is not None and seen.phase.final:
+            return Known(seen.phase)
+        if seen is not None:
+            asked = await self._ask_holder(seen.cell, job_id)
+            if asked is not None:
+                self._seen[job_id] = _Seen(seen.cell, asked, self._clock())
+                return Known(asked)
+            if self._clock() - seen.at < READ_FRESH_S:
+                return Known(seen.phase)
+        return await self._read(job_id)
+
+    def _local(self, job_id: str) -> Phase | None:
+        for runtime in self._succession.held.values():
+            tracked = runtime.dispatcher.tracked.get(job_id)
+            if tracked is not None and tracked.progress.cell == runtime.cell:
+                return tracked.shown
+        return None
+
+    async def _ask_holder(self, cell: str, job_id: str) -> Phase | None:
+        owner = self._succession.watch.fresh(cell, self._clock())
+        if owner is None or owner.address == self._succession.me.address:
+            return None
+        try:
+            value = await self._peers.call(owner.address, "phase", job_id, ASK_HOLDER_S)
+        except CurranthallError:
+            return None
+        return None if value is None else Phase(value)
+
+    async def _read(self, job_id: str) -> Known:
+        found = await records.read_progress(self._store, job_id)
+        if found is None:
+            return Known(None)
+        progress, _ = found
+        self._seen[job_id] = _Seen(progress.cell, progress.phase, self._clock())
+        return Known(progress.phase)
+
+    def pending(self, queue: str) -> int:
+        """Count the accepted jobs of a queue of which nothing has begun."""
+        count = 0
+        for cell in self._succession.watch.cells:
+            runtime = self._succession.held.get(cell)
+            if runtime is not None:
+                count += runtime.dispatcher.waiting_jobs().get(queue, 0)
+                continue
+            owner = self._succession.watch.holder(cell)
+            count += owner.waiting.get(queue, 0) if owner is not None else 0
+        return count
+
+    # Cancelling
+
+    async def cancel(self, job_id: str, wait_s: float) -> bool:
+        """Cancel a job; tell whether there is one. Raise PlatformDown or AnswerLost."""
+        until = self._clock() + wait_s - ANSWER_S
+        while True:
+            try:
+                return await self._cancel(job_id)
+            except (PlatformDown, AnswerLost):
+                if self._clock() > until:
+                    raise
+                await asyncio.sleep(STORE_RETRY_S)
+
+    async def _cancel(self, job_id: str) -> bool:
+        found = await records.read_progress(self._store, job_id)
+        while found is not None:
+            progress, version = found
+            if progress.phase.final:
+                return True
+            progress.phase = Phase.CANCELLED
+            progress.writer = self._succession.me.name
+            data, part = progress.encode(), records.part_of(job_id)
+            answer = await self._store.commit(
+                part,
+                [Check(PROGRESS_TABLE, job_id, version)],
+                [Put(PROGRESS_TABLE, job_id, data)],
+                [],
+            )
+            if isinstance(answer, Committed):
+                log(Event.JOB_CANCELLED, job=job_id)
+                row = Row(PROGRESS_TABLE, part, job_id, data, answer.version)
+                self._tell_cancelled(progress, row)
+                return True
+            found = await records.read_progress(self._store, job_id)
+        return False
+
+    def _tell_cancelled(self, progress: Progress, row: Row) -> None:
+        self._seen[row.key] = _Seen(progress.cell, progress.phase, self._clock())
+        for cell in {progress.cell, *progress.elsewhere.values()}:
+            runtime = self._succession.held.get(cell)
+            owner = self._succession.watch.holder(cell)
+            if runtime is not None:
+                runtime.refresh(row.key, row)
+            elif owner is not None:
+                self._peers.cast(owner.address, "row", [*row])
+
+    # What peers ask
+
+    async def handle(self, peer: str, verb: str, body: Any) -> Any:
+        """Answer a peer's message."""
+        match verb:
+            case "phase":
+                local = self._local(str(body))
+                return None if local is None else int(local)
+            case "job":
+                job, progress, version = body
+                stored = Stored(decode_job(job), decode_progress(progress), int(version))
+                runtime = self._succession.held.get(stored.progress.cell)
+                if runtime is not None:
+                    runtime.offer(stored)
+            case "row":
+                row = Row(*body)
+                for runtime in list(self._succession.held.values()):
+                    runtime.refresh(row.key, row)
+        return None
--- a/src/curranthall/jobs.py
+++ b/src/curranthall/jobs.py
@@ -26,7 +26,7 @@
 from curranthall.errors import BadDeadline, BadInput, Conflict, UnknownName
 from curranthall.events import Event, log
 from curranthall.model import BlockRow, Change, Commit, Row
-from curranthall.platform import Platform, commit_surely
+from curranthall.table import Platform, commit_surely
 
 MAX_TASKS = 50_000
 MAX_DEADLINE_S = 400 * 86_400
--- a/src/curranthall/ledger.py
+++ b/src/curranthall/ledger.py
@@ -34,8 +34,8 @@
     Row,
     Task,
 )
-from curranthall.platform import Platform, commit_surely
 from curranthall.roster import Roster
+from curranthall.table import Platform, commit_surely
 
 COMMIT_S = 1.0
 URGENT_BOOST = 1_000
--- a/src/curranthall/link.py
+++ b/src/curranthall/link.py
@@ -126,6 +126,13 @@
         if address not in self._dialing:
             self._dialing[address] = asyncio.create_task(self._keep_link(address))
 
+    def retain(self, addresses: set[str]) -> None:
+        """Keep links to just these addresses."""
+        for address in [address for address in self._dialing if address not in addresses]:
+            self._dialing.pop(address).cancel()
+        for address in addresses:
+            self.dial(address)
+
     async def close(self) -> None:
         """End all links."""
         for task in [*self._dialing.values(), *self._running]:
@@ -156,6 +163,9 @@
                 await self._send(link, {"n": number, "v": verb, "b": body})
                 return await fut
         except TimeoutError as exc:
+            # A link can go silent without a reset; a new one shows whether the peer is there.
+            if link is not None and self._links.get(peer) is link:
+                link.transport.abort()
             raise AnswerLost(peer=peer, why="timeout") from exc
         finally:
             calls.close(number)
--- a/src/curranthall/model.py
+++ b/src/curranthall/model.py
@@ -77,6 +77,8 @@
     slots: int
     connections: int
     state: HostState
+    service: str = ""
+    labels: tuple[str, ...] = ()
 
 
 class OutcomeKind(Enum):
--- /dev/null
+++ b/src/curranthall/platform/__main__.py
@@ -0,0 +1,85 @@
+"""Run an entry on the platform: `python -m curranthall.platform`."""
+
+import asyncio
+import signal
+import sys
+
+from curranthall.daemon import Daemon, Dialect
+from curranthall.errors import SettingsInvalid
+from curranthall.events import Event, log, use_json
+from curranthall.http import HttpServer
+from curranthall.platform.decode import (
+    HOST_TABLE,
+    OPERATION_TABLE,
+    read_host,
+    read_operation,
+)
+from curranthall.platform.front import Front
+from curranthall.platform.settings import load_deployment
+from curranthall.platform.store import PlatformStore
+from curranthall.platform.worker import PlatformWorker
+
+MAX_BODY_BYTES = 262_144
+# The platform needs two missed probes, a second apart, before it sends no more connections.
+ROTATION_S = 2.5
+# Kept back from the grace period for closing.
+CLOSE_S = 1.0
+EXIT_USAGE = 2
+
+
+async def run() -> None:
+    """Serve until SIGTERM, then leave gracefully."""
+    deployment = load_deployment()
+    store = PlatformStore(deployment.store)
+    dialect = Dialect(HOST_TABLE, OPERATION_TABLE, read_host, read_operation)
+    daemon = Daemon(deployment, store, dialect, PlatformWorker)
+    front = Front(daemon)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload)
+    callers = HttpServer(front.handle, MAX_BODY_BYTES)
+    probes = HttpServer(front.ready)
+    await callers.start(*_split(deployment.front))
+    await probes.start(*_split(deployment.readiness))
+    await daemon.start()
+    log(Event.DAEMON_STARTED, name=deployment.name, domain=deployment.domain)
+    await stop.wait()
+    log(Event.DAEMON_LEAVING, name=deployment.name, active=callers.active)
+    callers.closing = True
+    left_at = loop.time()
+    await daemon.leave()
+    await asyncio.sleep(max(0.0, ROTATION_S - (loop.time() - left_at)))
+    await callers.drain(max(0.0, deployment.grace_s - CLOSE_S - (loop.time() - left_at)))
+    await daemon.stop()
+    log(Event.DAEMON_STOPPED, name=deployment.name)
+
+
+def _reload() -> None:
+    """Read the settings again; addresses and bounds in use stay until the next start."""
+    try:
+        load_deployment()
+    except SettingsInvalid as exc:
+        log(Event.SETTINGS_RELOADED, outcome="unreadable, the former stay", error=exc)
+    else:
+        log(Event.SETTINGS_RELOADED, outcome="read")
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def main() -> None:
+    """Run; exit with 2 when the settings can't be read."""
+    use_json()
+    try:
+        asyncio.run(run())
+    except SettingsInvalid as exc:
+        log(Event.SETTINGS_RELOADED, outcome="invalid", error=exc)
+        sys.exit(EXIT_USAGE)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/curranthall/platform/front.py
@@ -0,0 +1,99 @@
+"""The callers' side: paths and bodies of the platform, answered by the intake."""
+
+import re
+
+from curranthall.cells.dispatcher import Queue
+from curranthall.daemon import Daemon, wall_ms
+from curranthall.dag import Phase
+from curranthall.errors import AnswerLost, BadInput, PlatformDown
+from curranthall.http import Request, Response, json_response
+from curranthall.intake import Verdict
+from curranthall.intake.intake import DEFAULT_WAIT_S
+from curranthall.platform.decode import read_job
+
+JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
+DEADLINE_HEADER = "x-curranthall-request-deadline"
+READY_PATH = "/v1/readiness"
+RETRY_S = "1"
+# `phase` as callers are shown it.
+PHASES = {
+    Phase.QUEUED: "queued",
+    Phase.RUNNING: "running",
+    Phase.COMPLETED: "completed",
+    Phase.FAILED: "failed",
+    Phase.CANCELLED: "cancelled",
+}
+
+
+class Front:
+    """Answers callers."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        self._daemon = daemon
+
+    async def handle(self, req: Request) -> Response:
+        """Route a request."""
+        catalogue = self._daemon.operations.catalogue
+        if catalogue is None:
+            return _away("no configuration yet")
+        host = req.headers.get("host", "").partition(":")[0].lower()
+        route = catalogue.find(host, req.path)
+        if route is None:
+            return json_response({"error": "no such queue"}, 404)
+        rest = req.path[len(route.prefix) :]
+        if rest == "" and req.method == "GET":
+            return json_response({"pending": self._daemon.intake.pending(route.queue.name)})
+        if not JOB_ID.match(rest):
+            return json_response({"error": "no such path"}, 404)
+        match req.method:
+            case "POST":
+                return await self._submit(rest, route.queue, req)
+            case "GET":
+                return await self._show(rest)
+            case "DELETE":
+                return await self._cancel(rest, req)
+        return json_response({"error": "no such method"}, 405)
+
+    async def ready(self, req: Request) -> Response:
+        """Answer the platform's probe."""
+        good = self._daemon.ready and req.path == READY_PATH
+        return json_response({}, 200 if good else 503)
+
+    async def _submit(self, job_id: str, queue: Queue, req: Request) -> Response:
+        try:
+            job = read_job(job_id, queue, req.body, wall_ms())
+        except BadInput as exc:
+            return json_response({"error": str(exc)}, 400)
+        match await self._daemon.intake.submit(job, _wait_s(req)):
+            case Verdict.ACCEPTED:
+                return json_response({})
+            case Verdict.REFUSED:
+                return _away("the store is away; the job was not accepted")
+        return json_response({"error": "not known whether the job was accepted"}, 504)
+
+    async def _show(self, job_id: str) -> Response:
+        try:
+            known = await self._daemon.intake.phase(job_id)
+        except (PlatformDown, AnswerLost) as exc:
+            return _away(str(exc))
+        if known.phase is None:
+            return json_response({"error": "no such job"}, 410)
+        return json_response({"phase": PHASES[known.phase]})
+
+    async def _cancel(self, job_id: str, req: Request) -> Response:
+        try:
+            found = await self._daemon.intake.cancel(job_id, _wait_s(req))
+        except (PlatformDown, AnswerLost) as exc:
+            return json_response({"error": str(exc)}, 504)
+        return json_response({}, 200 if found else 410)
+
+
+def _away(why: str) -> Response:
+    return json_response({"error": why}, 503, Retry_After=RETRY_S)
+
+
+def _wait_s(req: Request) -> float:
+    try:
+        return max(0.3, int(req.headers[DEADLINE_HEADER]) / 1000)
+    except (KeyError, ValueError):
+        return DEFAULT_WAIT_S
--- /dev/null
+++ b/src/curranthall/platform/settings.py
@@ -0,0 +1,46 @@
+"""The settings file that the platform lays down, decoded into a Deployment."""
+
+import os
+from typing import Any
+
+import orjson
+
+from curranthall.cells.dispatcher import Bounds
+from curranthall.daemon import Deployment
+from curranthall.errors import SettingsInvalid
+
+FILE_VARIABLE = "CURRANTHALL_NODE_FILE"
+
+
+def load_deployment() -> Deployment:
+    """Read the file that the environment names; raise SettingsInvalid."""
+    path = os.environ.get(FILE_VARIABLE, "")
+    try:
+        with open(path, "rb") as file:
+            return decode_deployment(orjson.loads(file.read()))
+    except (OSError, ValueError, KeyError, TypeError, IndexError) as exc:
+        raise SettingsInvalid(file=path, problems=[repr(exc)]) from exc
+
+
+def decode_deployment(value: dict[str, Any]) -> Deployment:
+    """Decode the file's fields; raise KeyError, TypeError or ValueError."""
+    limits, bounds, listen = value["limits"], value["bounds"], value["listen-addrs"]
+    # `zones` maps each failure domain to its region.
+    return Deployment(
+        name=value["node-name"],
+        domain=value["zone"],
+        domains=tuple(sorted(value["zones"])),
+        front=listen["frontend"],
+        readiness=listen["readiness"],
+        mesh=f"{value['ip']}:{value['internal-ports'][0]}",
+        store=value["platform"]["address"],
+        # `cpu-share` is the part of a core that runs `cores` times as fast.
+        strength=float(limits["cpu-share"]) * float(limits.get("cores", 1)),
+        grace_s=float(bounds["grace-s"]),
+        bounds=Bounds(
+            max_hold_s=bounds["max-hold-ms"] / 1000,
+            gang_timeout_s=bounds["gang-timeout-ms"] / 1000,
+            early_s=bounds["early_ms"] / 1000,
+            status_s=float(bounds["status_s"]),
+        ),
+    )
--- /dev/null
+++ b/src/curranthall/platform/store.py
@@ -0,0 +1,142 @@
+"""The platform's metadata store, behind the product's Store interface."""
+
+import base64
+from typing import Any
+from urllib.parse import urlencode
+
+import orjson
+
+from curranthall.errors import AnswerLost, ConnectFailed, HistoryLost, PlatformDown
+from curranthall.http import HttpClient, Response
+from curranthall.store import Check, Committed, Drop, Listing, Put, Row, Stale
+
+CALL_CONNECTIONS = 6
+FEED_CONNECTIONS = 8
+# A slow store answers in some 300 ms (its pages: 60 times 5 ms); beyond this it is away.
+CALL_TIMEOUT_S = 1.2
+# Beyond the time that a feed was asked to wait.
+FEED_SLACK_S = 0.8
+
+
+class PlatformStore:
+    """Calls the store over HTTP."""
+
+    def __init__(self, address: str) -> None:
+        self._calls = HttpClient(address, CALL_CONNECTIONS)
+        self._feeds = HttpClient(address, FEED_CONNECTIONS)
+
+    async def commit(
+        self, part: str, checks: list[Check], puts: list[Put], drops: list[Drop]
+    ) -> Committed | Stale:
+        """Apply a transaction."""
+        body = orjson.dumps(
+            {
+                # `expected-revision` is a list of rows, `schema-version` each one's version.
+                "expected-revision": [
+                    {"table": c.table, "part": part, "key": c.key, "schema-version": c.version}
+                    for c in checks
+                ],
+                "writes": [
+                    {
+                        "table": p.table,
+                        "part": part,
+                        "key": p.key,
+                        "value": base64.b64encode(p.value).decode(),
+                    }
+                    for p in puts
+                ],
+                "remove": [{"table": d.table, "part": part, "key": d.key} for d in drops],
+            }
+        )
+        answer = await self._send(self._calls, "POST", "/v1/rows-tx", body, CALL_TIMEOUT_S)
+        match answer.status:
+            case 200:
+                value = _read(answer)
+                return Committed(value["schema-version"], value.get("now-ms", 0))
+            case 412:
+                return Stale(_rows(_read(answer).get("rows", [])))
+        raise PlatformDown(status=answer.status, body=answer.body[:200])
+
+    async def scan(self, table: str, part: str, start: str = "", end: str = "") -> Listing:
+        """List rows, page by page; a page is of one moment, so later ones may be newer."""
+        rows: list[Row] = []
+        first: Listing | None = None
+        while True:
+            query = {"table": table, "part": part}
+            query |= {"start-key": start} if start else {}
+            query |= {"to": end} if end else {}
+            path = "/v1/rows-get?" + urlencode(query)
+            answer = await self._send(self._calls, "GET", path, b"", CALL_TIMEOUT_S)
+            if answer.status != 200:
+                raise PlatformDown(status=answer.status)
+            page = _read(answer)
+            found = _rows(page.get("rows", []))
+            rows += found
+            if first is None:
+                first = Listing(rows, page["schema-version"], page.get("now-ms", 0))
+            if not page.get("has-more") or not found:
+                return first
+            start = found[-1].key + "\0"
+
+    async def feed(self, table: str, after: int, wait_ms: int) -> Listing:
+        """Wait for changes."""
+        query = urlencode({"table": table, "after": after, "wait-ms": wait_ms})
+        timeout = wait_ms / 1000 + FEED_SLACK_S
+        answer = await self._send(self._feeds, "GET", "/v1/rows-feed?" + query, b"", timeout)
+        match answer.status:
+            case 200:
+                page = _read(answer)
+                rows = _rows(page.get("rows", []))
+                return Listing(rows, page["schema-version"], page.get("now-ms", 0))
+            case 410:
+                raise HistoryLost(table=table, after=after)
+        raise PlatformDown(status=answer.status)
+
+    async def _send(
+        self, client: HttpClient, method: str, path: str, body: bytes, timeout: float
+    ) -> Response:
+        try:
+            return await client.call(method, path, body, timeout, JSON_HEADERS)
+        except ConnectFailed as exc:
+            raise PlatformDown(why=exc) from exc
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._calls.close()
+        self._feeds.close()
+
+
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
+
+def _read(answer: Response) -> dict[str, Any]:
+    try:
+        value = orjson.loads(answer.body)
+    except ValueError as exc:
+        raise AnswerLost(why="unreadable answer") from exc
+    if not isinstance(value, dict):
+        raise AnswerLost(why="unreadable answer")
+    return value
+
+
+def _rows(values: list[dict[str, Any]]) -> list[Row]:
+    return [_row(value) for value in values]
+
+
+def _row(value: dict[str, Any]) -> Row:
+    text = value.get("value")
+    gone = value.get("deleted") or text is None
+    return Row(
+        value.get("table", ""),
+        value.get("part", ""),
+        value["key"],
+        None if gone else _bytes(text),
+        value.get("schema-version", 0),
+    )
+
+
+def _bytes(text: object) -> bytes:
+    try:
+        return base64.b64decode(str(text), validate=True)
+    except ValueError:
+        return b""
--- /dev/null
+++ b/src/curranthall/platform/worker.py
@@ -0,0 +1,143 @@
+"""A worker of the platform, behind the product's WorkerPort interface."""
+
+from typing import Any
+
+import orjson
+
+from curranthall.cells.ports import (
+    Ending,
+    EndKind,
+    Listed,
+    PaceTask,
+    Snapshot,
+    StartResult,
+    StartTask,
+    StopTask,
+)
+from curranthall.dag import TaskId
+from curranthall.errors import AnswerLost, ConnectFailed, Fenced
+from curranthall.http import HttpClient, Response
+from curranthall.model import Host
+from curranthall.platform.store import JSON_HEADERS
+
+CONNECTIONS = 6
+START_TIMEOUT_S = 0.6
+STOP_TIMEOUT_S = 0.6
+# Beyond the time that a hold was asked to wait.
+HOLD_SLACK_S = 0.6
+INSTANCE_HEADER = "X-Curranthall-Target-Instance"
+REFUSALS = {
+    "fence": StartResult.FENCED,
+    "old": StartResult.OLD_RUN,
+    "late": StartResult.TOO_LATE,
+    "room": StartResult.NO_ROOM,
+    "ticket": StartResult.NO_TICKET,
+}
+STATUSES = {
+    200: StartResult.STARTED,
+    400: StartResult.MALFORMED,
+    421: StartResult.OTHER_BOOT,
+    429: StartResult.UNHEALTHY,
+    503: StartResult.UNHEALTHY,
+}
+
+
+class PlatformWorker:
+    """Calls one worker over HTTP."""
+
+    def __init__(self, host: Host) -> None:
+        self._host = host
+        self._holds = HttpClient(host.address, 1)
+        self._orders = HttpClient(host.address, CONNECTIONS)
+        self._headers = (*JSON_HEADERS, (INSTANCE_HEADER, host.name))
+
+    async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
+        """Extend the lease and list."""
+        body: dict[str, Any] = {"fencing-token": epoch, "ack-cursor": cursor, "wait-ms": wait_ms}
+        if lease_ms is not None:
+            body["deadline-ms"] = lease_ms
+        timeout = wait_ms / 1000 + HOLD_SLACK_S
+        answer = await self._send(self._holds, "/v1/hold", body, timeout)
+        if answer.status != 200:
+            self._refuse(answer)
+        try:
+            return _snapshot(orjson.loads(answer.body))
+        except (ValueError, KeyError, TypeError, IndexError) as exc:
+            raise AnswerLost(peer=self._host.name, why=f"unreadable answer: {exc!r}") from exc
+
+    async def start(self, epoch: int, order: StartTask) -> StartResult:
+        """Start a run."""
+        body = {
+            "task": str(order.task),
+            "run-id": order.run,
+            "spec": order.spec,
+            "deadline-ms": order.deadline_ms,
+            "fencing-token": epoch,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        answer = await self._send(self._orders, "/v1/run-start", body, START_TIMEOUT_S)
+        if answer.status == 409:
+            result = REFUSALS.get(_reason(answer), StartResult.MALFORMED)
+        else:
+            result = STATUSES.get(answer.status, StartResult.UNHEALTHY)
+        if result is StartResult.FENCED:
+            raise Fenced(worker=self._host.name, epoch=epoch)
+        return result
+
+    async def stop(self, epoch: int, order: StopTask) -> None:
+        """Stop a run."""
+        body = {"task": str(order.task), "run-id": order.run, "fencing-token": epoch}
+        answer = await self._send(self._orders, "/v1/run-stop", body, STOP_TIMEOUT_S)
+        if answer.status != 200:
+            self._refuse(answer)
+
+    async def pace(self, epoch: int, order: PaceTask) -> None:
+        """Set a run's share."""
+        body = {
+            "task": str(order.task),
+            "run-id": order.run,
+            "percent": order.percent,
+            "fencing-token": epoch,
+        }
+        answer = await self._send(self._orders, "/v1/pace", body, STOP_TIMEOUT_S)
+        if answer.status != 200:
+            self._refuse(answer)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._holds.close()
+        self._orders.close()
+
+    async def _send(
+        self, client: HttpClient, path: str, body: dict[str, Any], timeout: float
+    ) -> Response:
+        return await client.call("POST", path, orjson.dumps(body), timeout, self._headers)
+
+    def _refuse(self, answer: Response) -> None:
+        if answer.status == 409 and _reason(answer) == "fence":
+            raise Fenced(worker=self._host.name)
+        raise ConnectFailed(peer=self._host.name, why=f"status {answer.status}")
+
+
+def _reason(answer: Response) -> str:
+    try:
+        return str(orjson.loads(answer.body).get("reason", ""))
+    except (ValueError, AttributeError):
+        return ""
+
+
+def _snapshot(value: dict[str, Any]) -> Snapshot:
+    # A row of `running` is [task, run, saved, percent, gauge], one of `finished`
+    # [number, task, run, how, saved]; empty lists are left out.
+    running = [
+        Listed(TaskId.parse(row[0]), row[1], row[2], row[3], row[4] if len(row) > 4 else 0.0)
+        for row in value.get("running") or ()
+    ]
+    ended = [
+        Ending(row[0], TaskId.parse(row[1]), row[2], EndKind(row[3]), row[4])
+        for row in value.get("finished") or ()
+    ]
+    return Snapshot(value["clock-ms"], value.get("born", 0), running, ended)
--- a/src/curranthall/process.py
+++ b/src/curranthall/process.py
@@ -15,8 +15,8 @@
 from curranthall.link import SocketMesh
 from curranthall.model import Host
 from curranthall.operators import Operators
-from curranthall.platform import HttpPlatform
 from curranthall.settings import Settings
+from curranthall.table import HttpPlatform
 from curranthall.worker import HttpWorker, Worker
 
 DIAL_S = 2.0
--- a/src/curranthall/standin/servers.py
+++ b/src/curranthall/standin/servers.py
@@ -20,9 +20,9 @@
     Task,
     Token,
 )
-from curranthall.platform import host_from_json, host_to_json
 from curranthall.standin.engine import Run, WorkerEngine
 from curranthall.standin.table import TableCore
+from curranthall.table import host_from_json, host_to_json
 from curranthall.worker import inventory_to_json
 
 FAULTS = frozenset({"outage", "slow_s", "lose_answers"})
--- /dev/null
+++ b/src/curranthall/watch.py
@@ -0,0 +1,57 @@
+"""Follow a table of the store: all its rows once, then each change in order."""
+
+import asyncio
+from collections.abc import Callable
+
+from curranthall.errors import AnswerLost, HistoryLost, PlatformDown
+from curranthall.events import Event, log
+from curranthall.store import Row, Store
+
+# Longer waits would leave a connection that went silent unnoticed for longer.
+WAIT_MS = 1_500
+RETRY_S = 0.2
+
+
+class TableWatch:
+    """Keeps one table's rows of the unnamed part, and tells of each change."""
+
+    def __init__(
+        self, store: Store, table: str, on_change: Callable[[], None], pause_s: float = 0.0
+    ) -> None:
+        self.rows: dict[str, Row] = {}
+        self.known = False
+        self._store = store
+        self._table = table
+        self._on_change = on_change
+        self._pause_s = pause_s
+        self._after = 0
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            try:
+                await self._step()
+                await asyncio.sleep(self._pause_s)
+            except HistoryLost:
+                log(Event.FEED_RESTARTED, table=self._table, after=self._after)
+                self.known = False
+            except (PlatformDown, AnswerLost) as exc:
+                log(Event.STORE_FAILED, what=self._table, error=exc)
+                await asyncio.sleep(RETRY_S)
+
+    async def _step(self) -> None:
+        if not self.known:
+            listing = await self._store.scan(self._table, "")
+            self.rows = {row.key: row for row in listing.rows}
+            self._after, self.known = listing.version, True
+            self._on_change()
+            return
+        page = await self._store.feed(self._table, self._after, WAIT_MS)
+        for row in page.rows:
+            if row.value is None:
+                self.rows.pop(row.key, None)
+            else:
+                self.rows[row.key] = row
+        self._after = max(self._after, page.version)
+        if page.rows:
+            self._on_change()
