Adopt what a worker listed before its job was known; pace filling tasks; take cells in turn

Cause of TWICE and ROUTE: a new holder heard a worker's list before the job's row was read, forgot it when the row came, and started the task again. Cause of HARM: nothing paced. Cells were all taken at the second read of the rows, whoever was nearest. Ruled out: a late start (the runs were 10 s old), a second holder (one epoch).

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -9,12 +9,14 @@
 from typing import NamedTuple
 
 from curranthall.cells.fleet import Member, Run, RunState, Unrecorded
+from curranthall.cells.pacing import adjust, pressure
 from curranthall.cells.placement import Wish, choose
 from curranthall.cells.ports import (
     Ending,
     EndKind,
     Listed,
     Order,
+    PaceTask,
     Snapshot,
     StartResult,
     StartTask,
@@ -37,6 +39,10 @@
 NO_ROOM_PAUSE_S = 0.5
 # A job whose start is malformed to the worker is not tried again for a while.
 MALFORMED_PAUSE_S = 5.0
+# A summary of the cell is logged this often.
+SUMMARY_S = 2.0
+# No share in percent, so that the next one ordered differs.
+UNKNOWN_PACE = -1
 # A task that found no worker this long may be handed to another cell.
 STRANDED_S = 0.5
 
@@ -151,6 +157,7 @@
         self._unproven: set[str] = set()
         self._proof_at = 0.0
         self._last_run = epoch * RUNS_PER_EPOCH
+        self._told_at = 0.0
 
     # The cell's workers
 
@@ -202,10 +209,12 @@
             tracked.began = progress.phase is Phase.RUNNING
             self._open_steps(tracked, now)
         for member in self.members.values():
-            member.strays.pop(job.id, None)
             parked, member.parked = member.parked, []
             for ending in parked:
                 self._on_end(member, ending, now)
+            # What a worker listed before the job was known runs all the same.
+            for entry in member.strays.pop(job.id, ()):
+                self._on_listed(member, entry, member.asked_at, now)
 
     def refresh(self, job_id: str, progress: Progress, version: int, now: float) -> None:
         """Take in a newer row of a tracked job."""
@@ -233,9 +242,9 @@
         """Stop what runs of a job that is over or was never stored."""
         self.unknown.discard(job_id)
         for member in self.members.values():
-            for task, run in member.strays.pop(job_id, ()):
-                log(Event.RUN_UNKNOWN, task=task, run=run, worker=member.name, outcome="stopped")
-                self.orders.append(StopTask(member.name, task, run))
+            for entry in member.strays.pop(job_id, ()):
+                log(Event.RUN_UNKNOWN, task=entry.task, run=entry.run, worker=member.name)
+                self.orders.append(StopTask(member.name, entry.task, entry.run))
             member.parked = [end for end in member.parked if end.task.job != job_id]
 
     def _open_steps(self, tracked: Tracked, now: float) -> None:
@@ -325,6 +334,8 @@
             if ending.number > member.seen:
                 member.seen = ending.number
                 self._on_end(member, ending, now)
+        member.strays.clear()
+        member.asked_at = asked_at
         listed = set()
         for entry in snapshot.running:
             listed.add((entry.task, entry.run))
@@ -333,6 +344,15 @@
             if (run.task, run.number) not in listed and asked_at > run.sure_from:
                 log(Event.RUN_VANISHED, task=run.task, run=run.number, worker=member.name)
                 self._drop(run, now)
+        level = member.pace
+        self.orders.extend(adjust(member, now))
+        if member.pace != level:
+            log(
+                Event.WORKER_PACED,
+                worker=member.name,
+                percent=member.pace,
+                tail_over_target=round(pressure(member), 2),
+            )
 
     def _on_listed(self, member: Member, entry: Listed, asked_at: float, now: float) -> None:
         run = member.runs.get((entry.task, entry.run))
@@ -354,7 +374,7 @@
         tracked = self.tracked.get(task.job)
         if tracked is None:
             self.unknown.add(task.job)
-            member.strays.setdefault(task.job, set()).add((task, entry.run))
+            member.strays.setdefault(task.job, []).append(entry)
             return None
         if task.step >= len(tracked.job.steps):
             self.orders.append(StopTask(member.name, task, entry.run))
@@ -511,7 +531,7 @@
         run.state, run.stop_sent_at = RunState.STOPPING, now
         self.orders.append(StopTask(run.worker, run.task, run.number))
 
-    def find(self, order: StartTask | StopTask) -> Run | None:
+    def find(self, order: Order) -> Run | None:
         """Give the run that an order is about."""
         member = self.members.get(order.worker)
         return member.runs.get((order.task, order.run)) if member else None
@@ -558,6 +578,12 @@
         if run is not None:
             run.sure_from = min(run.sure_from, now)
 
+    def on_pace_failed(self, order: PaceTask) -> None:
+        """Note that a pace may not be in force: the next snapshot brings it again."""
+        run = self.find(order)
+        if run is not None:
+            run.pace = UNKNOWN_PACE
+
     def on_silence(self, worker: str, now: float) -> None:
         """Note that a worker did not answer."""
         member = self.members.get(worker)
@@ -581,6 +607,37 @@
         for member in list(self.members.values()):
             self._tick_member(member, now)
         self._forget_old(now)
+        if now - self._told_at >= SUMMARY_S:
+            self._told_at = now
+            self._tell(now)
+
+    def _tell(self, now: float) -> None:
+        """Log what the cell looks like."""
+        waiting = [batch for batch in self._ready.values() if batch.waiting]
+        log(
+            Event.CELL_STATE,
+            cell=self.cell,
+            epoch=self.epoch,
+            usable=sum(member.usable(now) for member in self.members.values()),
+            members=len(self.members),
+            unproven=len(self._unproven),
+            closed=self.closed,
+            runs=sum(len(member.runs) for member in self.members.values()),
+            idle_cores=[round(member.idle_cores, 1) for member in self.members.values()],
+            free_gb=[round(member.room.memory / 1000, 1) for member in self.members.values()],
+            waiting_tasks=sum(len(batch.waiting) for batch in waiting),
+            waiting_first=[
+                [
+                    batch.tracked.job.id,
+                    batch.number,
+                    len(batch.waiting),
+                    batch.step.size.cores,
+                    round(batch.step.size.memory / 1000, 1),
+                    batch.step.filling,
+                ]
+                for batch in waiting[:4]
+            ],
+        )
 
     def _tick_member(self, member: Member, now: float) -> None:
         for run in list(member.runs.values()):
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from curranthall.cells.ports import Ending, EndKind, Snapshot
+from curranthall.cells.ports import Ending, EndKind, Listed, Snapshot
 from curranthall.dag import Step, TaskId
 from curranthall.model import NOTHING, Host, HostState, Size
 
@@ -82,8 +82,13 @@
     seen: int = 0
     unrecorded: dict[int, Unrecorded] = field(default_factory=dict)
     parked: list[Ending] = field(default_factory=list)
-    strays: dict[str, set[tuple[TaskId, int]]] = field(default_factory=dict)
+    # Runs of jobs that this holder doesn't know yet, as last listed.
+    strays: dict[str, list[Listed]] = field(default_factory=dict)
+    asked_at: float = 0.0
     avoid_until: float = 0.0
+    # The share that filling tasks may work at here, in percent.
+    pace: int = 100
+    pace_changed_at: float = 0.0
     recent: deque[bool] = field(default_factory=lambda: deque(maxlen=RECENT_ENDS))
 
     @property
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -84,6 +84,7 @@
     cell: str
     owner: Owner | None
     version: int
+    takeable_at: float
     proof_at: float
 
 
@@ -132,35 +133,32 @@
         fresh = owner is not None and now - self.sightings[cell].since < VACANT_S
         return owner if fresh else None
 
-    def vacancies(self, me: Claimant, held: int, now: float) -> list[Vacancy]:
-        """List the cells that this entry may take now."""
-        found = []
-        for cell, sighting in self.sightings.items():
-            if now < self.abstain_until.get(cell, 0.0):
-                continue
-            vacancy = self._vacancy(cell, sighting, me, held, now)
-            if vacancy is not None:
-                found.append(vacancy)
-        return found
+    def vacancy(self, me: Claimant, held: int, now: float) -> Vacancy | None:
+        """Give the cell that this entry may take first, if there is one."""
+        found = [
+            vacancy
+            for cell, sighting in self.sightings.items()
+            if (vacancy := self._vacancy(cell, sighting, me, held, now)) is not None
+        ]
+        return min(found, key=lambda vacancy: vacancy.takeable_at, default=None)
 
     def _vacancy(
         self, cell: str, sighting: Sighting, me: Claimant, held: int, now: float
     ) -> Vacancy | None:
-        owner, turn_s = sighting.owner, self._turn_s(cell, me, held)
+        owner, version = sighting.owner, sighting.version
         ended = now + self.max_hold_s * 1.03 + 0.5
+        turn_at = max(
+            sighting.since + self._turn_s(cell, me, held), self.abstain_until.get(cell, 0.0)
+        )
         if owner is None or not owner.holder:
-            if now - sighting.since < turn_s:
-                return None
-            return Vacancy(cell, owner, sighting.version, ended)
-        mine = owner.address == me.address
-        if mine and owner.incarnation == me.incarnation:
+            return Vacancy(cell, owner, version, turn_at, ended)
+        if owner.address != me.address:
+            ended = max(ended, sighting.since + ORDER_LIMIT_S)
+            return Vacancy(cell, owner, version, turn_at + VACANT_S, ended)
+        if owner.incarnation == me.incarnation:
             return None
-        if mine:
-            # The former process on this address is gone: this one has its port.
-            return Vacancy(cell, owner, sighting.version, ended)
-        if now - sighting.since < VACANT_S + turn_s:
-            return None
-        return Vacancy(cell, owner, sighting.version, max(ended, sighting.since + ORDER_LIMIT_S))
+        # The former process on this address is gone: this one has its port.
+        return Vacancy(cell, owner, version, now, ended)
 
     def _turn_s(self, cell: str, me: Claimant, held: int) -> float:
         away = OTHER_DOMAIN_S if me.domain != cell else 0.0
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from curranthall.cells.fleet import Member
+from curranthall.cells.pacing import FULL
 from curranthall.dag import Step
 from curranthall.model import Size
 
@@ -44,7 +45,9 @@
         return False
     if not step.reserved.fits(member.room):
         return False
-    return not step.filling or member.idle_cores >= step.size.cores * FILLING_SHARE
+    if not step.filling:
+        return True
+    return member.pace == FULL and member.idle_cores >= step.size.cores * FILLING_SHARE
 
 
 def possible(service: str, step: Step, hosts: Iterable[tuple[str, tuple[str, ...], Size]]) -> bool:
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -349,6 +349,7 @@
             await port.pace(self.dispatcher.epoch, order)
         except (ConnectFailed, AnswerLost) as exc:
             log(Event.ORDER_UNANSWERED, what="pace", task=order.task, error=exc)
+            self.dispatcher.on_pace_failed(order)
 
     async def _tick_loop(self) -> None:
         while True:
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -23,6 +23,9 @@
 from curranthall.model import Host
 from curranthall.store import Check, Committed, Put, Stale, Store
 
+# Between two reads of the rows while a cell is about to be taken.
+MIN_PAUSE_S = 0.05
+
 
 class Surroundings(NamedTuple):
     """What a held cell needs from its process."""
@@ -53,24 +56,30 @@
     async def run(self) -> None:
         """Read the rows for ever; take the cells that fall to this entry."""
         while True:
-            await self._look()
-            await asyncio.sleep(RENEW_S)
+            await asyncio.sleep(await self._look())
 
-    async def _look(self) -> None:
+    async def _look(self) -> float:
+        """Read the rows, take a cell if it is this entry's turn; give the pause to the next."""
         around = self._around
         asked_at = around.clock()
         try:
             listing = await around.store.scan(CELL_TABLE, CELL_PART)
         except (PlatformDown, AnswerLost) as exc:
             log(Event.STORE_FAILED, what="cells", error=exc)
-            return
+            return RENEW_S
         self.read_ok_at = asked_at
-        self.watch.observe(listing, around.clock())
+        now = around.clock()
+        self.watch.observe(listing, now)
         if self._leaving or around.hosts() is None:
-            return
-        for vacancy in self.watch.vacancies(self.me, len(self.held), around.clock()):
-            if vacancy.cell not in self.held:
-                await self._take(vacancy)
+            return MIN_PAUSE_S
+        vacancy = self.watch.vacancy(self.me, len(self.held), now)
+        if vacancy is None:
+            return RENEW_S
+        if vacancy.takeable_at > now:
+            return max(MIN_PAUSE_S, min(RENEW_S, vacancy.takeable_at - now))
+        if vacancy.cell not in self.held:
+            await self._take(vacancy)
+        return MIN_PAUSE_S
 
     async def _take(self, vacancy: Vacancy) -> None:
         around = self._around
--- a/src/curranthall/link.py
+++ b/src/curranthall/link.py
@@ -147,13 +147,13 @@
 
     def cast(self, peer: str, verb: str, body: Any) -> None:
         """Send without an answer."""
-        link = self._links.get(peer)
+        link: Any = self._links.get(peer)
         if link is not None:
             self._spawn(self._send(link, {"v": verb, "b": body}))
 
     async def call(self, peer: str, verb: str, body: Any, timeout: float) -> Any:
         """Send and wait for the answer."""
-        link = self._links.get(peer)
+        link: Any = self._links.get(peer)
         if link is None:
             raise PeerUnreachable(peer=peer)
         calls = self._calls[peer]
@@ -164,8 +164,8 @@
                 return await fut
         except TimeoutError as exc:
             # A link can go silent without a reset; a new one shows whether the peer is there.
-            if link is not None and self._links.get(peer) is link:
-                link.transport.abort()
+            if self._links.get(peer) is link:
+                link.transport.abort()  # type: ignore[union-attr]
             raise AnswerLost(peer=peer, why="timeout") from exc
         finally:
             calls.close(number)
