Learn which filling images press on which serving ones; place by it, pace where a tail stays over

Change: weights by pair of images (recursive least squares, shared between cells), cells chosen by the room for the job's image, serving images kept together, filling up to what serving tasks leave unused, strain read from what reports show now, tolerated 2 s over the target before pacing.

--- /dev/null
+++ b/src/curranthall/cells/balance.py
@@ -0,0 +1,84 @@
+"""Hand waiting tasks to cells with room, when this cell has none or is taken out."""
+
+from typing import NamedTuple
+
+from curranthall.cells.dispatcher import Batch, Dispatcher, Tracked
+from curranthall.cells.load import Load
+from curranthall.events import Event, log
+
+# A task is handed on when it found no worker for this long; a closed cell hands on at once.
+STRANDED_S = 0.4
+# A cell's figures are up to two renewals old; what was handed to it counts this long.
+HANDED_S = 1.8
+# Another cell is given at most this part of the room it showed.
+ROOM_SHARE = 0.7
+# A task without cores counts as this much.
+LEAST_CORES = 0.1
+
+
+class Room(NamedTuple):
+    """What another cell showed, by service."""
+
+    cell: str
+    loads: dict[str, Load]
+
+
+class _Handed(NamedTuple):
+    at: float
+    cell: str
+    cores: float
+
+
+class Balance:
+    """Remembers what was handed on, so that a cell's stale figures are not used up twice."""
+
+    def __init__(self) -> None:
+        self._handed: list[_Handed] = []
+
+    def hand_on(self, dispatcher: Dispatcher, rooms: list[Room], now: float) -> None:
+        """Assign stranded tasks to the cells with the most room for them."""
+        self._handed = [row for row in self._handed if now - row.at < HANDED_S]
+        for batch in dispatcher.stranded(0.0 if dispatcher.closed else STRANDED_S, now):
+            self._hand_batch(dispatcher, batch, rooms, now)
+
+    def _left(self, room: Room, batch: Batch) -> float:
+        load = room.loads.get(batch.tracked.queue.service)
+        if load is None:
+            return 0.0
+        handed = sum(row.cores for row in self._handed if row.cell == room.cell)
+        return load.room(batch.step) * ROOM_SHARE - load.waiting - handed
+
+    def _hand_batch(
+        self, dispatcher: Dispatcher, batch: Batch, rooms: list[Room], now: float
+    ) -> None:
+        cores = max(batch.step.size.cores, LEAST_CORES)
+        room = max(rooms, key=lambda room: self._left(room, batch), default=None)
+        if room is None:
+            return
+        waiting = sorted(batch.waiting)
+        fitting = min(int(self._left(room, batch) / cores), len(waiting))
+        if fitting < (len(waiting) if batch.step.gang else 1):
+            return
+        numbers = waiting[:fitting]
+        self._handed.append(_Handed(now, room.cell, cores * fitting))
+        _assign(dispatcher, batch.tracked, batch, numbers, room.cell, now)
+
+
+def _assign(
+    dispatcher: Dispatcher,
+    tracked: Tracked,
+    batch: Batch,
+    numbers: list[int],
+    cell: str,
+    now: float,
+) -> None:
+    whole = len(numbers) == batch.step.width and not tracked.active() and not tracked.began
+    dispatcher.move(tracked, batch, None if whole else numbers, cell, now)
+    log(
+        Event.JOB_MOVED,
+        job=tracked.job.id,
+        step=batch.number,
+        tasks=len(numbers),
+        whole=whole,
+        to=cell,
+    )
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -9,8 +9,10 @@
 from typing import NamedTuple
 
 from curranthall.cells.fleet import Member, Run, RunState, Unrecorded
+from curranthall.cells.interference import Interference, Observation
+from curranthall.cells.load import Load, measure
 from curranthall.cells.pacing import adjust, pressure
-from curranthall.cells.placement import Wish, choose
+from curranthall.cells.placement import REPORT_SPAN_S, Wish, choose, strain_limit
 from curranthall.cells.ports import (
     Ending,
     EndKind,
@@ -41,10 +43,10 @@
 MALFORMED_PAUSE_S = 5.0
 # A summary of the cell is logged this often.
 SUMMARY_S = 2.0
+# Time to spare is never taken as less than this.
+LEAST_SPARE_S = 0.3
 # No share in percent, so that the next one ordered differs.
 UNKNOWN_PACE = -1
-# A task that found no worker this long may be handed to another cell.
-STRANDED_S = 0.5
 
 
 class Queue(NamedTuple):
@@ -119,11 +121,22 @@
             return Phase.RUNNING
         return Phase.RUNNING if phase is Phase.QUEUED and self.began else phase
 
+    def active(self) -> bool:
+        """Tell whether any run of the job is known here."""
+        return any(batch.active for batch in self.batches.values())
+
     def objective_at(self) -> float:
         """Give the local time by which the job should be shown as completed."""
         chain_s = self.job.chain_ms() / 1000
         return self.due + self.queue.stretch * chain_s + self.queue.objective_ms / 1000
 
+    def haste(self, number: int, now: float) -> float:
+        """Tell how much of the time to spare before a step is used up; over 1 it is late."""
+        objective_at = self.objective_at()
+        spare = objective_at - self.due - self.job.chain_ms() / 1000
+        left = objective_at - now - self.job.chain_ms(number) / 1000
+        return 1 - left / max(spare, LEAST_SPARE_S)
+
     def hopeless_at(self) -> float:
         """Give the local time after which the job earns nothing."""
         return self.due + LATE_FACTOR * (self.objective_at() - self.due)
@@ -146,6 +159,7 @@
         self.members: dict[str, Member] = {}
         self.tracked: dict[str, Tracked] = {}
         self.orders: deque[Order] = deque()
+        self.interference = Interference()
         self.dirty: dict[str, Tracked] = {}
         self.urgent = False
         self.closed = False
@@ -232,12 +246,47 @@
             log(Event.JOB_CLOSED, job=job_id, phase=tracked.progress.phase.name.lower())
         elif not tracked.progress.phase.final:
             self._open_steps(tracked, now)
+            if tracked.progress.all_done(tracked.job):
+                tracked.progress.phase = Phase.COMPLETED
+                self._touch(tracked, urgent=True)
+                self._close(tracked, now)
 
     def reconfigure(self) -> None:
         """Take in a new configuration of the queues."""
         for tracked in self.tracked.values():
             tracked.queue = self._queue_of(tracked.job)
 
+    def stranded(self, after_s: float, now: float) -> list[Batch]:
+        """List the batches whose tasks found no worker here for a time, in queue order."""
+        found = [
+            batch
+            for batch in self._ready.values()
+            if batch.waiting
+            and not self._held_back(batch, now)
+            and (
+                self.closed
+                or (batch.stranded_since is not None and now - batch.stranded_since >= after_s)
+            )
+        ]
+        return sorted(found, key=lambda batch: self._order(batch, now))
+
+    def move(
+        self, tracked: Tracked, batch: Batch, numbers: list[int] | None, cell: str, now: float
+    ) -> None:
+        """Give tasks of a batch, or the whole job, to another cell."""
+        progress = tracked.progress
+        if numbers is None:
+            progress.cell = cell
+            progress.elsewhere.clear()
+        else:
+            for number in numbers:
+                progress.elsewhere[batch.occurrence, batch.number, number] = cell
+        progress.run_floor = max(progress.run_floor, self._last_run)
+        progress.moves += 1
+        self._touch(tracked, urgent=True)
+        for each in tracked.batches.values():
+            self._share_out(each, now)
+
     def forget_stray(self, job_id: str) -> None:
         """Stop what runs of a job that is over or was never stored."""
         self.unknown.discard(job_id)
@@ -344,8 +393,9 @@
             if (run.task, run.number) not in listed and asked_at > run.sure_from:
                 log(Event.RUN_VANISHED, task=run.task, run=run.number, worker=member.name)
                 self._drop(run, now)
+        self._learn(member, now)
         level = member.pace
-        self.orders.extend(adjust(member, now))
+        self.orders.extend(adjust(member, self.interference, now))
         if member.pace != level:
             log(
                 Event.WORKER_PACED,
@@ -354,6 +404,23 @@
                 tail_over_target=round(pressure(member), 2),
             )
 
+    def _learn(self, member: Member, now: float) -> None:
+        """Learn interference, unless the last change of pace is younger than the report."""
+        since = max(member.pace_changed_at, member.learned_at)
+        if now - since < REPORT_SPAN_S:
+            return
+        shares = member.used_shares()
+        worst: dict[str, Run] = {}
+        for run in member.runs.values():
+            if run.step.target_ms and run.state is RunState.RUNNING:
+                image = run.step.image
+                if image not in worst or run.gauge > worst[image].gauge:
+                    worst[image] = run
+        for image, run in worst.items():
+            seen = Observation(image, run.gauge, run.step.target_ms, shares)
+            self.interference.observe(seen)
+        member.learned_at = now
+
     def _on_listed(self, member: Member, entry: Listed, asked_at: float, now: float) -> None:
         run = member.runs.get((entry.task, entry.run))
         if run is None:
@@ -366,7 +433,7 @@
             run.checkpoint = entry.checkpoint
         if entry.percent != run.percent:
             run.percent, run.moved_at = entry.percent, now
-        run.gauge = entry.gauge
+        run.gauge = entry.gauge if run.step.target_ms else entry.gauge / 1000
 
     def _find_listed(self, member: Member, entry: Listed, now: float) -> Run | None:
         """Adopt a run that this holder did not start, or stop it."""
@@ -623,6 +690,7 @@
             unproven=len(self._unproven),
             closed=self.closed,
             runs=sum(len(member.runs) for member in self.members.values()),
+            interference=self.interference.table(),
             idle_cores=[round(member.idle_cores, 1) for member in self.members.values()],
             free_gb=[round(member.room.memory / 1000, 1) for member in self.members.values()],
             waiting_tasks=sum(len(batch.waiting) for batch in waiting),
@@ -705,9 +773,10 @@
                 return
         siblings = batch.siblings()
         racks = self._racks(siblings) if step.same_rack else frozenset()
+        margin = strain_limit(tracked.haste(batch.number, now)) if step.filling else 0.0
         for index in sorted(batch.waiting):
             avoid = frozenset(tracked.failed_on.get((batch.occurrence, batch.number, index), ()))
-            wish = Wish(service, step, siblings, avoid, racks)
+            wish = Wish(service, step, siblings, avoid, racks, self.interference, margin, now)
             member = choose(wish, usable)
             if member is None:
                 plain = not (step.requires or step.max_per_worker)
@@ -731,7 +800,10 @@
         siblings: dict[str, int] = {}
         for index in range(step.width):
             racks = self._racks(siblings) if step.same_rack else frozenset()
-            member = choose(Wish(tracked.queue.service, step, siblings, frozenset(), racks), usable)
+            member = choose(
+                Wish(tracked.queue.service, step, siblings, frozenset(), racks, self.interference),
+                usable,
+            )
             if member is None:
                 break
             plan.append(member)
@@ -793,16 +865,12 @@
                     counts[tracked.job.queue] = counts.get(tracked.job.queue, 0) + 1
         return counts
 
-    def load(self, now: float) -> dict[str, tuple[float, float, float]]:
-        """Give by service the usable cores, those asked for, and the waiting core-seconds."""
-        sums: dict[str, list[float]] = {}
-        for member in self.members.values():
-            if not self.closed and member.usable(now):
-                row = sums.setdefault(member.host.service, [0.0, 0.0, 0.0])
-                row[0] += member.host.size.cores
-                row[1] += member.host.size.cores - member.idle_cores
+    def load(self, now: float) -> dict[str, Load]:
+        """Give the cell's figures by service."""
+        waiting: dict[str, float] = {}
         for batch in self._ready.values():
-            row = sums.setdefault(batch.tracked.queue.service, [0.0, 0.0, 0.0])
-            step = batch.step
-            row[2] += len(batch.waiting) * step.size.cores * step.estimate_ms / 1000
-        return {service: (row[0], row[1], row[2]) for service, row in sums.items()}
+            service = batch.tracked.queue.service
+            cores = len(batch.waiting) * batch.step.size.cores
+            waiting[service] = waiting.get(service, 0.0) + cores
+        usable = [m for m in self.members.values() if not self.closed and m.usable(now)]
+        return measure(usable, waiting, self.interference)
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -20,6 +20,8 @@
 RECENT_ENDS = 6
 FAILURES_TO_QUARANTINE = 3
 QUARANTINE_S = 5.0
+# Serving tasks reserve for their peaks; reports showed them at 0.42 of it, with a swing of half.
+SERVING_USE = 0.6
 # A run whose progress stands still this long is stalled.
 STALL_S = 1.5
 
@@ -70,6 +72,7 @@
     used: Size = NOTHING
     filling_cores: float = 0.0
     serving: int = 0
+    serving_cores: float = 0.0
     born: int = 0
     clock_ms: int = 0
     clock_at: float = 0.0
@@ -88,6 +91,10 @@
     avoid_until: float = 0.0
     # The share that filling tasks may work at here, in percent.
     pace: int = 100
+    pace_all: bool = False
+    caution: float = 1.0
+    over_since: float | None = None
+    learned_at: float = 0.0
     pace_changed_at: float = 0.0
     recent: deque[bool] = field(default_factory=lambda: deque(maxlen=RECENT_ENDS))
 
@@ -103,8 +110,9 @@
 
     @property
     def idle_cores(self) -> float:
-        """Give the cores that neither reservations nor filling tasks ask for."""
-        return self.host.size.cores - self.used.cores - self.filling_cores
+        """Estimate the cores that are left for filling tasks."""
+        unused = self.serving_cores * (1 - SERVING_USE)
+        return self.host.size.cores - self.used.cores + unused - self.filling_cores
 
     def usable(self, now: float) -> bool:
         """Tell whether a task may be started here."""
@@ -125,7 +133,9 @@
         self.used = self.used.plus(run.step.reserved)
         if run.step.filling:
             self.filling_cores += run.step.size.cores
-        self.serving += run.step.target_ms > 0
+        if run.step.target_ms:
+            self.serving += 1
+            self.serving_cores += run.step.size.cores
 
     def remove(self, run: Run) -> bool:
         """Take a run's size away; tell whether it was counted."""
@@ -134,9 +144,29 @@
         self.used = self.used.minus(run.step.reserved)
         if run.step.filling:
             self.filling_cores -= run.step.size.cores
-        self.serving -= run.step.target_ms > 0
+        if run.step.target_ms:
+            self.serving -= 1
+            self.serving_cores -= run.step.size.cores
         return True
 
+    def filling_shares(self) -> dict[str, float]:
+        """Give by image the share of the cores that filling tasks ask for."""
+        shares: dict[str, float] = {}
+        for run in self.runs.values():
+            if run.step.filling:
+                share = run.step.size.cores / self.host.size.cores
+                shares[run.step.image] = shares.get(run.step.image, 0.0) + share
+        return shares
+
+    def used_shares(self) -> dict[str, float]:
+        """Give by image the share of the cores that filling tasks were reported to use."""
+        shares: dict[str, float] = {}
+        for run in self.runs.values():
+            if run.step.filling and run.state is RunState.RUNNING:
+                share = run.gauge / self.host.size.cores
+                shares[run.step.image] = shares.get(run.step.image, 0.0) + share
+        return shares
+
     def clock_now(self, now: float) -> int:
         """Estimate the worker's clock; it may run slower than this, not faster."""
         return self.clock_ms + int((now - self.clock_at) * 1000)
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -5,6 +5,7 @@
 
 from cbor2 import dumps, loads
 
+from curranthall.cells.load import Load, decode_loads, encode_loads
 from curranthall.model import Host, HostState, Size
 from curranthall.store import Listing
 
@@ -35,21 +36,22 @@
     incarnation: int
     epoch: int
     roster: list[Host]
-    load: dict[str, tuple[float, float, float]]
+    load: dict[str, Load]
     waiting: dict[str, int]
+    learned: list[list[Any]] = []
 
     def encode(self) -> bytes:
         """Write the row's value."""
         roster = [[*host._replace(state=host.state.value)] for host in self.roster]  # type: ignore
-        return dumps([*self[:4], roster, self.load, self.waiting])
+        return dumps([*self[:4], roster, encode_loads(self.load), self.waiting, self.learned])
 
 
 def decode_owner(data: bytes) -> Owner:
     """Read a row's value; raise ValueError."""
-    holder, address, incarnation, epoch, roster, load, waiting = loads(data)
+    holder, address, incarnation, epoch, roster, load, waiting, learned = loads(data)
     hosts = [_host(values) for values in roster]
-    loads_by_service = {service: tuple(row) for service, row in load.items()}
-    return Owner(holder, address, incarnation, epoch, hosts, loads_by_service, waiting)
+    figures = decode_loads(load)
+    return Owner(holder, address, incarnation, epoch, hosts, figures, waiting, learned)
 
 
 def _host(values: list[Any]) -> Host:
--- a/src/curranthall/cells/pacing.py
+++ b/src/curranthall/cells/pacing.py
@@ -1,63 +1,108 @@
 """How hard filling tasks may work beside serving ones on a worker.
 
-The level falls as soon as a serving task's tail nears its target, and rises by small steps.
+The level is the greatest at which the serving tasks are predicted to stay under their target,
+lowered further while a report shows one over it, and raised by steps.
 """
 
 from collections.abc import Iterator
 
 from curranthall.cells.fleet import Member, Run, RunState
+from curranthall.cells.interference import Interference
 from curranthall.cells.ports import PaceTask
 
 FULL = 100
-# Tail over target: above the first the level falls, above the second to nothing at once,
-# below the third it rises. Reports lag half a second and serving load moves within seconds.
-FALL_AT = 0.75
-STOP_AT = 1.0
-RISE_AT = 0.55
-FALL_FACTOR = 0.4
+# The part of the load at the target that is aimed at; reports lag half a second.
+AIM = 0.88
+# While a tail is over this part of its target, the prediction is not trusted: the level halves.
+OVER = 1.0
+CAUTION_FALL = 0.5
+CAUTION_RISE = 2.0
+LEAST_CAUTION = 0.3
+RISE_PERCENT = 100
+# Levels below this do no good, and smaller changes are not worth an order.
 LEAST = 10
-RISE_PERCENT = 15
-# Two changes of the level are this far apart, so that each shows in a report first.
-SETTLE_S = 0.8
+LEAST_CHANGE = 12
+# A shorter time over the target costs less than the work held up: most filling tasks end first.
+TOLERATED_S = 2.0
+# Two changes are this far apart, so that each shows in a report first.
+SETTLE_S = 0.7
+# A filling run that adds less than this to a serving task's load is left alone.
+LEAST_PRESS = 0.02
 
 
 def pressure(member: Member) -> float:
     """Give the worst tail over target of the serving tasks."""
-    return max(
-        (
-            run.gauge / run.step.target_ms
-            for run in member.runs.values()
-            if run.step.target_ms and run.state is RunState.RUNNING
-        ),
-        default=0.0,
-    )
+    return max((run.gauge / run.step.target_ms for run in _serving(member)), default=0.0)
 
 
-def adjust(member: Member, now: float) -> Iterator[PaceTask]:
-    """Move the worker's level and order every filling run to it."""
+def adjust(member: Member, interference: Interference, now: float) -> Iterator[PaceTask]:
+    """Move the worker's level and order the filling runs that press to it."""
     filling = [run for run in member.runs.values() if _paced(run)]
     if not filling and member.pace == FULL:
         return
-    if now - member.pace_changed_at >= SETTLE_S:
-        level = _next_level(member.pace, pressure(member))
-        if level != member.pace:
-            member.pace, member.pace_changed_at = level, now
+    over = pressure(member) >= OVER
+    if not over:
+        member.over_since = None
+    elif member.over_since is None:
+        member.over_since = now
+    lasting = member.over_since is not None and now - member.over_since >= TOLERATED_S
+    if now - member.pace_changed_at >= SETTLE_S and (lasting or member.pace < FULL):
+        _move_level(member, filling, interference, now)
     for run in filling:
-        if run.pace != member.pace:
-            run.pace = member.pace
-            yield PaceTask(member.name, run.task, run.number, member.pace)
+        pressed = member.pace_all or _presses(run, member, interference)
+        level = member.pace if pressed else FULL
+        if run.pace != level:
+            run.pace = level
+            yield PaceTask(member.name, run.task, run.number, level)
 
 
-def _paced(run: Run) -> bool:
-    return run.step.filling and run.state is RunState.RUNNING
+def _move_level(member: Member, filling: list[Run], known: Interference, now: float) -> None:
+    worst = pressure(member)
+    over = worst >= OVER
+    factor = CAUTION_FALL if over else CAUTION_RISE
+    member.caution = min(1.0, max(LEAST_CAUTION, member.caution * factor))
+    best = min((_allowed(run, member, filling, known) for run in _serving(member)), default=1.0)
+    level = int(FULL * best * member.caution)
+    level = min(level, member.pace if over else member.pace + RISE_PERCENT)
+    if level < LEAST:
+        level = 0
+    # When nothing is left to take from those known to press, it may be any of them.
+    member.pace_all = (member.pace_all and level < FULL) or (over and member.pace == 0)
+    small = abs(level - member.pace) < LEAST_CHANGE and level not in (0, FULL)
+    if level != member.pace and not small:
+        member.pace, member.pace_changed_at = level, now
+
+
+def _allowed(run: Run, member: Member, filling: list[Run], known: Interference) -> float:
+    """Give the share of full work at which one serving task stays under its target."""
+    image, target = run.step.image, run.step.target_ms
+    now_pressing = full_pressing = 0.0
+    for other in filling:
+        share = other.step.size.cores / member.host.size.cores
+        press = known.weight(image, other.step.image) * share
+        full_pressing += press
+        now_pressing += press * max(other.pace, 0) / FULL
+    if full_pressing <= 0:
+        return 1.0
+    # A tail far over the target says little of the load, so the usual own load counts, too.
+    own = known.seen_load(image, run.gauge, target) - now_pressing
+    own = max(own, 0.7 * known.own(image))
+    return (AIM * known.limit(image, target) - own) / full_pressing
+
 
+def _presses(run: Run, member: Member, known: Interference) -> bool:
+    share = run.step.size.cores / member.host.size.cores
+    return any(
+        known.weight(other.step.image, run.step.image) * share >= LEAST_PRESS
+        for other in _serving(member)
+    )
+
+
+def _serving(member: Member) -> Iterator[Run]:
+    for run in member.runs.values():
+        if run.step.target_ms and run.state is RunState.RUNNING:
+            yield run
 
-def _next_level(level: int, worst: float) -> int:
-    if worst >= STOP_AT:
-        return 0
-    if worst >= FALL_AT:
-        lower = int(level * FALL_FACTOR)
-        return lower if lower >= LEAST else 0
-    if worst < RISE_AT:
-        return min(FULL, level + RISE_PERCENT)
-    return level
+
+def _paced(run: Run) -> bool:
+    return run.step.filling and run.state is RunState.RUNNING
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -4,12 +4,23 @@
 from typing import NamedTuple
 
 from curranthall.cells.fleet import Member
-from curranthall.cells.pacing import FULL
+from curranthall.cells.interference import Interference
 from curranthall.dag import Step
 from curranthall.model import Size
 
 # A filling task starts only where this share of its cores is idle.
-FILLING_SHARE = 1.0
+FILLING_SHARE = 0.5
+# A filling task joins serving ones where their load stays under this part of its limit; the
+# rest is kept for the swing of their own load. It grows as the task's time runs out.
+STRAIN_LIMIT = 0.85
+# Workers report the last half second, so what started later does not show yet.
+REPORT_SPAN_S = 0.6
+HASTE_STRAIN = 2.0
+
+
+def strain_limit(haste: float) -> float:
+    """Give the strain that a filling task may bring; a late one has little left to gain."""
+    return STRAIN_LIMIT + (HASTE_STRAIN * max(haste, 0.0) if haste < 1 else 0.0)
 
 
 class Wish(NamedTuple):
@@ -20,6 +31,9 @@
     siblings: dict[str, int]
     avoid: frozenset[str] = frozenset()
     racks: frozenset[str] = frozenset()
+    interference: Interference = Interference()
+    margin: float = STRAIN_LIMIT
+    now: float = 0.0
 
 
 def choose(wish: Wish, members: Iterable[Member]) -> Member | None:
@@ -45,9 +59,34 @@
         return False
     if not step.reserved.fits(member.room):
         return False
-    if not step.filling:
-        return True
-    return member.pace == FULL and member.idle_cores >= step.size.cores * FILLING_SHARE
+    return not step.filling or _may_fill(wish, member)
+
+
+def _may_fill(wish: Wish, member: Member) -> bool:
+    step = wish.step
+    if member.idle_cores < step.size.cores * FILLING_SHARE:
+        return False
+    return not member.serving or _strain(wish, member) < wish.margin
+
+
+def _strain(wish: Wish, member: Member) -> float:
+    """Predict the worst load over its limit of the serving tasks here, with this task beside."""
+    known, cores = wish.interference, member.host.size.cores
+    hidden = [(wish.step.image, wish.step.size.cores / cores)]
+    for run in member.runs.values():
+        if run.step.filling:
+            unseen = 1.0 if wish.now - run.sent_at < REPORT_SPAN_S else 1 - run.pace / 100
+            if unseen > 0:
+                hidden.append((run.step.image, unseen * run.step.size.cores / cores))
+    worst = 0.0
+    for run in member.runs.values():
+        if run.step.target_ms:
+            image, target = run.step.image, run.step.target_ms
+            # Serving load swings over many seconds, so what a report shows now holds a while.
+            seen = known.seen_load(image, run.gauge, target) if run.gauge else known.own(image)
+            load = seen + sum(known.weight(image, other) * share for other, share in hidden)
+            worst = max(worst, load / known.limit(image, target))
+    return worst
 
 
 def possible(service: str, step: Step, hosts: Iterable[tuple[str, tuple[str, ...], Size]]) -> bool:
@@ -62,12 +101,16 @@
     step, host = wish.step, member.host
     far = bool(step.near_rack) and step.near_rack not in host.labels
     other_rack = step.same_rack and bool(wish.racks) and host.rack not in wish.racks
+    idle = member.idle_cores / host.size.cores
     if step.filling:
-        # Filling tasks disturb serving ones, so they go where few serve.
-        disturbance = float(member.serving)
+        # Filling tasks go where they press least on serving ones.
+        kind, room = _strain(wish, member) if member.serving else 0.0, -idle
     elif step.target_ms:
-        disturbance = member.filling_cores / host.size.cores + member.serving
+        # Serving tasks of one image are kept together: each filling image then finds workers
+        # whose serving tasks it does not press on.
+        alike = sum(run.step.image == step.image for run in member.runs.values())
+        kind, room = float(member.serving - alike) - alike, -idle
     else:
-        disturbance = 0.0
-    idle = member.idle_cores / host.size.cores
-    return host.name in wish.avoid, far, other_rack, disturbance, -idle
+        # Plain tasks disturb nobody, so they take the room beside serving ones.
+        kind, room = float(member.serving == 0), -idle
+    return host.name in wish.avoid, far, other_rack, kind, room
--- a/src/curranthall/cells/ports.py
+++ b/src/curranthall/cells/ports.py
@@ -18,7 +18,7 @@
 
 
 class Listed(NamedTuple):
-    """A run that a worker lists; `gauge` is a serving task's tail in ms, else the cores in use."""
+    """A listed run; `gauge` is a serving task's tail in ms, else thousandths of a core."""
 
     task: TaskId
     run: int
--- a/src/curranthall/cells/records.py
+++ b/src/curranthall/cells/records.py
@@ -1,7 +1,7 @@
 """Rows of jobs: the immutable job, its progress, and the part both share."""
 
 from collections.abc import Iterable, Iterator
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from curranthall.dag import Job, Progress
 from curranthall.dag.model import decode_job
@@ -22,6 +22,16 @@
     progress: Progress
     version: int
 
+    def encode(self) -> list[Any]:
+        """Write for a peer."""
+        return [self.job.encode(), self.progress.encode(), self.version]
+
+
+def decode_stored(value: list[Any]) -> Stored:
+    """Read what a peer sent; raise ValueError."""
+    job, progress, version = value
+    return Stored(decode_job(job), decode_progress(progress), int(version))
+
 
 def part_of(job_id: str) -> str:
     """Name the part of a job's rows: a caller's id alone decides, so no id is stored twice."""
@@ -90,6 +100,11 @@
     return progress.cell == cell or cell in progress.elsewhere.values()
 
 
+def others(progress: Progress, cell: str) -> set[str]:
+    """Name the other cells with tasks of a job."""
+    return {progress.cell, *progress.elsewhere.values()} - {cell}
+
+
 def progress_of(row: Row) -> Progress | None:
     """Decode a progress row; skip one that can't be read."""
     try:
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
+from curranthall.cells.balance import Balance, Room
 from curranthall.cells.dispatcher import Dispatcher, Tracked
 from curranthall.cells.fleet import Member
 from curranthall.cells.owner import (
@@ -20,6 +21,7 @@
     PROGRESS_TABLE,
     Stored,
     concerns,
+    others,
     part_of,
     progress_of,
     read_all,
@@ -41,6 +43,8 @@
 # Holds: how long a worker may keep one open, and the least pause between two.
 BUSY_WAIT_MS = 1_000
 IDLE_WAIT_MS = 2_000
+# Where filling tasks work beside serving ones, tails are looked at more often.
+SHARED_WAIT_MS = 500
 HOLD_PAUSE_S = 0.05
 SILENT_PAUSE_S = 0.2
 # Ends are recorded together: at once when a job is over, else after this long.
@@ -63,6 +67,14 @@
     taken_at: float
 
 
+class Neighbours(NamedTuple):
+    """What a cell knows of the others, and how it tells them of jobs that they share."""
+
+    rooms: Callable[[str], list[Room]]
+    learned: Callable[[str], list[list[list[Any]]]]
+    tell: Callable[[str, Stored], None]
+
+
 class CellRuntime:
     """One held cell."""
 
@@ -75,6 +87,7 @@
         clock: Callable[[], float],
         on_end: Callable[["CellRuntime", str], None],
         on_renewed: Callable[[str, Owner, int], None],
+        neighbours: "Neighbours",
     ) -> None:
         self.dispatcher = dispatcher
         self.cell = dispatcher.cell
@@ -86,6 +99,8 @@
         self._clock = clock
         self._on_end = on_end
         self._on_renewed = on_renewed
+        self._neighbours = neighbours
+        self._balance = Balance()
         self._ports: dict[str, WorkerPort] = {}
         self._holds: dict[str, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -182,7 +197,10 @@
             roster=self.dispatcher.roster(),
             load=self.dispatcher.load(now),
             waiting=self.dispatcher.waiting_jobs(),
+            learned=self.dispatcher.interference.shared(),
         )
+        for rows in self._neighbours.learned(self.cell):
+            self.dispatcher.interference.take_in(rows)
         try:
             if await self._put_owner(fresh):
                 self.confirmed_at = max(self.confirmed_at, now)
@@ -262,6 +280,8 @@
         dispatcher, asked_at = self.dispatcher, self._clock()
         lease = member.grant(asked_at, dispatcher.bounds.max_hold_s) if self.permitted() else None
         wait_ms = BUSY_WAIT_MS if member.runs else IDLE_WAIT_MS
+        if member.serving and member.filling_cores > 0:
+            wait_ms = SHARED_WAIT_MS
         if lease is None or member.silent_since is not None:
             wait_ms = 0
         try:
@@ -354,7 +374,10 @@
     async def _tick_loop(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            self.dispatcher.tick(self._clock())
+            now = self._clock()
+            self.dispatcher.tick(now)
+            if self.permitted() and self.loaded:
+                self._balance.hand_on(self.dispatcher, self._neighbours.rooms(self.cell), now)
             self.wake()
 
     # Records
@@ -388,6 +411,7 @@
                 case Committed(version):
                     for tracked, change, _ in changes:
                         self.dispatcher.note_recorded(tracked, change, version)
+                        self._tell_others(tracked, version)
                 case Stale(rows):
                     self._reconcile(changes, rows)
         except (PlatformDown, AnswerLost) as exc:
@@ -398,6 +422,11 @@
         self.wake()
         return True
 
+    def _tell_others(self, tracked: Tracked, version: int) -> None:
+        """Tell the other cells with tasks of a job; their feed would, a while later."""
+        for cell in others(tracked.progress, self.cell):
+            self._neighbours.tell(cell, Stored(tracked.job, tracked.progress, version))
+
     def _reconcile(self, changes: list[tuple[Tracked, int, str]], rows: list[Row]) -> None:
         """Take in the rows that another writer changed, and write the rest again."""
         found = {row.key: row for row in rows}
@@ -414,9 +443,11 @@
 
     def offer(self, stored: Stored) -> None:
         """Take in a job that an entry just accepted for this cell."""
-        if concerns(stored.progress, self.cell):
+        if stored.job.id in self.dispatcher.tracked:
+            self.dispatcher.refresh(stored.job.id, stored.progress, stored.version, self._clock())
+        elif concerns(stored.progress, self.cell):
             self.dispatcher.adopt(*stored, self._clock(), False)
-            self.wake()
+        self.wake()
 
     def refresh(self, job_id: str, row: Row) -> None:
         """Take in a row that another writer changed."""
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -2,8 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
+from curranthall.cells.balance import Room
 from curranthall.cells.dispatcher import Bounds, Dispatcher, Queue
 from curranthall.cells.owner import (
     ABSTAIN_S,
@@ -16,8 +17,10 @@
     Vacancy,
 )
 from curranthall.cells.ports import WorkerPort
-from curranthall.cells.runtime import CellRuntime, Holding
+from curranthall.cells.records import Stored
+from curranthall.cells.runtime import CellRuntime, Holding, Neighbours
 from curranthall.dag import Job
+from curranthall.dag.progress import decode_progress
 from curranthall.errors import AnswerLost, PlatformDown
 from curranthall.events import Event, log
 from curranthall.model import Host
@@ -37,6 +40,7 @@
     queue_of: Callable[[Job], Queue]
     hosts: Callable[[], dict[str, Host] | None]
     evacuated: Callable[[], frozenset[str]]
+    cast: Callable[[str, str, Any], None]
 
 
 class Succession:
@@ -129,6 +133,7 @@
             around.clock,
             self._on_end,
             self._on_renewed,
+            Neighbours(self._rooms, self._learned, self.hand_over),
         )
         self.held[vacancy.cell] = runtime
         self._on_renewed(vacancy.cell, owner, holding.version)
@@ -137,6 +142,31 @@
         if hosts is not None:
             runtime.on_hosts(hosts)
 
+    def _rooms(self, cell: str) -> list[Room]:
+        """Give the figures of the other cells that are held and open."""
+        now, out = self._around.clock(), self._around.evacuated()
+        found = []
+        for other in self.watch.cells:
+            owner = self.watch.fresh(other, now)
+            if owner is not None and other != cell and other not in out:
+                found.append(Room(other, owner.load))
+        return found
+
+    def _learned(self, cell: str) -> list[list[list[Any]]]:
+        """Give what the other cells learned of interference."""
+        owners = [self.watch.holder(other) for other in self.watch.cells if other != cell]
+        return [owner.learned for owner in owners if owner is not None]
+
+    def hand_over(self, cell: str, stored: Stored) -> None:
+        """Bring a stored job to the holder of a cell; its feed would, a while later."""
+        runtime = self.held.get(cell)
+        owner = self.watch.holder(cell)
+        if runtime is not None:
+            copy = decode_progress(stored.progress.encode())
+            runtime.offer(stored._replace(progress=copy))
+        elif owner is not None:
+            self._around.cast(owner.address, "job", stored.encode())
+
     def _on_renewed(self, cell: str, owner: Owner, version: int) -> None:
         self.watch.note(cell, owner, version, self._around.clock())
 
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -101,6 +101,7 @@
             self.operations.queue_of,
             lambda: self._hosts,
             lambda: self.operations.out,
+            self.cast,
         )
         self.succession = Succession(me, deployment.domains, deployment.bounds, around)
         self.intake = Intake(self.succession, store, self, boot_clock, lambda: self.operations.out)
--- a/src/curranthall/dag/model.py
+++ b/src/curranthall/dag/model.py
@@ -78,16 +78,14 @@
         """Give an occurrence's due time."""
         return self.first_due_ms + occurrence * self.interval_ms
 
-    def chain_ms(self) -> int:
-        """Estimate the longest chain of dependent steps."""
-        ends: list[int] = []
-        for step in self.steps:
-            ends.append(step.estimate_ms + max((ends[i] for i in step.after), default=0))
-        return max(ends, default=0)
-
-    def work_core_ms(self) -> float:
-        """Estimate the work of one occurrence in core-milliseconds."""
-        return sum(step.width * step.size.cores * step.estimate_ms for step in self.steps)
+    def chain_ms(self, first: int | None = None) -> int:
+        """Estimate the longest chain of dependent steps, or the one that a step begins."""
+        ends: list[int] = [0] * len(self.steps)
+        for number in reversed(range(len(self.steps))):
+            ends[number] += self.steps[number].estimate_ms
+            for before in self.steps[number].after:
+                ends[before] = max(ends[before], ends[number])
+        return ends[first] if first is not None else max(ends, default=0)
 
     def encode(self) -> bytes:
         """Write the job as a row's value."""
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -6,11 +6,10 @@
 from typing import Any, NamedTuple, Protocol
 
 from curranthall.cells import records
-from curranthall.cells.records import PROGRESS_TABLE, Stored
+from curranthall.cells.load import HOME_BONUS, Load, suits, widest
+from curranthall.cells.records import PROGRESS_TABLE, Stored, decode_stored
 from curranthall.cells.succession import Succession
 from curranthall.dag import Job, Phase, Progress
-from curranthall.dag.model import decode_job
-from curranthall.dag.progress import decode_progress
 from curranthall.errors import AnswerLost, CurranthallError, PlatformDown
 from curranthall.events import Event, log
 from curranthall.store import Check, Committed, Put, Row, Stale, Store
@@ -24,10 +23,8 @@
 # Kept back from the caller's deadline for the answer's way.
 ANSWER_S = 0.15
 STORE_RETRY_S = 0.1
-# A cell of another failure domain is taken only when it is less loaded by this much.
-HOME_BONUS = 0.15
-# Cells hold their workers this long before urgent figures matter.
-MIN_CORES = 1e-6
+# A cell's figures are up to two renewals old; what was sent to it counts this long.
+SENT_S = 1.8
 
 
 class Verdict(Enum):
@@ -77,8 +74,7 @@
         self._clock = clock
         self._evacuated = evacuated
         self._seen: dict[str, _Seen] = {}
-        self._sent: dict[str, float] = {}
-        self._sent_at = 0.0
+        self._sent: list[tuple[float, str, float]] = []
 
     # Accepting
 
@@ -118,34 +114,24 @@
     def _hand_over(self, stored: Stored) -> None:
         cell = stored.progress.cell
         self._seen[stored.job.id] = _Seen(cell, Phase.QUEUED, self._clock())
-        runtime = self._succession.held.get(cell)
-        if runtime is not None:
-            runtime.offer(stored)
-            return
-        owner = self._succession.watch.holder(cell)
-        if owner is not None:
-            body = [stored.job.encode(), stored.progress.encode(), stored.version]
-            self._peers.cast(owner.address, "job", body)
+        self._succession.hand_over(cell, stored)
 
     def choose_cell(self, job: Job) -> str:
-        """Give the cell with the least work for its cores, the own one preferred."""
-        now, closed = self._clock(), self._evacuated()
-        home = self._succession.me.domain
-        best, best_rank = home, float("inf")
-        if now - self._sent_at > 1.0:
-            self._sent, self._sent_at = {}, now
-        for cell in self._succession.watch.cells:
+        """Give the cell with the most room for the job's widest step."""
+        now, closed, step = self._clock(), self._evacuated(), widest(job)
+        home, cells = self._succession.me.domain, self._succession.watch.cells
+        best, best_rate = home, -float("inf")
+        self._sent = [row for row in self._sent if now - row[0] < SENT_S]
+        for cell in cells:
             owner = self._succession.watch.fresh(cell, now)
             if owner is None or cell in closed:
                 continue
-            cores, asked, waiting = owner.load.get(job.service, (0.0, 0.0, 0.0))
-            if cores < MIN_CORES:
-                continue
-            waiting += self._sent.get(cell, 0.0)
-            rank = (asked + waiting) / cores - (HOME_BONUS if cell == home else 0.0)
-            if rank < best_rank:
-                best, best_rank = cell, rank
-        self._sent[best] = self._sent.get(best, 0.0) + job.work_core_ms() / 1000
+            sent = sum(cores for _, to, cores in self._sent if to == cell)
+            load = owner.load.get(job.service, Load())
+            rate = suits(load, step, cell, cells, sent) + (HOME_BONUS if cell == home else 0.0)
+            if rate > best_rate:
+                best, best_rate = cell, rate
+        self._sent.append((now, best, step.width * step.size.cores))
         return best
 
     # Showing
@@ -242,7 +228,7 @@
 
     def _tell_cancelled(self, progress: Progress, row: Row) -> None:
         self._seen[row.key] = _Seen(progress.cell, progress.phase, self._clock())
-        for cell in {progress.cell, *progress.elsewhere.values()}:
+        for cell in records.others(progress, ""):
             runtime = self._succession.held.get(cell)
             owner = self._succession.watch.holder(cell)
             if runtime is not None:
@@ -259,10 +245,8 @@
                 local = self._local(str(body))
                 return None if local is None else int(local)
             case "job":
-                job, progress, version = body
-                stored = Stored(decode_job(job), decode_progress(progress), int(version))
-                runtime = self._succession.held.get(stored.progress.cell)
-                if runtime is not None:
+                stored = decode_stored(body)
+                for runtime in list(self._succession.held.values()):
                     runtime.offer(stored)
             case "row":
                 row = Row(*body)
--- a/src/curranthall/platform/worker.py
+++ b/src/curranthall/platform/worker.py
@@ -130,8 +130,9 @@
 
 
 def _snapshot(value: dict[str, Any]) -> Snapshot:
-    # A row of `running` is [task, run, saved, percent, gauge], one of `finished`
-    # [number, task, run, how, saved]; empty lists are left out.
+    # A row of `running` is [task, run, saved, percent, gauge]: a serving task's gauge is its
+    # tail in ms, any other's the thousandths of a core in use. One of `finished` is
+    # [number, task, run, how, saved]. Empty lists are left out.
     running = [
         Listed(TaskId.parse(row[0]), row[1], row[2], row[3], row[4] if len(row) > 4 else 0.0)
         for row in value.get("running") or ()
