Prove a takeover by rows read after the fencing; end a worker's life by its other boot

Change: prior jobs wait until all workers are fenced and rows were read after that; 421 ends a worker; a silent worker's lease is not extended; a cell none of whose workers can be reached is left to its holder. Ruled out: a late order (the runs were seconds old), the feed alone (it lags 0.4 s by design).

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -170,6 +170,7 @@
         self._timed: dict[tuple[str, int], float] = {}
         self._unproven: set[str] = set()
         self._proof_at = 0.0
+        self.proven = True
         self._last_run = epoch * RUNS_PER_EPOCH
         self._told_at = 0.0
 
@@ -181,6 +182,20 @@
             self.members[host.name] = Member(host, prior=True, in_roster=True)
         self._unproven = set(self.members)
         self._proof_at = proof_at
+        self.proven = not self._unproven
+
+    @property
+    def fenced_all(self) -> bool:
+        """Tell whether no worker obeys a former holder any more."""
+        return not self._unproven
+
+    def note_rows_read(self) -> None:
+        """Note that rows were read after all workers were fenced.
+
+        A former holder acknowledges an end only after its row is committed, so what no worker
+        lists by now stands in the rows.
+        """
+        self.proven = True
 
     def see_host(self, host: Host) -> Member | None:
         """Take in a worker's listing; give the member when it is new."""
@@ -616,7 +631,7 @@
         match result:
             case StartResult.NO_ROOM:
                 member.avoid_until = max(member.avoid_until, now + NO_ROOM_PAUSE_S)
-            case StartResult.UNHEALTHY | StartResult.OTHER_BOOT | StartResult.TOO_LATE:
+            case StartResult.UNHEALTHY | StartResult.TOO_LATE:
                 member.avoid_until = max(member.avoid_until, now + NO_ROOM_PAUSE_S)
             case StartResult.MALFORMED:
                 self.tracked[run.task.job].pause_until = now + MALFORMED_PAUSE_S
@@ -658,6 +673,16 @@
             member.silent_since = now
             log(Event.WORKER_SILENT, worker=worker, running=len(member.runs))
 
+    def on_gone(self, worker: str, now: float) -> None:
+        """Note that a worker's life is over: all that ran there is."""
+        member = self.members.pop(worker, None)
+        if member is None:
+            return
+        log(Event.WORKER_GONE, worker=worker, running=len(member.runs))
+        self._unproven.discard(worker)
+        for run in list(member.runs.values()):
+            self._drop(run, now)
+
     # Time
 
     def tick(self, now: float) -> None:
@@ -688,6 +713,7 @@
             usable=sum(member.usable(now) for member in self.members.values()),
             members=len(self.members),
             unproven=len(self._unproven),
+            proven=self.proven,
             closed=self.closed,
             runs=sum(len(member.runs) for member in self.members.values()),
             interference=self.interference.table(),
@@ -754,7 +780,7 @@
 
     def _held_back(self, batch: Batch, now: float) -> bool:
         tracked = batch.tracked
-        return now < tracked.pause_until or (tracked.prior and bool(self._unproven))
+        return now < tracked.pause_until or (tracked.prior and not self.proven)
 
     def _place(
         self,
--- a/src/curranthall/cells/ports.py
+++ b/src/curranthall/cells/ports.py
@@ -57,7 +57,6 @@
     NO_TICKET = "no-ticket"
     MALFORMED = "malformed"
     UNHEALTHY = "unhealthy"
-    OTHER_BOOT = "other-boot"
 
 
 class StartTask(NamedTuple):
@@ -93,7 +92,7 @@
 
 
 class WorkerPort(Protocol):
-    """Calls to one worker; each raises ConnectFailed (no effect), AnswerLost or Fenced."""
+    """Calls to one worker; each raises ConnectFailed (no effect), AnswerLost, Fenced, OtherBoot."""
 
     async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
         """Extend the lease, acknowledge ends, and list what runs and what ended."""
--- a/src/curranthall/cells/records.py
+++ b/src/curranthall/cells/records.py
@@ -74,8 +74,8 @@
     return None
 
 
-async def read_all(store: Store, cell: str) -> tuple[list[Stored], int]:
-    """Read the jobs with tasks in a cell, and a version from which the feed misses nothing."""
+async def read_all(store: Store, cell: str, known: frozenset[str]) -> tuple[list[Stored], int]:
+    """Read a cell's unfinished jobs and the known ones, and a version to follow the feed from."""
     found: list[Stored] = []
     first = 0
     for part in PARTS:
@@ -85,7 +85,8 @@
         wanted = {
             key: (progress, version)
             for key, (progress, version) in rows.items()
-            if progress is not None and concerns(progress, cell) and not progress.phase.final
+            if progress is not None
+            and (key in known or (concerns(progress, cell) and not progress.phase.final))
         }
         if wanted:
             jobs = await store.scan(JOB_TABLE, part, min(wanted), max(wanted) + "\0")
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -33,6 +33,7 @@
     CurranthallError,
     Fenced,
     HistoryLost,
+    OtherBoot,
     PlatformDown,
 )
 from curranthall.events import Event, log
@@ -278,11 +279,13 @@
 
     async def _hold(self, member: Member) -> float:
         dispatcher, asked_at = self.dispatcher, self._clock()
-        lease = member.grant(asked_at, dispatcher.bounds.max_hold_s) if self.permitted() else None
+        # A lease that a silent worker may never hear of would only put off the proof of its lapse.
+        extend = self.permitted() and member.silent_since is None
+        lease = member.grant(asked_at, dispatcher.bounds.max_hold_s) if extend else None
         wait_ms = BUSY_WAIT_MS if member.runs else IDLE_WAIT_MS
         if member.serving and member.filling_cores > 0:
             wait_ms = SHARED_WAIT_MS
-        if lease is None or member.silent_since is not None:
+        if lease is None:
             wait_ms = 0
         try:
             snapshot = await self._ports[member.name].hold(
@@ -291,6 +294,9 @@
         except (ConnectFailed, AnswerLost):
             dispatcher.on_silence(member.name, self._clock())
             return SILENT_PAUSE_S
+        except OtherBoot:
+            dispatcher.on_gone(member.name, self._clock())
+            return 0.0
         dispatcher.on_snapshot(member, snapshot, asked_at, self._clock())
         if dispatcher.unknown and not self._resolving:
             self._resolving = True
@@ -352,6 +358,8 @@
             dispatcher.on_start_unsent(order, self._clock())
         except AnswerLost:
             dispatcher.on_start_unanswered(order, self._clock())
+        except OtherBoot:
+            dispatcher.on_gone(order.worker, self._clock())
         else:
             dispatcher.on_start_result(order, result, self._clock())
         self.wake()
@@ -359,7 +367,7 @@
     async def _send_stop(self, port: WorkerPort, order: StopTask) -> None:
         try:
             await port.stop(self.dispatcher.epoch, order)
-        except (ConnectFailed, AnswerLost) as exc:
+        except (ConnectFailed, AnswerLost, OtherBoot) as exc:
             log(Event.ORDER_UNANSWERED, what="stop", task=order.task, error=exc)
             return
         self.dispatcher.on_stop_answered(order, self._clock())
@@ -367,7 +375,7 @@
     async def _send_pace(self, port: WorkerPort, order: PaceTask) -> None:
         try:
             await port.pace(self.dispatcher.epoch, order)
-        except (ConnectFailed, AnswerLost) as exc:
+        except (ConnectFailed, AnswerLost, OtherBoot) as exc:
             log(Event.ORDER_UNANSWERED, what="pace", task=order.task, error=exc)
             self.dispatcher.on_pace_failed(order)
 
@@ -376,6 +384,8 @@
             await asyncio.sleep(TICK_S)
             now = self._clock()
             self.dispatcher.tick(now)
+            if self.loaded and self.dispatcher.fenced_all and not self.dispatcher.proven:
+                await self._prove()
             if self.permitted() and self.loaded:
                 self._balance.hand_on(self.dispatcher, self._neighbours.rooms(self.cell), now)
             self.wake()
@@ -460,7 +470,7 @@
         """Read all jobs of the cell, then follow their rows."""
         while not self.loaded:
             try:
-                stored, self._feed_from = await read_all(self._store, self.cell)
+                stored, self._feed_from = await read_all(self._store, self.cell, frozenset())
             except (PlatformDown, AnswerLost) as exc:
                 log(Event.STORE_FAILED, what="load", error=exc)
                 await asyncio.sleep(STORE_RETRY_S)
@@ -489,6 +499,12 @@
         self._feed_from = max(self._feed_from, page.version)
         await asyncio.sleep(FEED_PAUSE_S)
 
+    async def _prove(self) -> None:
+        """Read the rows once more, now that no former holder can add to them unseen."""
+        if await self._reload():
+            self.dispatcher.note_rows_read()
+            log(Event.CELL_PROVEN, cell=self.cell, by="rows")
+
     async def _on_row(self, row: Row) -> None:
         if row.key in self.dispatcher.tracked:
             self.refresh(row.key, row)
@@ -500,15 +516,19 @@
         if stored is not None:
             self.offer(stored)
 
-    async def _reload(self) -> None:
+    async def _reload(self) -> bool:
+        """Read all rows of the cell again; tell whether the store answered."""
         try:
-            stored, self._feed_from = await read_all(self._store, self.cell)
+            stored, self._feed_from = await read_all(self._store, self.cell, self._known())
         except (PlatformDown, AnswerLost) as exc:
             log(Event.STORE_FAILED, what="reload", error=exc)
             await asyncio.sleep(STORE_RETRY_S)
-            return
+            return False
         for found in stored:
-            if found.job.id in self.dispatcher.tracked:
-                self.dispatcher.refresh(found.job.id, found.progress, found.version, self._clock())
-            else:
-                self.offer(found)
+            self.offer(found)
+        return True
+
+    def _known(self) -> frozenset[str]:
+        """Name the jobs whose end has not been seen."""
+        tracked = self.dispatcher.tracked.items()
+        return frozenset(job for job, each in tracked if not each.progress.phase.final)
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -1,6 +1,7 @@
 """An entry's part in holding cells: it reads their rows, takes vacant ones, gives them back."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -30,6 +31,22 @@
 MIN_PAUSE_S = 0.05
 
 
+# Workers that are tried before a cell is taken, and for how long.
+REACH_SAMPLE = 3
+REACH_S = 0.4
+
+
+async def _connects(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(REACH_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
+
+
 class Surroundings(NamedTuple):
     """What a held cell needs from its process."""
 
@@ -81,10 +98,27 @@
             return RENEW_S
         if vacancy.takeable_at > now:
             return max(MIN_PAUSE_S, min(RENEW_S, vacancy.takeable_at - now))
-        if vacancy.cell not in self.held:
+        if vacancy.cell not in self.held and await self._reaches(vacancy):
             await self._take(vacancy)
         return MIN_PAUSE_S
 
+    async def _reaches(self, vacancy: Vacancy) -> bool:
+        """Tell whether some worker of the cell can be reached from here.
+
+        In a failure domain that is cut off with its holder, the holder goes on by itself.
+        """
+        hosts = [h for h in (self._around.hosts() or {}).values() if h.domain == vacancy.cell]
+        if vacancy.owner is not None:
+            hosts = hosts or vacancy.owner.roster
+        if not hosts:
+            return True
+        asked = random.sample(hosts, min(REACH_SAMPLE, len(hosts)))
+        found = await asyncio.gather(*(_connects(host.address) for host in asked))
+        if not any(found):
+            log(Event.CELL_OUT_OF_REACH, cell=vacancy.cell, asked=len(asked))
+            self.watch.abstain_until[vacancy.cell] = self._around.clock() + RENEW_S
+        return any(found)
+
     async def _take(self, vacancy: Vacancy) -> None:
         around = self._around
         # The store's version only grows, so each taking has a greater epoch than any before.
--- a/src/curranthall/errors.py
+++ b/src/curranthall/errors.py
@@ -120,6 +120,13 @@
     status = 409
 
 
+class OtherBoot(CurranthallError):
+    """Another boot answers at the worker's address: the one called is over."""
+
+    code = "other-boot"
+    status = 421
+
+
 class Refused(CurranthallError):
     """The worker provably refused a call; it had no effect."""
 
--- a/src/curranthall/events.py
+++ b/src/curranthall/events.py
@@ -72,6 +72,7 @@
     CELL_PROVEN = 2204
     CELL_LOST = 2205
     CELL_STATE = 2206
+    CELL_OUT_OF_REACH = 2207
     JOB_STORED = 2301
     JOB_KNOWN = 2302
     JOB_REFUSED = 2303
@@ -89,6 +90,7 @@
     WORKER_LAPSED = 2502
     WORKER_REBORN = 2503
     WORKER_PACED = 2504
+    WORKER_GONE = 2505
 
 
 _as_json = False
--- a/src/curranthall/platform/worker.py
+++ b/src/curranthall/platform/worker.py
@@ -15,7 +15,7 @@
     StopTask,
 )
 from curranthall.dag import TaskId
-from curranthall.errors import AnswerLost, ConnectFailed, Fenced
+from curranthall.errors import AnswerLost, ConnectFailed, Fenced, OtherBoot
 from curranthall.http import HttpClient, Response
 from curranthall.model import Host
 from curranthall.platform.store import JSON_HEADERS
@@ -33,10 +33,10 @@
     "room": StartResult.NO_ROOM,
     "ticket": StartResult.NO_TICKET,
 }
+OTHER_BOOT = 421
 STATUSES = {
     200: StartResult.STARTED,
     400: StartResult.MALFORMED,
-    421: StartResult.OTHER_BOOT,
     429: StartResult.UNHEALTHY,
     503: StartResult.UNHEALTHY,
 }
@@ -114,7 +114,10 @@
     async def _send(
         self, client: HttpClient, path: str, body: dict[str, Any], timeout: float
     ) -> Response:
-        return await client.call("POST", path, orjson.dumps(body), timeout, self._headers)
+        answer = await client.call("POST", path, orjson.dumps(body), timeout, self._headers)
+        if answer.status == OTHER_BOOT:
+            raise OtherBoot(worker=self._host.name)
+        return answer
 
     def _refuse(self, answer: Response) -> None:
         if answer.status == 409 and _reason(answer) == "fence":
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,348 @@
+"""What a cell's holder orders, and when: each case is a failure that was seen or is provoked."""
+
+import unittest
+
+from curranthall.cells.ports import Ending, EndKind, Listed, StartResult
+from curranthall.dag import Phase, Progress
+from curranthall.model import HostState
+from tests.cell_fixtures import BORN, CELL, Cell, ended, host, job, listed, step, task
+
+
+class Starting(unittest.TestCase):
+    def test_all_tasks_start_where_there_is_room(self) -> None:
+        cell = Cell(host("w1"), host("w2"))
+        cell.add(job())
+        self.assertEqual(len(cell.plan()), 2)
+        self.assertEqual(cell.plan(), [])
+
+    def test_no_worker_is_given_more_than_its_size(self) -> None:
+        cell = Cell(host("w1", cores=4))
+        cell.add(job("0" * 16, step(5, cores=1.5)))
+        self.assertEqual(len(cell.plan()), 2)
+
+    def test_a_worker_outside_the_committed_roster_gets_nothing(self) -> None:
+        cell = Cell(host("w1"))
+        cell.core.see_host(host("w2"))
+        cell.answer("w2")
+        cell.add(job("0" * 16, step(8, cores=8)))
+        self.assertEqual({order.worker for order in cell.plan()}, {"w1"})
+
+    def test_a_leaving_or_missing_worker_gets_nothing(self) -> None:
+        cell = Cell(host("w1"), host("w2"))
+        cell.core.see_host(host("w1", state=HostState.LEAVING))
+        cell.core.miss_host("w2", cell.now)
+        cell.add(job())
+        self.assertEqual(cell.plan(), [])
+
+    def test_steps_wait_for_those_before_them(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(2), step(1, after=(0,))))
+        first, second = cell.plan()
+        cell.started(first, second)
+        cell.answer("w1", [listed(second)], [ended(1, first, EndKind.DONE)])
+        self.assertEqual(cell.plan(), [])
+        cell.answer("w1", [], [ended(2, second, EndKind.DONE)])
+        self.assertEqual([order.task.step for order in cell.plan()], [1])
+
+    def test_labels_and_the_most_per_worker_are_kept(self) -> None:
+        cell = Cell(host("w1"), host("w2", rack="r2"))
+        cell.add(job("0" * 16, step(3, requires="r2", max_per_worker=2)))
+        self.assertEqual([order.worker for order in cell.plan()], ["w2", "w2"])
+
+    def test_a_job_is_completed_once_all_ended_and_shown_so_once_recorded(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.started(order)
+        cell.answer("w1", [], [ended(1, order, EndKind.DONE)])
+        tracked = cell.core.tracked["0" * 16]
+        self.assertEqual(tracked.progress.phase, Phase.COMPLETED)
+        self.assertEqual(tracked.shown, Phase.RUNNING)
+        cell.core.note_recorded(tracked, tracked.change, 2)
+        self.assertEqual(tracked.shown, Phase.COMPLETED)
+
+    def test_a_lasting_task_starts_again_however_it_ended(self) -> None:
+        cell = Cell(host("w1"), max_attempts=1)
+        cell.add(job("0" * 16, step(1, lasting=True)))
+        for number, kind in enumerate((EndKind.FAILED, EndKind.DONE, EndKind.LAPSED), 1):
+            (order,) = cell.plan()
+            cell.started(order)
+            cell.answer("w1", [], [ended(number, order, kind)])
+
+
+class Gangs(unittest.TestCase):
+    def test_all_members_start_at_once_with_one_run_or_none_does(self) -> None:
+        cell = Cell(host("w1", cores=2))
+        cell.add(job("0" * 16, step(3, gang=True)))
+        self.assertEqual(cell.plan(), [])
+        cell.core.see_host(host("w2", cores=2))
+        cell.core.confirm_roster(["w2"])
+        cell.answer("w2")
+        orders = cell.plan()
+        self.assertEqual(len(orders), 3)
+        self.assertEqual(len({order.run for order in orders}), 1)
+
+    def test_a_lost_member_stops_the_rest_and_all_start_again_later(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(2, gang=True)))
+        first, second = cell.plan()
+        cell.started(first)
+        cell.core.on_start_result(second, StartResult.NO_ROOM, cell.now)
+        self.assertEqual([stop.run for stop in cell.stops()], [first.run])
+        cell.now += 1
+        self.assertEqual(cell.plan(), [])
+        cell.answer("w1", [], [ended(1, first, EndKind.STOPPED)])
+        again = cell.plan()
+        self.assertEqual(len(again), 2)
+        self.assertGreater(again[0].run, first.run)
+
+
+class Attempts(unittest.TestCase):
+    def test_the_last_failed_attempt_fails_the_job(self) -> None:
+        cell = Cell(host("w1"), host("w2"), max_attempts=2)
+        cell.add(job("0" * 16, step(1)))
+        for number in (1, 2):
+            (order,) = cell.plan()
+            cell.started(order)
+            cell.answer(order.worker, [], [ended(number, order, EndKind.FAILED)])
+        self.assertEqual(cell.core.tracked["0" * 16].progress.phase, Phase.FAILED)
+        self.assertEqual(cell.plan(), [])
+
+    def test_a_failed_task_goes_to_another_worker(self) -> None:
+        cell = Cell(host("w1"), host("w2"))
+        cell.add(job("0" * 16, step(1)))
+        (first,) = cell.plan()
+        cell.started(first)
+        cell.answer(first.worker, [], [ended(1, first, EndKind.FAILED)])
+        self.assertNotEqual(cell.plan()[0].worker, first.worker)
+
+    def test_one_end_listed_twice_counts_once(self) -> None:
+        cell = Cell(host("w1"), max_attempts=2)
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.started(order)
+        for _ in range(3):
+            cell.answer("w1", [], [ended(1, order, EndKind.FAILED)])
+        self.assertEqual(cell.core.tracked["0" * 16].progress.phase, Phase.RUNNING)
+
+    def test_ends_are_acknowledged_only_after_their_record(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job())
+        first, second = cell.plan()
+        cell.started(first, second)
+        cell.answer("w1", [listed(second)], [ended(1, first, EndKind.DONE)])
+        member = cell.member("w1")
+        self.assertEqual(cell.core.cursor(member), 0)
+        tracked = cell.core.tracked["0" * 16]
+        cell.core.note_recorded(tracked, tracked.change, 2)
+        self.assertEqual(cell.core.cursor(member), 1)
+
+
+class Takeover(unittest.TestCase):
+    def successor(self, *names: str) -> Cell:
+        """Build a cell just taken over, whose workers have not answered yet."""
+        cell = Cell()
+        cell.core.take_over([host(name) for name in names], proof_at=cell.now + 7)
+        return cell
+
+    def test_nothing_prior_starts_before_all_workers_are_fenced_and_rows_read_again(self) -> None:
+        cell = self.successor("w1", "w2")
+        cell.add(job(), prior=True)
+        cell.answer("w1")
+        self.assertEqual(cell.plan(), [])
+        cell.answer("w2")
+        # The former holder may have recorded and acknowledged an end just before the fence.
+        self.assertTrue(cell.core.fenced_all)
+        self.assertEqual(cell.plan(), [])
+        row = Progress(CELL)
+        row.add_done(0, 0, 0)
+        cell.core.refresh("0" * 16, row, 2, cell.now)
+        cell.core.note_rows_read()
+        self.assertEqual([order.task.number for order in cell.plan()], [1])
+
+    def test_what_a_worker_listed_before_its_job_was_known_is_not_started_again(self) -> None:
+        cell = self.successor("w1")
+        cell.answer("w1", [Listed(task(number=0), 3, "", 40, 0)])
+        self.assertEqual(cell.core.unknown, {"0" * 16})
+        cell.add(job(), prior=True)
+        cell.core.note_rows_read()
+        self.assertEqual([order.task.number for order in cell.plan()], [1])
+
+    def test_an_end_listed_before_its_job_was_known_counts(self) -> None:
+        cell = self.successor("w1")
+        cell.answer("w1", [], [Ending(1, task(number=0), 3, EndKind.DONE, "")])
+        self.assertEqual(cell.core.cursor(cell.member("w1")), 0)
+        cell.add(job(), prior=True)
+        cell.core.note_rows_read()
+        self.assertEqual([order.task.number for order in cell.plan()], [1])
+
+    def test_a_later_steps_run_proves_the_steps_before_it(self) -> None:
+        cell = self.successor("w1")
+        cell.add(job("0" * 16, step(2), step(1, after=(0,))), prior=True)
+        cell.answer("w1", [Listed(task(at=1), 3, "", 40, 0)])
+        cell.core.note_rows_read()
+        self.assertEqual(cell.plan(), [])
+        self.assertTrue(cell.core.tracked["0" * 16].progress.step_done(job(), 0, 0))
+
+    def test_run_numbers_rise_with_the_epoch(self) -> None:
+        cell = self.successor("w1")
+        cell.answer("w1")
+        cell.core.note_rows_read()
+        cell.add(job())
+        self.assertGreater(min(order.run for order in cell.plan()), 7_000_000)
+
+    def test_a_run_of_a_job_that_was_never_stored_is_stopped(self) -> None:
+        cell = self.successor("w1")
+        cell.answer("w1", [Listed(task(), 3, "", 40, 0)])
+        cell.core.forget_stray("0" * 16)
+        self.assertEqual([stop.run for stop in cell.stops()], [3])
+
+    def test_an_unreachable_worker_holds_prior_jobs_back_until_its_lease_is_over(self) -> None:
+        cell = self.successor("w1", "w2")
+        cell.add(job(), prior=True)
+        cell.answer("w1")
+        cell.now += 6
+        cell.core.tick(cell.now)
+        self.assertFalse(cell.core.fenced_all)
+        cell.now += 2
+        cell.core.tick(cell.now)
+        self.assertTrue(cell.core.fenced_all)
+
+
+class LostWorkers(unittest.TestCase):
+    def test_a_silent_workers_tasks_wait_for_the_end_of_its_lease(self) -> None:
+        cell = Cell(host("w1"), host("w2"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.started(order)
+        member = cell.member(order.worker)
+        member.grant(cell.now, 6.0)
+        cell.core.on_silence(order.worker, cell.now)
+        cell.now += 5.9
+        cell.core.tick(cell.now)
+        self.assertEqual(cell.plan(), [])
+        cell.now += 0.6
+        cell.core.tick(cell.now)
+        other = "w2" if order.worker == "w1" else "w1"
+        cell.answer(other)
+        self.assertEqual([again.worker for again in cell.plan()], [other])
+
+    def test_another_boot_at_the_address_ends_all_at_once(self) -> None:
+        cell = Cell(host("w1"), host("w2"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.started(order)
+        cell.core.on_gone(order.worker, cell.now)
+        self.assertNotIn(order.worker, cell.core.members)
+        self.assertEqual(len(cell.plan()), 1)
+
+    def test_a_reborn_worker_lost_what_it_ran(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.started(order)
+        cell.now += 1
+        cell.answer("w1", born=BORN + 5)
+        self.assertEqual(len(cell.plan()), 1)
+
+    def test_a_worker_whose_runs_fail_is_put_aside(self) -> None:
+        cell = Cell(host("w1"), max_attempts=9)
+        cell.add(job("0" * 16, step(3)))
+        orders = cell.plan()
+        cell.started(*orders)
+        ends = [ended(at, order, EndKind.FAILED) for at, order in enumerate(orders, 1)]
+        cell.answer("w1", [], ends)
+        self.assertEqual(cell.plan(), [])
+
+
+class UnansweredStarts(unittest.TestCase):
+    def test_the_task_is_not_started_elsewhere_before_a_proof(self) -> None:
+        cell = Cell(host("w1"), host("w2"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.core.on_start_unanswered(order, cell.now)
+        (stop,) = cell.stops()
+        self.assertEqual((stop.worker, stop.run), (order.worker, order.run))
+        # Asked for before the stop was answered: it proves nothing.
+        cell.answer(order.worker, asked_at=cell.now - 0.1)
+        self.assertEqual(cell.plan(), [])
+        cell.core.on_stop_answered(stop, cell.now)
+        cell.answer(order.worker, asked_at=cell.now + 0.01)
+        self.assertEqual(len(cell.plan()), 1)
+
+    def test_a_late_start_that_shows_up_is_stopped(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.core.on_start_unanswered(order, cell.now)
+        cell.stops()
+        cell.answer("w1", [listed(order)])
+        cell.now += 1
+        cell.core.tick(cell.now)
+        self.assertEqual([stop.run for stop in cell.stops()], [order.run])
+
+    def test_the_starts_deadline_is_short(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        self.assertLessEqual(order.deadline_ms, int(cell.now * 1000) + 1_500)
+
+
+class Cancelling(unittest.TestCase):
+    def test_a_cancelled_job_is_stopped_and_never_started(self) -> None:
+        cell = Cell(host("w1", cores=1))
+        cell.add(job())
+        (order,) = cell.plan()
+        cell.started(order)
+        cell.core.refresh("0" * 16, Progress(CELL, Phase.CANCELLED), 2, cell.now)
+        self.assertEqual([stop.run for stop in cell.stops()], [order.run])
+        cell.answer("w1", [], [ended(1, order, EndKind.STOPPED)])
+        self.assertEqual(cell.plan(), [])
+
+    def test_a_cancelled_jobs_late_run_is_stopped(self) -> None:
+        cell = Cell(host("w1"))
+        cell.core.adopt(job(), Progress(CELL, Phase.CANCELLED), 1, cell.now, False)
+        cell.answer("w1", [Listed(task(), 3, "", 40, 0)])
+        self.assertEqual([stop.run for stop in cell.stops()], [3])
+
+    def test_a_recorded_cancel_stands_against_a_completion(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.started(order)
+        cell.answer("w1", [], [ended(1, order, EndKind.DONE)])
+        cell.core.refresh("0" * 16, Progress(CELL, Phase.CANCELLED), 2, cell.now)
+        self.assertEqual(cell.core.tracked["0" * 16].progress.phase, Phase.CANCELLED)
+
+
+class Sharing(unittest.TestCase):
+    def test_tasks_of_another_cell_are_not_started_here(self) -> None:
+        cell = Cell(host("w1"))
+        progress = Progress(CELL, elsewhere={(0, 0, 1): "south"})
+        cell.core.adopt(job(), progress, 1, cell.now, False)
+        self.assertEqual([order.task.number for order in cell.plan()], [0])
+
+    def test_a_job_whose_last_tasks_ended_elsewhere_is_completed(self) -> None:
+        cell = Cell(host("w1"))
+        progress = Progress(CELL, elsewhere={(0, 0, 1): "south"})
+        cell.core.adopt(job(), progress, 1, cell.now, False)
+        (order,) = cell.plan()
+        cell.started(order)
+        cell.answer("w1", [], [ended(1, order, EndKind.DONE)])
+        other = Progress(CELL, elsewhere={(0, 0, 1): "south"})
+        other.add_done(0, 0, 1)
+        cell.core.refresh("0" * 16, other, 2, cell.now)
+        self.assertEqual(cell.core.tracked["0" * 16].progress.phase, Phase.COMPLETED)
+
+    def test_moved_tasks_wait_here_no_more(self) -> None:
+        cell = Cell(host("w1", cores=1))
+        cell.add(job())
+        cell.plan()
+        (batch,) = cell.core.stranded(0.0, cell.now)
+        cell.core.move(batch.tracked, batch, [1], "south", cell.now)
+        self.assertEqual(cell.core.stranded(0.0, cell.now), [])
+        self.assertIn("0" * 16, cell.core.dirty)
+
+
+if __name__ == "__main__":
+    unittest.main()
