Play cells under faults in virtual time, with a judge beside the workers

Found: with the store away a phase was refused although the last holder seen could tell it; it is asked now.

--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from curranthall.cells.balance import Room
@@ -31,20 +31,8 @@
 MIN_PAUSE_S = 0.05
 
 
-# Workers that are tried before a cell is taken, and for how long.
+# Workers that are tried before a cell is taken.
 REACH_SAMPLE = 3
-REACH_S = 0.4
-
-
-async def _connects(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        async with asyncio.timeout(REACH_S):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    return True
 
 
 class Surroundings(NamedTuple):
@@ -58,6 +46,7 @@
     hosts: Callable[[], dict[str, Host] | None]
     evacuated: Callable[[], frozenset[str]]
     cast: Callable[[str, str, Any], None]
+    reaches: Callable[[Host], Awaitable[bool]]
 
 
 class Succession:
@@ -113,7 +102,7 @@
         if not hosts:
             return True
         asked = random.sample(hosts, min(REACH_SAMPLE, len(hosts)))
-        found = await asyncio.gather(*(_connects(host.address) for host in asked))
+        found = await asyncio.gather(*(self._around.reaches(host) for host in asked))
         if not any(found):
             log(Event.CELL_OUT_OF_REACH, cell=vacancy.cell, asked=len(asked))
             self.watch.abstain_until[vacancy.cell] = self._around.clock() + RENEW_S
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from curranthall.catalogue import Catalogue, DomainOut, Operation, Operations
@@ -73,6 +73,7 @@
         store: Store,
         dialect: Dialect,
         connect: Callable[[Host], WorkerPort],
+        reaches: Callable[[Host], Awaitable[bool]],
     ) -> None:
         self.deployment = deployment
         self.operations = Operations()
@@ -102,6 +103,7 @@
             lambda: self._hosts,
             lambda: self.operations.out,
             self.cast,
+            reaches,
         )
         self.succession = Succession(me, deployment.domains, deployment.bounds, around)
         self.intake = Intake(self.succession, store, self, boot_clock, lambda: self.operations.out)
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -161,7 +161,8 @@
         return None
 
     async def _ask_holder(self, cell: str, job_id: str) -> Phase | None:
-        owner = self._succession.watch.fresh(cell, self._clock())
+        # The last holder seen is asked even when its row is old: the store may be away.
+        owner = self._succession.watch.holder(cell)
         if owner is None or owner.address == self._succession.me.address:
             return None
         try:
--- a/src/curranthall/platform/__main__.py
+++ b/src/curranthall/platform/__main__.py
@@ -17,7 +17,7 @@
 from curranthall.platform.front import Front
 from curranthall.platform.settings import load_deployment
 from curranthall.platform.store import PlatformStore
-from curranthall.platform.worker import PlatformWorker
+from curranthall.platform.worker import PlatformWorker, reaches
 
 MAX_BODY_BYTES = 262_144
 # The platform needs two missed probes, a second apart, before it sends no more connections.
@@ -32,7 +32,7 @@
     deployment = load_deployment()
     store = PlatformStore(deployment.store)
     dialect = Dialect(HOST_TABLE, OPERATION_TABLE, read_host, read_operation)
-    daemon = Daemon(deployment, store, dialect, PlatformWorker)
+    daemon = Daemon(deployment, store, dialect, PlatformWorker, reaches)
     front = Front(daemon)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/src/curranthall/platform/worker.py
+++ b/src/curranthall/platform/worker.py
@@ -1,5 +1,6 @@
 """A worker of the platform, behind the product's WorkerPort interface."""
 
+import asyncio
 from typing import Any
 
 import orjson
@@ -25,6 +26,7 @@
 STOP_TIMEOUT_S = 0.6
 # Beyond the time that a hold was asked to wait.
 HOLD_SLACK_S = 0.6
+REACH_S = 0.4
 INSTANCE_HEADER = "X-Curranthall-Target-Instance"
 REFUSALS = {
     "fence": StartResult.FENCED,
@@ -125,6 +127,18 @@
         raise ConnectFailed(peer=self._host.name, why=f"status {answer.status}")
 
 
+async def reaches(host: Host) -> bool:
+    """Tell whether a worker's address takes a connection from here."""
+    name, _, port = host.address.rpartition(":")
+    try:
+        async with asyncio.timeout(REACH_S):
+            _, writer = await asyncio.open_connection(name, int(port))
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
+
+
 def _reason(answer: Response) -> str:
     try:
         return str(orjson.loads(answer.body).get("reason", ""))
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,396 @@
+"""Entries, workers and a store in virtual time, with faults between them and a judge beside."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from curranthall.cells.dispatcher import Bounds, Queue
+from curranthall.cells.owner import Claimant
+from curranthall.cells.ports import PaceTask, Snapshot, StartResult, StartTask, StopTask
+from curranthall.cells.succession import Succession, Surroundings
+from curranthall.dag import Job, Phase, TaskId
+from curranthall.errors import (
+    AnswerLost,
+    ConnectFailed,
+    CurranthallError,
+    OtherBoot,
+    PeerUnreachable,
+    PlatformDown,
+)
+from curranthall.intake import Intake, Verdict
+from curranthall.model import Host, HostState, Size
+from curranthall.standin.runner import Runner, Work
+from curranthall.standin.store import MemoryStore
+from curranthall.store import Check, Committed, Drop, Listing, Put, Stale
+
+SERVICE = "desk"
+NET_S = 0.001
+TIMEOUT_S = 0.6
+LATE_S = (2.0, 6.0)
+STEP_S = 0.05
+# The platform's bound on a run after its job's cancel: time to hear of it, then to stop.
+CANCEL_S = 3.9
+
+
+def now() -> float:
+    """Give the virtual time."""
+    return asyncio.get_running_loop().time()
+
+
+class Judge:
+    """Hears of every start and end on the workers and checks what must always hold."""
+
+    def __init__(self) -> None:
+        self.broken: list[str] = []
+        self.at_work: dict[TaskId, set[tuple[str, int]]] = {}
+        self.done: dict[tuple[TaskId, int], float] = {}
+        self.acked: set[TaskId] = set()
+        self.last_start: dict[TaskId, float] = {}
+        self.cancelled: dict[str, float] = {}
+        self.jobs: dict[str, Job] = {}
+        self.starts = 0
+
+    def note(self, what: str, task: TaskId, run: int, worker: str) -> None:
+        """Take in a start, an end or its acknowledgement."""
+        at_work = self.at_work.setdefault(task, set())
+        match what:
+            case "start":
+                self._on_start(task, run, worker)
+                at_work.add((worker, run))
+            case "acked done":
+                self.acked.add(task)
+                if self.last_start.get(task, 0) > self.done[task, run]:
+                    self._break(
+                        "started after an end that was acknowledged later", task, run, worker
+                    )
+            case "done":
+                self.done[task, run] = now()
+                at_work.discard((worker, run))
+            case "failed" | "stopped" | "lapsed":
+                at_work.discard((worker, run))
+
+    def _on_start(self, task: TaskId, run: int, worker: str) -> None:
+        self.starts += 1
+        self.last_start[task] = now()
+        at_work = self.at_work[task]
+        if at_work:
+            self._break("two runs at once", task, at_work, worker)
+        if task in self.acked:
+            self._break("started after an acknowledged end", task, run, worker)
+        job = self.jobs.get(task.job)
+        if job is None:
+            self._break("unasked", task, run, worker)
+            return
+        ended = {each for each, _ in self.done}
+        for before in job.steps[task.step].after:
+            for number in range(job.steps[before].width):
+                if TaskId(task.job, task.occurrence, before, number) not in ended:
+                    self._break("before its turn", task, before, worker)
+        if task.job in self.cancelled and now() > self.cancelled[task.job] + CANCEL_S:
+            self._break("started after the cancel", task, self.cancelled[task.job], worker)
+
+    def lost(self, worker: str, runner: Runner) -> None:
+        """Note that a worker crashed: what ran there is over, unacknowledged ends are gone."""
+        for task, run in runner.running.items():
+            self.at_work[task].discard((worker, run.order.run))
+
+    def _break(self, rule: str, task: TaskId, seen: object, worker: str) -> None:
+        self.broken.append(f"{now():.3f} {rule}: {task} on {worker}, {seen}")
+
+
+class Cluster:
+    """Three failure domains with entries and workers; names of places are used in cuts."""
+
+    def __init__(self, seed: int = 1, entries: int = 2, workers: int = 3) -> None:
+        self.rng = random.Random(seed)
+        self.judge = Judge()
+        self.store = MemoryStore(now)
+        self.store_down = False
+        self.lose_answers = 0.0
+        self.apply_late = 0.0
+        self.cuts: set[frozenset[str]] = set()
+        self.dead: set[str] = set()
+        self.domains = ("a", "b", "c")
+        self.queue = Queue("q", SERVICE, 0, 3, 3.0, 2_000)
+        self.out: frozenset[str] = frozenset()
+        self.work: dict[str, float] = {}
+        self.runners: dict[str, Runner] = {}
+        self.entries: dict[str, Entry] = {}
+        self.gone: set[str] = set()
+        for domain in self.domains:
+            for number in range(workers):
+                self.add_worker(f"{domain}-w{number}", domain)
+            for number in range(entries):
+                name = f"{domain}-e{number}"
+                self.entries[name] = Entry(self, name, domain)
+        self._stepper = asyncio.ensure_future(self._step_workers())
+
+    def add_worker(self, name: str, domain: str, cores: float = 8) -> None:
+        """Boot a worker."""
+        size = Size(cores, 64_000)
+        rack = f"{domain}-r1"
+        host = Host(name, domain, rack, name, size, 8, 0, HostState.LIVE, SERVICE, ("k", rack))
+        self.runners[name] = Runner(host, now, self._work, self.judge.note)
+
+    def crash_worker(self, name: str, reborn: bool = False) -> None:
+        """End a worker's life; its address is silent, or another boot answers there."""
+        runner = self.runners.pop(name)
+        self.judge.lost(name, runner)
+        if reborn:
+            self.gone.add(name)
+
+    def hosts(self) -> dict[str, Host]:
+        """List the workers."""
+        return {name: runner.host for name, runner in self.runners.items()}
+
+    def open(self, one: str, other: str) -> bool:
+        """Tell whether two places reach each other; a place's first letter is its domain."""
+        names = {one, one[0]}, {other, other[0]}
+        pairs = {frozenset((x, y)) for x in names[0] for y in names[1]}
+        return not pairs & self.cuts
+
+    def start(self) -> None:
+        """Start all entries."""
+        for entry in self.entries.values():
+            entry.start()
+
+    def kill(self, name: str) -> None:
+        """Kill an entry's process."""
+        self.entries[name].kill()
+
+    def restart(self, name: str) -> None:
+        """Start an entry's process again."""
+        self.entries[name] = Entry(self, name, name[0])
+        self.entries[name].start()
+
+    def holder(self, cell: str) -> str | None:
+        """Name the entry that thinks it holds a cell."""
+        for name, entry in self.entries.items():
+            if not entry.dead and cell in entry.succession.held:
+                return name
+        return None
+
+    def close(self) -> None:
+        """End everything."""
+        self._stepper.cancel()
+        for entry in self.entries.values():
+            entry.kill()
+
+    async def _step_workers(self) -> None:
+        while True:
+            await asyncio.sleep(STEP_S)
+            for runner in list(self.runners.values()):
+                runner.step()
+                if not Size(0, 0).fits(runner.host.size.minus(runner.used())):
+                    self.judge.broken.append(f"over its size: {runner.host.name}")
+
+    def _work(self, task: TaskId) -> Work:
+        job = self.judge.jobs[task.job]
+        return Work(job.steps[task.step], self.work.get(task.job, 1.0))
+
+    async def submit(self, entry: str, job: Job) -> Verdict:
+        """Hand a job in."""
+        self.judge.jobs[job.id] = job
+        return await self.entries[entry].intake.submit(job, 2.0)
+
+    async def phase(self, entry: str, job_id: str) -> Phase | None:
+        """Ask for a job's phase."""
+        return (await self.entries[entry].intake.phase(job_id)).phase
+
+    async def until(self, good: Callable[[], Awaitable[bool]], seconds: float) -> bool:
+        """Wait until something holds."""
+        limit = now() + seconds
+        while now() < limit:
+            try:
+                if await good():
+                    return True
+            except CurranthallError:
+                pass
+            await asyncio.sleep(0.1)
+        return False
+
+
+class Entry:
+    """One entry's process."""
+
+    def __init__(self, cluster: Cluster, name: str, domain: str) -> None:
+        self.cluster = cluster
+        self.name = name
+        self.dead = False
+        store = FaultyStore(cluster, self)
+        incarnation = cluster.rng.getrandbits(40)
+        me = Claimant(name, name, incarnation, domain, 1.0)
+        around = Surroundings(
+            store,
+            lambda host: FaultyWorker(cluster, self, host),
+            now,
+            lambda: now() * 1000,
+            lambda job: cluster.queue,
+            cluster.hosts,
+            lambda: cluster.out,
+            self.cast,
+            self._reaches,
+        )
+        self.succession = Succession(me, cluster.domains, Bounds(), around)
+        self.intake = Intake(self.succession, store, self, now, lambda: cluster.out)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Start the loops."""
+        self._tasks = [
+            asyncio.ensure_future(self.succession.run()),
+            asyncio.ensure_future(self._watch_hosts()),
+        ]
+
+    def kill(self) -> None:
+        """End all loops without a word."""
+        self.dead = True
+        for task in self._tasks:
+            task.cancel()
+        self.succession.stop()
+
+    async def _watch_hosts(self) -> None:
+        while True:
+            self.succession.on_hosts(self.cluster.hosts())
+            self.succession.on_evacuated(self.cluster.out)
+            await asyncio.sleep(0.3)
+
+    async def _reaches(self, host: Host) -> bool:
+        await asyncio.sleep(NET_S)
+        return host.name in self.cluster.runners and self.cluster.open(self.name, host.name)
+
+    def cast(self, peer: str, verb: str, body: Any) -> None:
+        """Send to a peer without an answer."""
+        asyncio.ensure_future(self._cast(peer, verb, body))
+
+    async def _cast(self, peer: str, verb: str, body: Any) -> None:
+        try:
+            await self.call(peer, verb, body, TIMEOUT_S)
+        except CurranthallError:
+            pass
+
+    async def call(self, peer: str, verb: str, body: Any, timeout: float) -> Any:
+        """Ask a peer."""
+        await asyncio.sleep(NET_S)
+        other = self.cluster.entries[peer]
+        if other.dead or not self.cluster.open(self.name, peer):
+            raise PeerUnreachable(peer=peer)
+        return await other.intake.handle(self.name, verb, body)
+
+
+class FaultyStore:
+    """The store as one entry reaches it."""
+
+    def __init__(self, cluster: Cluster, entry: Entry) -> None:
+        self._cluster = cluster
+        self._entry = entry
+
+    async def _reach(self) -> None:
+        await asyncio.sleep(NET_S * (1 + self._cluster.rng.random()))
+        cluster = self._cluster
+        if cluster.store_down or not cluster.open(self._entry.name, "store"):
+            await asyncio.sleep(TIMEOUT_S)
+            raise PlatformDown(why="away")
+
+    async def commit(
+        self, part: str, checks: list[Check], puts: list[Put], drops: list[Drop]
+    ) -> Committed | Stale:
+        """Commit, with answers lost and effects late."""
+        await self._reach()
+        cluster = self._cluster
+        if cluster.rng.random() < cluster.lose_answers:
+            if cluster.rng.random() < 0.5:
+                delay = cluster.rng.uniform(0.5, 3.0)
+                loop = asyncio.get_running_loop()
+                loop.call_later(delay, cluster.store.apply, part, checks, puts, drops)
+            else:
+                cluster.store.apply(part, checks, puts, drops)
+            await asyncio.sleep(TIMEOUT_S)
+            raise AnswerLost(why="lost")
+        answer = cluster.store.apply(part, checks, puts, drops)
+        await asyncio.sleep(NET_S)
+        return answer
+
+    async def scan(self, table: str, part: str, start: str = "", end: str = "") -> Listing:
+        """Scan."""
+        await self._reach()
+        listing = await self._cluster.store.scan(table, part, start, end)
+        await asyncio.sleep(NET_S)
+        return listing
+
+    async def feed(self, table: str, after: int, wait_ms: int) -> Listing:
+        """Follow."""
+        await self._reach()
+        listing = await self._cluster.store.feed(table, after, wait_ms)
+        await self._reach()
+        return listing
+
+
+class FaultyWorker:
+    """A worker as one entry reaches it."""
+
+    def __init__(self, cluster: Cluster, entry: Entry, host: Host) -> None:
+        self._cluster = cluster
+        self._entry = entry
+        self._name = host.name
+
+    async def _reach(self) -> Runner:
+        await asyncio.sleep(NET_S * (1 + self._cluster.rng.random()))
+        if self._name in self._cluster.gone:
+            raise OtherBoot(worker=self._name)
+        runner = self._cluster.runners.get(self._name)
+        if runner is None or not self._cluster.open(self._entry.name, self._name):
+            await asyncio.sleep(TIMEOUT_S)
+            raise AnswerLost(peer=self._name)
+        return runner
+
+    async def _late(self, effect: Callable[[], object]) -> None:
+        """Lose the answer now and carry the order out seconds later."""
+        cluster = self._cluster
+        if cluster.rng.random() >= cluster.apply_late:
+            return
+
+        def carry_out() -> None:
+            try:
+                if self._name in cluster.runners:
+                    effect()
+            except CurranthallError:
+                pass
+
+        delay = cluster.rng.uniform(*LATE_S)
+        asyncio.get_running_loop().call_later(delay, carry_out)
+        await asyncio.sleep(TIMEOUT_S)
+        raise AnswerLost(peer=self._name, why="late")
+
+    async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
+        """Hold."""
+        runner = await self._reach()
+        snapshot = await runner.hold(epoch, cursor, lease_ms, wait_ms)
+        if not self._cluster.open(self._entry.name, self._name):
+            raise AnswerLost(peer=self._name)
+        await self._reach()
+        return snapshot
+
+    async def start(self, epoch: int, order: StartTask) -> StartResult:
+        """Start."""
+        runner = await self._reach()
+        await self._late(lambda: runner.start(epoch, order))
+        return runner.start(epoch, order)
+
+    async def stop(self, epoch: int, order: StopTask) -> None:
+        """Stop."""
+        runner = await self._reach()
+        await self._late(lambda: runner.stop(epoch, order))
+        runner.stop(epoch, order)
+
+    async def pace(self, epoch: int, order: PaceTask) -> None:
+        """Pace."""
+        runner = await self._reach()
+        runner.pace(epoch, order)
+
+    def close(self) -> None:
+        """Nothing is kept."""
+
+
+__all__ = ["Cluster", "ConnectFailed", "Judge", "now"]
--- /dev/null
+++ b/tests/test_cells.py
@@ -0,0 +1,326 @@
+"""Cells under faults, in virtual time: what callers get, and what workers were told to do."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from curranthall.dag import Job, Phase, Step
+from curranthall.intake import Verdict
+from curranthall.model import Size
+from tests.cluster import SERVICE, Cluster, now
+from tests.virtual import run
+
+SOAK_SEEDS = range(12)
+
+
+def made(number: int, *steps: Step) -> Job:
+    """Build a job of two steps of tasks of a second each."""
+    usual = (
+        Step(4, Size(1, 1_000), 1_000),
+        Step(3, Size(2, 1_000), 1_000, after=(0,)),
+    )
+    return Job(f"{number:016x}", "q", SERVICE, "spec", steps or usual, int(now() * 1000))
+
+
+def lasting() -> Step:
+    """Build a step of lasting tasks."""
+    return Step(3, Size(1, 1_000), 1_000, lasting=True)
+
+
+class Cells(unittest.TestCase):
+    def play(self, scene: Callable[[Cluster], Coroutine[Any, Any, None]], seed: int = 1) -> None:
+        """Play a scene, then hold the judge's findings against it."""
+
+        async def main() -> None:
+            cluster = Cluster(seed)
+            cluster.start()
+            await asyncio.sleep(3)
+            await scene(cluster)
+            cluster.close()
+            self.assertEqual(cluster.judge.broken, [])
+
+        run(main())
+
+    async def completes(self, cluster: Cluster, *jobs: Job, within: float = 20.0) -> None:
+        """Expect that all jobs are shown as completed at every living entry."""
+        for job in jobs:
+            for name, entry in cluster.entries.items():
+                if entry.dead:
+                    continue
+                shown = await cluster.until(self._shows(cluster, name, job), within)
+                self.assertTrue(shown, f"{job.id} at {name}")
+
+    def _shows(self, cluster: Cluster, name: str, job: Job) -> Callable[[], Awaitable[bool]]:
+        async def good() -> bool:
+            return await cluster.phase(name, job.id) is Phase.COMPLETED
+
+        return good
+
+    async def hand_in(self, cluster: Cluster, count: int, entry: str = "a-e0") -> list[Job]:
+        """Hand jobs in at one entry."""
+        jobs = [made(number) for number in range(1, count + 1)]
+        for job in jobs:
+            self.assertIs(await cluster.submit(entry, job), Verdict.ACCEPTED)
+        return jobs
+
+    def test_jobs_are_completed_and_shown_everywhere(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            await self.completes(cluster, *await self.hand_in(cluster, 6))
+
+        self.play(scene)
+
+    def test_each_cell_is_held_by_an_entry_of_its_domain(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            held = {cell: cluster.holder(cell) for cell in cluster.domains}
+            self.assertEqual(
+                {cell: name and name[0] for cell, name in held.items()},
+                {"a": "a", "b": "b", "c": "c"},
+            )
+
+        self.play(scene)
+
+    def test_a_job_that_comes_again_elsewhere_stays_one_job(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            job = made(1)
+            self.assertIs(await cluster.submit("a-e0", job), Verdict.ACCEPTED)
+            self.assertIs(await cluster.submit("c-e1", job), Verdict.ACCEPTED)
+            await self.completes(cluster, job)
+
+        self.play(scene)
+
+    def test_a_killed_holder_is_followed_and_nothing_runs_twice(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            jobs = await self.hand_in(cluster, 8)
+            await asyncio.sleep(0.7)
+            for cell in cluster.domains:
+                holder = cluster.holder(cell)
+                assert holder is not None
+                cluster.kill(holder)
+            await self.completes(cluster, *jobs, within=40)
+
+        for seed in range(5):
+            self.play(scene, seed)
+
+    def test_a_restarted_holder_goes_on_with_what_runs(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            jobs = await self.hand_in(cluster, 8)
+            await asyncio.sleep(0.7)
+            for name in list(cluster.entries):
+                cluster.kill(name)
+            await asyncio.sleep(0.5)
+            for name in list(cluster.entries):
+                cluster.restart(name)
+            await self.completes(cluster, *jobs, within=10)
+            self.assertEqual(cluster.judge.starts, 8 * 7)
+
+        self.play(scene)
+
+    def test_work_goes_on_while_the_store_is_away(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            jobs = await self.hand_in(cluster, 4)
+            await asyncio.sleep(0.2)
+            cluster.store_down = True
+            await asyncio.sleep(5)
+            self.assertEqual(len(cluster.judge.done), 4 * 7)
+            self.assertIs(await cluster.submit("a-e0", made(9)), Verdict.REFUSED)
+            self.assertIsNot(await cluster.phase("a-e0", jobs[0].id), Phase.COMPLETED)
+            cluster.store_down = False
+            await self.completes(cluster, *jobs)
+            self.assertEqual(cluster.judge.starts, 4 * 7)
+
+        self.play(scene)
+
+    def test_a_domain_cut_off_with_its_holder_goes_on_alone(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            job = made(1, Step(20, Size(1, 1_000), 1_000))
+            cluster.out = frozenset(("b", "c"))
+            self.assertIs(await cluster.submit("a-e0", job), Verdict.ACCEPTED)
+            await asyncio.sleep(0.1)
+            cluster.cuts = {frozenset(("a", other)) for other in ("b", "c", "store")}
+            await asyncio.sleep(6)
+            cluster.cuts = set()
+            cluster.out = frozenset()
+            await self.completes(cluster, job)
+            self.assertEqual(cluster.judge.starts, 20)
+
+        self.play(scene)
+
+    def test_a_holder_cut_from_the_store_is_fenced(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            jobs = await self.hand_in(cluster, 6)
+            holder = cluster.holder("a")
+            assert holder is not None
+            cluster.cuts = {frozenset((holder, "store"))}
+            await asyncio.sleep(8)
+            self.assertNotEqual(cluster.holder("a"), holder)
+            cluster.cuts = set()
+            await self.completes(cluster, *jobs)
+
+        self.play(scene)
+
+    def test_lost_and_late_answers_of_the_store_double_nothing(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            cluster.lose_answers = 0.3
+            accepted = []
+            for number in range(1, 9):
+                job = made(number)
+                if await cluster.submit("b-e0", job) is Verdict.ACCEPTED:
+                    accepted.append(job)
+            await asyncio.sleep(3)
+            cluster.lose_answers = 0.0
+            await self.completes(cluster, *accepted)
+
+        for seed in range(5):
+            self.play(scene, seed)
+
+    def test_orders_carried_out_late_double_nothing(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            cluster.apply_late = 0.2
+            jobs = await self.hand_in(cluster, 8)
+            await asyncio.sleep(4)
+            cluster.apply_late = 0.0
+            await self.completes(cluster, *jobs, within=40)
+
+        for seed in range(5):
+            self.play(scene, seed)
+
+    def test_a_crashed_workers_tasks_run_elsewhere(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            jobs = await self.hand_in(cluster, 8)
+            await asyncio.sleep(0.4)
+            cluster.crash_worker("a-w0")
+            cluster.crash_worker("b-w0", reborn=True)
+            await self.completes(cluster, *jobs, within=30)
+
+        self.play(scene)
+
+    def test_a_lasting_task_is_back_soon_after_another_boot_shows(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            job = made(1, lasting())
+            self.assertIs(await cluster.submit("a-e0", job), Verdict.ACCEPTED)
+            await asyncio.sleep(1)
+            where = next(name for name, each in cluster.runners.items() if each.running)
+            cluster.crash_worker(where, reborn=True)
+            await asyncio.sleep(3)
+            at_work = sum(len(each.running) for each in cluster.runners.values())
+            self.assertEqual(at_work, 3)
+
+        self.play(scene)
+
+    def test_a_job_waiting_in_a_closed_cell_runs_elsewhere(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            jobs = await self.hand_in(cluster, 12)
+            await asyncio.sleep(0.1)
+            cluster.out = frozenset("a")
+            await self.completes(cluster, *jobs, within=30)
+
+        self.play(scene)
+
+    def test_a_cancelled_job_stops_soon(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            job = made(1, lasting())
+            self.assertIs(await cluster.submit("a-e0", job), Verdict.ACCEPTED)
+            await asyncio.sleep(1)
+            self.assertTrue(await cluster.entries["c-e1"].intake.cancel(job.id, 2.0))
+            cluster.judge.cancelled[job.id] = now()
+            await asyncio.sleep(1)
+            at_work = sum(len(each.running) for each in cluster.runners.values())
+            self.assertEqual(at_work, 0)
+            self.assertIs(await cluster.phase("b-e0", job.id), Phase.CANCELLED)
+
+        self.play(scene)
+
+    def test_an_unknown_job_is_said_to_be_unknown(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            self.assertIsNone(await cluster.phase("a-e0", "f" * 16))
+            self.assertFalse(await cluster.entries["a-e0"].intake.cancel("f" * 16, 2.0))
+
+        self.play(scene)
+
+    def test_dropped_history_loses_no_job(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            jobs = await self.hand_in(cluster, 3)
+            cluster.store.forget()
+            more = [made(number) for number in range(4, 7)]
+            for job in more:
+                self.assertIs(await cluster.submit("c-e1", job), Verdict.ACCEPTED)
+                cluster.store.forget()
+            await self.completes(cluster, *jobs, *more)
+
+        self.play(scene)
+
+
+class Soak(unittest.TestCase):
+    def test_faults_of_all_kinds_by_turns(self) -> None:
+        for seed in SOAK_SEEDS:
+            with self.subTest(seed=seed):
+                run(self._play(seed))
+
+    async def _play(self, seed: int) -> None:
+        cluster = Cluster(seed)
+        cluster.start()
+        await asyncio.sleep(3)
+        accepted: list[Job] = []
+        faults = asyncio.ensure_future(self._faults(cluster))
+        for number in range(1, 31):
+            job = made(number)
+            alive = [name for name, entry in cluster.entries.items() if not entry.dead]
+            if alive and await cluster.submit(cluster.rng.choice(alive), job) is Verdict.ACCEPTED:
+                accepted.append(job)
+            await asyncio.sleep(cluster.rng.uniform(0.1, 0.8))
+        await faults
+        for name in [name for name, entry in cluster.entries.items() if entry.dead]:
+            cluster.restart(name)
+        for job in accepted:
+
+            async def good(job: Job = job) -> bool:
+                return await cluster.phase("b-e0", job.id) is Phase.COMPLETED
+
+            self.assertTrue(await cluster.until(good, 40), f"seed {seed}: {job.id} not completed")
+        cluster.close()
+        self.assertEqual(cluster.judge.broken, [], f"seed {seed}")
+
+    async def _faults(self, cluster: Cluster) -> None:
+        rng = cluster.rng
+        for _ in range(8):
+            await asyncio.sleep(rng.uniform(0.2, 2.0))
+            match rng.randrange(7):
+                case 0:
+                    cell = rng.choice(cluster.domains)
+                    holder = cluster.holder(cell)
+                    if holder is not None:
+                        cluster.kill(holder)
+                        await asyncio.sleep(rng.uniform(0.2, 4.0))
+                        cluster.restart(holder)
+                case 1:
+                    cluster.store_down = True
+                    await asyncio.sleep(rng.uniform(0.5, 6.0))
+                    cluster.store_down = False
+                case 2:
+                    cluster.lose_answers = 0.3
+                    await asyncio.sleep(rng.uniform(1.0, 3.0))
+                    cluster.lose_answers = 0.0
+                case 3:
+                    cluster.apply_late = 0.2
+                    await asyncio.sleep(rng.uniform(1.0, 3.0))
+                    cluster.apply_late = 0.0
+                case 4:
+                    domain = rng.choice(cluster.domains)
+                    others = {*cluster.domains, "store"} - {domain}
+                    cluster.cuts = {frozenset((domain, other)) for other in others}
+                    await asyncio.sleep(rng.uniform(1.0, 7.0))
+                    cluster.cuts = set()
+                case 5:
+                    name = rng.choice(sorted(cluster.runners))
+                    if len(cluster.runners) > 5:
+                        cluster.crash_worker(name, reborn=rng.random() < 0.5)
+                case 6:
+                    name = rng.choice(sorted(cluster.entries))
+                    cluster.cuts = {frozenset((name, "store"))}
+                    await asyncio.sleep(rng.uniform(1.0, 6.0))
+                    cluster.cuts = set()
+
+
+if __name__ == "__main__":
+    unittest.main()
