Count a task behind a refused smaller one as stranded; weigh room apart for filling and plain tasks

Ruled out: the worker's end (seen as gone at once), the run's end (dropped), the room (other cells had it). Measured: the new test fails without the change.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -46,7 +46,8 @@
         if load is None:
             return 0.0
         handed = sum(row.cores for row in self._handed if row.cell == room.cell)
-        return load.room(batch.step) * ROOM_SHARE - load.waiting - handed
+        share = 1.0 if batch.step.lasting else ROOM_SHARE
+        return load.room(batch.step) * share - handed
 
     def _hand_batch(
         self, dispatcher: Dispatcher, batch: Batch, rooms: list[Room], now: float
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -10,7 +10,7 @@
 
 from curranthall.cells.fleet import Member, Run, RunState, Unrecorded
 from curranthall.cells.interference import Interference, Observation
-from curranthall.cells.load import Load, measure
+from curranthall.cells.load import Load, Waiting, measure
 from curranthall.cells.pacing import adjust, pressure
 from curranthall.cells.placement import REPORT_SPAN_S, Wish, choose, strain_limit
 from curranthall.cells.ports import (
@@ -796,6 +796,7 @@
         service = tracked.queue.service
         for _, filling, size in refused:
             if filling == step.filling and size.fits(step.size):
+                batch.stranded_since = batch.stranded_since or now
                 return
         siblings = batch.siblings()
         racks = self._racks(siblings) if step.same_rack else frozenset()
@@ -893,10 +894,10 @@
 
     def load(self, now: float) -> dict[str, Load]:
         """Give the cell's figures by service."""
-        waiting: dict[str, float] = {}
+        waiting: dict[str, Waiting] = {}
         for batch in self._ready.values():
             service = batch.tracked.queue.service
             cores = len(batch.waiting) * batch.step.size.cores
-            waiting[service] = waiting.get(service, 0.0) + cores
+            waiting[service] = waiting.get(service, Waiting()).plus(cores, batch.step.filling)
         usable = [m for m in self.members.values() if not self.closed and m.usable(now)]
         return measure(usable, waiting, self.interference)
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -16,25 +16,38 @@
 LEAST_WEIGHT = 0.05
 
 
+class Waiting(NamedTuple):
+    """Cores that waiting tasks ask for."""
+
+    plain: float = 0.0
+    filling: float = 0.0
+
+    def plus(self, cores: float, filling: bool) -> "Waiting":
+        """Add a batch."""
+        if filling:
+            return self._replace(filling=self.filling + cores)
+        return self._replace(plain=self.plain + cores)
+
+
 class Load(NamedTuple):
     """Cores of the usable workers of one service; `filling` is the room by filling image."""
 
     cores: float = 0.0
     free: float = 0.0
     idle: float = 0.0
-    waiting: float = 0.0
+    waiting: Waiting = Waiting()
     filling: dict[str, float] = {}
     serving: dict[str, float] = {}
 
     def room(self, step: Step) -> float:
-        """Give the cores that tasks of a step find."""
+        """Give the cores that tasks of a step find, less those that others wait for."""
         if not step.filling:
-            return self.free
-        return min(self.idle, self.filling.get(step.image, self.idle))
+            return self.free - self.waiting.plain
+        return min(self.idle, self.filling.get(step.image, self.idle)) - self.waiting.filling
 
 
 def measure(
-    members: Iterable[Member], waiting: dict[str, float], known: Interference
+    members: Iterable[Member], waiting: dict[str, Waiting], known: Interference
 ) -> dict[str, Load]:
     """Sum up the usable workers."""
     found: dict[str, Load] = {}
@@ -52,8 +65,8 @@
             free=load.free + member.room.cores,
             idle=load.idle + max(0.0, member.idle_cores),
         )
-    for service, cores in waiting.items():
-        found[service] = found.get(service, Load())._replace(waiting=cores)
+    for service, asked in waiting.items():
+        found[service] = found.get(service, Load())._replace(waiting=asked)
     return found
 
 
@@ -79,7 +92,7 @@
     if load.cores <= 0:
         return -float("inf")
     need = step.width * step.size.cores
-    left = load.room(step) - load.waiting - sent - need
+    left = load.room(step) - sent - need
     rate = left / load.cores
     if step.target_ms and left > 0:
         together = load.serving.get(step.image, 0.0) > 0 or cell == _first_cell(step.image, cells)
@@ -99,4 +112,5 @@
 
 def decode_loads(value: dict[str, list[Any]]) -> dict[str, Load]:
     """Read from a row."""
-    return {service: Load(*fields) for service, fields in value.items()}
+    loads = {service: Load(*fields) for service, fields in value.items()}
+    return {key: load._replace(waiting=Waiting(*load.waiting)) for key, load in loads.items()}
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -334,6 +334,14 @@
         cell.core.refresh("0" * 16, other, 2, cell.now)
         self.assertEqual(cell.core.tracked["0" * 16].progress.phase, Phase.COMPLETED)
 
+    def test_a_task_behind_a_refused_smaller_one_is_stranded_too(self) -> None:
+        cell = Cell(host("w1", cores=1))
+        cell.add(job("0" * 16, step(2, cores=1, lasting=True)))
+        cell.add(job("1" * 16, step(1, cores=1, lasting=True)))
+        cell.plan()
+        found = cell.core.stranded(0.0, cell.now)
+        self.assertEqual([batch.tracked.job.id for batch in found], ["0" * 16, "1" * 16])
+
     def test_moved_tasks_wait_here_no_more(self) -> None:
         cell = Cell(host("w1", cores=1))
         cell.add(job())
