--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from curranthall.cells.fleet import Member, Run, RunState, Unrecorded
+from curranthall.cells.fleet import QUARANTINE_S, Member, Run, RunState, Unrecorded
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import Load, Waiting, measure
 from curranthall.cells.pacing import adjust, pressure
@@ -408,6 +408,7 @@
             if (run.task, run.number) not in listed and asked_at > run.sure_from:
                 log(Event.RUN_VANISHED, task=run.task, run=run.number, worker=member.name)
                 self._drop(run, now)
+        self._leave_stalled(member, now)
         self._learn(member, now)
         level = member.pace
         self.orders.extend(adjust(member, self.interference, now))
@@ -419,6 +420,19 @@
                 tail_over_target=round(pressure(member), 2),
             )
 
+    def _leave_stalled(self, member: Member, now: float) -> None:
+        """Take runs that stand still off a worker, and leave it alone for a while."""
+        stalled = [run for run in member.runs.values() if run.stalled(now)]
+        if not stalled:
+            return
+        log(Event.WORKER_QUARANTINED, worker=member.name, why="runs stand still", runs=len(stalled))
+        member.avoid_until = max(member.avoid_until, now + QUARANTINE_S)
+        for run in stalled:
+            tracked = self.tracked.get(run.task.job)
+            if tracked is not None:
+                tracked.failed_on.setdefault(run.task[1:], set()).add(member.name)
+            self._stop(run, now)
+
     def _learn(self, member: Member, now: float) -> None:
         """Learn interference, unless the last change of pace is younger than the report."""
         since = max(member.pace_changed_at, member.learned_at)
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -23,7 +23,7 @@
 # Serving tasks reserve for their peaks; reports showed them at 0.42 of it, with a swing of half.
 SERVING_USE = 0.6
 # A run whose progress stands still this long is stalled.
-STALL_S = 1.5
+STALL_S = 2.0
 
 
 class RunState(Enum):
@@ -54,6 +54,12 @@
     gauge: float = 0.0
     pace: int = 100
 
+    def stalled(self, now: float) -> bool:
+        """Tell whether the run should progress and has not for a while."""
+        ends = not self.step.lasting and not self.step.gang
+        at_work = self.state is RunState.RUNNING and self.pace > 0
+        return ends and at_work and now - self.moved_at > STALL_S
+
 
 class Unrecorded(NamedTuple):
     """An end that may be acknowledged once the job's row holds the change."""
@@ -206,10 +212,3 @@
         self.recent.clear()
         self.avoid_until = max(self.avoid_until, now + QUARANTINE_S)
         return True
-
-    def stalled(self, now: float) -> int:
-        """Count the runs whose progress stands still."""
-        return sum(
-            run.state is RunState.RUNNING and run.pace > 0 and now - run.moved_at > STALL_S
-            for run in self.runs.values()
-        )
--- a/src/curranthall/cells/pacing.py
+++ b/src/curranthall/cells/pacing.py
@@ -14,7 +14,7 @@
 # The part of the load at the target that is aimed at; reports lag half a second.
 AIM = 0.88
 # While a tail is over this part of its target, the prediction is not trusted: the level halves.
-OVER = 1.0
+OVER = 0.95
 CAUTION_FALL = 0.5
 CAUTION_RISE = 2.0
 LEAST_CAUTION = 0.3
@@ -24,6 +24,9 @@
 LEAST_CHANGE = 12
 # A shorter time over the target costs less than the work held up: most filling tasks end first.
 TOLERATED_S = 2.0
+# Over the target for this long, all filling work stops, whatever is known of it: the platform
+# allows 4 s, of which a look and a report take one.
+LAST_RESORT_S = 2.7
 # Two changes are this far apart, so that each shows in a report first.
 SETTLE_S = 0.7
 # A filling run that adds less than this to a serving task's load is left alone.
@@ -46,7 +49,9 @@
     elif member.over_since is None:
         member.over_since = now
     lasting = member.over_since is not None and now - member.over_since >= TOLERATED_S
-    if now - member.pace_changed_at >= SETTLE_S and (lasting or member.pace < FULL):
+    if member.over_since is not None and now - member.over_since >= LAST_RESORT_S:
+        member.pace, member.pace_all, member.pace_changed_at = 0, True, now
+    elif now - member.pace_changed_at >= SETTLE_S and (lasting or member.pace < FULL):
         _move_level(member, filling, interference, now)
     for run in filling:
         pressed = member.pace_all or _presses(run, member, interference)
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -10,7 +10,7 @@
 from curranthall.cells.records import PROGRESS_TABLE, Stored, decode_stored
 from curranthall.cells.succession import Succession
 from curranthall.dag import Job, Phase, Progress
-from curranthall.errors import AnswerLost, CurranthallError, PlatformDown
+from curranthall.errors import AnswerLost, CurranthallError, PeerUnreachable, PlatformDown
 from curranthall.events import Event, log
 from curranthall.store import Check, Committed, Put, Row, Stale, Store
 
@@ -23,6 +23,8 @@
 # Kept back from the caller's deadline for the answer's way.
 ANSWER_S = 0.15
 STORE_RETRY_S = 0.1
+# How long a peer tries to store a job for another entry.
+RELAY_S = 1.5
 # A cell's figures are up to two renewals old; what was sent to it counts this long.
 SENT_S = 1.8
 
@@ -82,6 +84,11 @@
         """Store a job; accepted means committed, refused that it never runs."""
         until = self._clock() + wait_s - ANSWER_S
         progress = Progress(self.choose_cell(job), writer=self._succession.me.name)
+        if self._store.failing:
+            return await self._relay(job, progress, until)
+        return await self._create(job, progress, until)
+
+    async def _create(self, job: Job, progress: Progress, until: float) -> Verdict:
         asked = False
         while True:
             try:
@@ -101,6 +108,37 @@
                 return Verdict.UNKNOWN
             await asyncio.sleep(STORE_RETRY_S)
 
+    async def _relay(self, job: Job, progress: Progress, until: float) -> Verdict:
+        """Have a peer store a job while the store can't be reached from here."""
+        body = [job.encode(), progress.encode(), 0]
+        for address in self._holders():
+            left = until - self._clock()
+            try:
+                verdict = Verdict(await self._peers.call(address, "store", body, left))
+            except PeerUnreachable:
+                continue
+            except CurranthallError as exc:
+                log(Event.JOB_UNSURE, job=job.id, queue=job.queue, via=address, error=exc)
+                return Verdict.UNKNOWN
+            log(Event.JOB_RELAYED, job=job.id, via=address, verdict=verdict.value)
+            if verdict is not Verdict.REFUSED:
+                self._seen[job.id] = _Seen(progress.cell, Phase.QUEUED, self._clock())
+                return verdict
+        log(Event.JOB_REFUSED, job=job.id, queue=job.queue, why="the store is away")
+        return Verdict.REFUSED
+
+    def _holders(self) -> list[str]:
+        """Give the addresses of the cells' holders, the own one left out."""
+        watch, own = self._succession.watch, self._succession.me.address
+        owners = [watch.holder(cell) for cell in watch.cells]
+        return sorted({owner.address for owner in owners if owner is not None} - {own})
+
+    async def _store_for_peer(self, body: Any) -> Verdict:
+        stored = decode_stored(body)
+        if self._store.failing:
+            return Verdict.REFUSED
+        return await self._create(stored.job, stored.progress, self._clock() + RELAY_S)
+
     def _accepted(self, job: Job, progress: Progress, answer: Committed | Stale) -> Verdict:
         match answer:
             case Committed(version):
@@ -198,12 +236,23 @@
         until = self._clock() + wait_s - ANSWER_S
         while True:
             try:
+                if self._store.failing:
+                    return await self._cancel_by_peer(job_id, until)
                 return await self._cancel(job_id)
             except (PlatformDown, AnswerLost):
                 if self._clock() > until:
                     raise
                 await asyncio.sleep(STORE_RETRY_S)
 
+    async def _cancel_by_peer(self, job_id: str, until: float) -> bool:
+        for address in self._holders():
+            try:
+                left = until - self._clock()
+                return bool(await self._peers.call(address, "cancel", job_id, left))
+            except CurranthallError as exc:
+                log(Event.STORE_FAILED, what="cancel", job=job_id, via=address, error=exc)
+        return await self._cancel(job_id)
+
     async def _cancel(self, job_id: str) -> bool:
         found = await records.read_progress(self._store, job_id)
         while found is not None:
@@ -245,6 +294,10 @@
             case "phase":
                 local = self._local(str(body))
                 return None if local is None else int(local)
+            case "store":
+                return (await self._store_for_peer(body)).value
+            case "cancel":
+                return await self._cancel(str(body))
             case "job":
                 stored = decode_stored(body)
                 for runtime in list(self._succession.held.values()):
--- a/src/curranthall/platform/store.py
+++ b/src/curranthall/platform/store.py
@@ -10,6 +10,8 @@
 from curranthall.http import HttpClient, Response
 from curranthall.store import Check, Committed, Drop, Listing, Put, Row, Stale
 
+# The store is away or turns this machine away.
+REFUSALS = (429, 503)
 CALL_CONNECTIONS = 6
 FEED_CONNECTIONS = 8
 # A slow store answers in some 300 ms (its pages: 60 times 5 ms); beyond this it is away.
@@ -24,6 +26,7 @@
     def __init__(self, address: str) -> None:
         self._calls = HttpClient(address, CALL_CONNECTIONS)
         self._feeds = HttpClient(address, FEED_CONNECTIONS)
+        self.failing = False
 
     async def commit(
         self, part: str, checks: list[Check], puts: list[Put], drops: list[Drop]
@@ -96,9 +99,15 @@
         self, client: HttpClient, method: str, path: str, body: bytes, timeout: float
     ) -> Response:
         try:
-            return await client.call(method, path, body, timeout, JSON_HEADERS)
+            answer = await client.call(method, path, body, timeout, JSON_HEADERS)
         except ConnectFailed as exc:
+            self.failing = True
             raise PlatformDown(why=exc) from exc
+        except AnswerLost:
+            self.failing = True
+            raise
+        self.failing = answer.status in REFUSALS
+        return answer
 
     def close(self) -> None:
         """Close the connections."""
--- a/src/curranthall/standin/store.py
+++ b/src/curranthall/standin/store.py
@@ -23,6 +23,7 @@
         self._dropped_to = 0
         self._changed = asyncio.Event()
         self.version = 0
+        self.failing = False
 
     async def commit(
         self, part: str, checks: list[Check], puts: list[Put], drops: list[Drop]
--- a/src/curranthall/store.py
+++ b/src/curranthall/store.py
@@ -62,6 +62,10 @@
 class Store(Protocol):
     """What the slices ask; each call raises PlatformDown (no effect) or AnswerLost (unknown)."""
 
+    @property
+    def failing(self) -> bool:
+        """Tell whether the last calls failed and none has succeeded since."""
+
     async def commit(
         self, part: str, checks: list[Check], puts: list[Put], drops: list[Drop]
     ) -> Committed | Stale:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -285,13 +285,16 @@
     def __init__(self, cluster: Cluster, entry: Entry) -> None:
         self._cluster = cluster
         self._entry = entry
+        self.failing = False
 
     async def _reach(self) -> None:
         await asyncio.sleep(NET_S * (1 + self._cluster.rng.random()))
         cluster = self._cluster
         if cluster.store_down or not cluster.open(self._entry.name, "store"):
             await asyncio.sleep(TIMEOUT_S)
+            self.failing = True
             raise PlatformDown(why="away")
+        self.failing = False
 
     async def commit(
         self, part: str, checks: list[Check], puts: list[Put], drops: list[Drop]
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -159,6 +159,21 @@
 
         self.play(scene)
 
+    def test_an_entry_cut_from_the_store_accepts_and_cancels_by_a_peer(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            name = next(each for each in cluster.entries if cluster.holder(each[0]) != each)
+            cluster.cuts = {frozenset((name, "store"))}
+            await asyncio.sleep(2)
+            jobs = await self.hand_in(cluster, 2, name)
+            self.assertIsNot(await cluster.phase(name, jobs[0].id), None)
+            watcher = made(9, lasting())
+            self.assertIs(await cluster.submit(name, watcher), Verdict.ACCEPTED)
+            self.assertTrue(await cluster.entries[name].intake.cancel(watcher.id, 2.0))
+            cluster.cuts = set()
+            await self.completes(cluster, *jobs)
+
+        self.play(scene)
+
     def test_lost_and_late_answers_of_the_store_double_nothing(self) -> None:
         async def scene(cluster: Cluster) -> None:
             cluster.lose_answers = 0.3
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -254,6 +254,20 @@
         cell.answer("w1", [], ends)
         self.assertEqual(cell.plan(), [])
 
+    def test_runs_that_stand_still_are_taken_elsewhere(self) -> None:
+        cell = Cell(host("w1"), host("w2"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.started(order)
+        for _ in range(4):
+            cell.now += 0.8
+            cell.answer(order.worker, [listed(order, percent=30)])
+        self.assertEqual([stop.run for stop in cell.stops()], [order.run])
+        cell.answer(order.worker, [], [ended(1, order, EndKind.STOPPED)])
+        other = "w2" if order.worker == "w1" else "w1"
+        cell.answer(other)
+        self.assertEqual([again.worker for again in cell.plan()], [other])
+
 
 class UnansweredStarts(unittest.TestCase):
     def test_the_task_is_not_started_elsewhere_before_a_proof(self) -> None:
