Pack serving tasks; let slowed filling runs go on elsewhere from their checkpoint

Cause: filling runs paced beside serving ones lasted up to 12 s (mean 2.39 s against 1.75 unpaced) and kept their place; tasks short of time joined serving ones that then paced them. Change: serving tasks on the fullest worker first; a run slowed below half for 0.5 s stops and goes on from its checkpoint where it runs at full pace; haste widens the strain limit by 0.5 instead of 2.0.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -11,7 +11,7 @@
 from curranthall.cells.fleet import QUARANTINE_S, Member, Run, RunState, Unrecorded
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import Load, Waiting, measure
-from curranthall.cells.pacing import adjust, pressure
+from curranthall.cells.pacing import FULL, adjust, pressure
 from curranthall.cells.placement import REPORT_SPAN_S, Wish, choose, strain_limit
 from curranthall.cells.ports import (
     Ending,
@@ -41,6 +41,9 @@
 NO_ROOM_PAUSE_S = 0.5
 # A job whose start is malformed to the worker is not tried again for a while.
 MALFORMED_PAUSE_S = 5.0
+# A run slowed below this share, in percent, for this long is worth moving to a free worker.
+RELIEF_PACE = 50
+RELIEF_AFTER_S = 0.5
 # A summary of the cell is logged this often.
 SUMMARY_S = 2.0
 # Time to spare is never taken as less than this.
@@ -778,6 +781,7 @@
         if self.closed:
             return
         usable = [member for member in self.members.values() if member.usable(now)]
+        self._relieve(usable, now)
         refused: list[tuple[str, bool, Size]] = []
         for batch in sorted(self._ready.values(), key=lambda batch: self._order(batch, now)):
             if not batch.waiting:
@@ -785,6 +789,34 @@
             elif not self._held_back(batch, now):
                 self._place(batch, usable, refused, now)
 
+    def _relieve(self, usable: list[Member], now: float) -> None:
+        """Stop slowed runs that would go on at full pace, from their checkpoint, elsewhere."""
+        free = [member for member in usable if member.pace == FULL]
+        for member in usable:
+            if member.pace >= RELIEF_PACE or now - member.pace_changed_at < RELIEF_AFTER_S:
+                continue
+            for run in list(member.runs.values()):
+                if run.pace >= RELIEF_PACE or run.state is not RunState.RUNNING:
+                    continue
+                if run.step.checkpointing and not run.step.gang and self._elsewhere(run, free, now):
+                    log(Event.RUN_RELIEVED, task=run.task, worker=member.name, pace=run.pace)
+                    self._stop(run, now)
+                    return
+
+    def _elsewhere(self, run: Run, free: list[Member], now: float) -> bool:
+        tracked = self.tracked.get(run.task.job)
+        if tracked is None:
+            return False
+        siblings = self._batch(tracked, run.task).siblings()
+        wish = Wish(
+            tracked.queue.service,
+            run.step,
+            siblings,
+            interference=self.interference,
+            now=now,
+        )
+        return choose(wish, free) is not None
+
     def _order(self, batch: Batch, now: float) -> tuple[int, int, float]:
         tracked = batch.tracked
         if batch.step.lasting:
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -15,7 +15,7 @@
 STRAIN_LIMIT = 0.85
 # Workers report the last half second, so what started later does not show yet.
 REPORT_SPAN_S = 0.6
-HASTE_STRAIN = 2.0
+HASTE_STRAIN = 0.5
 
 
 def strain_limit(haste: float) -> float:
@@ -106,10 +106,10 @@
         # Filling tasks go where they press least on serving ones.
         kind, room = _strain(wish, member) if member.serving else 0.0, -idle
     elif step.target_ms:
-        # Serving tasks of one image are kept together: each filling image then finds workers
-        # whose serving tasks it does not press on.
+        # Serving tasks are packed, which leaves whole workers to filling ones; those of one image
+        # together, so that each filling image finds workers it does not press on.
         alike = sum(run.step.image == step.image for run in member.runs.values())
-        kind, room = float(member.serving - alike) - alike, -idle
+        kind, room = -member.serving_cores / host.size.cores, -float(alike)
     else:
         # Plain tasks disturb nobody, so they take the room beside serving ones.
         kind, room = float(member.serving == 0), -idle
