Keep room for a lasting task that waits; bound the logs; figures for a scrape

Change: the worker with the most room is kept for it, and other cells take it before all that waits there. Metrics on 9105.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -46,8 +46,10 @@
         if load is None:
             return 0.0
         handed = sum(row.cores for row in self._handed if row.cell == room.cell)
-        share = 1.0 if batch.step.lasting else ROOM_SHARE
-        return load.room(batch.step) * share - handed
+        if batch.step.lasting:
+            # Lasting tasks go before all that waits there.
+            return load.free - handed
+        return load.room(batch.step) * ROOM_SHARE - handed
 
     def _hand_batch(
         self, dispatcher: Dispatcher, batch: Batch, rooms: list[Room], now: float
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -28,6 +28,7 @@
 from curranthall.dag.progress import Key
 from curranthall.events import Event, log
 from curranthall.model import Host, Size
+from curranthall.telemetry import completion_seconds
 
 # A start that is carried out later than this is refused by the worker's clock.
 START_WINDOW_S = 1.5
@@ -375,6 +376,11 @@
 
     def note_recorded(self, tracked: Tracked, change: int, version: int) -> None:
         """Note that the row holds all up to a change."""
+        if tracked.progress.phase.final and tracked.recorded < tracked.change <= change:
+            phase = tracked.progress.phase.name.lower()
+            took_s = (tracked.final_at or tracked.due) - tracked.due
+            completion_seconds.observe(took_s, queue=tracked.queue.name, phase=phase)
+            log(Event.JOB_ENDED, job=tracked.job.id, phase=phase, took_ms=int(took_s * 1000))
         tracked.recorded = max(tracked.recorded, change)
         tracked.version = max(tracked.version, version)
 
@@ -788,6 +794,8 @@
                 del self._ready[batch.tracked.job.id, batch.occurrence, batch.number]
             elif not self._held_back(batch, now):
                 self._place(batch, usable, refused, now)
+                if batch.step.lasting and batch.waiting:
+                    self._reserve(batch, usable)
 
     def _relieve(self, usable: list[Member], now: float) -> None:
         """Stop slowed runs that would go on at full pace, from their checkpoint, elsewhere."""
@@ -817,6 +825,23 @@
         )
         return choose(wish, free) is not None
 
+    def _reserve(self, batch: Batch, usable: list[Member]) -> None:
+        """Keep the worker with the most room for a lasting task that found none.
+
+        Smaller tasks that come later would else take each core that gets free.
+        """
+        step, siblings = batch.step, batch.siblings()
+        fitting = [
+            member
+            for member in usable
+            if member.host.service == batch.tracked.queue.service
+            and (not step.requires or step.requires in member.host.labels)
+            and (not step.max_per_worker or siblings.get(member.name, 0) < step.max_per_worker)
+            and step.size.fits(member.host.size.minus(member.lasting_size()))
+        ]
+        if fitting:
+            usable.remove(max(fitting, key=lambda member: member.room.cores))
+
     def _order(self, batch: Batch, now: float) -> tuple[int, int, float]:
         tracked = batch.tracked
         if batch.step.lasting:
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -155,6 +155,14 @@
             self.serving_cores -= run.step.size.cores
         return True
 
+    def lasting_size(self) -> Size:
+        """Sum up the sizes of lasting tasks, which do not end by themselves."""
+        total = NOTHING
+        for run in self.runs.values():
+            if run.step.lasting:
+                total = total.plus(run.step.reserved)
+        return total
+
     def filling_shares(self) -> dict[str, float]:
         """Give by image the share of the cores that filling tasks ask for."""
         shares: dict[str, float] = {}
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -3,13 +3,14 @@
 import asyncio
 import os
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import NamedTuple
 
 from curranthall.catalogue import Catalogue, DomainOut, Operation, Operations
 from curranthall.cells.dispatcher import Bounds
 from curranthall.cells.owner import Claimant
 from curranthall.cells.ports import WorkerPort
+from curranthall.cells.runtime import CellRuntime
 from curranthall.cells.succession import Succession, Surroundings
 from curranthall.errors import AnswerLost, PlatformDown
 from curranthall.events import Event, log
@@ -17,6 +18,7 @@
 from curranthall.link import SocketMesh
 from curranthall.model import Host
 from curranthall.store import ABSENT, Check, Put, Row, Stale, Store
+from curranthall.telemetry import Sample
 from curranthall.watch import TableWatch
 
 ENTRY_TABLE = "entries"
@@ -64,6 +66,21 @@
     return time.time() * 1000
 
 
+def _cell_figures(cell: str, runtime: CellRuntime, now: float) -> Iterator[Sample]:
+    dispatcher, label = runtime.dispatcher, {"cell": cell}
+    yield Sample("cell_epoch", label, dispatcher.epoch)
+    yield Sample("cell_confirmed_age_seconds", label, now - runtime.confirmed_at)
+    yield Sample("cell_jobs", label, len(dispatcher.tracked))
+    members = list(dispatcher.members.values())
+    usable = sum(member.usable(now) for member in members)
+    yield Sample("workers", {**label, "state": "usable"}, usable)
+    yield Sample("workers", {**label, "state": "other"}, len(members) - usable)
+    yield Sample("workers_paced", label, sum(member.pace < 100 for member in members))
+    yield Sample("runs", label, sum(len(member.runs) for member in members))
+    for queue, count in dispatcher.waiting_jobs().items():
+        yield Sample("queue_waiting_jobs", {**label, "queue": queue}, count)
+
+
 class Daemon:
     """One entry on the platform."""
 
@@ -132,6 +149,15 @@
         if self._mesh is not None:
             await self._mesh.close()
 
+    def figures(self) -> Iterator[Sample]:
+        """Give the state of this process as figures."""
+        now, catalogue = boot_clock(), self.operations.catalogue
+        yield Sample("ready", {}, float(self.ready))
+        yield Sample("store_read_age_seconds", {}, now - self.succession.read_ok_at)
+        yield Sample("configuration_version", {}, catalogue.version if catalogue else 0)
+        for cell, runtime in self.succession.held.items():
+            yield from _cell_figures(cell, runtime, now)
+
     # Peers, for the intake
 
     def cast(self, peer: str, verb: str, body: object) -> None:
--- a/src/curranthall/events.py
+++ b/src/curranthall/events.py
@@ -1,12 +1,12 @@
 """Numbered log events; docs/EVENTS.md is their catalogue."""
 
-import json
-import sys
-import time
+from collections import Counter
 from enum import Enum
 
 from absl import logging
 
+from curranthall.logwriter import LogWriter
+
 
 class Event(Enum):
     """Every event that an entry logs, by number."""
@@ -80,6 +80,7 @@
     JOB_CLOSED = 2305
     JOB_MOVED = 2306
     JOB_RELAYED = 2307
+    JOB_ENDED = 2308
     RUN_PLACED = 2401
     RUN_REFUSED = 2402
     RUN_UNSURE = 2403
@@ -95,19 +96,21 @@
     WORKER_GONE = 2505
 
 
-_as_json = False
+counts: Counter[str] = Counter()
+_writer: LogWriter | None = None
 
 
-def use_json() -> None:
-    """Write each event as one JSON object a line to standard output."""
-    global _as_json
-    _as_json = True
+def use_json(descriptor: int = 1) -> None:
+    """Write each event as one JSON object a line to a descriptor, standard output by default."""
+    global _writer
+    _writer = LogWriter(descriptor)
 
 
 def log(event: Event, **fields: object) -> None:
     """Write one line: number, name and fields."""
-    if _as_json:
-        _write_json(event, fields)
+    counts[event.name] += 1
+    if _writer is not None:
+        _writer.write(event, {key: _plain(value) for key, value in fields.items()})
         return
     if logging.get_verbosity() < logging.INFO:
         return
@@ -115,12 +118,5 @@
     logging.info("E%d %s %s", event.value, event.name.lower().replace("_", "-"), text)
 
 
-def _write_json(event: Event, fields: dict[str, object]) -> None:
-    plain = {key: _plain(value) for key, value in fields.items()}
-    line = {"t": round(time.time(), 3), "event": event.value, "name": event.name, **plain}
-    sys.stdout.write(json.dumps(line) + "\n")
-    sys.stdout.flush()
-
-
 def _plain(value: object) -> object:
     return value if isinstance(value, str | int | float | list | None) else str(value)
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -13,6 +13,7 @@
 from curranthall.errors import AnswerLost, CurranthallError, PeerUnreachable, PlatformDown
 from curranthall.events import Event, log
 from curranthall.store import Check, Committed, Put, Row, Stale, Store
+from curranthall.telemetry import acceptance_seconds
 
 # How long the holder of a job's cell is asked for its phase before the store is read.
 ASK_HOLDER_S = 0.25
@@ -82,11 +83,13 @@
 
     async def submit(self, job: Job, wait_s: float) -> Verdict:
         """Store a job; accepted means committed, refused that it never runs."""
-        until = self._clock() + wait_s - ANSWER_S
+        began = self._clock()
+        until = began + wait_s - ANSWER_S
         progress = Progress(self.choose_cell(job), writer=self._succession.me.name)
-        if self._store.failing:
-            return await self._relay(job, progress, until)
-        return await self._create(job, progress, until)
+        store = self._relay if self._store.failing else self._create
+        verdict = await store(job, progress, until)
+        acceptance_seconds.observe(self._clock() - began, verdict=verdict.value)
+        return verdict
 
     async def _create(self, job: Job, progress: Progress, until: float) -> Verdict:
         asked = False
--- a/src/curranthall/platform/__main__.py
+++ b/src/curranthall/platform/__main__.py
@@ -7,7 +7,7 @@
 from curranthall.daemon import Daemon, Dialect
 from curranthall.errors import SettingsInvalid
 from curranthall.events import Event, log, use_json
-from curranthall.http import HttpServer
+from curranthall.http import HttpServer, Request, Response
 from curranthall.platform.decode import (
     HOST_TABLE,
     OPERATION_TABLE,
@@ -18,15 +18,28 @@
 from curranthall.platform.settings import load_deployment
 from curranthall.platform.store import PlatformStore
 from curranthall.platform.worker import PlatformWorker, reaches
+from curranthall.telemetry import Telemetry
 
 MAX_BODY_BYTES = 262_144
 # The platform needs two missed probes, a second apart, before it sends no more connections.
 ROTATION_S = 2.5
 # Kept back from the grace period for closing.
 CLOSE_S = 1.0
+# Also stands in deploy/system.toml.
+METRICS_PORT = 9_105
 EXIT_USAGE = 2
 
 
+class _Metrics:
+    def __init__(self, daemon: Daemon) -> None:
+        self._telemetry = Telemetry(daemon.figures)
+
+    async def handle(self, req: Request) -> Response:
+        """Answer a scrape."""
+        body, kind = self._telemetry.render()
+        return Response(200, body, content_type=kind)
+
+
 async def run() -> None:
     """Serve until SIGTERM, then leave gracefully."""
     deployment = load_deployment()
@@ -41,6 +54,8 @@
     loop.add_signal_handler(signal.SIGHUP, _reload)
     callers = HttpServer(front.handle, MAX_BODY_BYTES)
     probes = HttpServer(front.ready)
+    metrics = HttpServer(_Metrics(daemon).handle)
+    await metrics.start(deployment.mesh.rpartition(":")[0], METRICS_PORT)
     await callers.start(*_split(deployment.front))
     await probes.start(*_split(deployment.readiness))
     await daemon.start()
--- a/src/curranthall/platform/store.py
+++ b/src/curranthall/platform/store.py
@@ -1,6 +1,7 @@
 """The platform's metadata store, behind the product's Store interface."""
 
 import base64
+import time
 from typing import Any
 from urllib.parse import urlencode
 
@@ -9,6 +10,7 @@
 from curranthall.errors import AnswerLost, ConnectFailed, HistoryLost, PlatformDown
 from curranthall.http import HttpClient, Response
 from curranthall.store import Check, Committed, Drop, Listing, Put, Row, Stale
+from curranthall.telemetry import store_call_seconds
 
 # The store is away or turns this machine away.
 REFUSALS = (429, 503)
@@ -98,14 +100,19 @@
     async def _send(
         self, client: HttpClient, method: str, path: str, body: bytes, timeout: float
     ) -> Response:
+        began, kind = time.monotonic(), path.partition("?")[0].rpartition("/")[2]
         try:
             answer = await client.call(method, path, body, timeout, JSON_HEADERS)
         except ConnectFailed as exc:
             self.failing = True
+            store_call_seconds.observe(time.monotonic() - began, call=kind, outcome="unsent")
             raise PlatformDown(why=exc) from exc
         except AnswerLost:
             self.failing = True
+            store_call_seconds.observe(time.monotonic() - began, call=kind, outcome="lost")
             raise
+        outcome = str(answer.status)
+        store_call_seconds.observe(time.monotonic() - began, call=kind, outcome=outcome)
         self.failing = answer.status in REFUSALS
         return answer
 
--- /dev/null
+++ b/src/curranthall/telemetry.py
@@ -0,0 +1,80 @@
+"""Figures of a daemon: counted as things happen, rendered by aioprometheus when asked for."""
+
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+from curranthall.events import counts
+
+TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+# Upper bounds of the latency buckets, in seconds.
+BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
+
+
+class Sample(NamedTuple):
+    """One figure: name with its unit, labels, value."""
+
+    name: str
+    labels: dict[str, str]
+    value: float
+
+
+class Histogram:
+    """Latencies by bucket."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._series: dict[tuple[tuple[str, str], ...], list[float]] = {}
+
+    def observe(self, seconds: float, **labels: str) -> None:
+        """Count one latency."""
+        series = self._series.setdefault(
+            tuple(sorted(labels.items())), [0.0] * (len(BUCKETS_S) + 2)
+        )
+        for place, bound in enumerate(BUCKETS_S):
+            series[place] += seconds <= bound
+        series[-2] += 1
+        series[-1] += seconds
+
+    def samples(self) -> Iterator[Sample]:
+        """Give the figures."""
+        for key, series in self._series.items():
+            labels = dict(key)
+            for bound, count in zip(BUCKETS_S, series, strict=False):
+                yield Sample(f"{self._name}_bucket", {**labels, "le": str(bound)}, count)
+            yield Sample(f"{self._name}_count", labels, series[-2])
+            yield Sample(f"{self._name}_sum", labels, series[-1])
+
+
+acceptance_seconds = Histogram("acceptance_seconds")
+completion_seconds = Histogram("completion_seconds")
+store_call_seconds = Histogram("store_call_seconds")
+hold_seconds = Histogram("worker_look_seconds")
+
+
+class Telemetry:
+    """Renders the counts of this process and what `gauges` tells of its state."""
+
+    def __init__(self, gauges: Callable[[], Iterator[Sample]]) -> None:
+        self._gauges = gauges
+
+    def render(self) -> tuple[bytes, str]:
+        """Give the metrics and their content type."""
+        # Imported at the first scrape: a daemon that is never scraped saves the memory.
+        from aioprometheus import Gauge, Registry, render
+
+        registry: Any = Registry()
+        made: dict[str, Any] = {}
+        for sample in self._samples():
+            name = f"curranthall_{sample.name}"
+            if name not in made:
+                made[name] = Gauge(name, sample.name.replace("_", " "), registry=registry)
+            made[name].set(sample.labels, sample.value)
+        body, headers = render(registry, [])
+        return body, headers.get("Content-Type", TEXT_TYPE)
+
+    def _samples(self) -> Iterator[Sample]:
+        for name, count in counts.items():
+            yield Sample("events_total", {"event": name.lower()}, count)
+        for histogram in (acceptance_seconds, completion_seconds, store_call_seconds, hold_seconds):
+            yield from histogram.samples()
+        yield from self._gauges()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -69,6 +69,19 @@
             cell.started(order)
             cell.answer("w1", [], [ended(number, order, kind)])
 
+    def test_smaller_tasks_leave_room_to_a_lasting_one_that_waits(self) -> None:
+        cell = Cell(host("w1", cores=4))
+        cell.add(job("0" * 16, step(4, cores=1)))
+        running = cell.plan()
+        cell.started(*running)
+        cell.add(job("1" * 16, step(1, cores=3, lasting=True)))
+        cell.add(job("2" * 16, step(9, cores=1)))
+        for number, order in enumerate(running[:3], 1):
+            left = [listed(each) for each in running[number:]]
+            cell.answer("w1", left, [ended(number, order, EndKind.DONE)])
+            started = [each.task.job for each in cell.plan()]
+        self.assertEqual(started, ["1" * 16])
+
 
 class Gangs(unittest.TestCase):
     def test_all_members_start_at_once_with_one_run_or_none_does(self) -> None:
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,78 @@
+"""Logs are bounded and never block."""
+
+import os
+import unittest
+
+import orjson
+
+from curranthall.events import Event
+from curranthall.logwriter import LINES_PER_EVENT, LogWriter
+
+
+class Logs(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, self.out = os.pipe()
+        self.now = 100.0
+        self.writer = LogWriter(self.out, lambda: self.now)
+
+    def tearDown(self) -> None:
+        os.close(self.reader)
+        os.close(self.out)
+
+    def lines(self) -> list[dict[str, object]]:
+        """Read what was written."""
+        return [orjson.loads(line) for line in os.read(self.reader, 1_000_000).splitlines()]
+
+    def test_a_line_is_one_json_object(self) -> None:
+        self.writer.write(Event.JOB_STORED, {"job": "a", "cell": "north"})
+        expected = {"t": 100.0, "event": 2301, "name": "JOB_STORED", "job": "a", "cell": "north"}
+        self.assertEqual(self.lines(), [expected])
+
+    def test_a_flood_of_one_event_is_cut_and_counted(self) -> None:
+        for _ in range(LINES_PER_EVENT + 25):
+            self.writer.write(Event.RUN_PLACED, {"task": "x"})
+        self.writer.write(Event.JOB_REFUSED, {"job": "b"})
+        self.now += 1
+        self.writer.write(Event.JOB_STORED, {"job": "c"})
+        lines = self.lines()
+        names = [line["name"] for line in lines]
+        self.assertEqual(names.count("RUN_PLACED"), LINES_PER_EVENT)
+        self.assertIn("JOB_REFUSED", names)
+        left_out = next(line for line in lines if line["name"] == "LEFT_OUT")
+        self.assertEqual(left_out["counts"], {"RUN_PLACED": 25})
+
+    def test_a_reader_that_does_not_read_blocks_nothing_and_is_told_later(self) -> None:
+        text = "x" * 5_000
+        for _ in range(200):
+            self.now += 1
+            self.writer.write(Event.JOB_STORED, {"text": text})
+        self.assertGreater(self.writer.dropped, 0)
+        os.set_blocking(self.reader, False)
+        read = self.read_all()
+        self.now += 1
+        self.writer.write(Event.JOB_STORED, {"job": "c"})
+        lines = [orjson.loads(line) for line in (read + self.read_all()).splitlines()]
+        told = sum(line["lines"] for line in lines if line["name"] == "DROPPED")
+        written = sum(line["name"] == "JOB_STORED" for line in lines)
+        self.assertEqual(written + told, 201)
+
+    def read_all(self) -> bytes:
+        """Read until nothing is left, letting the writer go on."""
+        found = b""
+        while True:
+            try:
+                found += os.read(self.reader, 65_536)
+            except BlockingIOError:
+                return found
+            self.writer.flush()
+
+    def test_a_closed_reader_ends_nothing(self) -> None:
+        reader, out = os.pipe()
+        writer = LogWriter(out, lambda: self.now)
+        os.close(reader)
+        writer.write(Event.JOB_STORED, {"job": "a"})
+        os.close(out)
+
+
+if __name__ == "__main__":
+    unittest.main()
