Keep tasks at the cell that they were given to when the rest of the job moves on

Cause: a job with a step partly given to another cell, whose other step found no room, was moved whole: the exceptions were cleared, and the new cell started what the former one ran. Change: a job moves whole only when no task of it was given away; the test fails without the change. Ruled out: late writes of progress (a row's version decides), concurrent moves (the committed row wins).

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -75,7 +75,9 @@
     cell: str,
     now: float,
 ) -> None:
-    whole = len(numbers) == batch.step.width and not tracked.active() and not tracked.began
+    # Other cells may be at work on tasks that were given to them before.
+    untouched = not (tracked.active() or tracked.began or tracked.progress.elsewhere)
+    whole = untouched and len(numbers) == batch.step.width
     dispatcher.move(tracked, batch, None if whole else numbers, cell, now)
     log(
         Event.JOB_MOVED,
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,10 +2,12 @@
 
 import unittest
 
+from curranthall.cells.balance import Balance, Room
+from curranthall.cells.load import Load
 from curranthall.cells.ports import Ending, EndKind, Listed, StartResult
 from curranthall.dag import Phase, Progress
 from curranthall.model import HostState
-from tests.cell_fixtures import BORN, CELL, Cell, ended, host, job, listed, step, task
+from tests.cell_fixtures import BORN, CELL, SERVICE, Cell, ended, host, job, listed, step, task
 
 
 class Starting(unittest.TestCase):
@@ -369,6 +371,18 @@
         found = cell.core.stranded(0.0, cell.now)
         self.assertEqual([batch.tracked.job.id for batch in found], ["0" * 16, "1" * 16])
 
+    def test_tasks_given_to_one_cell_stay_there_when_the_rest_goes_to_another(self) -> None:
+        cell = Cell(host("w1", cores=1))
+        progress = Progress(CELL, elsewhere={(0, 0, 0): "south"})
+        cell.core.adopt(job("0" * 16, step(2, cores=4), step(2, cores=4)), progress, 1, 100, False)
+        cell.plan()
+        cell.now += 1
+        room = Room("east", {SERVICE: Load(cores=90, free=90, idle=90)})
+        Balance().hand_on(cell.core, [room], cell.now)
+        self.assertEqual(progress.cell, CELL)
+        self.assertEqual(progress.owner((0, 0, 0)), "south")
+        self.assertEqual(progress.owner((0, 1, 0)), "east")
+
     def test_moved_tasks_wait_here_no_more(self) -> None:
         cell = Cell(host("w1", cores=1))
         cell.add(job())
