Tell other cells only of committed moves

Change: what is told is decoded from the committed value; the test makes a second move while the first is on its way, and fails without the change.

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -27,6 +27,8 @@
     read_all,
     read_job,
 )
+from curranthall.dag import Job, Progress
+from curranthall.dag.progress import decode_progress
 from curranthall.errors import (
     AnswerLost,
     ConnectFailed,
@@ -419,9 +421,9 @@
         try:
             match await self._store.commit(part, checks, puts, []):
                 case Committed(version):
-                    for tracked, change, _ in changes:
+                    for (tracked, change, _), put in zip(changes, puts, strict=True):
                         self.dispatcher.note_recorded(tracked, change, version)
-                        self._tell_others(tracked, version)
+                        self._tell_others(tracked.job, decode_progress(put.value), version)
                 case Stale(rows):
                     self._reconcile(changes, rows)
         except (PlatformDown, AnswerLost) as exc:
@@ -432,10 +434,13 @@
         self.wake()
         return True
 
-    def _tell_others(self, tracked: Tracked, version: int) -> None:
-        """Tell the other cells with tasks of a job; their feed would, a while later."""
-        for cell in others(tracked.progress, self.cell):
-            self._neighbours.tell(cell, Stored(tracked.job, tracked.progress, version))
+    def _tell_others(self, job: Job, committed: Progress, version: int) -> None:
+        """Tell the other cells with tasks of a job; their feed would, a while later.
+
+        Only what was committed: a move made since may be lost to another cell's commit.
+        """
+        for cell in others(committed, self.cell):
+            self._neighbours.tell(cell, Stored(job, committed, version))
 
     def _reconcile(self, changes: list[tuple[Tracked, int, str]], rows: list[Row]) -> None:
         """Take in the rows that another writer changed, and write the rest again."""
