Keep the share of filling tasks within 100 percent; stop all of it sooner under a tail over its target

Cause: the first tests of pacing. A level of 120 percent was ordered when a tail was quiet, after which the worker never counted as at full pace again: nothing was relieved to it, and it was paced anew each look. The last resort set its time at each look, so that a slowed run was never relieved; and with looks half a second apart and a report of half a second it came 3.5 s after the tail had risen, of 4 s that the platform allows. Change: levels stay within 100; the last resort counts as one change, after 2.4 s; tolerance 1.6 s. Also tested now: learning by pairs, placing by strain, owners' rows, configurations that never go back. Ruled out: the bound of the test (the platform's 4 s less a report's half second) stays.

--- a/src/curranthall/cells/pacing.py
+++ b/src/curranthall/cells/pacing.py
@@ -23,10 +23,10 @@
 LEAST = 10
 LEAST_CHANGE = 12
 # A shorter time over the target costs less than the work held up: most filling tasks end first.
-TOLERATED_S = 2.0
+TOLERATED_S = 1.6
 # Over the target for this long, all filling work stops, whatever is known of it: the platform
-# allows 4 s, of which a look and a report take one.
-LAST_RESORT_S = 2.7
+# allows 4 s, of which a look, a report and the order's way take 1.2.
+LAST_RESORT_S = 2.4
 # Two changes are this far apart, so that each shows in a report first.
 SETTLE_S = 0.7
 # A filling run that adds less than this to a serving task's load is left alone.
@@ -50,7 +50,9 @@
         member.over_since = now
     lasting = member.over_since is not None and now - member.over_since >= TOLERATED_S
     if member.over_since is not None and now - member.over_since >= LAST_RESORT_S:
-        member.pace, member.pace_all, member.pace_changed_at = 0, True, now
+        if member.pace > 0:
+            member.pace, member.pace_changed_at = 0, now
+        member.pace_all = True
     elif now - member.pace_changed_at >= SETTLE_S and (lasting or member.pace < FULL):
         _move_level(member, filling, interference, now)
     for run in filling:
@@ -66,7 +68,7 @@
     over = worst >= OVER
     factor = CAUTION_FALL if over else CAUTION_RISE
     member.caution = min(1.0, max(LEAST_CAUTION, member.caution * factor))
-    best = min((_allowed(run, member, filling, known) for run in _serving(member)), default=1.0)
+    best = min([1.0, *(_allowed(run, member, filling, known) for run in _serving(member))])
     level = int(FULL * best * member.caution)
     level = min(level, member.pace if over else member.pace + RISE_PERCENT)
     if level < LEAST:
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,119 @@
+"""When a cell may be taken, by whom, and what a successor has to wait for."""
+
+import unittest
+
+from curranthall.catalogue import Catalogue, Operations, Route
+from curranthall.cells.dispatcher import Queue
+from curranthall.cells.load import Load, Waiting
+from curranthall.cells.owner import (
+    CELL_TABLE,
+    ORDER_LIMIT_S,
+    VACANT_S,
+    Claimant,
+    Owner,
+    OwnerWatch,
+    Vacancy,
+    decode_owner,
+)
+from curranthall.store import Listing, Row
+from tests.cell_fixtures import host, job
+
+HOLD_S = 6.0
+ME = Claimant("e1", "e1:1", 11, "north", 1.0)
+OTHER = Owner("e2", "e2:1", 5, 7, [host("w1")], {}, {})
+
+
+class Watching(unittest.TestCase):
+    def setUp(self) -> None:
+        self.watch = OwnerWatch(("north",), HOLD_S)
+        self.now = 100.0
+        self.version = 1
+
+    def read(self, owner: Owner | None, renewed: bool = False) -> None:
+        """Read the rows, a little later than the last time."""
+        self.now += 0.5
+        self.version += renewed
+        rows = [Row(CELL_TABLE, "", "north", owner.encode(), self.version)] if owner else []
+        self.watch.observe(Listing(rows, 9, 0), self.now)
+
+    def vacancy(self, me: Claimant = ME, held: int = 0) -> Vacancy | None:
+        """Give the cell that may be taken now."""
+        found = self.watch.vacancy(me, held, self.now)
+        return found if found is not None and found.takeable_at <= self.now else None
+
+    def test_a_row_that_is_renewed_is_never_vacant(self) -> None:
+        for _ in range(30):
+            self.read(OTHER, renewed=True)
+            self.assertIsNone(self.vacancy())
+
+    def test_a_row_without_renewal_is_vacant_after_a_while(self) -> None:
+        self.read(OTHER)
+        began = self.now
+        while self.vacancy() is None:
+            self.read(OTHER)
+        self.assertGreaterEqual(self.now - began, VACANT_S)
+        self.assertLess(self.now - began, VACANT_S + 1.0)
+
+    def test_a_successor_waits_for_all_that_a_silent_holder_may_have_ordered(self) -> None:
+        self.read(OTHER)
+        began = self.now
+        while (found := self.vacancy()) is None:
+            self.read(OTHER)
+        self.assertGreaterEqual(found.proof_at, began + ORDER_LIMIT_S)
+        self.assertGreaterEqual(found.proof_at, self.now + HOLD_S)
+
+    def test_the_holder_gets_its_time_again_after_the_store_was_away(self) -> None:
+        self.read(OTHER)
+        self.now += 20
+        self.read(OTHER)
+        self.assertIsNone(self.vacancy())
+
+    def test_a_restarted_process_takes_its_cell_at_once(self) -> None:
+        self.read(OTHER._replace(holder="e1", address="e1:1", incarnation=3))
+        found = self.vacancy()
+        assert found is not None
+        self.assertGreaterEqual(found.proof_at, self.now + HOLD_S)
+
+    def test_the_same_name_at_another_address_is_another_process(self) -> None:
+        self.read(OTHER._replace(holder="e1", address="elsewhere:1", incarnation=3))
+        self.assertIsNone(self.vacancy())
+
+    def test_a_released_cell_goes_to_its_own_domain_first(self) -> None:
+        self.read(OTHER._replace(holder=""))
+        self.read(OTHER._replace(holder=""))
+        self.assertIsNotNone(self.vacancy())
+        self.assertIsNone(self.vacancy(ME._replace(domain="south")))
+        self.assertIsNone(self.vacancy(held=3))
+
+    def test_an_entry_that_gave_a_cell_up_abstains(self) -> None:
+        self.watch.abstain_until["north"] = self.now + 30
+        for _ in range(20):
+            self.read(OTHER._replace(holder=""))
+        self.assertIsNone(self.vacancy())
+
+    def test_a_row_keeps_all_it_says(self) -> None:
+        load = Load(8.0, 4.0, 2.0, Waiting(1.0, 3.0), {"f": 1.5}, {"s": 4.0})
+        owner = OTHER._replace(load={"desk": load}, waiting={"q": 2}, learned=[["s", "f", 1, 0.1]])
+        self.assertEqual(decode_owner(owner.encode()), owner)
+
+
+class Configurations(unittest.TestCase):
+    def test_a_configuration_never_goes_back(self) -> None:
+        operations = Operations()
+        route = Route("h", "/p/", Queue("q", "desk", max_attempts=2))
+        newer = Catalogue(9, (route,), frozenset(("desk",)))
+        self.assertTrue(operations.apply(newer))
+        self.assertFalse(operations.apply(Catalogue(7, (), frozenset())))
+        self.assertFalse(operations.apply(Catalogue(9, (), frozenset())))
+        self.assertIs(operations.catalogue, newer)
+
+    def test_a_removed_queues_jobs_keep_its_figures(self) -> None:
+        operations = Operations()
+        queue = Queue("q", "desk", max_attempts=4)
+        operations.apply(Catalogue(1, (Route("h", "/p/", queue),), frozenset()))
+        operations.apply(Catalogue(2, (), frozenset()))
+        self.assertEqual(operations.queue_of(job()), queue)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_pacing.py
@@ -0,0 +1,163 @@
+"""Filling tasks beside serving ones: what is learned, where they go, when they are slowed."""
+
+import random
+import unittest
+
+from curranthall.cells.interference import Interference, Observation
+from curranthall.cells.ports import EndKind, Listed, StartTask, StopTask
+from curranthall.dag import Progress
+from tests.cell_fixtures import CELL, Cell, ended, host, job, step
+
+TARGET_MS = 20.0
+# The platform allows 4 s over a target; a report covers half a second.
+ALLOWED_S = 4.0
+LOOK_S = 0.5
+
+
+def serving(cores: float = 4) -> object:
+    """Build a step of one serving task."""
+    return step(1, cores=cores, lasting=True, image="watch", target_ms=int(TARGET_MS))
+
+
+class Learning(unittest.TestCase):
+    def test_the_image_that_presses_is_told_from_the_one_that_does_not(self) -> None:
+        rng, known = random.Random(1), Interference()
+        for _ in range(80):
+            heavy, light = rng.uniform(0, 0.3), rng.uniform(0, 0.3)
+            load = min(0.95, 0.4 + rng.uniform(-0.1, 0.1) + 1.5 * heavy)
+            tail = TARGET_MS / 4 / (1 - load)
+            known.observe(Observation("watch", tail, TARGET_MS, {"h": heavy, "l": light}))
+        self.assertGreater(known.weight("watch", "h"), 1.0)
+        self.assertLess(known.weight("watch", "l"), 0.3)
+
+    def test_what_another_cell_knows_is_taken_over(self) -> None:
+        rng, known, other = random.Random(2), Interference(), Interference()
+        for _ in range(80):
+            share = rng.uniform(0.0, 0.5)
+            tail = TARGET_MS / 4 / (0.6 - share) if share < 0.5 else TARGET_MS
+            known.observe(Observation("watch", tail, TARGET_MS, {"h": share}))
+        other.take_in(known.shared())
+        self.assertAlmostEqual(other.weight("watch", "h"), known.weight("watch", "h"), delta=0.01)
+
+    def test_a_report_of_nothing_teaches_nothing(self) -> None:
+        known = Interference()
+        known.observe(Observation("watch", 0.0, TARGET_MS, {"h": 0.2}))
+        self.assertEqual(known.table(), {})
+
+
+class Slowing(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cell = Cell(host("w1", cores=16))
+        # The filling tasks were there first.
+        self.cell.add(job("2" * 16, step(2, cores=4, filling=True, image="fill")))
+        self.orders = self.cell.plan()
+        self.cell.add(job("1" * 16, serving()))  # type: ignore[arg-type]
+        self.orders += self.cell.plan()
+        self.cell.started(*self.orders)
+        self.assertEqual(len(self.orders), 3)
+
+    def look(self, tail_ms: float, work: float = 0.0) -> None:
+        """Have the worker report a tail, half a second after the last report."""
+        self.cell.now += LOOK_S
+        self.percent = getattr(self, "percent", 0.0) + 1
+        running = [self.entry(order, tail_ms) for order in self.orders]
+        self.cell.answer("w1", running)
+
+    def entry(self, order: StartTask, tail_ms: float) -> Listed:
+        """List a run: a serving one with its tail, a filling one with its cores."""
+        if order.task.job == "1" * 16:
+            return Listed(order.task, order.run, "", 100, tail_ms)
+        return Listed(order.task, order.run, "", self.percent, 4_000)
+
+    def test_a_quiet_tail_slows_nothing(self) -> None:
+        for _ in range(10):
+            self.look(8)
+        self.assertEqual(self.cell.paces(), [])
+
+    def test_a_short_peak_slows_nothing(self) -> None:
+        for tail in (8, 30, 30, 8, 8, 30, 8):
+            self.look(tail)
+        self.assertEqual(self.cell.paces(), [])
+
+    def test_no_filling_task_works_through_the_allowed_time_over_the_target(self) -> None:
+        since = self.cell.now
+        while self.cell.member("w1").pace > 0:
+            self.look(60)
+            self.assertLess(self.cell.now - since, ALLOWED_S - LOOK_S)
+        stopped = {order.task for order in self.cell.paces() if order.percent == 0}
+        self.assertEqual(len(stopped), 2)
+
+    def test_the_level_rises_again_when_the_tail_has_fallen(self) -> None:
+        for _ in range(8):
+            self.look(60)
+        self.assertEqual(self.cell.member("w1").pace, 0)
+        for _ in range(12):
+            self.look(6)
+        self.assertEqual(self.cell.member("w1").pace, 100)
+
+    def test_a_pace_without_an_answer_is_ordered_again(self) -> None:
+        for _ in range(8):
+            self.look(60)
+        orders = self.cell.paces()
+        self.cell.core.on_pace_failed(orders[-1])
+        self.look(60)
+        self.assertIn(orders[-1].task, {order.task for order in self.cell.paces()})
+
+
+class Choosing(unittest.TestCase):
+    def test_filling_tasks_go_where_nothing_serves(self) -> None:
+        cell = Cell(host("w1", cores=16), host("w2", cores=16))
+        cell.add(job("1" * 16, serving()))  # type: ignore[arg-type]
+        (first,) = cell.plan()
+        cell.started(first)
+        cell.answer(first.worker, [Listed(first.task, first.run, "", 100, 8)])
+        cell.add(job("2" * 16, step(2, cores=4, filling=True, image="fill")))
+        self.assertNotIn(first.worker, {order.worker for order in cell.plan()})
+
+    def test_none_joins_a_serving_task_near_its_target(self) -> None:
+        cell = Cell(host("w1", cores=16))
+        cell.add(job("1" * 16, serving()))  # type: ignore[arg-type]
+        (first,) = cell.plan()
+        cell.started(first)
+        cell.now += 1
+        cell.answer("w1", [Listed(first.task, first.run, "", 100, 19)])
+        cell.add(job("2" * 16, step(1, cores=4, filling=True, image="fill")))
+        self.assertEqual(cell.plan(), [])
+
+    def test_a_slowed_run_goes_on_from_its_checkpoint_on_a_free_worker(self) -> None:
+        cell = Cell(host("w1", cores=16))
+        cell.add(job("1" * 16, serving()))  # type: ignore[arg-type]
+        cell.add(job("2" * 16, step(1, cores=4, filling=True, image="f", checkpointing=True)))
+        first, fill = cell.plan()
+        cell.started(first, fill)
+        for percent in range(8):
+            cell.now += LOOK_S
+            running = [
+                Listed(first.task, first.run, "", 100, 60),
+                Listed(fill.task, fill.run, "saved", percent, 4_000),
+            ]
+            cell.answer("w1", running)
+        cell.core.see_host(host("w2", cores=16))
+        cell.core.confirm_roster(["w2"])
+        cell.answer("w2")
+        cell.now += 0.6
+        cell.answer("w1", running)
+        cell.answer("w2")
+        cell.plan()
+        stops = cell.take(StopTask)
+        self.assertEqual([stop.task for stop in stops], [fill.task])
+        cell.answer("w1", running[:1], [ended(1, fill, EndKind.STOPPED, "later")])
+        (again,) = cell.plan()
+        self.assertEqual((again.worker, again.checkpoint), ("w2", "later"))
+
+    def test_an_image_beyond_its_last_task_costs_nothing(self) -> None:
+        cell = Cell(host("w1", cores=16))
+        cell.core.adopt(job("2" * 16, step(1, filling=True)), Progress(CELL), 1, cell.now, False)
+        (order,) = cell.plan()
+        cell.started(order)
+        cell.answer("w1", [], [ended(1, order, EndKind.DONE)])
+        self.assertEqual(cell.member("w1").filling_cores, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
