Part what is tracked of a job from the decisions; drop a state that nothing sets

Cause: the dispatcher's module had a second job. Change: queues, bounds, batches and tracked jobs stand in cells/tracking.py, moved as they were; RunState.UNSURE was never set.

--- a/src/curranthall/catalogue.py
+++ b/src/curranthall/catalogue.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from curranthall.cells.dispatcher import Queue
+from curranthall.cells.tracking import Queue
 from curranthall.dag import Job
 
 
--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -2,8 +2,9 @@
 
 from typing import NamedTuple
 
-from curranthall.cells.dispatcher import Batch, Dispatcher, Tracked
+from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.load import Load
+from curranthall.cells.tracking import Batch, Tracked
 from curranthall.events import Event, log
 
 # A task is handed on when it found no worker for this long; a closed cell hands on at once.
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -5,8 +5,6 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from curranthall.cells.fleet import QUARANTINE_S, Member, Run, RunState, Unrecorded
 from curranthall.cells.interference import Interference, Observation
@@ -24,8 +22,8 @@
     StartTask,
     StopTask,
 )
-from curranthall.dag import Job, Phase, Progress, Step, TaskId
-from curranthall.dag.progress import Key
+from curranthall.cells.tracking import Batch, Bounds, Queue, Tracked
+from curranthall.dag import Job, Phase, Progress, TaskId
 from curranthall.events import Event, log
 from curranthall.model import Host, Size
 from curranthall.telemetry import completion_seconds
@@ -36,8 +34,6 @@
 STOP_RETRY_S = 0.6
 # Run numbers: the epoch in the high digits, a counter in the low ones.
 RUNS_PER_EPOCH = 1_000_000
-# A job past this many times its objective earns nothing more, so it yields.
-LATE_FACTOR = 3.0
 # A worker that refused for want of room is left until its next snapshot, this long at most.
 NO_ROOM_PAUSE_S = 0.5
 # A job whose start is malformed to the worker is not tried again for a while.
@@ -47,105 +43,10 @@
 RELIEF_AFTER_S = 0.5
 # A summary of the cell is logged this often.
 SUMMARY_S = 2.0
-# Time to spare is never taken as less than this.
-LEAST_SPARE_S = 0.3
 # No share in percent, so that the next one ordered differs.
 UNKNOWN_PACE = -1
 
 
-class Queue(NamedTuple):
-    """What the configuration says of a queue; times in milliseconds."""
-
-    name: str
-    service: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    objective_ms: int = 0
-
-
-class Bounds(NamedTuple):
-    """The platform's bounds that decisions need, in seconds."""
-
-    max_hold_s: float = 6.0
-    gang_timeout_s: float = 3.0
-    early_s: float = 0.25
-    status_s: float = 120.0
-
-
-@dataclass(slots=True, eq=False)
-class Batch:
-    """One occurrence of one step: the tasks that wait and those with runs."""
-
-    tracked: "Tracked"
-    occurrence: int
-    number: int
-    step: Step
-    waiting: set[int] = field(default_factory=set)
-    active: dict[int, list[Run]] = field(default_factory=dict)
-    stranded_since: float | None = None
-
-    def siblings(self) -> dict[str, int]:
-        """Count the runs by worker."""
-        counts: dict[str, int] = {}
-        for runs in self.active.values():
-            for run in runs:
-                counts[run.worker] = counts.get(run.worker, 0) + 1
-        return counts
-
-    def task(self, index: int) -> TaskId:
-        """Name a task."""
-        return TaskId(self.tracked.job.id, self.occurrence, self.number, index)
-
-
-@dataclass(slots=True, eq=False)
-class Tracked:
-    """A job that this cell runs tasks of."""
-
-    job: Job
-    progress: Progress
-    version: int
-    queue: Queue
-    due: float
-    prior: bool = False
-    began: bool = False
-    batches: dict[tuple[int, int], Batch] = field(default_factory=dict)
-    checkpoints: dict[Key, str] = field(default_factory=dict)
-    failed_on: dict[Key, set[str]] = field(default_factory=dict)
-    change: int = 0
-    recorded: int = 0
-    pause_until: float = 0.0
-    final_at: float | None = None
-
-    @property
-    def shown(self) -> Phase:
-        """Give the phase to show: final only once recorded."""
-        phase = self.progress.phase
-        if phase.final and self.recorded < self.change:
-            return Phase.RUNNING
-        return Phase.RUNNING if phase is Phase.QUEUED and self.began else phase
-
-    def active(self) -> bool:
-        """Tell whether any run of the job is known here."""
-        return any(batch.active for batch in self.batches.values())
-
-    def objective_at(self) -> float:
-        """Give the local time by which the job should be shown as completed."""
-        chain_s = self.job.chain_ms() / 1000
-        return self.due + self.queue.stretch * chain_s + self.queue.objective_ms / 1000
-
-    def haste(self, number: int, now: float) -> float:
-        """Tell how much of the time to spare before a step is used up; over 1 it is late."""
-        objective_at = self.objective_at()
-        spare = objective_at - self.due - self.job.chain_ms() / 1000
-        left = objective_at - now - self.job.chain_ms(number) / 1000
-        return 1 - left / max(spare, LEAST_SPARE_S)
-
-    def hopeless_at(self) -> float:
-        """Give the local time after which the job earns nothing."""
-        return self.due + LATE_FACTOR * (self.objective_at() - self.due)
-
-
 class Dispatcher:
     """Decides for one cell under one epoch."""
 
@@ -465,7 +366,7 @@
             run = self._find_listed(member, entry, now)
             if run is None:
                 return
-        if run.state in (RunState.STARTING, RunState.UNSURE):
+        if run.state is RunState.STARTING:
             self._confirm(run, asked_at)
         if entry.checkpoint:
             run.checkpoint = entry.checkpoint
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -30,7 +30,6 @@
     """What is known of a run."""
 
     STARTING = "starting"
-    UNSURE = "unsure"
     RUNNING = "running"
     STOPPING = "stopping"
 
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -5,7 +5,7 @@
 from typing import Any, NamedTuple
 
 from curranthall.cells.balance import Balance, Room
-from curranthall.cells.dispatcher import Dispatcher, Tracked
+from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.fleet import Member
 from curranthall.cells.owner import (
     CELL_PART,
@@ -27,6 +27,7 @@
     read_all,
     read_job,
 )
+from curranthall.cells.tracking import Tracked
 from curranthall.dag import Job, Progress
 from curranthall.dag.progress import decode_progress
 from curranthall.errors import (
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from curranthall.cells.balance import Room
-from curranthall.cells.dispatcher import Bounds, Dispatcher, Queue
+from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.owner import (
     ABSTAIN_S,
     CELL_PART,
@@ -20,6 +20,7 @@
 from curranthall.cells.ports import WorkerPort
 from curranthall.cells.records import Stored
 from curranthall.cells.runtime import CellRuntime, Holding, Neighbours
+from curranthall.cells.tracking import Bounds, Queue
 from curranthall.dag import Job
 from curranthall.dag.progress import decode_progress
 from curranthall.errors import AnswerLost, PlatformDown
--- /dev/null
+++ b/src/curranthall/cells/tracking.py
@@ -0,0 +1,106 @@
+"""What a cell's holder keeps of each job: its queue, its steps' waiting tasks and runs."""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from curranthall.cells.fleet import Run
+from curranthall.dag import Job, Phase, Progress, Step, TaskId
+from curranthall.dag.progress import Key
+
+# A job past this many times its objective earns nothing more, so it yields.
+LATE_FACTOR = 3.0
+# Time to spare is never taken as less than this, in seconds.
+LEAST_SPARE_S = 0.3
+
+
+class Queue(NamedTuple):
+    """What the configuration says of a queue; times in milliseconds."""
+
+    name: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    objective_ms: int = 0
+
+
+class Bounds(NamedTuple):
+    """The platform's bounds that decisions need, in seconds."""
+
+    max_hold_s: float = 6.0
+    gang_timeout_s: float = 3.0
+    early_s: float = 0.25
+    status_s: float = 120.0
+
+
+@dataclass(slots=True, eq=False)
+class Batch:
+    """One occurrence of one step: the tasks that wait and those with runs."""
+
+    tracked: "Tracked"
+    occurrence: int
+    number: int
+    step: Step
+    waiting: set[int] = field(default_factory=set)
+    active: dict[int, list[Run]] = field(default_factory=dict)
+    stranded_since: float | None = None
+
+    def siblings(self) -> dict[str, int]:
+        """Count the runs by worker."""
+        counts: dict[str, int] = {}
+        for runs in self.active.values():
+            for run in runs:
+                counts[run.worker] = counts.get(run.worker, 0) + 1
+        return counts
+
+    def task(self, index: int) -> TaskId:
+        """Name a task."""
+        return TaskId(self.tracked.job.id, self.occurrence, self.number, index)
+
+
+@dataclass(slots=True, eq=False)
+class Tracked:
+    """A job that this cell runs tasks of."""
+
+    job: Job
+    progress: Progress
+    version: int
+    queue: Queue
+    due: float
+    prior: bool = False
+    began: bool = False
+    batches: dict[tuple[int, int], Batch] = field(default_factory=dict)
+    checkpoints: dict[Key, str] = field(default_factory=dict)
+    failed_on: dict[Key, set[str]] = field(default_factory=dict)
+    change: int = 0
+    recorded: int = 0
+    pause_until: float = 0.0
+    final_at: float | None = None
+
+    @property
+    def shown(self) -> Phase:
+        """Give the phase to show: final only once recorded."""
+        phase = self.progress.phase
+        if phase.final and self.recorded < self.change:
+            return Phase.RUNNING
+        return Phase.RUNNING if phase is Phase.QUEUED and self.began else phase
+
+    def active(self) -> bool:
+        """Tell whether any run of the job is known here."""
+        return any(batch.active for batch in self.batches.values())
+
+    def objective_at(self) -> float:
+        """Give the local time by which the job should be shown as completed."""
+        chain_s = self.job.chain_ms() / 1000
+        return self.due + self.queue.stretch * chain_s + self.queue.objective_ms / 1000
+
+    def haste(self, number: int, now: float) -> float:
+        """Tell how much of the time to spare before a step is used up; over 1 it is late."""
+        objective_at = self.objective_at()
+        spare = objective_at - self.due - self.job.chain_ms() / 1000
+        left = objective_at - now - self.job.chain_ms(number) / 1000
+        return 1 - left / max(spare, LEAST_SPARE_S)
+
+    def hopeless_at(self) -> float:
+        """Give the local time after which the job earns nothing."""
+        return self.due + LATE_FACTOR * (self.objective_at() - self.due)
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -7,11 +7,11 @@
 from typing import NamedTuple
 
 from curranthall.catalogue import Catalogue, DomainOut, Operation, Operations
-from curranthall.cells.dispatcher import Bounds
 from curranthall.cells.owner import Claimant
 from curranthall.cells.ports import WorkerPort
 from curranthall.cells.runtime import CellRuntime
 from curranthall.cells.succession import Succession, Surroundings
+from curranthall.cells.tracking import Bounds
 from curranthall.errors import AnswerLost, PlatformDown
 from curranthall.events import Event, log
 from curranthall.intake import Intake
--- a/src/curranthall/platform/decode.py
+++ b/src/curranthall/platform/decode.py
@@ -5,7 +5,7 @@
 import orjson
 
 from curranthall.catalogue import Catalogue, DomainOut, Operation, Route, WaveAsked
-from curranthall.cells.dispatcher import Queue
+from curranthall.cells.tracking import Queue
 from curranthall.dag import Job, Step
 from curranthall.errors import BadInput
 from curranthall.events import Event, log
--- a/src/curranthall/platform/front.py
+++ b/src/curranthall/platform/front.py
@@ -2,7 +2,7 @@
 
 import re
 
-from curranthall.cells.dispatcher import Queue
+from curranthall.cells.tracking import Queue
 from curranthall.daemon import Daemon, wall_ms
 from curranthall.dag import Phase
 from curranthall.errors import AnswerLost, BadInput, PlatformDown
--- a/src/curranthall/platform/settings.py
+++ b/src/curranthall/platform/settings.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from curranthall.cells.dispatcher import Bounds
+from curranthall.cells.tracking import Bounds
 from curranthall.daemon import Deployment
 from curranthall.errors import SettingsInvalid
 
--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -1,6 +1,6 @@
 """Small builders for tests of a cell: hosts, jobs, snapshots and a dispatcher with a clock."""
 
-from curranthall.cells.dispatcher import Bounds, Dispatcher, Queue
+from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.fleet import Member
 from curranthall.cells.ports import (
     Ending,
@@ -12,6 +12,7 @@
     StartTask,
     StopTask,
 )
+from curranthall.cells.tracking import Bounds, Queue
 from curranthall.dag import Job, Progress, Step, TaskId
 from curranthall.model import Host, HostState, Size
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -5,10 +5,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from curranthall.cells.dispatcher import Bounds, Queue
 from curranthall.cells.owner import Claimant
 from curranthall.cells.ports import PaceTask, Snapshot, StartResult, StartTask, StopTask
 from curranthall.cells.succession import Succession, Surroundings
+from curranthall.cells.tracking import Bounds, Queue
 from curranthall.dag import Job, Phase, TaskId
 from curranthall.errors import (
     AnswerLost,
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -3,7 +3,6 @@
 import unittest
 
 from curranthall.catalogue import Catalogue, Operations, Route
-from curranthall.cells.dispatcher import Queue
 from curranthall.cells.load import Load, Waiting
 from curranthall.cells.owner import (
     CELL_TABLE,
@@ -15,6 +14,7 @@
     Vacancy,
     decode_owner,
 )
+from curranthall.cells.tracking import Queue
 from curranthall.store import Listing, Row
 from tests.cell_fixtures import host, job
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,8 +8,8 @@
 import unittest
 
 from curranthall.catalogue import Catalogue, DomainOut, WaveAsked
-from curranthall.cells.dispatcher import Bounds, Queue
 from curranthall.cells.ports import EndKind, PaceTask, StartResult, StartTask, StopTask
+from curranthall.cells.tracking import Bounds, Queue
 from curranthall.daemon import Daemon, Deployment, Dialect
 from curranthall.dag import TaskId
 from curranthall.errors import (
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -2,10 +2,11 @@
 
 import unittest
 
-from curranthall.cells.dispatcher import Bounds, Dispatcher, Queue
+from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.owner import Owner
 from curranthall.cells.records import Stored, part_of
 from curranthall.cells.runtime import CellRuntime, Holding, Neighbours
+from curranthall.cells.tracking import Bounds, Queue
 from curranthall.dag import Progress
 from curranthall.standin.store import MemoryStore
 from curranthall.store import Check, Committed, Drop, Put, Stale
