Test that a recorded failure stands and that a cell out of reach is left alone

Cause: with twelve guards taken away one at a time, two broke no test. Change: a test for each; both fail without their guard. Ruled out: redundancy of either guard (the tests show what they prevent).

--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -139,6 +139,9 @@
             await asyncio.sleep(0.1)
             cluster.cuts = {frozenset(("a", other)) for other in ("b", "c", "store")}
             await asyncio.sleep(6)
+            # Nobody else reaches its workers, so nobody takes it.
+            holders = [n for n, each in cluster.entries.items() if "a" in each.succession.held]
+            self.assertEqual([name[0] for name in holders], ["a"])
             cluster.cuts = set()
             cluster.out = frozenset()
             await self.completes(cluster, job)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -343,6 +343,15 @@
         cell.core.refresh("0" * 16, Progress(CELL, Phase.CANCELLED), 2, cell.now)
         self.assertEqual(cell.core.tracked["0" * 16].progress.phase, Phase.CANCELLED)
 
+    def test_a_recorded_failure_stands_against_a_completion(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.started(order)
+        cell.answer("w1", [], [ended(1, order, EndKind.DONE)])
+        cell.core.refresh("0" * 16, Progress(CELL, Phase.FAILED), 2, cell.now)
+        self.assertEqual(cell.core.tracked["0" * 16].progress.phase, Phase.FAILED)
+
 
 class Sharing(unittest.TestCase):
     def test_tasks_of_another_cell_are_not_started_here(self) -> None:
