Start one task of a job at a standstill; drop a link only after three silent calls

Change: a filling job of which nothing runs for 1.2 s gets one task started where it strains least; a link is dropped after three calls in a row without a frame from the peer.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -41,6 +41,8 @@
 # A run slowed below this share, in percent, for this long is worth moving to a free worker.
 RELIEF_PACE = 50
 RELIEF_AFTER_S = 0.5
+# A job of which nothing runs for this long gets one task started: the platform allows 3 s.
+STANDSTILL_S = 1.2
 # A summary of the cell is logged this often.
 SUMMARY_S = 2.0
 # No share in percent, so that the next one ordered differs.
@@ -782,6 +784,9 @@
                 if plain:
                     refused.append((service, step.filling, step.size))
                 batch.stranded_since = batch.stranded_since or now
+                member = self._last_resort(batch, wish, usable, now)
+                if member is not None:
+                    self._start(batch, index, member, self._next_run(tracked), now)
                 return
             self._start(batch, index, member, self._next_run(tracked), now)
             siblings[member.name] = siblings.get(member.name, 0) + 1
@@ -789,6 +794,16 @@
                 racks = self._racks(siblings)
         batch.stranded_since = None
 
+    def _last_resort(
+        self, batch: Batch, wish: Wish, usable: list[Member], now: float
+    ) -> Member | None:
+        """Let one filling task of a job at a standstill join serving ones whatever the strain."""
+        if not batch.step.filling or batch.tracked.active():
+            return None
+        if now - (batch.stranded_since or now) < STANDSTILL_S:
+            return None
+        return choose(wish._replace(margin=float("inf")), usable)
+
     def _place_gang(self, batch: Batch, usable: list[Member], now: float) -> None:
         """Start all members of a gang at once, or none."""
         tracked, step = batch.tracked, batch.step
--- a/src/curranthall/link.py
+++ b/src/curranthall/link.py
@@ -14,6 +14,8 @@
 HELLO_S = 3.0
 RECONNECT_S = 0.5
 NONCE_BYTES = 16
+# Calls in a row without any frame from the peer, after which a link counts as silent.
+SILENT_AFTER = 3
 
 Handler = Callable[[str, str, Any], Awaitable[Any]]
 
@@ -93,6 +95,7 @@
         self._key = key
         self._links: dict[str, Any] = {}
         self._calls: dict[str, _Calls] = {}
+        self._missed: dict[str, int] = {}
         self._server: Any = None
         self._dialing: dict[str, asyncio.Task[None]] = {}
         self._running: set[asyncio.Task[None]] = set()
@@ -163,13 +166,21 @@
                 await self._send(link, {"n": number, "v": verb, "b": body})
                 return await fut
         except TimeoutError as exc:
-            # A link can go silent without a reset; a new one shows whether the peer is there.
-            if self._links.get(peer) is link:
-                link.transport.abort()  # type: ignore[union-attr]
+            self._note_missed(peer, link)
             raise AnswerLost(peer=peer, why="timeout") from exc
         finally:
             calls.close(number)
 
+    def _note_missed(self, peer: str, link: Any) -> None:
+        """Drop a link that went silent: a new one shows whether the peer is there.
+
+        One late answer is no silence, and the link's other calls must not be lost for it.
+        """
+        self._missed[peer] = self._missed.get(peer, 0) + 1
+        current = self._links.get(peer)
+        if self._missed[peer] >= SILENT_AFTER and current is not None and current is link:
+            current.transport.abort()
+
     async def _send(self, link: Any, frame: dict[str, Any]) -> None:
         from cbor2 import dumps
         from websockets.exceptions import ConnectionClosed
@@ -225,6 +236,7 @@
         try:
             while True:
                 frame = await self._receive(link)
+                self._missed[peer] = 0
                 calls.answer(frame.get("n"), "e" not in frame, frame.get("e", frame.get("b")))
         finally:
             calls.fail_all()
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -124,6 +124,22 @@
         cell.add(job("2" * 16, step(1, cores=4, filling=True, image="fill")))
         self.assertEqual(cell.plan(), [])
 
+    def test_a_job_at_a_standstill_gets_one_task_started_all_the_same(self) -> None:
+        cell = Cell(host("w1", cores=16))
+        cell.add(job("1" * 16, serving()))  # type: ignore[arg-type]
+        (first,) = cell.plan()
+        cell.started(first)
+        late = job("2" * 16, step(3, cores=2, filling=True, image="fill"), accepted_ms=-60_000)
+        cell.add(late)
+        began, started = cell.now, []
+        while cell.now - began < 3.0 and not started:
+            cell.now += LOOK_S
+            cell.answer("w1", [Listed(first.task, first.run, "", 100, 19)])
+            started = cell.plan()
+        self.assertEqual(len(started), 1)
+        cell.started(*started)
+        self.assertEqual(cell.plan(), [])
+
     def test_a_slowed_run_goes_on_from_its_checkpoint_on_a_free_worker(self) -> None:
         cell = Cell(host("w1", cores=16))
         cell.add(job("1" * 16, serving()))  # type: ignore[arg-type]
