Learn interference from changes between reports; place and pace filling tasks by it

Change: weights are estimated from changes, the worker with the least added pressure is taken first, haste no longer raises the limit, known pairs are slowed at the first report over the target (unknown ones after 0.6 s), light ones no longer, and serving tasks count with the 0.4 of their cores that reports show.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -10,7 +10,7 @@
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import Load, Waiting, measure
 from curranthall.cells.pacing import FULL, adjust, pressure
-from curranthall.cells.placement import REPORT_SPAN_S, Wish, choose, strain_limit
+from curranthall.cells.placement import Wish, choose, strain_limit
 from curranthall.cells.ports import (
     Ending,
     EndKind,
@@ -321,7 +321,7 @@
                 log(Event.RUN_VANISHED, task=run.task, run=run.number, worker=member.name)
                 self._drop(run, now)
         self._leave_stalled(member, now)
-        self._learn(member, now)
+        self._learn(member)
         level = member.pace
         self.orders.extend(adjust(member, self.interference, now))
         if member.pace != level:
@@ -345,22 +345,24 @@
                 tracked.failed_on.setdefault(run.task[1:], set()).add(member.name)
             self._stop(run, now)
 
-    def _learn(self, member: Member, now: float) -> None:
-        """Learn interference, unless the last change of pace is younger than the report."""
-        since = max(member.pace_changed_at, member.learned_at)
-        if now - since < REPORT_SPAN_S:
+    def _learn(self, member: Member) -> None:
+        """Learn interference from the worker's reports, each of them once."""
+        serving: dict[str, list[Run]] = {}
+        for run in member.runs.values():
+            if run.step.target_ms and run.gauge and run.state is RunState.RUNNING:
+                serving.setdefault(run.step.image, []).append(run)
+        tails = tuple(run.gauge for runs in serving.values() for run in runs)
+        if tails == member.tails:
             return
+        member.tails = tails
         shares = member.used_shares()
-        worst: dict[str, Run] = {}
-        for run in member.runs.values():
-            if run.step.target_ms and run.state is RunState.RUNNING:
-                image = run.step.image
-                if image not in worst or run.gauge > worst[image].gauge:
-                    worst[image] = run
-        for image, run in worst.items():
-            seen = Observation(image, run.gauge, run.step.target_ms, shares)
-            self.interference.observe(seen)
-        member.learned_at = now
+        for image, runs in serving.items():
+            tail_ms = len(runs) / sum(1 / run.gauge for run in runs)
+            tasks = tuple(run.number for run in runs)
+            target_ms = runs[0].step.target_ms
+            self.interference.observe(
+                Observation(image, tail_ms, target_ms, shares, member.name, tasks)
+            )
 
     def _on_listed(self, member: Member, entry: Listed, asked_at: float, now: float) -> None:
         run = member.runs.get((entry.task, entry.run))
@@ -606,6 +608,7 @@
             return
         log(Event.WORKER_GONE, worker=worker, running=len(member.runs))
         self._unproven.discard(worker)
+        self.interference.forget_worker(worker)
         for run in list(member.runs.values()):
             self._drop(run, now)
 
@@ -670,6 +673,7 @@
             for run in list(member.runs.values()):
                 self._drop(run, now)
         if member.missing_since is not None and lapsed and member.name not in self._unproven:
+            self.interference.forget_worker(member.name)
             del self.members[member.name]
 
     def _forget_old(self, now: float) -> None:
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -21,7 +21,7 @@
 FAILURES_TO_QUARANTINE = 3
 QUARANTINE_S = 5.0
 # Serving tasks reserve for their peaks; reports showed them at 0.42 of it, with a swing of half.
-SERVING_USE = 0.6
+SERVING_USE = 0.4
 # A run whose progress stands still this long is stalled.
 STALL_S = 2.0
 
@@ -99,7 +99,8 @@
     pace_all: bool = False
     caution: float = 1.0
     over_since: float | None = None
-    learned_at: float = 0.0
+    # The serving tasks' tails as last reported.
+    tails: tuple[float, ...] = ()
     pace_changed_at: float = 0.0
     recent: deque[bool] = field(default_factory=lambda: deque(maxlen=RECENT_ENDS))
 
--- a/src/curranthall/cells/pacing.py
+++ b/src/curranthall/cells/pacing.py
@@ -22,15 +22,15 @@
 # Levels below this do no good, and smaller changes are not worth an order.
 LEAST = 10
 LEAST_CHANGE = 12
-# A shorter time over the target costs less than the work held up: most filling tasks end first.
-TOLERATED_S = 1.6
+# Where no pair is known to press, a shorter peak is taken for a swing of the serving load.
+TOLERATED_S = 0.6
 # Over the target for this long, all filling work stops, whatever is known of it: the platform
 # allows 4 s, of which a look, a report and the order's way take 1.2.
 LAST_RESORT_S = 2.4
 # Two changes are this far apart, so that each shows in a report first.
 SETTLE_S = 0.7
 # A filling run that adds less than this to a serving task's load is left alone.
-LEAST_PRESS = 0.02
+LEAST_PRESS = 0.04
 
 
 def pressure(member: Member) -> float:
@@ -48,7 +48,10 @@
         member.over_since = None
     elif member.over_since is None:
         member.over_since = now
-    lasting = member.over_since is not None and now - member.over_since >= TOLERATED_S
+    lasting = over and (
+        now - (member.over_since or now) >= TOLERATED_S
+        or any(_surely_presses(run, member, interference) for run in filling)
+    )
     if member.over_since is not None and now - member.over_since >= LAST_RESORT_S:
         if member.pace > 0:
             member.pace, member.pace_changed_at = 0, now
@@ -105,6 +108,17 @@
     )
 
 
+def _surely_presses(run: Run, member: Member, known: Interference) -> bool:
+    """Tell whether reports have shown the run's image to press on a task over its target."""
+    share = run.step.size.cores / member.host.size.cores
+    return any(
+        known.is_sure(other.step.image, run.step.image)
+        and known.weight(other.step.image, run.step.image) * share >= LEAST_PRESS
+        for other in _serving(member)
+        if other.gauge >= OVER * other.step.target_ms
+    )
+
+
 def _serving(member: Member) -> Iterator[Run]:
     for run in member.runs.values():
         if run.step.target_ms and run.state is RunState.RUNNING:
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -15,7 +15,9 @@
 STRAIN_LIMIT = 0.85
 # Workers report the last half second, so what started later does not show yet.
 REPORT_SPAN_S = 0.6
-HASTE_STRAIN = 0.5
+HASTE_STRAIN = 0.0
+# Differences in load below this, of a limit of about 0.8, do not outweigh idle cores.
+PRESS_STEP = 0.02
 
 
 def strain_limit(haste: float) -> float:
@@ -89,6 +91,14 @@
     return worst
 
 
+def _press(wish: Wish, member: Member) -> float:
+    """Predict how much this task adds to the load of the serving tasks here, at most."""
+    known, step = wish.interference, wish.step
+    share = step.size.cores / member.host.size.cores
+    images = {run.step.image for run in member.runs.values() if run.step.target_ms}
+    return max((known.weight(image, step.image) * share for image in images), default=0.0)
+
+
 def possible(service: str, step: Step, hosts: Iterable[tuple[str, tuple[str, ...], Size]]) -> bool:
     """Tell whether any worker, when empty, could run a task of the step."""
     return any(
@@ -104,7 +114,7 @@
     idle = member.idle_cores / host.size.cores
     if step.filling:
         # Filling tasks go where they press least on serving ones.
-        kind, room = _strain(wish, member) if member.serving else 0.0, -idle
+        kind, room = float(round(_press(wish, member) / PRESS_STEP)), -idle
     elif step.target_ms:
         # Serving tasks are packed, which leaves whole workers to filling ones; those of one image
         # together, so that each filling image finds workers it does not press on.
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -1,5 +1,6 @@
 """Filling tasks beside serving ones: what is learned, where they go, when they are slowed."""
 
+import math
 import random
 import unittest
 
@@ -12,6 +13,8 @@
 # The platform allows 4 s over a target; a report covers half a second.
 ALLOWED_S = 4.0
 LOOK_S = 0.5
+# The period in which a serving task's own load swings.
+SWING_S = 14.0
 
 
 def serving(cores: float = 4) -> object:
@@ -30,6 +33,26 @@
         self.assertGreater(known.weight("watch", "h"), 1.0)
         self.assertLess(known.weight("watch", "l"), 0.3)
 
+    def test_pairs_are_told_apart_within_seconds_while_the_own_load_swings_by_half(self) -> None:
+        """Two reports a second for 8 s from ten workers, each swinging in a phase of its own."""
+        rng, known = random.Random(3), Interference()
+        for report in range(16):
+            for worker in range(10):
+                swing = 0.21 * math.sin(2 * math.pi * (report * LOOK_S / SWING_S + worker / 10))
+                beside = {"h": rng.choice((0.0, 0.11)), "l": rng.choice((0.0, 0.11, 0.22))}
+                load = min(0.95, 0.42 + swing + 1.1 * beside["h"])
+                tail = TARGET_MS / 4 / (1 - load)
+                known.observe(Observation("watch", tail, TARGET_MS, beside, f"w{worker}"))
+        self.assertAlmostEqual(known.weight("watch", "h"), 1.1, delta=0.25)
+        self.assertLess(known.weight("watch", "l"), 0.15)
+
+    def test_reports_of_other_tasks_are_not_compared(self) -> None:
+        known = Interference()
+        known.observe(Observation("watch", 6, TARGET_MS, {}, "w1", (1, 2)))
+        known.observe(Observation("watch", 18, TARGET_MS, {"f": 0.2}, "w1", (1, 3)))
+        known.observe(Observation("watch", 6, TARGET_MS, {}, "w2", (4,)))
+        self.assertEqual(known.table(), {"watch": {}})
+
     def test_what_another_cell_knows_is_taken_over(self) -> None:
         rng, known, other = random.Random(2), Interference(), Interference()
         for _ in range(80):
@@ -79,6 +102,11 @@
             self.look(tail)
         self.assertEqual(self.cell.paces(), [])
 
+    def test_an_image_known_to_press_is_slowed_at_the_first_report_over_the_target(self) -> None:
+        self.cell.core.interference.take_in([["watch", "fill", 1.1, 0.001]])
+        self.look(30)
+        self.assertEqual(len(self.cell.paces()), 2)
+
     def test_no_filling_task_works_through_the_allowed_time_over_the_target(self) -> None:
         since = self.cell.now
         while self.cell.member("w1").pace > 0:
@@ -114,6 +142,19 @@
         cell.add(job("2" * 16, step(2, cores=4, filling=True, image="fill")))
         self.assertNotIn(first.worker, {order.worker for order in cell.plan()})
 
+    def test_a_task_goes_where_it_presses_least_though_another_worker_is_quieter(self) -> None:
+        cell = Cell(host("w1", cores=32), host("w2", cores=32))
+        for number, image in enumerate(("frail", "tough")):
+            fields = dict(cores=28, lasting=True, image=image, target_ms=int(TARGET_MS))
+            cell.add(job(f"{number}" * 16, step(1, **fields)))  # type: ignore[arg-type]
+        first, second = cell.plan()
+        cell.started(first, second)
+        cell.core.interference.take_in([["frail", "f", 1.1, 0.001], ["tough", "f", 0.02, 0.001]])
+        cell.answer(first.worker, [Listed(first.task, first.run, "", 100, 6)])
+        cell.answer(second.worker, [Listed(second.task, second.run, "", 100, 10)])
+        cell.add(job("2" * 16, step(1, cores=4, filling=True, image="f")))
+        self.assertEqual([order.worker for order in cell.plan()], [second.worker])
+
     def test_none_joins_a_serving_task_near_its_target(self) -> None:
         cell = Cell(host("w1", cores=16))
         cell.add(job("1" * 16, serving()))  # type: ignore[arg-type]
