Follow the workers' list at a holder's pace only where cells are held; decode each row version once

Ruled out: callers' GETs (348) and renewals (238). Now a holder gathers changes for 0.7 s (a leaving worker has 2 s), others for 5 s or until they take a cell.

--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -48,6 +48,7 @@
     evacuated: Callable[[], frozenset[str]]
     cast: Callable[[str, str, Any], None]
     reaches: Callable[[Host], Awaitable[bool]]
+    hurry_hosts: Callable[[], None] = lambda: None
 
 
 class Succession:
@@ -162,6 +163,7 @@
         self.held[vacancy.cell] = runtime
         self._on_renewed(vacancy.cell, owner, holding.version)
         runtime.start()
+        around.hurry_hosts()
         hosts = around.hosts()
         if hosts is not None:
             runtime.on_hosts(hosts)
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from curranthall.catalogue import Catalogue, DomainOut, Operation, Operations
@@ -27,8 +27,10 @@
 STORE_RETRY_S = 0.1
 # An entry whose last read of the store is older than this takes no new connections.
 READY_S = 2.5
-# Changes of the workers' list are gathered for this long.
-HOST_PAUSE_S = 0.2
+# Changes of the workers' list are gathered for this long: a holder has to know a leaving worker
+# within 2 s (the platform's bound), others need the list only to take a cell.
+HOLDER_PAUSE_S = 0.7
+OTHER_PAUSE_S = 5.0
 DIAL_S = 0.5
 
 
@@ -56,6 +58,23 @@
     read_operation: Callable[[Row], Operation | None]
 
 
+class HostList:
+    """Decodes the workers' rows, each version of a row once: most differ in a counter only."""
+
+    def __init__(self, read: Callable[[Row], Host | None]) -> None:
+        self._read = read
+        self._decoded: dict[str, tuple[int, Host | None]] = {}
+
+    def update(self, rows: Iterable[Row]) -> dict[str, Host]:
+        """Give the workers that the rows name."""
+        former, self._decoded = self._decoded, {}
+        for row in rows:
+            known = former.get(row.key)
+            same = known is not None and known[0] == row.version
+            self._decoded[row.key] = known if same and known else (row.version, self._read(row))
+        return {host.name: host for _, host in self._decoded.values() if host is not None}
+
+
 def boot_clock() -> float:
     """Give seconds that count while the machine is suspended, too."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -98,11 +117,12 @@
         self._store = store
         self._dialect = dialect
         self._hosts: dict[str, Host] | None = None
+        self._host_list = HostList(dialect.read_host)
         self._tasks: list[asyncio.Task[None]] = []
         self._mesh: SocketMesh | None = None
         self._operation_watch = TableWatch(store, dialect.operation_table, self._on_operations)
         self._host_watch = TableWatch(
-            store, dialect.host_table, self._on_hosts, pause_s=HOST_PAUSE_S
+            store, dialect.host_table, self._on_hosts, pause_s=self._host_pause
         )
         me = Claimant(
             deployment.name,
@@ -121,6 +141,7 @@
             lambda: self.operations.out,
             self.cast,
             reaches,
+            lambda: self._host_watch.hurry(),
         )
         self.succession = Succession(me, deployment.domains, deployment.bounds, around)
         self.intake = Intake(self.succession, store, self, boot_clock, lambda: self.operations.out)
@@ -233,8 +254,11 @@
         for runtime in self.succession.held.values():
             runtime.dispatcher.reconfigure()
 
+    def _host_pause(self) -> float:
+        return HOLDER_PAUSE_S if self.succession.held else OTHER_PAUSE_S
+
     def _on_hosts(self) -> None:
-        rows = self._host_watch.rows.values()
-        hosts = [host for row in rows if (host := self._dialect.read_host(row)) is not None]
-        self._hosts = {host.name: host for host in hosts}
-        self.succession.on_hosts(self._hosts)
+        hosts = self._host_list.update(self._host_watch.rows.values())
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self.succession.on_hosts(hosts)
--- a/src/curranthall/watch.py
+++ b/src/curranthall/watch.py
@@ -16,7 +16,11 @@
     """Keeps one table's rows of the unnamed part, and tells of each change."""
 
     def __init__(
-        self, store: Store, table: str, on_change: Callable[[], None], pause_s: float = 0.0
+        self,
+        store: Store,
+        table: str,
+        on_change: Callable[[], None],
+        pause_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.rows: dict[str, Row] = {}
         self.known = False
@@ -25,13 +29,18 @@
         self._on_change = on_change
         self._pause_s = pause_s
         self._after = 0
+        self._hurry = asyncio.Event()
+
+    def hurry(self) -> None:
+        """Read on at once instead of after the pause."""
+        self._hurry.set()
 
     async def run(self) -> None:
         """Follow for ever."""
         while True:
             try:
                 await self._step()
-                await asyncio.sleep(self._pause_s)
+                await self._pause()
             except HistoryLost:
                 log(Event.FEED_RESTARTED, table=self._table, after=self._after)
                 self.known = False
@@ -39,6 +48,15 @@
                 log(Event.STORE_FAILED, what=self._table, error=exc)
                 await asyncio.sleep(RETRY_S)
 
+    async def _pause(self) -> None:
+        """Let changes gather, so that one read brings many."""
+        try:
+            async with asyncio.timeout(self._pause_s()):
+                await self._hurry.wait()
+        except TimeoutError:
+            pass
+        self._hurry.clear()
+
     async def _step(self) -> None:
         if not self.known:
             listing = await self._store.scan(self._table, "")
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,68 @@
+"""Following a table: changes gather for a pause, and rows are decoded once a version."""
+
+import asyncio
+import unittest
+
+from curranthall.daemon import HostList
+from curranthall.store import Listing, Row
+from curranthall.watch import TableWatch
+from tests.cell_fixtures import host
+
+
+class CountingStore:
+    """Answers each read with one more change."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+
+    async def scan(self, table: str, part: str) -> Listing:
+        return Listing([], 1, 0)
+
+    async def feed(self, table: str, after: int, wait_ms: int) -> Listing:
+        self.reads += 1
+        row = Row(table, "", "w1", b"x", after + 1)
+        return Listing([row], after + 1, 0)
+
+
+class Following(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = CountingStore()
+        self.watch = TableWatch(self.store, "t", lambda: None, lambda: 30.0)  # type: ignore[arg-type]
+        self.task = asyncio.create_task(self.watch.run())
+        self.addCleanup(self.task.cancel)
+        await asyncio.sleep(0.05)
+
+    async def test_changes_gather_during_the_pause(self) -> None:
+        self.assertEqual(self.store.reads, 0)
+
+    async def test_a_reader_in_a_hurry_does_not_wait(self) -> None:
+        self.watch.hurry()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.store.reads, 1)
+        self.assertIn("w1", self.watch.rows)
+
+
+class Decoding(unittest.TestCase):
+    def test_a_row_is_decoded_once_a_version(self) -> None:
+        decoded: list[int] = []
+
+        def read(row: Row) -> object:
+            decoded.append(row.version)
+            return host(row.key)
+
+        hosts = HostList(read)  # type: ignore[arg-type]
+        rows = [Row("servers", "", name, b"", 1) for name in ("w1", "w2")]
+        hosts.update(rows)
+        rows[0] = rows[0]._replace(version=2)
+        self.assertEqual(set(hosts.update(rows)), {"w1", "w2"})
+        self.assertEqual(decoded, [1, 1, 2])
+
+    def test_an_unreadable_row_names_no_worker_until_it_changes(self) -> None:
+        hosts = HostList(lambda row: host(row.key) if row.value else None)
+        row = Row("servers", "", "w1", b"", 1)
+        self.assertEqual(hosts.update([row]), {})
+        self.assertEqual(set(hosts.update([row._replace(value=b"x", version=2)])), {"w1"})
+
+
+if __name__ == "__main__":
+    unittest.main()
