A fault soak with real processes, stand-ins on loopback, and faults from outside

make soak SEED=n SECONDS=s: six entries as processes, nine workers and the store in the soak's own process, a proxy before each that delays, resets, silences or drops answers; entries killed, frozen, terminated, all killed; workers reborn under their id, domains taken out, configurations, history dropped, in series that overlap. Judged by callers' answers and the workers' logs. One short seed in make test.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test lint binary bench slopes policy requests matrix scenarios-live
+.PHONY: demo test lint binary bench slopes policy requests matrix scenarios-live soak
 
 .venv/ready: pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -39,3 +39,7 @@
 
 scenarios-live: .venv/ready
 	$(BIN)/python -m tests.live
+
+# One seed with SEED=n SECONDS=s; without SEED fresh seeds, one after the other.
+soak: .venv/ready
+	$(BIN)/python -m tests.soak $(or $(SEED),fresh) $(or $(SECONDS),60)
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -25,6 +25,8 @@
         self.rows = MemoryStore(clock)
         self.refuse = 0
         self.lose = 0
+        # Small pages by default, so that readers have to ask for more.
+        self.page_rows = 2
         self.calls: list[str] = []
         self._server = HttpServer(self._answer, max_body=2_000_000)
 
@@ -41,6 +43,10 @@
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.rows.apply("", [], [Put("op", key, data)], [])
 
+    def operator_removes(self, key: str) -> None:
+        """Remove a row as the operator does."""
+        self.rows.apply("", [], [], [Drop("op", key)])
+
     def worker_writes(self, key: str, value: object) -> None:
         """Write a row as a worker does."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -69,7 +75,8 @@
                     query.get("start-key", ""),
                     query.get("to", ""),
                 )
-                return self._listing(listing.rows[:2], listing.version, len(listing.rows) > 2)
+                page = listing.rows[: self.page_rows]
+                return self._listing(page, listing.version, len(listing.rows) > len(page))
             case "/v1/rows-feed":
                 try:
                     page = await self.rows.feed(
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,468 @@
+"""A fault soak: the real programs as processes, stand-ins on loopback, faults from outside.
+
+`python -m tests.soak SEED SECONDS` plays one seed; exits with 1 when a promise was broken.
+What is checked comes from callers and workers, never from what an entry says of itself.
+"""
+
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+from asyncio.subprocess import Process
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from curranthall.dag import Job, Step, TaskId
+from curranthall.errors import CurranthallError
+from curranthall.http import HttpClient
+from curranthall.model import Host, HostState, Size
+from curranthall.standin.runner import Runner, Work
+from tests.cluster import Judge, now
+from tests.platform_fakes import FakeStore, FakeWorker
+from tests.proxy import Mode, Proxy
+
+DOMAINS = ("a", "b", "c")
+ENTRIES_PER_DOMAIN = 2
+WORKERS_PER_DOMAIN = 3
+WORKER_CORES = 8
+CALLERS = 4
+START_S = 6.0
+# After the last fault: leases lapse after 6 s, a successor proves itself after 12 s more.
+SETTLE_S = 45.0
+CALL_S = 3.0
+TRIES = 6
+STEP_S = 0.05
+FRESH_SEEDS = 5
+PREFIX = "/cuts/"
+QUEUE = {
+    "name": "cuts",
+    "path-prefix": PREFIX,
+    "backend": "desk",
+    "max-attempts": 3,
+    "stretch-factor": 2.0,
+    "slo-ms": 500,
+}
+BOUNDS = {
+    "grace-s": 4,
+    "max-hold-ms": 6000,
+    "gang-timeout-ms": 3000,
+    "early_ms": 250,
+    "status_s": 120,
+}
+
+
+class EntryProcess:
+    """One entry: its settings file, its link to the store, and its process."""
+
+    def __init__(self, soak: "Soak", number: int, domain: str) -> None:
+        self.soak = soak
+        self.name = f"{domain}-e{number}"
+        self.domain = domain
+        self.ip = f"127.0.{soak.net}.{number + 1}"
+        self.front = f"{self.ip}:8161"
+        self.store_link = Proxy()
+        self.process: Process | None = None
+        self.wanted = False
+        self.caller = HttpClient(self.front, CALLERS)
+        self.file = soak.folder / f"{self.name}.json"
+
+    async def settle(self, store: str) -> None:
+        """Lay the settings file down."""
+        self.file.write_text(
+            json.dumps(
+                {
+                    "node-name": self.name,
+                    "ip": self.ip,
+                    "zone": self.domain,
+                    "zones": {domain: "land" for domain in DOMAINS},
+                    "listen-addrs": {"frontend": self.front, "readiness": f"{self.ip}:8167"},
+                    "internal-ports": [7720, 7735],
+                    "limits": {"cpu-share": 1.0, "cores": 1},
+                    "bounds": BOUNDS,
+                    "platform": {"address": await self.store_link.start(store)},
+                }
+            )
+        )
+
+    async def start(self) -> None:
+        """Start the process."""
+        with (self.soak.folder / f"{self.name}.log").open("ab") as out:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "curranthall.platform",
+                stdout=out,
+                stderr=out,
+                env={**os.environ, "CURRANTHALL_NODE_FILE": str(self.file)},
+            )
+        self.wanted = True
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop(self, number: signal.Signals) -> None:
+        """End the process and wait for it."""
+        self.wanted = False
+        self.send(number)
+        if self.process is not None:
+            await self.process.wait()
+
+
+class Soak:
+    """One seed."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+        self.rng = random.Random(seed)
+        self.seconds = seconds
+        self.folder = folder
+        # Soaks side by side keep to networks of their own.
+        self.net = 16 + os.getpid() % 200
+        self.judge = Judge()
+        self.store = FakeStore(now)
+        self.store.page_rows = 500
+        self.entries: list[EntryProcess] = []
+        self.workers: dict[str, FakeWorker] = {}
+        self.links: dict[str, Proxy] = {}
+        self.accepted: set[str] = set()
+        self.refused: set[str] = set()
+        self.cancelled: set[str] = set()
+        self.broken: list[str] = []
+        self.faults = 0
+        self.version = 1
+        self._boots = 0
+        self.shown = b""
+        self._ended = False
+
+    async def play(self) -> list[str]:
+        """Play; give what was broken."""
+        address = await self.store.start()
+        domains = DOMAINS * ENTRIES_PER_DOMAIN
+        self.entries = [EntryProcess(self, *numbered) for numbered in enumerate(domains)]
+        self._configure()
+        for domain in DOMAINS:
+            for _ in range(WORKERS_PER_DOMAIN):
+                await self._add_worker(domain)
+        for entry in self.entries:
+            await entry.settle(address)
+            await entry.start()
+        background = [asyncio.create_task(self._step_workers()), asyncio.create_task(self._guard())]
+        await asyncio.sleep(START_S)
+        callers = [asyncio.create_task(self._call(number)) for number in range(CALLERS)]
+        await self._disturb()
+        self._ended = True
+        await asyncio.gather(*callers)
+        await self._heal()
+        await self._finish()
+        for task in background:
+            task.cancel()
+        await self.close()
+        return [*self.judge.broken, *self.broken]
+
+    async def close(self) -> None:
+        """End what was started."""
+        for entry in self.entries:
+            entry.send(signal.SIGCONT)
+            await entry.stop(signal.SIGKILL)
+            entry.caller.close()
+            await entry.store_link.stop()
+        for name, worker in self.workers.items():
+            await worker.stop()
+            await self.links[name].stop()
+        await self.store.stop()
+
+    # Surroundings
+
+    def _configure(self) -> None:
+        # Callers name the entry's own address as the host.
+        routes = [{**QUEUE, "hostname": entry.ip} for entry in self.entries]
+        config = {"version": self.version, "routes": routes, "services": [{"name": "desk"}]}
+        self.store.operator_writes("config", config)
+
+    async def _add_worker(self, domain: str) -> None:
+        self._boots += 1
+        name = f"{domain}-w{self._boots}"
+        worker = self.workers[name] = FakeWorker(self._boot(name, domain))
+        link = self.links[name] = Proxy()
+        address = await link.start(await worker.start())
+        self.store.worker_writes(
+            name,
+            {
+                "backend": "desk",
+                "address": address,
+                "zone": domain,
+                "slots": 8,
+                "phase": "ready",
+                "capacity": {"cpu": WORKER_CORES * 1000, "mem-mb": 32_000, "gpus": 0},
+                "labels": ["a", f"r-{domain}"],
+            },
+        )
+
+    def _boot(self, name: str, domain: str) -> Runner:
+        size = Size(WORKER_CORES, 32_000)
+        host = Host(name, domain, f"r-{domain}", "", size, 8, 0, HostState.LIVE, "desk", ())
+        return Runner(host, now, self._work, self._note)
+
+    def _work(self, task: TaskId) -> Work:
+        step = self.judge.jobs[task.job].steps[task.step]
+        return Work(step, step.estimate_ms / 1000)
+
+    def _note(self, what: str, task: TaskId, run: int, worker: str) -> None:
+        if what == "start" and task.job in self.refused:
+            self.broken.append(f"{now():.2f} refused, but run: {task} on {worker}")
+        self.judge.note(what, task, run, worker)
+
+    async def _step_workers(self) -> None:
+        while True:
+            await asyncio.sleep(STEP_S)
+            for worker in self.workers.values():
+                worker.runner.step()
+                if not Size(0, 0).fits(worker.runner.host.size.minus(worker.runner.used())):
+                    self.broken.append(f"over its size: {worker.instance}")
+
+    async def _guard(self) -> None:
+        """Notice a process that ends by itself."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            for entry in self.entries:
+                if entry.wanted and entry.process and entry.process.returncode is not None:
+                    self.broken.append(f"{entry.name} ended with {entry.process.returncode}")
+                    await entry.start()
+
+    # Callers
+
+    async def _call(self, number: int) -> None:
+        rng, count = random.Random(self.rng.random()), 0
+        while not self._ended:
+            count += 1
+            job = self._job(f"{number:04x}{count:012x}", rng)
+            self.judge.jobs[job.id] = job
+            await self._submit(job, rng)
+            if job.id in self.accepted and rng.random() < 0.15:
+                await asyncio.sleep(rng.uniform(0, 1.5))
+                await self._cancel(job.id, rng)
+            await asyncio.sleep(rng.uniform(0.05, 0.5))
+
+    def _job(self, job_id: str, rng: random.Random) -> Job:
+        first = Step(rng.randint(1, 6), Size(rng.choice((1, 2)), 500), rng.choice((200, 600, 1500)))
+        second = Step(rng.randint(1, 3), Size(1, 500), rng.choice((200, 800)), after=(0,))
+        steps = (first, second) if rng.random() < 0.6 else (first,)
+        return Job(job_id, "cuts", "desk", "spec", steps, 0)
+
+    async def _submit(self, job: Job, rng: random.Random) -> None:
+        steps = [
+            {
+                "count": step.width,
+                "cpu": int(step.size.cores * 1000),
+                "mem-mb": int(step.size.memory),
+                "estimated-ms": step.estimate_ms,
+                **({"after": list(step.after)} if step.after else {}),
+            }
+            for step in job.steps
+        ]
+        body = json.dumps({"spec": job.spec, "steps": steps}).encode()
+        outcomes = []
+        for _ in range(TRIES):
+            outcomes.append(await self._ask("POST", job.id, rng, body))
+            if outcomes[-1] == 200:
+                self.accepted.add(job.id)
+                return
+            await asyncio.sleep(rng.uniform(0.1, 0.8))
+        if all(status in (429, 503) for status in outcomes):
+            self.refused.add(job.id)
+
+    async def _cancel(self, job_id: str, rng: random.Random) -> None:
+        self.cancelled.add(job_id)
+        for _ in range(TRIES):
+            if await self._ask("DELETE", job_id, rng) in (200, 410):
+                return
+            await asyncio.sleep(0.3)
+
+    async def _ask(self, method: str, job_id: str, rng: random.Random, body: bytes = b"") -> int:
+        """Give the status at any entry, or -1 when no answer came."""
+        entry = rng.choice(self.entries)
+        return await self._ask_entry(entry, method, job_id, body)
+
+    async def _ask_entry(
+        self, entry: EntryProcess, method: str, job_id: str, body: bytes = b""
+    ) -> int:
+        try:
+            headers = (("X-Curranthall-Request-Deadline", "2500"),)
+            answer = await entry.caller.call(method, PREFIX + job_id, body, CALL_S, headers)
+        except CurranthallError:
+            return -1
+        self.shown = answer.body
+        return answer.status
+
+    # Faults
+
+    async def _disturb(self) -> None:
+        """Let faults come in series that overlap."""
+        until, running = now() + self.seconds, []
+        table: list[Callable[[], Awaitable[None]]] = [
+            self._kill,
+            self._kill,
+            self._freeze,
+            self._terminate,
+            self._kill_all,
+            self._store_fault,
+            self._store_fault,
+            self._store_fault_everywhere,
+            self._worker_fault,
+            self._worker_fault,
+            self._worker_crash,
+            self._reconfigure,
+            self._forget_history,
+            self._evacuate,
+        ]
+        while now() < until:
+            self.faults += 1
+            running.append(asyncio.ensure_future(self.rng.choice(table)()))
+            await asyncio.sleep(self.rng.expovariate(1 / 1.5))
+        await asyncio.gather(*running)
+
+    async def _kill(self, number: signal.Signals = signal.SIGKILL) -> None:
+        entry = self.rng.choice(self.entries)
+        if entry.wanted:
+            await entry.stop(number)
+            await asyncio.sleep(self.rng.uniform(0.1, 4))
+            await entry.start()
+
+    async def _terminate(self) -> None:
+        await self._kill(signal.SIGTERM)
+
+    async def _kill_all(self) -> None:
+        up = [entry for entry in self.entries if entry.wanted]
+        await asyncio.gather(*(entry.stop(signal.SIGKILL) for entry in up))
+        await asyncio.sleep(self.rng.uniform(0.1, 2))
+        await asyncio.gather(*(entry.start() for entry in up))
+
+    async def _freeze(self) -> None:
+        entry = self.rng.choice(self.entries)
+        entry.send(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.choice((0.5, 3, 8, 14)))
+        entry.send(signal.SIGCONT)
+
+    async def _through(self, *links: Proxy) -> None:
+        mode = self.rng.choice(list(Mode))
+        for link in links:
+            link.become(mode)
+        await asyncio.sleep(self.rng.uniform(0.3, 7))
+        for link in links:
+            link.become(Mode.PASS)
+
+    async def _store_fault(self) -> None:
+        await self._through(self.rng.choice(self.entries).store_link)
+
+    async def _store_fault_everywhere(self) -> None:
+        await self._through(*(entry.store_link for entry in self.entries))
+
+    async def _worker_fault(self) -> None:
+        await self._through(self.links[self.rng.choice(sorted(self.links))])
+
+    async def _worker_crash(self) -> None:
+        """A worker starts again under its id and knows nothing of before."""
+        name = self.rng.choice(sorted(self.workers))
+        worker = self.workers[name]
+        self.judge.lost(name, worker.runner)
+        worker.runner.running.clear()
+        self.links[name].reset()
+        worker.runner = self._boot(name, worker.runner.host.domain)
+
+    async def _reconfigure(self) -> None:
+        self.version += self.rng.randint(1, 5)
+        self._configure()
+
+    async def _forget_history(self) -> None:
+        self.store.rows.forget()
+
+    async def _evacuate(self) -> None:
+        key = f"evacuate/{self.rng.choice(DOMAINS)}"
+        self.store.operator_writes(key, {})
+        await asyncio.sleep(self.rng.uniform(1, 6))
+        self.store.operator_removes(key)
+
+    # The end
+
+    async def _heal(self) -> None:
+        for link in [*self.links.values(), *(entry.store_link for entry in self.entries)]:
+            link.become(Mode.PASS)
+        for entry in self.entries:
+            entry.send(signal.SIGCONT)
+            if not entry.wanted:
+                await entry.start()
+
+    async def _finish(self) -> None:
+        """Expect that all accepted jobs are shown as completed by every entry."""
+        if not self.accepted:
+            self.broken.append("nothing was accepted")
+        until = now() + SETTLE_S
+        for entry in self.entries:
+            for job_id in sorted(self.accepted - self.cancelled):
+                shown = await self._phase(entry, job_id)
+                while shown != "completed" and now() < until:
+                    await asyncio.sleep(0.2)
+                    shown = await self._phase(entry, job_id)
+                if shown != "completed":
+                    self.broken.append(f"{job_id} is {shown} at {entry.name}")
+        done = {task for task, _ in self.judge.done}
+        for job_id in self.accepted - self.cancelled:
+            for number, step in enumerate(self.judge.jobs[job_id].steps):
+                tasks = {TaskId(job_id, 0, number, index) for index in range(step.width)}
+                if not tasks <= done:
+                    self.broken.append(f"{job_id} is shown as completed, but not done")
+        for worker in self.workers.values():
+            left = [task for task in worker.runner.running if task.job in self.cancelled]
+            if left:
+                self.broken.append(f"cancelled, but runs: {left} on {worker.instance}")
+
+    async def _phase(self, entry: EntryProcess, job_id: str) -> Any:
+        status = await self._ask_entry(entry, "GET", job_id)
+        return json.loads(self.shown).get("phase") if status == 200 else status
+
+
+async def soak(seed: int, seconds: float, folder: Path) -> list[str]:
+    """Play one seed; print a line; give what was broken."""
+    play = Soak(seed, seconds, folder)
+    try:
+        broken = await play.play()
+    except BaseException:
+        await play.close()
+        raise
+    print(
+        f"soak: seed={seed} seconds={seconds:g} faults={play.faults} jobs={len(play.judge.jobs)}"
+        f" accepted={len(play.accepted)} cancelled={len(play.cancelled)}"
+        f" refused={len(play.refused)} starts={play.judge.starts} broken={len(broken)}",
+        flush=True,
+    )
+    return broken
+
+
+def main() -> int:
+    """Play a seed, or fresh ones for some minutes; keep the logs of one that broke something."""
+    if sys.argv[1] != "fresh":
+        return play_one(int(sys.argv[1]), float(sys.argv[2]))
+    return max(play_one(random.randrange(10**9), float(sys.argv[2])) for _ in range(FRESH_SEEDS))
+
+
+def play_one(seed: int, seconds: float) -> int:
+    """Play a seed; give 1 when it broke something."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    broken = asyncio.run(soak(seed, seconds, folder))
+    for line in broken[:20]:
+        print(f"  {line}")
+    if broken:
+        print(f"  logs: {folder}", flush=True)
+        return 1
+    shutil.rmtree(folder)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,21 @@
+"""The fault soak with real processes: one short seed, and each that ever found something."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests.soak import soak
+
+SHORT_SEED = 1
+SHORT_S = 12.0
+
+
+class FaultSoak(unittest.TestCase):
+    def test_a_short_seed_breaks_no_promise(self) -> None:
+        with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+            self.assertEqual(asyncio.run(soak(SHORT_SEED, SHORT_S, Path(folder))), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
