Keep the roster and what was learned out of the row that every entry polls

Only a successor needs the roster. It stands in a row of its own now, written in the same transaction as the cell's row and only when it changed (or when its last writing went unanswered), read by a successor between the cell's row and its taking, which holds only if that row is unchanged. What was learned of interference is told every 3 s. Tests that fail without: the polled row's size, the roster after a lost answer.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -10,6 +10,8 @@
 from curranthall.store import Listing
 
 CELL_TABLE = "cells"
+# What only a holder reads, so that the row that every entry polls stays small.
+DETAIL_TABLE = "cell-details"
 CELL_PART = ""
 # A holder renews its row this often, and all entries read the rows this often.
 RENEW_S = 0.8
@@ -35,23 +37,36 @@
     address: str
     incarnation: int
     epoch: int
-    roster: list[Host]
     load: dict[str, Load]
     waiting: dict[str, int]
+
+    def encode(self) -> bytes:
+        """Write the row's value."""
+        return dumps([*self[:4], encode_loads(self.load), self.waiting])
+
+
+def decode_owner(data: bytes) -> Owner:
+    """Read a row's value; raise ValueError."""
+    holder, address, incarnation, epoch, load, waiting = loads(data)
+    return Owner(holder, address, incarnation, epoch, decode_loads(load), waiting)
+
+
+class Details(NamedTuple):
+    """A cell's other row, written only together with its row: its workers, what it learned."""
+
+    roster: list[Host]
     learned: list[list[Any]] = []
 
     def encode(self) -> bytes:
         """Write the row's value."""
         roster = [[*host._replace(state=host.state.value)] for host in self.roster]  # type: ignore
-        return dumps([*self[:4], roster, encode_loads(self.load), self.waiting, self.learned])
+        return dumps([roster, self.learned])
 
 
-def decode_owner(data: bytes) -> Owner:
+def decode_details(data: bytes) -> Details:
     """Read a row's value; raise ValueError."""
-    holder, address, incarnation, epoch, roster, load, waiting, learned = loads(data)
-    hosts = [_host(values) for values in roster]
-    figures = decode_loads(load)
-    return Owner(holder, address, incarnation, epoch, hosts, figures, waiting, learned)
+    roster, learned = loads(data)
+    return Details([_host(values) for values in roster], learned)
 
 
 def _host(values: list[Any]) -> Host:
--- a/src/curranthall/cells/records.py
+++ b/src/curranthall/cells/records.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
+from curranthall.cells.owner import CELL_PART, DETAIL_TABLE, Details, decode_details
 from curranthall.dag import Job, Progress
 from curranthall.dag.model import decode_job
 from curranthall.dag.progress import decode_progress
@@ -96,6 +97,15 @@
     return found, first
 
 
+async def read_details(store: Store, cell: str) -> Details:
+    """Read what a cell's holders left for the next one; nothing when none has written yet."""
+    listing = await store.scan(DETAIL_TABLE, CELL_PART, cell, cell + "\0")
+    for row in listing.rows:
+        if row.value is not None:
+            return decode_details(row.value)
+    return Details([])
+
+
 def concerns(progress: Progress, cell: str) -> bool:
     """Tell whether a cell runs tasks of a job."""
     return progress.cell == cell or cell in progress.elsewhere.values()
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -10,9 +10,12 @@
 from curranthall.cells.owner import (
     CELL_PART,
     CELL_TABLE,
+    DETAIL_TABLE,
     ORDER_LIMIT_S,
     RENEW_S,
+    Details,
     Owner,
+    decode_details,
     decode_owner,
 )
 from curranthall.cells.ports import PaceTask, StartTask, StopTask, WorkerPort
@@ -59,6 +62,8 @@
 # The feed of progress rows: how long a read waits, and the pause that gathers changes.
 FEED_WAIT_MS = 1_500
 FEED_PAUSE_S = 0.4
+# What was learned of interference is told to other cells, and theirs taken over, this often.
+SHARE_S = 3.0
 # Workers silent for this long, at least half of them, mean that this entry is cut off.
 CUT_OFF_S = 1.0
 
@@ -69,13 +74,13 @@
     owner: Owner
     version: int
     taken_at: float
+    details: Details
 
 
 class Neighbours(NamedTuple):
     """What a cell knows of the others, and how it tells them of jobs that they share."""
 
     rooms: Callable[[str], list[Room]]
-    learned: Callable[[str], list[list[list[Any]]]]
     tell: Callable[[str, Stored], None]
 
 
@@ -111,6 +116,9 @@
         self._wake = asyncio.Event()
         self._record = asyncio.Event()
         self._renew_now = asyncio.Event()
+        self._details = holding.details
+        self._details_stored = True
+        self._shared_at = 0.0
         self._commits = 0
         self._ended = False
         self._feed_from = 0
@@ -147,9 +155,9 @@
             if not self.dispatcher.dirty:
                 break
             await asyncio.gather(*(self._record_part(part) for part in PARTS))
-        freed = self.owner._replace(holder="", roster=self.dispatcher.roster(), load={}, waiting={})
+        freed = self.owner._replace(holder="", load={}, waiting={})
         try:
-            await self._put_owner(freed)
+            await self._put_owner(freed, self._details._replace(roster=self.dispatcher.roster()))
         except (PlatformDown, AnswerLost) as exc:
             log(Event.STORE_FAILED, what="release", error=exc)
         self.end("released")
@@ -198,34 +206,44 @@
             await self.release()
             return
         fresh = self.owner._replace(
-            roster=self.dispatcher.roster(),
-            load=self.dispatcher.load(now),
-            waiting=self.dispatcher.waiting_jobs(),
-            learned=self.dispatcher.interference.shared(),
+            load=self.dispatcher.load(now), waiting=self.dispatcher.waiting_jobs()
         )
-        for rows in self._neighbours.learned(self.cell):
-            self.dispatcher.interference.take_in(rows)
+        details = self._details._replace(roster=self.dispatcher.roster())
+        if now - self._shared_at >= SHARE_S:
+            self._shared_at = now
+            details = details._replace(learned=self.dispatcher.interference.shared())
+            self._spawn(self._learn_from_others())
         try:
-            if await self._put_owner(fresh):
+            if await self._put_owner(fresh, details):
                 self.confirmed_at = max(self.confirmed_at, now)
-                self.dispatcher.confirm_roster([host.name for host in fresh.roster])
+                self.dispatcher.confirm_roster([host.name for host in details.roster])
                 self.wake()
             else:
                 self.end("deposed")
         except (PlatformDown, AnswerLost) as exc:
             log(Event.STORE_FAILED, what="renewal", error=exc)
 
-    async def _put_owner(self, owner: Owner) -> bool:
-        """Write the row; tell whether it is still this holder's."""
+    async def _learn_from_others(self) -> None:
+        """Take over what the other cells learned of interference."""
+        listing = await self._store.scan(DETAIL_TABLE, CELL_PART)
+        for row in listing.rows:
+            if row.key != self.cell and row.value is not None:
+                self.dispatcher.interference.take_in(decode_details(row.value).learned)
+
+    async def _put_owner(self, owner: Owner, details: Details) -> bool:
+        """Write the cell's rows; tell whether it is still this holder's."""
+        puts = [Put(CELL_TABLE, self.cell, owner.encode())]
+        if details != self._details or not self._details_stored:
+            puts.append(Put(DETAIL_TABLE, self.cell, details.encode()))
+            # Without an answer, either row may stand there.
+            self._details_stored = False
         for _ in range(2):
             match await self._store.commit(
-                CELL_PART,
-                [Check(CELL_TABLE, self.cell, self._version)],
-                [Put(CELL_TABLE, self.cell, owner.encode())],
-                [],
+                CELL_PART, [Check(CELL_TABLE, self.cell, self._version)], puts, []
             ):
                 case Committed(version):
                     self.owner, self._version = owner, version
+                    self._details, self._details_stored = details, True
                     self._on_renewed(self.cell, owner, version)
                     return True
                 case Stale(rows):
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -13,12 +13,13 @@
     CELL_TABLE,
     RENEW_S,
     Claimant,
+    Details,
     Owner,
     OwnerWatch,
     Vacancy,
 )
 from curranthall.cells.ports import WorkerPort
-from curranthall.cells.records import Stored
+from curranthall.cells.records import Stored, read_details
 from curranthall.cells.runtime import CellRuntime, Holding, Neighbours
 from curranthall.cells.tracking import Bounds, Queue
 from curranthall.dag import Job
@@ -89,18 +90,28 @@
             return RENEW_S
         if vacancy.takeable_at > now:
             return max(MIN_PAUSE_S, min(RENEW_S, vacancy.takeable_at - now))
-        if vacancy.cell not in self.held and await self._reaches(vacancy):
-            await self._take(vacancy)
+        if vacancy.cell not in self.held:
+            await self._try_to_take(vacancy)
         return MIN_PAUSE_S
 
-    async def _reaches(self, vacancy: Vacancy) -> bool:
+    async def _try_to_take(self, vacancy: Vacancy) -> None:
+        try:
+            # Read after the cell's row: a later change of the roster changes that row, too, and
+            # then the cell can't be taken by the version read.
+            details = await read_details(self._around.store, vacancy.cell)
+        except (PlatformDown, AnswerLost) as exc:
+            log(Event.STORE_FAILED, what="roster", error=exc)
+            return
+        if await self._reaches(vacancy, details.roster):
+            await self._take(vacancy, details)
+
+    async def _reaches(self, vacancy: Vacancy, roster: list[Host]) -> bool:
         """Tell whether some worker of the cell can be reached from here.
 
         In a failure domain that is cut off with its holder, the holder goes on by itself.
         """
-        hosts = [h for h in (self._around.hosts() or {}).values() if h.domain == vacancy.cell]
-        if vacancy.owner is not None:
-            hosts = hosts or vacancy.owner.roster
+        listed = (self._around.hosts() or {}).values()
+        hosts = [host for host in listed if host.domain == vacancy.cell] or roster
         if not hosts:
             return True
         asked = random.sample(hosts, min(REACH_SAMPLE, len(hosts)))
@@ -110,14 +121,13 @@
             self.watch.abstain_until[vacancy.cell] = self._around.clock() + RENEW_S
         return any(found)
 
-    async def _take(self, vacancy: Vacancy) -> None:
+    async def _take(self, vacancy: Vacancy, details: Details) -> None:
         around = self._around
         # The store's version only grows, so each taking has a greater epoch than any before.
         former = vacancy.owner.epoch if vacancy.owner else 0
         epoch = max(self.watch.epoch_seen, former) + 1
-        roster = vacancy.owner.roster if vacancy.owner else []
         me = self.me
-        owner = Owner(me.name, me.address, me.incarnation, epoch, roster, {}, {})
+        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, {})
         sent_at = around.clock()
         try:
             answer = await around.store.commit(
@@ -131,7 +141,7 @@
             return
         match answer:
             case Committed(version):
-                self._hold(vacancy, Holding(owner, version, sent_at))
+                self._hold(vacancy, Holding(owner, version, sent_at, details))
             case Stale():
                 log(Event.CELL_CONTESTED, cell=vacancy.cell, epoch=epoch)
 
@@ -142,13 +152,13 @@
             cell=vacancy.cell,
             epoch=owner.epoch,
             former=vacancy.owner.holder if vacancy.owner else None,
-            workers=len(owner.roster),
+            workers=len(holding.details.roster),
             proof_in_s=round(vacancy.proof_at - around.clock(), 2),
         )
         dispatcher = Dispatcher(
             vacancy.cell, owner.epoch, self._bounds, around.queue_of, around.wall_ms
         )
-        dispatcher.take_over(owner.roster, vacancy.proof_at)
+        dispatcher.take_over(holding.details.roster, vacancy.proof_at)
         dispatcher.closed = vacancy.cell in around.evacuated()
         runtime = CellRuntime(
             dispatcher,
@@ -158,7 +168,7 @@
             around.clock,
             self._on_end,
             self._on_renewed,
-            Neighbours(self._rooms, self._learned, self.hand_over),
+            Neighbours(self._rooms, self.hand_over),
         )
         self.held[vacancy.cell] = runtime
         self._on_renewed(vacancy.cell, owner, holding.version)
@@ -178,11 +188,6 @@
                 found.append(Room(other, owner.load))
         return found
 
-    def _learned(self, cell: str) -> list[list[list[Any]]]:
-        """Give what the other cells learned of interference."""
-        owners = [self.watch.holder(other) for other in self.watch.cells if other != cell]
-        return [owner.learned for owner in owners if owner is not None]
-
     def hand_over(self, cell: str, stored: Stored) -> None:
         """Bring a stored job to the holder of a cell; its feed would, a while later."""
         runtime = self.held.get(cell)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -9,9 +9,11 @@
     ORDER_LIMIT_S,
     VACANT_S,
     Claimant,
+    Details,
     Owner,
     OwnerWatch,
     Vacancy,
+    decode_details,
     decode_owner,
 )
 from curranthall.cells.tracking import Queue
@@ -20,7 +22,7 @@
 
 HOLD_S = 6.0
 ME = Claimant("e1", "e1:1", 11, "north", 1.0)
-OTHER = Owner("e2", "e2:1", 5, 7, [host("w1")], {}, {})
+OTHER = Owner("e2", "e2:1", 5, 7, {}, {})
 
 
 class Watching(unittest.TestCase):
@@ -93,8 +95,10 @@
 
     def test_a_row_keeps_all_it_says(self) -> None:
         load = Load(8.0, 4.0, 2.0, Waiting(1.0, 3.0), {"f": 1.5}, {"s": 4.0})
-        owner = OTHER._replace(load={"desk": load}, waiting={"q": 2}, learned=[["s", "f", 1, 0.1]])
+        owner = OTHER._replace(load={"desk": load}, waiting={"q": 2})
         self.assertEqual(decode_owner(owner.encode()), owner)
+        details = Details([host("w1"), host("w2")], [["s", "f", 1, 0.1]])
+        self.assertEqual(decode_details(details.encode()), details)
 
 
 class Configurations(unittest.TestCase):
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -3,14 +3,15 @@
 import unittest
 
 from curranthall.cells.dispatcher import Dispatcher
-from curranthall.cells.owner import Owner
-from curranthall.cells.records import Stored, part_of
+from curranthall.cells.owner import CELL_PART, CELL_TABLE, Details, Owner
+from curranthall.cells.records import Stored, part_of, read_details
 from curranthall.cells.runtime import CellRuntime, Holding, Neighbours
 from curranthall.cells.tracking import Bounds, Queue
 from curranthall.dag import Progress
+from curranthall.errors import AnswerLost
 from curranthall.standin.store import MemoryStore
 from curranthall.store import Check, Committed, Drop, Put, Stale
-from tests.cell_fixtures import CELL, SERVICE, job
+from tests.cell_fixtures import CELL, SERVICE, host, job
 
 
 class SlowStore(MemoryStore):
@@ -28,22 +29,86 @@
         return answer
 
 
+class LossyStore(MemoryStore):
+    """Answers a transaction that it carries out with silence, as often as told to."""
+
+    def __init__(self) -> None:
+        super().__init__(lambda: 0.0)
+        self.lose = 0
+
+    async def commit(
+        self, part: str, checks: list[Check], puts: list[Put], drops: list[Drop]
+    ) -> Committed | Stale:
+        answer = self.apply(part, checks, puts, drops)
+        if self.lose:
+            self.lose -= 1
+            raise AnswerLost(peer="store", why="test")
+        return answer
+
+
+def made(store: MemoryStore, told: list[Stored]) -> CellRuntime:
+    """Build a runtime that holds its cell by version 0, none of its loops started."""
+    queue = Queue("q", SERVICE)
+    dispatcher = Dispatcher(CELL, 7, Bounds(), lambda job: queue, lambda: 0.0)
+    return CellRuntime(
+        dispatcher,
+        Holding(Owner("e", "e:1", 1, 7, {}, {}), 0, 0.0, Details([])),
+        store,
+        lambda host: None,  # type: ignore[arg-type, return-value]
+        lambda: 0.0,
+        lambda runtime, why: None,
+        lambda cell, owner, version: None,
+        Neighbours(lambda cell: [], lambda cell, stored: told.append(stored)),
+    )
+
+
+class Renewing(unittest.IsolatedAsyncioTestCase):
+    async def stored_names(self, store: MemoryStore) -> set[str]:
+        """Name the workers that a successor would know of."""
+        return {host.name for host in (await read_details(store, CELL)).roster}
+
+    async def test_a_worker_is_used_only_when_a_successor_would_know_of_it(self) -> None:
+        store = LossyStore()
+        runtime = made(store, [])
+        for name in ("w1", "w2"):
+            runtime.dispatcher.see_host(host(name))
+            await runtime._renew()
+        self.assertEqual(await self.stored_names(store), {"w1", "w2"})
+        used = {m.name for m in runtime.dispatcher.members.values() if m.in_roster}
+        self.assertEqual(used, {"w1", "w2"})
+
+    async def test_a_roster_is_written_again_after_a_lost_answer_though_it_is_as_before(
+        self,
+    ) -> None:
+        store = LossyStore()
+        runtime = made(store, [])
+        runtime.dispatcher.see_host(host("w1"))
+        await runtime._renew()
+        kept = runtime.dispatcher.members.pop("w1")
+        store.lose = 1
+        await runtime._renew()
+        self.assertEqual(await self.stored_names(store), set())
+        runtime.dispatcher.members["w1"] = kept
+        await runtime._renew()
+        self.assertEqual(await self.stored_names(store), {"w1"})
+
+    async def test_the_row_that_every_entry_polls_does_not_grow_with_the_workers(self) -> None:
+        store = LossyStore()
+        runtime = made(store, [])
+        sizes = []
+        for number in range(60):
+            runtime.dispatcher.see_host(host(f"w{number}"))
+            await runtime._renew()
+            (row,) = (await store.scan(CELL_TABLE, CELL_PART)).rows
+            sizes.append(len(row.value or b""))
+        self.assertLess(max(sizes), 1_000)
+
+
 class Telling(unittest.IsolatedAsyncioTestCase):
     async def test_other_cells_hear_only_of_what_is_committed(self) -> None:
-        queue = Queue("q", SERVICE)
-        dispatcher = Dispatcher(CELL, 7, Bounds(), lambda job: queue, lambda: 0.0)
         store, told = SlowStore(), list[Stored]()
-        owner = Owner("e", "e:1", 1, 7, [], {}, {})
-        runtime = CellRuntime(
-            dispatcher,
-            Holding(owner, 1, 0.0),
-            store,
-            lambda host: None,  # type: ignore[arg-type, return-value]
-            lambda: 0.0,
-            lambda runtime, why: None,
-            lambda cell, owner, version: None,
-            Neighbours(lambda cell: [], lambda cell: [], lambda cell, stored: told.append(stored)),
-        )
+        runtime = made(store, told)
+        dispatcher = runtime.dispatcher
         dispatcher.adopt(job(), Progress(CELL), 0, 0.0, False)
         tracked = dispatcher.tracked["0" * 16]
         batch = tracked.batches[0, 0]
