Start a task of a filling job at a standstill though smaller tasks were refused before it

The way out for a job of which nothing runs came after the check that passes over a batch when a smaller task was refused in the same round, so a late job, last in the order, never reached it; and it needed an idle core. Ruled out: a cell not proven or closed (proven, open, 11 of 11 workers usable), tasks lost between cells (the last of 17 had failed and waited here). Both tests failed before.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -41,8 +41,10 @@
 # A run slowed below this share, in percent, for this long is worth moving to a free worker.
 RELIEF_PACE = 50
 RELIEF_AFTER_S = 0.5
-# A job of which nothing runs for this long gets one task started: the platform allows 3 s.
+# A job of which nothing runs for this long gets one task started whatever the strain, and a
+# while later where no core is idle, too: the platform allows 3 s.
 STANDSTILL_S = 1.2
+FORCE_S = 2.0
 # A summary of the cell is logged this often.
 SUMMARY_S = 2.0
 # No share in percent, so that the next one ordered differs.
@@ -774,7 +776,7 @@
         service = tracked.queue.service
         for _, filling, size in refused:
             if filling == step.filling and size.fits(step.size):
-                batch.stranded_since = batch.stranded_since or now
+                self._strand(batch, Wish(service, step, batch.siblings()), usable, now)
                 return
         siblings = batch.siblings()
         racks = self._racks(siblings) if step.same_rack else frozenset()
@@ -787,10 +789,7 @@
                 plain = not (step.requires or step.max_per_worker)
                 if plain:
                     refused.append((service, step.filling, step.size))
-                batch.stranded_since = batch.stranded_since or now
-                member = self._last_resort(batch, wish, usable, now)
-                if member is not None:
-                    self._start(batch, index, member, self._next_run(tracked), now)
+                self._strand(batch, wish, usable, now)
                 return
             self._start(batch, index, member, self._next_run(tracked), now)
             siblings[member.name] = siblings.get(member.name, 0) + 1
@@ -798,15 +797,22 @@
                 racks = self._racks(siblings)
         batch.stranded_since = None
 
-    def _last_resort(
-        self, batch: Batch, wish: Wish, usable: list[Member], now: float
-    ) -> Member | None:
-        """Let one filling task of a job at a standstill join serving ones whatever the strain."""
-        if not batch.step.filling or batch.tracked.active():
-            return None
-        if now - (batch.stranded_since or now) < STANDSTILL_S:
-            return None
-        return choose(wish._replace(margin=float("inf")), usable)
+    def _strand(self, batch: Batch, wish: Wish, usable: list[Member], now: float) -> None:
+        """Note that no worker was found; start one task of a filling job at a standstill."""
+        batch.stranded_since = batch.stranded_since or now
+        waited_s = now - batch.stranded_since
+        if not batch.step.filling or waited_s < STANDSTILL_S or batch.tracked.active():
+            return
+        last = wish._replace(
+            interference=self.interference,
+            margin=float("inf"),
+            crowded=waited_s >= FORCE_S,
+            now=now,
+        )
+        member = choose(last, usable)
+        if member is not None:
+            number = self._next_run(batch.tracked)
+            self._start(batch, min(batch.waiting), member, number, now)
 
     def _place_gang(self, batch: Batch, usable: list[Member], now: float) -> None:
         """Start all members of a gang at once, or none."""
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -36,6 +36,8 @@
     interference: Interference = Interference()
     margin: float = STRAIN_LIMIT
     now: float = 0.0
+    # A filling task may join others where no core is idle.
+    crowded: bool = False
 
 
 def choose(wish: Wish, members: Iterable[Member]) -> Member | None:
@@ -66,7 +68,7 @@
 
 def _may_fill(wish: Wish, member: Member) -> bool:
     step = wish.step
-    if member.idle_cores < step.size.cores * FILLING_SHARE:
+    if not wish.crowded and member.idle_cores < step.size.cores * FILLING_SHARE:
         return False
     return not member.serving or _strain(wish, member) < wish.margin
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -181,6 +181,37 @@
         cell.started(*started)
         self.assertEqual(cell.plan(), [])
 
+    def test_a_job_behind_smaller_ones_is_not_left_at_a_standstill(self) -> None:
+        """Found by a hunt: a late job's tasks waited for 26 s behind others that were refused."""
+        cell = Cell(host("w1", cores=16))
+        cell.add(job("1" * 16, serving()))  # type: ignore[arg-type]
+        (first,) = cell.plan()
+        cell.started(first)
+        for number, cores in (("2", 1), ("3", 4)):
+            cell.add(job(number * 16, step(3, cores=cores, filling=True, image="fill")))
+        began, jobs = cell.now, set[str]()
+        while cell.now - began < 3.0:
+            cell.now += LOOK_S
+            cell.answer("w1", [Listed(first.task, first.run, "", 100, 19)])
+            orders = cell.plan()
+            cell.started(*orders)
+            jobs |= {order.task.job[0] for order in orders}
+        self.assertEqual(jobs, {"2", "3"})
+
+    def test_a_job_at_a_standstill_gets_a_task_started_where_no_core_is_idle(self) -> None:
+        cell = Cell(host("w1", cores=8))
+        cell.add(job("2" * 16, step(4, cores=4, filling=True, image="fill")))
+        orders = cell.plan()
+        cell.started(*orders)
+        cell.add(job("3" * 16, step(2, cores=4, filling=True, image="fill")))
+        began, jobs = cell.now, set[str]()
+        while cell.now - began < 3.0:
+            cell.now += LOOK_S
+            percent = 10 * (cell.now - began)
+            cell.answer("w1", [Listed(each.task, each.run, "", percent, 0) for each in orders])
+            jobs |= {order.task.job[0] for order in cell.plan()}
+        self.assertEqual(jobs, {"3"})
+
     def test_a_slowed_run_goes_on_from_its_checkpoint_on_a_free_worker(self) -> None:
         cell = Cell(host("w1", cores=16))
         cell.add(job("1" * 16, serving()))  # type: ignore[arg-type]
