--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -751,12 +751,18 @@
         if fitting:
             usable.remove(max(fitting, key=lambda member: member.room.cores))
 
-    def _order(self, batch: Batch, now: float) -> tuple[int, int, float]:
+    def _order(self, batch: Batch, now: float) -> tuple[int, int, bool, float]:
+        """Rank a batch: lasting tasks, then by priority those in time, then late ones.
+
+        Among equals the least work left goes first: under overload that completes most jobs.
+        """
         tracked = batch.tracked
         if batch.step.lasting:
-            return 0, 0, tracked.due
-        hopeless = now > tracked.hopeless_at()
-        return 2 if hopeless else 1, tracked.queue.priority, tracked.objective_at()
+            return 0, 0, False, tracked.due
+        rank = 2 if now > tracked.hopeless_at() else 1
+        left_s = tracked.job.chain_ms(batch.number) / 1000
+        late = now + left_s > tracked.objective_at()
+        return rank, tracked.queue.priority, late, tracked.work_left()
 
     def _held_back(self, batch: Batch, now: float) -> bool:
         tracked = batch.tracked
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -101,6 +101,15 @@
         left = objective_at - now - self.job.chain_ms(number) / 1000
         return 1 - left / max(spare, LEAST_SPARE_S)
 
+    def work_left(self) -> float:
+        """Estimate the core-seconds that the job still needs."""
+        left = 0.0
+        for occurrence in range(self.job.occurrences):
+            for number, step in enumerate(self.job.steps):
+                ended = self.progress.done.get((occurrence, number), 0).bit_count()
+                left += (step.width - ended) * step.size.cores * step.estimate_ms / 1000
+        return left
+
     def hopeless_at(self) -> float:
         """Give the local time after which the job earns nothing."""
         return self.due + LATE_FACTOR * (self.objective_at() - self.due)
