Drop the strain limit's haste, which no longer does anything

Since pairs are learned from changes the limit no longer rises with haste (its factor was zero): the function, its constant and Tracked.haste go.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -10,7 +10,7 @@
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import Load, Waiting, measure
 from curranthall.cells.pacing import FULL, adjust, pressure
-from curranthall.cells.placement import Wish, choose, strain_limit
+from curranthall.cells.placement import Wish, choose
 from curranthall.cells.ports import (
     Ending,
     EndKind,
@@ -786,10 +786,9 @@
                 return
         siblings = batch.siblings()
         racks = self._racks(siblings) if step.same_rack else frozenset()
-        margin = strain_limit(tracked.haste(batch.number, now)) if step.filling else 0.0
         for index in sorted(batch.waiting):
             avoid = frozenset(tracked.failed_on.get((batch.occurrence, batch.number, index), ()))
-            wish = Wish(service, step, siblings, avoid, racks, self.interference, margin, now)
+            wish = Wish(service, step, siblings, avoid, racks, self.interference, now=now)
             member = choose(wish, usable)
             if member is None:
                 plain = not (step.requires or step.max_per_worker)
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -11,20 +11,14 @@
 # A filling task starts only where this share of its cores is idle.
 FILLING_SHARE = 0.5
 # A filling task joins serving ones where their load stays under this part of its limit; the
-# rest is kept for the swing of their own load. It grows as the task's time runs out.
+# rest is kept for the swing of their own load.
 STRAIN_LIMIT = 0.85
 # Workers report the last half second, so what started later does not show yet.
 REPORT_SPAN_S = 0.6
-HASTE_STRAIN = 0.0
 # Differences in load below this, of a limit of about 0.8, do not outweigh idle cores.
 PRESS_STEP = 0.02
 
 
-def strain_limit(haste: float) -> float:
-    """Give the strain that a filling task may bring; a late one has little left to gain."""
-    return STRAIN_LIMIT + (HASTE_STRAIN * max(haste, 0.0) if haste < 1 else 0.0)
-
-
 class Wish(NamedTuple):
     """What narrows the choice for one task."""
 
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -9,8 +9,6 @@
 
 # A job past this many times its objective earns nothing more, so it yields.
 LATE_FACTOR = 3.0
-# Time to spare is never taken as less than this, in seconds.
-LEAST_SPARE_S = 0.3
 
 
 class Queue(NamedTuple):
@@ -94,13 +92,6 @@
         chain_s = self.job.chain_ms() / 1000
         return self.due + self.queue.stretch * chain_s + self.queue.objective_ms / 1000
 
-    def haste(self, number: int, now: float) -> float:
-        """Tell how much of the time to spare before a step is used up; over 1 it is late."""
-        objective_at = self.objective_at()
-        spare = objective_at - self.due - self.job.chain_ms() / 1000
-        left = objective_at - now - self.job.chain_ms(number) / 1000
-        return 1 - left / max(spare, LEAST_SPARE_S)
-
     def work_left(self) -> float:
         """Estimate the core-seconds that the job still needs."""
         left = 0.0
