Stand-in worker: an end from before a lapse of the lease counts as not taken note of

The users' rule allows just this: an end is taken note of when ack-cursor reaches it, unless the worker's lease lapsed between the two, for good. The judge did not know of lapses without a run. Ruled out: a start before the lapse was proven (lease until 933.4, restarts at 933.8 by the logs). The stand-in says so now; a start with the lease unbroken is judged as before.

--- a/src/curranthall/standin/runner.py
+++ b/src/curranthall/standin/runner.py
@@ -60,6 +60,8 @@
         self._lease_ms = 0
         self._ended: list[Ending] = []
         self._count = 0
+        # Ends up to this number were listed before a lapse of the lease.
+        self._lapsed_to = 0
         self._barred: dict[TaskId, int] = {}
         self._news = asyncio.Event()
 
@@ -71,9 +73,12 @@
     async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
         """Extend the lease, acknowledge ends, list; wait for an end."""
         self._obey(epoch)
+        self._note_lapse()
         for end in self._ended:
             if end.number <= cursor:
-                self._note(f"acked {end.kind.value}", end.task, end.run, self.host.name)
+                # An end from before a lapse counts as not taken note of, for good.
+                kind = "lapsed" if end.number <= self._lapsed_to else f"acked {end.kind.value}"
+                self._note(kind, end.task, end.run, self.host.name)
         self._ended = [end for end in self._ended if end.number > cursor]
         if lease_ms is not None:
             self._extend(lease_ms)
@@ -150,7 +155,12 @@
             raise Fenced(worker=self.host.name, epoch=epoch, newest=self._epoch)
         self._epoch = epoch
 
+    def _note_lapse(self) -> None:
+        if self.clock_ms > self._lease_ms:
+            self._lapsed_to = self._count
+
     def _extend(self, lease_ms: int) -> None:
+        self._note_lapse()
         most = self.clock_ms + int(MAX_HOLD_S * 1000)
         self._lease_ms = max(self._lease_ms, min(lease_ms, most))
 
