--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -6,12 +6,14 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
+from curranthall.cells.advice import Advice
 from curranthall.cells.fleet import QUARANTINE_S, Member, Run, RunState, Unrecorded
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import Load, Waiting, measure
 from curranthall.cells.pacing import FULL, adjust, pressure
 from curranthall.cells.placement import Wish, choose
 from curranthall.cells.ports import (
+    AskAdvice,
     Ending,
     EndKind,
     Listed,
@@ -21,6 +23,7 @@
     StartResult,
     StartTask,
     StopTask,
+    WorkerOrder,
 )
 from curranthall.cells.tracking import Batch, Bounds, Queue, Tracked
 from curranthall.dag import Job, Phase, Progress, TaskId
@@ -543,7 +546,7 @@
         run.state, run.stop_sent_at = RunState.STOPPING, now
         self.orders.append(StopTask(run.worker, run.task, run.number))
 
-    def find(self, order: Order) -> Run | None:
+    def find(self, order: WorkerOrder) -> Run | None:
         """Give the run that an order is about."""
         member = self.members.get(order.worker)
         return member.runs.get((order.task, order.run)) if member else None
@@ -563,10 +566,28 @@
                 member.avoid_until = max(member.avoid_until, now + NO_ROOM_PAUSE_S)
             case StartResult.UNHEALTHY | StartResult.TOO_LATE:
                 member.avoid_until = max(member.avoid_until, now + NO_ROOM_PAUSE_S)
+            case StartResult.NO_TICKET:
+                self._batch(self.tracked[run.task.job], run.task).tickets.drop(member.name, now)
             case StartResult.MALFORMED:
                 self.tracked[run.task.job].pause_until = now + MALFORMED_PAUSE_S
         self._drop(run, now)
 
+    def on_advice(
+        self, order: AskAdvice, advice: Advice | None, asked_at: float, now: float
+    ) -> None:
+        """Take in which workers may run a step; None when the advisor did not answer."""
+        tracked = self.tracked.get(order.job)
+        batch = tracked.batches.get((order.occurrence, order.step)) if tracked else None
+        if batch is not None:
+            batch.tickets.take_in(advice, asked_at, now)
+        log(
+            Event.ADVICE_TAKEN,
+            job=order.job,
+            step=order.step,
+            asked=len(order.workers),
+            approved=len(advice.tickets) if advice is not None else None,
+        )
+
     def on_start_unsent(self, order: StartTask, now: float) -> None:
         """Note that a start never left this process."""
         run = self.find(order)
@@ -724,7 +745,10 @@
         tracked = self.tracked.get(run.task.job)
         if tracked is None:
             return False
-        siblings = self._batch(tracked, run.task).siblings()
+        batch = self._batch(tracked, run.task)
+        siblings = batch.siblings()
+        if tracked.queue.advised:
+            free = batch.tickets.good(free, now)
         wish = Wish(
             tracked.queue.service,
             run.step,
@@ -768,6 +792,21 @@
         tracked = batch.tracked
         return now < tracked.pause_until or (tracked.prior and not self.proven)
 
+    def _ticketed(self, batch: Batch, usable: list[Member], now: float) -> list[Member]:
+        """Give the workers that the advisor approved; ask about those not known yet."""
+        step = batch.step
+        suited = [
+            member
+            for member in usable
+            if member.host.service == batch.tracked.queue.service
+            and (not step.requires or step.requires in member.host.labels)
+        ]
+        unknown = batch.tickets.to_ask(suited, now)
+        if unknown:
+            job = batch.tracked.job.id
+            self.orders.append(AskAdvice(job, batch.occurrence, batch.number, unknown))
+        return batch.tickets.good(suited, now)
+
     def _place(
         self,
         batch: Batch,
@@ -775,6 +814,10 @@
         refused: list[tuple[str, bool, Size]],
         now: float,
     ) -> None:
+        if batch.tracked.queue.advised:
+            refused, usable = [], self._ticketed(batch, usable, now)
+            if not usable and batch.tickets.awaited(now):
+                return
         if batch.step.gang:
             self._place_gang(batch, usable, now)
             return
@@ -871,7 +914,15 @@
         deadline_ms = member.clock_now(now) + int(START_WINDOW_S * 1000)
         member.granted_ms = max(member.granted_ms, deadline_ms)
         self.orders.append(
-            StartTask(member.name, task, number, tracked.job.spec, checkpoint, deadline_ms)
+            StartTask(
+                member.name,
+                task,
+                number,
+                tracked.job.spec,
+                checkpoint,
+                deadline_ms,
+                batch.tickets.text(member.name),
+            )
         )
         log(
             Event.RUN_PLACED,
--- a/src/curranthall/cells/ports.py
+++ b/src/curranthall/cells/ports.py
@@ -88,7 +88,19 @@
     percent: int
 
 
-Order = StartTask | StopTask | PaceTask
+WorkerOrder = StartTask | StopTask | PaceTask
+
+
+class AskAdvice(NamedTuple):
+    """An order to ask the advisor which workers may run a step."""
+
+    job: str
+    occurrence: int
+    step: int
+    workers: tuple[str, ...]
+
+
+Order = WorkerOrder | AskAdvice
 
 
 class WorkerPort(Protocol):
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
+from curranthall.cells.advice import Advice
 from curranthall.cells.balance import Balance, Room
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.fleet import Member
@@ -18,7 +19,14 @@
     decode_details,
     decode_owner,
 )
-from curranthall.cells.ports import PaceTask, StartTask, StopTask, WorkerPort
+from curranthall.cells.ports import (
+    AskAdvice,
+    Order,
+    PaceTask,
+    StartTask,
+    StopTask,
+    WorkerPort,
+)
 from curranthall.cells.records import (
     PARTS,
     PROGRESS_TABLE,
@@ -101,6 +109,7 @@
         on_end: Callable[["CellRuntime", str], None],
         on_renewed: Callable[[str, Owner, int], None],
         neighbours: "Neighbours",
+        advise: Callable[[AskAdvice], Awaitable[Advice]],
     ) -> None:
         self.dispatcher = dispatcher
         self.cell = dispatcher.cell
@@ -113,6 +122,7 @@
         self._on_end = on_end
         self._on_renewed = on_renewed
         self._neighbours = neighbours
+        self._advise = advise
         self._balance = Balance()
         self._ports: dict[str, WorkerPort] = {}
         self._holds: dict[str, asyncio.Task[None]] = {}
@@ -363,7 +373,10 @@
             # Events that come together are planned for together.
             await asyncio.sleep(0.003)
 
-    def _carry_out(self, order: StartTask | StopTask | PaceTask) -> None:
+    def _carry_out(self, order: Order) -> None:
+        if isinstance(order, AskAdvice):
+            self._spawn(self._ask_advice(order))
+            return
         port = self._ports.get(order.worker)
         if port is None:
             return
@@ -375,6 +388,15 @@
             case PaceTask():
                 self._spawn(self._send_pace(port, order))
 
+    async def _ask_advice(self, order: AskAdvice) -> None:
+        asked_at, advice = self._clock(), None
+        try:
+            advice = await self._advise(order)
+        except (ConnectFailed, AnswerLost) as exc:
+            log(Event.ORDER_UNANSWERED, what="advice", job=order.job, step=order.step, error=exc)
+        self.dispatcher.on_advice(order, advice, asked_at, self._clock())
+        self.wake()
+
     async def _send_start(self, port: WorkerPort, order: StartTask) -> None:
         dispatcher = self.dispatcher
         try:
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
+from curranthall.cells.advice import Advice
 from curranthall.cells.balance import Room
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.owner import (
@@ -18,7 +19,7 @@
     OwnerWatch,
     Vacancy,
 )
-from curranthall.cells.ports import WorkerPort
+from curranthall.cells.ports import AskAdvice, WorkerPort
 from curranthall.cells.records import Stored, read_details
 from curranthall.cells.runtime import CellRuntime, Holding, Neighbours
 from curranthall.cells.tracking import Bounds, Queue
@@ -49,7 +50,8 @@
     evacuated: Callable[[], frozenset[str]]
     cast: Callable[[str, str, Any], None]
     reaches: Callable[[Host], Awaitable[bool]]
-    hurry_hosts: Callable[[], None] = lambda: None
+    hurry_hosts: Callable[[], None]
+    advise: Callable[[AskAdvice], Awaitable[Advice]]
 
 
 class Succession:
@@ -169,6 +171,7 @@
             self._on_end,
             self._on_renewed,
             Neighbours(self._rooms, self.hand_over),
+            around.advise,
         )
         self.held[vacancy.cell] = runtime
         self._on_renewed(vacancy.cell, owner, holding.version)
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from curranthall.cells.advice import Tickets
 from curranthall.cells.fleet import Run
 from curranthall.dag import Job, Phase, Progress, Step, TaskId
 from curranthall.dag.progress import Key
@@ -20,6 +21,8 @@
     max_attempts: int = 1
     stretch: float = 1.0
     objective_ms: int = 0
+    # An advisor chooses the workers of its steps.
+    advised: bool = False
 
 
 class Bounds(NamedTuple):
@@ -42,6 +45,7 @@
     waiting: set[int] = field(default_factory=set)
     active: dict[int, list[Run]] = field(default_factory=dict)
     stranded_since: float | None = None
+    tickets: Tickets = field(default_factory=Tickets)
 
     def siblings(self) -> dict[str, int]:
         """Count the runs by worker."""
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -7,8 +7,9 @@
 from typing import NamedTuple
 
 from curranthall.catalogue import Catalogue, DomainOut, Operation, Operations
+from curranthall.cells.advice import Advice
 from curranthall.cells.owner import Claimant
-from curranthall.cells.ports import WorkerPort
+from curranthall.cells.ports import AskAdvice, WorkerPort
 from curranthall.cells.runtime import CellRuntime
 from curranthall.cells.succession import Succession, Surroundings
 from curranthall.cells.tracking import Bounds
@@ -45,6 +46,7 @@
     mesh: str
     store: str
     strength: float
+    advisor: str
     grace_s: float
     bounds: Bounds
 
@@ -110,6 +112,7 @@
         dialect: Dialect,
         connect: Callable[[Host], WorkerPort],
         reaches: Callable[[Host], Awaitable[bool]],
+        advise: Callable[[AskAdvice], Awaitable[Advice]],
     ) -> None:
         self.deployment = deployment
         self.operations = Operations()
@@ -142,6 +145,7 @@
             self.cast,
             reaches,
             lambda: self._host_watch.hurry(),
+            advise,
         )
         self.succession = Succession(me, deployment.domains, deployment.bounds, around)
         self.intake = Intake(self.succession, store, self, boot_clock, lambda: self.operations.out)
--- a/src/curranthall/platform/__main__.py
+++ b/src/curranthall/platform/__main__.py
@@ -8,6 +8,7 @@
 from curranthall.errors import SettingsInvalid
 from curranthall.events import Event, log, use_json
 from curranthall.http import HttpServer, Request, Response
+from curranthall.platform.advisor import PlatformAdvisor
 from curranthall.platform.decode import (
     HOST_TABLE,
     OPERATION_TABLE,
@@ -45,7 +46,8 @@
     deployment = load_deployment()
     store = PlatformStore(deployment.store)
     dialect = Dialect(HOST_TABLE, OPERATION_TABLE, read_host, read_operation)
-    daemon = Daemon(deployment, store, dialect, PlatformWorker, reaches)
+    advisor = PlatformAdvisor(deployment.advisor)
+    daemon = Daemon(deployment, store, dialect, PlatformWorker, reaches, advisor.ask)
     front = Front(daemon)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/src/curranthall/platform/advisor.py
@@ -0,0 +1,47 @@
+"""The platform's advisor, which chooses the workers of some queues' steps."""
+
+import asyncio
+
+import orjson
+
+from curranthall.cells.advice import Advice
+from curranthall.cells.ports import AskAdvice
+from curranthall.errors import AnswerLost, ConnectFailed
+from curranthall.http import HttpClient
+from curranthall.platform.store import JSON_HEADERS
+
+# It takes a time for each worker named; of 30 that is seconds at most on the users' pages.
+ASK_TIMEOUT_S = 4.0
+
+
+class PlatformAdvisor:
+    """Asks over HTTP, one call at a time: it handles a machine's calls in turn anyway."""
+
+    def __init__(self, address: str) -> None:
+        self._client = HttpClient(address, 1) if address else None
+        self._turn = asyncio.Lock()
+
+    async def ask(self, order: AskAdvice) -> Advice:
+        """Give the tickets; raise ConnectFailed or AnswerLost."""
+        if self._client is None:
+            raise ConnectFailed(peer="advisor", why="none in the settings")
+        step = f"{order.job}.{order.occurrence}.{order.step}"
+        body = orjson.dumps({"step": step, "workers": list(order.workers)})
+        async with self._turn:
+            answer = await self._client.call(
+                "POST", "/v1/advise", body, ASK_TIMEOUT_S, JSON_HEADERS
+            )
+        if answer.status != 200:
+            raise ConnectFailed(peer="advisor", why=f"status {answer.status}")
+        try:
+            value = orjson.loads(answer.body)
+            # `approved` holds rows of a worker's id and its ticket.
+            tickets = {str(name): str(ticket) for name, ticket in value.get("approved") or ()}
+            return Advice(tickets, float(value["validity-ms"]) / 1000)
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            raise AnswerLost(peer="advisor", why=f"unreadable answer: {exc!r}") from exc
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._client is not None:
+            self._client.close()
--- a/src/curranthall/platform/decode.py
+++ b/src/curranthall/platform/decode.py
@@ -75,6 +75,8 @@
         stretch=float(value.get("stretch-factor", 1.0)),
         # `slo-ms` is what an objective allows beyond the stretched chain.
         objective_ms=int(value.get("slo-ms", 0)),
+        # `advisor` holds the advisor's times; a queue without one has none.
+        advised=bool(value.get("advisor")),
     )
     return Route(value["hostname"].lower(), value["path-prefix"], queue)
 
--- a/src/curranthall/platform/settings.py
+++ b/src/curranthall/platform/settings.py
@@ -36,6 +36,7 @@
         store=value["platform"]["address"],
         # `cpu-share` is the part of a core that runs `cores` times as fast.
         strength=float(limits["cpu-share"]) * float(limits.get("cores", 1)),
+        advisor=value.get("advisor") or "",
         grace_s=float(bounds["grace-s"]),
         bounds=Bounds(
             max_hold_s=bounds["max-hold-ms"] / 1000,
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -5,8 +5,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from curranthall.cells.advice import Advice
 from curranthall.cells.owner import Claimant
-from curranthall.cells.ports import PaceTask, Snapshot, StartResult, StartTask, StopTask
+from curranthall.cells.ports import AskAdvice, PaceTask, Snapshot, StartResult, StartTask, StopTask
 from curranthall.cells.succession import Succession, Surroundings
 from curranthall.cells.tracking import Bounds, Queue
 from curranthall.dag import Job, Phase, TaskId
@@ -35,6 +36,11 @@
 CANCEL_S = 3.9
 
 
+async def no_advice(order: AskAdvice) -> Advice:
+    """Stand for an advisor that is away."""
+    raise ConnectFailed(peer="advisor", why="none here")
+
+
 def now() -> float:
     """Give the virtual time."""
     return asyncio.get_running_loop().time()
@@ -233,6 +239,8 @@
             lambda: cluster.out,
             self.cast,
             self._reaches,
+            lambda: None,
+            no_advice,
         )
         self.succession = Succession(me, cluster.domains, Bounds(), around)
         self.intake = Intake(self.succession, store, self, now, lambda: cluster.out)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,6 +37,7 @@
 from curranthall.standin.runner import Runner, Work
 from curranthall.store import Check, Committed, Put, Row, Stale
 from tests.cell_fixtures import step
+from tests.cluster import no_advice
 from tests.platform_fakes import LOOPBACK, FakeStore, FakeWorker
 
 ENTRY = {
@@ -324,10 +325,10 @@
         mesh = f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
         server.close()
         deployment = Deployment(
-            "e1", "north", ("north",), "", "", mesh, address, 1.0, 6.0, Bounds()
+            "e1", "north", ("north",), "", "", mesh, address, 1.0, "", 6.0, Bounds()
         )
         dialect = Dialect(HOST_TABLE, OPERATION_TABLE, read_host, read_operation)
-        self.daemon = Daemon(deployment, self.store, dialect, PlatformWorker, reaches)
+        self.daemon = Daemon(deployment, self.store, dialect, PlatformWorker, reaches, no_advice)
         front = Front(self.daemon)
         self.server = HttpServer(front.handle)
         self.probe = HttpServer(front.ready)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -14,6 +14,7 @@
 from curranthall.standin.store import MemoryStore
 from curranthall.store import Check, Committed, Drop, Put, Stale
 from tests.cell_fixtures import CELL, SERVICE, host, job
+from tests.cluster import no_advice
 from tests.virtual import run
 
 
@@ -64,6 +65,7 @@
         lambda runtime, why: None,
         lambda cell, owner, version: None,
         Neighbours(lambda cell: [], lambda cell, stored: told.append(stored)),
+        no_advice,
     )
 
 
