Give a task away only where the committed row still has it here

Rows of two cells that move tasks of one job were merged by their counts of moves: two moves of one cell outweighed one of another. So a cell could write a task back to the cell it had given it to, after that one had given it on and a third had started it. Now a move stands only where the committed row still has the task in the mover's cell; what another cell gave on stands. Four tests; the first is the race, and by the old rule gave the task to the wrong cell.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -164,7 +164,7 @@
             return
         was_final = tracked.progress.phase.final
         own_facts = tracked.recorded < tracked.change
-        tracked.progress.merge(progress)
+        tracked.progress.merge(progress, self.cell)
         tracked.version = version
         if own_facts:
             self.dirty[job_id] = tracked
@@ -203,13 +203,10 @@
         """Give tasks of a batch, or the whole job, to another cell."""
         progress = tracked.progress
         if numbers is None:
-            progress.cell = cell
-            progress.elsewhere.clear()
+            progress.give_whole(cell)
         else:
-            for number in numbers:
-                progress.elsewhere[batch.occurrence, batch.number, number] = cell
+            progress.give([(batch.occurrence, batch.number, each) for each in numbers], cell)
         progress.run_floor = max(progress.run_floor, self._last_run)
-        progress.moves += 1
         self._touch(tracked, urgent=True)
         for each in tracked.batches.values():
             self._share_out(each, now)
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -471,8 +471,10 @@
             match await self._store.commit(part, checks, puts, []):
                 case Committed(version):
                     for (tracked, change, _), put in zip(changes, puts, strict=True):
+                        committed = decode_progress(put.value)
+                        tracked.progress.confirm(committed)
                         self.dispatcher.note_recorded(tracked, change, version)
-                        self._tell_others(tracked.job, decode_progress(put.value), version)
+                        self._tell_others(tracked.job, committed, version)
                 case Stale(rows):
                     self._reconcile(changes, rows)
         except (PlatformDown, AnswerLost) as exc:
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -38,6 +38,9 @@
     run_floor: int = 0
     moves: int = 0
     writer: str = ""
+    # Tasks given away on this side that no committed row shows yet; not stored.
+    given: dict[Key, str] = field(default_factory=dict)
+    given_whole: str = ""
 
     def is_done(self, occurrence: int, step: int, index: int) -> bool:
         """Tell whether a task has ended as done."""
@@ -73,8 +76,31 @@
         """Name the cell that runs a task."""
         return self.elsewhere.get(key, self.cell)
 
-    def merge(self, other: "Progress") -> None:
-        """Take in the committed row; the one with more moves says where tasks belong."""
+    def give(self, keys: list[Key], cell: str) -> None:
+        """Give tasks to another cell."""
+        self.moves += 1
+        for key in keys:
+            self.elsewhere[key] = self.given[key] = cell
+
+    def give_whole(self, cell: str) -> None:
+        """Give a job of which nothing has run to another cell."""
+        self.moves += 1
+        self.cell = self.given_whole = cell
+        self.elsewhere.clear()
+        self.given.clear()
+
+    def confirm(self, committed: "Progress") -> None:
+        """Note what a committed row of this side holds."""
+        self.given = {key: cell for key, cell in self.given.items() if committed.owner(key) != cell}
+        if committed.cell == self.given_whole:
+            self.given_whole = ""
+
+    def merge(self, other: "Progress", cell: str) -> None:
+        """Take in the committed row at a cell.
+
+        A task is its owner's to give away: what this side gave away stands only where the
+        committed row still has the task here, or another cell may have started it by now.
+        """
         # A committed final phase stands, whatever this side was about to write.
         self.phase = other.phase if other.phase.final else max(self.phase, other.phase)
         for step, mask in other.done.items():
@@ -82,9 +108,14 @@
         for key, runs in other.failures.items():
             self.failures.setdefault(key, set()).update(runs)
         self.run_floor = max(self.run_floor, other.run_floor)
-        if other.moves >= self.moves:
-            self.cell, self.moves = other.cell, other.moves
-            self.elsewhere = dict(other.elsewhere)
+        self.moves = max(self.moves, other.moves)
+        self.cell, self.elsewhere = other.cell, dict(other.elsewhere)
+        if self.given_whole and other.cell == cell and not other.elsewhere:
+            self.cell = self.given_whole
+        else:
+            self.given_whole = ""
+        self.given = {key: to for key, to in self.given.items() if self.owner(key) == cell}
+        self.elsewhere.update(self.given)
 
     def encode(self) -> bytes:
         """Write the row's value; empty parts are left out."""
--- /dev/null
+++ b/tests/test_progress.py
@@ -0,0 +1,59 @@
+"""Two cells that give tasks of one job away at the same time: each task has one owner."""
+
+import unittest
+
+from curranthall.dag.progress import Progress, decode_progress
+
+X, Y, Z = (0, 0, 0), (0, 0, 1), (0, 0, 2)
+
+
+def stored(progress: Progress) -> Progress:
+    """Give what a reader of the row sees."""
+    return decode_progress(progress.encode())
+
+
+class GivingAway(unittest.TestCase):
+    def setUp(self) -> None:
+        """North has given X to south, and that is committed."""
+        self.north = Progress("north")
+        self.north.give([X], "south")
+        self.row = stored(self.north)
+        self.north.confirm(self.row)
+        self.south = stored(self.north)
+
+    def test_what_the_new_owner_gave_on_stands_whatever_the_former_one_moves(self) -> None:
+        """As in a hunted day: two moves of one cell outweighed one of another."""
+        self.south.give([X], "west")
+        row = stored(self.south)
+        self.north.give([Y], "south")
+        self.north.give([Z], "west")
+        self.north.merge(row, "north")
+        self.assertEqual([self.north.owner(key) for key in (X, Y, Z)], ["west", "south", "west"])
+
+    def test_a_task_that_another_cell_has_by_now_is_not_given_away(self) -> None:
+        self.north.give([Y], "south")
+        row = stored(self.north)
+        # The answer was lost; the row was written, and south gave Y on.
+        later = stored(row)
+        later.give([Y], "west")
+        self.north.merge(stored(later), "north")
+        self.assertEqual(self.north.owner(Y), "west")
+        self.assertEqual(self.north.given, {})
+
+    def test_a_whole_job_is_given_away_only_if_it_is_still_here(self) -> None:
+        fresh = Progress("north")
+        fresh.give_whole("south")
+        fresh.merge(Progress("north"), "north")
+        self.assertEqual(fresh.cell, "south")
+        fresh.merge(Progress("west", moves=1), "north")
+        self.assertEqual(fresh.cell, "west")
+
+    def test_confirmed_moves_are_not_made_again(self) -> None:
+        back = stored(self.south)
+        back.give([X], "north")
+        self.north.merge(stored(back), "north")
+        self.assertEqual(self.north.owner(X), "north")
+
+
+if __name__ == "__main__":
+    unittest.main()
