Leave short tasks a part of each worker beside lasting ones; keep serving images apart

Seen in free and waiting cores by cell, logged now.

Change: a lasting task leaves an eighth of a worker's cores to short ones until it waited 1.5 s; short tasks take the smallest room that holds them; a worker kept for a lasting task still takes filling ones; lasting and short tasks are handed only to cells where one worker has the room; serving images are kept apart on workers.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from curranthall.cells.dispatcher import Dispatcher
+from curranthall.cells.dispatcher import LASTING_WAIT_S, Dispatcher
 from curranthall.cells.load import Load
 from curranthall.cells.tracking import Batch, Tracked
 from curranthall.events import Event, log
@@ -42,25 +42,27 @@
         for batch in dispatcher.stranded(0.0 if dispatcher.closed else STRANDED_S, now):
             self._hand_batch(dispatcher, batch, rooms, now)
 
-    def _left(self, room: Room, batch: Batch) -> float:
+    def _left(self, room: Room, batch: Batch, now: float) -> float:
         load = room.loads.get(batch.tracked.queue.service)
         if load is None:
             return 0.0
         handed = sum(row.cores for row in self._handed if row.cell == room.cell)
         if batch.step.lasting:
-            # Lasting tasks go before all that waits there.
-            return load.free - handed
+            # Lasting tasks go before all others that wait there, and in the end take any room.
+            pressing = now - (batch.stranded_since or now) >= LASTING_WAIT_S
+            fits = pressing and batch.step.size.cores <= load.largest
+            return (load.free if fits else load.room(batch.step)) - handed
         return load.room(batch.step) * ROOM_SHARE - handed
 
     def _hand_batch(
         self, dispatcher: Dispatcher, batch: Batch, rooms: list[Room], now: float
     ) -> None:
         cores = max(batch.step.size.cores, LEAST_CORES)
-        room = max(rooms, key=lambda room: self._left(room, batch), default=None)
+        room = max(rooms, key=lambda room: self._left(room, batch, now), default=None)
         if room is None:
             return
         waiting = sorted(batch.waiting)
-        fitting = min(int(self._left(room, batch) / cores), len(waiting))
+        fitting = min(int(self._left(room, batch, now) / cores), len(waiting))
         if fitting < (len(waiting) if batch.step.gang else 1):
             return
         numbers = waiting[:fitting]
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -11,7 +11,7 @@
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import Load, Waiting, measure
 from curranthall.cells.pacing import FULL, adjust, pressure
-from curranthall.cells.placement import Wish, choose
+from curranthall.cells.placement import SHORT_SHARE, Wish, choose, leaves_short
 from curranthall.cells.ports import (
     AskAdvice,
     Ending,
@@ -26,7 +26,7 @@
     WorkerOrder,
 )
 from curranthall.cells.tracking import Batch, Bounds, Queue, Tracked
-from curranthall.dag import Job, Phase, Progress, TaskId
+from curranthall.dag import Job, Phase, Progress, Step, TaskId
 from curranthall.events import Event, log
 from curranthall.model import Host, Size
 from curranthall.telemetry import completion_seconds
@@ -48,12 +48,39 @@
 # while later where no core is idle, too: the platform allows 3 s.
 STANDSTILL_S = 1.2
 FORCE_S = 2.0
+# Cores are kept for short tasks while one came within this time.
+SHORT_MEMORY_S = 20.0
+# A lasting task that waited this long takes any room: the platform allows 3 s where it fits twice,
+# of which handing it to another cell takes 0.4 s.
+LASTING_WAIT_S = 1.5
 # A summary of the cell is logged this often.
 SUMMARY_S = 2.0
 # No share in percent, so that the next one ordered differs.
 UNKNOWN_PACE = -1
 
 
+def _waiting_cores(batches: list[Batch]) -> dict[str, float]:
+    """Sum up the cores that waiting tasks ask for, by what keeps them apart in placing."""
+    found = {"lasting": 0.0, "filling": 0.0, "plain": 0.0}
+    for batch in batches:
+        step = batch.step
+        kind = "lasting" if step.lasting else "filling" if step.filling else "plain"
+        found[kind] += len(batch.waiting) * step.size.cores
+    return {kind: round(cores, 1) for kind, cores in found.items()}
+
+
+def _open_to(step: Step, usable: list[Member], kept: dict[str, Size]) -> list[Member]:
+    """Leave out the workers kept for lasting tasks; filling tasks take only memory from those."""
+    if not kept:
+        return usable
+    return [
+        member
+        for member in usable
+        if member.name not in kept
+        or (step.filling and step.reserved.plus(kept[member.name]).memory <= member.room.memory)
+    ]
+
+
 class Dispatcher:
     """Decides for one cell under one epoch."""
 
@@ -85,6 +112,7 @@
         self.proven = True
         self._last_run = epoch * RUNS_PER_EPOCH
         self._told_at = 0.0
+        self._short_at: float | None = None
 
     # The cell's workers
 
@@ -143,6 +171,8 @@
         due = now - (self._wall_ms() - job.accepted_ms) / 1000
         tracked = Tracked(job, progress, version, self._queue_of(job), due, prior)
         self.tracked[job.id] = tracked
+        if any(not (step.lasting or step.filling) for step in job.steps):
+            self._short_at = now
         self.unknown.discard(job.id)
         if progress.phase.final:
             tracked.final_at = now
@@ -667,6 +697,9 @@
             runs=sum(len(member.runs) for member in self.members.values()),
             interference=self.interference.table(),
             idle_cores=[round(member.idle_cores, 1) for member in self.members.values()],
+            free_cores=[round(member.room.cores, 1) for member in self.members.values()],
+            lasting_cores=round(sum(m.lasting.cores for m in self.members.values()), 1),
+            waiting_cores=_waiting_cores(waiting),
             free_gb=[round(member.room.memory / 1000, 1) for member in self.members.values()],
             waiting_tasks=sum(len(batch.waiting) for batch in waiting),
             waiting_first=[
@@ -709,6 +742,19 @@
 
     # Placing
 
+    def _kept_from(self, batch: Batch, now: float) -> float:
+        """Give the part of a worker's cores that a lasting batch leaves to short tasks."""
+        since = batch.stranded_since
+        waited_long = since is not None and now - since >= LASTING_WAIT_S
+        return 0.0 if waited_long else self._kept_share(now)
+
+    def _kept_share(self, now: float) -> float:
+        """Give the part of each worker's cores that lasting tasks leave to short ones."""
+        if self._short_at is None:
+            # Nothing is known yet of what else comes.
+            self._short_at = now
+        return SHORT_SHARE if now - self._short_at < SHORT_MEMORY_S else 0.0
+
     def plan(self, now: float) -> None:
         """Start what can be started."""
         if self.closed:
@@ -716,13 +762,14 @@
         usable = [member for member in self.members.values() if member.usable(now)]
         self._relieve(usable, now)
         refused: list[tuple[str, bool, Size]] = []
+        kept: dict[str, Size] = {}
         for batch in sorted(self._ready.values(), key=lambda batch: self._order(batch, now)):
             if not batch.waiting:
                 del self._ready[batch.tracked.job.id, batch.occurrence, batch.number]
             elif not self._held_back(batch, now):
-                self._place(batch, usable, refused, now)
+                self._place(batch, _open_to(batch.step, usable, kept), refused, now)
                 if batch.step.lasting and batch.waiting:
-                    self._reserve(batch, usable)
+                    self._reserve(batch, usable, kept, now)
 
     def _relieve(self, usable: list[Member], now: float) -> None:
         """Stop slowed runs that would go on at full pace, from their checkpoint, elsewhere."""
@@ -755,22 +802,27 @@
         )
         return choose(wish, free) is not None
 
-    def _reserve(self, batch: Batch, usable: list[Member]) -> None:
+    def _reserve(
+        self, batch: Batch, usable: list[Member], kept: dict[str, Size], now: float
+    ) -> None:
         """Keep the worker with the most room for a lasting task that found none.
 
-        Smaller tasks that come later would else take each core that gets free.
+        Smaller tasks that come later would else take each core that gets free. What is left to
+        short tasks is not kept for lasting ones.
         """
-        step, siblings = batch.step, batch.siblings()
+        step, siblings, kept_share = batch.step, batch.siblings(), self._kept_share(now)
         fitting = [
             member
             for member in usable
-            if member.host.service == batch.tracked.queue.service
+            if member.name not in kept
+            and member.host.service == batch.tracked.queue.service
             and (not step.requires or step.requires in member.host.labels)
             and (not step.max_per_worker or siblings.get(member.name, 0) < step.max_per_worker)
-            and step.size.fits(member.host.size.minus(member.lasting_size()))
+            and step.size.fits(member.host.size.minus(member.lasting))
+            and leaves_short(step, member, kept_share)
         ]
         if fitting:
-            usable.remove(max(fitting, key=lambda member: member.room.cores))
+            kept[max(fitting, key=lambda member: member.room.cores).name] = step.size
 
     def _order(self, batch: Batch, now: float) -> tuple[int, int, bool, float]:
         """Rank a batch: lasting tasks, then by priority those in time, then late ones.
@@ -828,7 +880,16 @@
         racks = self._racks(siblings) if step.same_rack else frozenset()
         for index in sorted(batch.waiting):
             avoid = frozenset(tracked.failed_on.get((batch.occurrence, batch.number, index), ()))
-            wish = Wish(service, step, siblings, avoid, racks, self.interference, now=now)
+            wish = Wish(
+                service,
+                step,
+                siblings,
+                avoid,
+                racks,
+                self.interference,
+                now=now,
+                kept_share=self._kept_from(batch, now),
+            )
             member = choose(wish, usable)
             if member is None:
                 plain = not (step.requires or step.max_per_worker)
@@ -927,6 +988,7 @@
             run=number,
             worker=member.name,
             queue=tracked.queue.name,
+            image=batch.step.image,
             waited_ms=int((now - tracked.due) * 1000),
             idle_cores=round(member.idle_cores, 1),
         )
@@ -948,6 +1010,6 @@
         for batch in self._ready.values():
             service = batch.tracked.queue.service
             cores = len(batch.waiting) * batch.step.size.cores
-            waiting[service] = waiting.get(service, Waiting()).plus(cores, batch.step.filling)
+            waiting[service] = waiting.get(service, Waiting()).plus(cores, batch.step)
         usable = [m for m in self.members.values() if not self.closed and m.usable(now)]
-        return measure(usable, waiting, self.interference)
+        return measure(usable, waiting, self.interference, self._kept_share(now))
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -78,6 +78,8 @@
     filling_cores: float = 0.0
     serving: int = 0
     serving_cores: float = 0.0
+    # Reserved by tasks that do not end by themselves.
+    lasting: Size = NOTHING
     born: int = 0
     clock_ms: int = 0
     clock_at: float = 0.0
@@ -137,6 +139,8 @@
         """Count a run's size."""
         self.runs[run.task, run.number] = run
         self.used = self.used.plus(run.step.reserved)
+        if run.step.lasting:
+            self.lasting = self.lasting.plus(run.step.reserved)
         if run.step.filling:
             self.filling_cores += run.step.size.cores
         if run.step.target_ms:
@@ -148,6 +152,8 @@
         if self.runs.pop((run.task, run.number), None) is None:
             return False
         self.used = self.used.minus(run.step.reserved)
+        if run.step.lasting:
+            self.lasting = self.lasting.minus(run.step.reserved)
         if run.step.filling:
             self.filling_cores -= run.step.size.cores
         if run.step.target_ms:
@@ -155,14 +161,6 @@
             self.serving_cores -= run.step.size.cores
         return True
 
-    def lasting_size(self) -> Size:
-        """Sum up the sizes of lasting tasks, which do not end by themselves."""
-        total = NOTHING
-        for run in self.runs.values():
-            if run.step.lasting:
-                total = total.plus(run.step.reserved)
-        return total
-
     def filling_shares(self) -> dict[str, float]:
         """Give by image the share of the cores that filling tasks ask for."""
         shares: dict[str, float] = {}
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -21,16 +21,23 @@
 
     plain: float = 0.0
     filling: float = 0.0
+    lasting: float = 0.0
 
-    def plus(self, cores: float, filling: bool) -> "Waiting":
-        """Add a batch."""
-        if filling:
+    def plus(self, cores: float, step: Step) -> "Waiting":
+        """Add tasks of a step."""
+        if step.lasting:
+            return self._replace(lasting=self.lasting + cores)
+        if step.filling:
             return self._replace(filling=self.filling + cores)
         return self._replace(plain=self.plain + cores)
 
 
 class Load(NamedTuple):
-    """Cores of the usable workers of one service; `filling` is the room by filling image."""
+    """Cores of the usable workers of one service; `filling` is the room by filling image.
+
+    `lasting` is the part of the free cores that lasting tasks may take; `largest` and
+    `largest_lasting` are the most that one worker has of either.
+    """
 
     cores: float = 0.0
     free: float = 0.0
@@ -38,16 +45,26 @@
     waiting: Waiting = Waiting()
     filling: dict[str, float] = {}
     serving: dict[str, float] = {}
+    lasting: float = 0.0
+    largest: float = 0.0
+    largest_lasting: float = 0.0
 
     def room(self, step: Step) -> float:
         """Give the cores that tasks of a step find, less those that others wait for."""
+        if step.lasting:
+            fits = step.size.cores <= self.largest_lasting
+            return self.lasting - self.waiting.lasting if fits else 0.0
         if not step.filling:
-            return self.free - self.waiting.plain
+            fits = step.size.cores <= self.largest
+            return self.free - self.waiting.plain if fits else 0.0
         return min(self.idle, self.filling.get(step.image, self.idle)) - self.waiting.filling
 
 
 def measure(
-    members: Iterable[Member], waiting: dict[str, Waiting], known: Interference
+    members: Iterable[Member],
+    waiting: dict[str, Waiting],
+    known: Interference,
+    kept_share: float = 0.0,
 ) -> dict[str, Load]:
     """Sum up the usable workers."""
     found: dict[str, Load] = {}
@@ -60,9 +77,14 @@
             if run.step.target_ms:
                 image = run.step.image
                 load.serving[image] = load.serving.get(image, 0.0) + run.step.size.cores
+        free, cores = member.room.cores, member.host.size.cores
+        lasting = max(0.0, min(free, (1 - kept_share) * cores - member.lasting.cores))
         found[member.host.service] = load._replace(
-            cores=load.cores + member.host.size.cores,
-            free=load.free + member.room.cores,
+            cores=load.cores + cores,
+            free=load.free + free,
+            lasting=load.lasting + lasting,
+            largest=max(load.largest, free),
+            largest_lasting=max(load.largest_lasting, lasting),
             idle=load.idle + max(0.0, member.idle_cores),
         )
     for service, asked in waiting.items():
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -1,9 +1,9 @@
 """Which worker a task is started on."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from curranthall.cells.fleet import Member
+from curranthall.cells.fleet import Member, Run
 from curranthall.cells.interference import Interference
 from curranthall.dag import Step
 from curranthall.model import Size
@@ -15,6 +15,11 @@
 STRAIN_LIMIT = 0.85
 # Workers report the last half second, so what started later does not show yet.
 REPORT_SPAN_S = 0.6
+# Part of a worker's cores that lasting tasks leave to short ones. Lasting tasks keep what they
+# have; without it short urgent tasks find only fragments of cores once lasting ones fill up.
+SHORT_SHARE = 0.125
+# Sums of cores may be off by this.
+ROUNDING = 1e-6
 # Differences in load below this, of a limit of about 0.8, do not outweigh idle cores.
 PRESS_STEP = 0.02
 
@@ -32,6 +37,8 @@
     now: float = 0.0
     # A filling task may join others where no core is idle.
     crowded: bool = False
+    # Part of a worker's cores that a lasting task leaves free.
+    kept_share: float = 0.0
 
 
 def choose(wish: Wish, members: Iterable[Member]) -> Member | None:
@@ -57,9 +64,21 @@
         return False
     if not step.reserved.fits(member.room):
         return False
+    if step.lasting:
+        return leaves_short(step, member, wish.kept_share)
     return not step.filling or _may_fill(wish, member)
 
 
+def leaves_short(step: Step, member: Member, kept_share: float) -> bool:
+    """Tell whether one more lasting task leaves a part of the cores to short ones.
+
+    It always does where the task fits twice: the platform expects it to start there.
+    """
+    cores = member.host.size.cores
+    kept = min(step.size.cores, kept_share * cores)
+    return member.lasting.cores + step.size.cores + kept <= cores + ROUNDING
+
+
 def _may_fill(wish: Wish, member: Member) -> bool:
     step = wish.step
     if not wish.crowded and member.idle_cores < step.size.cores * FILLING_SHARE:
@@ -91,7 +110,7 @@
     """Predict how much this task adds to the load of the serving tasks here, at most."""
     known, step = wish.interference, wish.step
     share = step.size.cores / member.host.size.cores
-    images = {run.step.image for run in member.runs.values() if run.step.target_ms}
+    images = {run.step.image for run in _serving(member)}
     return max((known.weight(image, step.image) * share for image in images), default=0.0)
 
 
@@ -103,6 +122,10 @@
     )
 
 
+def _serving(member: Member) -> Iterator[Run]:
+    return (run for run in member.runs.values() if run.step.target_ms)
+
+
 def _rank(wish: Wish, member: Member) -> tuple[bool, bool, bool, float, float]:
     step, host = wish.step, member.host
     far = bool(step.near_rack) and step.near_rack not in host.labels
@@ -112,11 +135,12 @@
         # Filling tasks go where they press least on serving ones.
         kind, room = float(round(_press(wish, member) / PRESS_STEP)), -idle
     elif step.target_ms:
-        # Serving tasks are packed, which leaves whole workers to filling ones; those of one image
-        # together, so that each filling image finds workers it does not press on.
-        alike = sum(run.step.image == step.image for run in member.runs.values())
-        kind, room = -member.serving_cores / host.size.cores, -float(alike)
+        # A filling image that presses on one of the serving images of a worker can't work there
+        # at all, so serving images are kept apart as far as the room allows.
+        alike = sum(run.step.size.cores for run in _serving(member) if run.step.image == step.image)
+        kind, room = (member.serving_cores - alike) / host.size.cores, -alike
     else:
-        # Plain tasks disturb nobody, so they take the room beside serving ones.
-        kind, room = float(member.serving == 0), -idle
+        # Plain tasks disturb nobody: they take the least room that holds them, which leaves the
+        # larger rooms to larger tasks.
+        kind, room = 0.0, member.room.cores
     return host.name in wish.avoid, far, other_rack, kind, room
--- a/src/curranthall/events.py
+++ b/src/curranthall/events.py
@@ -120,4 +120,4 @@
 
 
 def _plain(value: object) -> object:
-    return value if isinstance(value, str | int | float | list | None) else str(value)
+    return value if isinstance(value, str | int | float | list | dict | None) else str(value)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -4,9 +4,9 @@
 
 from curranthall.cells.balance import Balance, Room
 from curranthall.cells.load import Load
-from curranthall.cells.ports import Ending, EndKind, Listed, StartResult
+from curranthall.cells.ports import Ending, EndKind, Listed, StartResult, StartTask
 from curranthall.dag import Phase, Progress
-from curranthall.model import HostState
+from curranthall.model import Host, HostState
 from tests.cell_fixtures import BORN, CELL, SERVICE, Cell, ended, host, job, listed, step, task
 
 
@@ -85,6 +85,80 @@
         self.assertEqual(started, ["1" * 16])
 
 
+class ShortBesideLasting(unittest.TestCase):
+    """Lasting tasks never end, so what they leave is all that short urgent ones ever get."""
+
+    def full(self, *hosts: Host) -> Cell:
+        cell = Cell(*hosts)
+        cell.add(job("0" * 16, step(40, cores=3, lasting=True)))
+        cell.started(*cell.plan())
+        return cell
+
+    def test_short_tasks_find_room_on_workers_full_of_lasting_ones(self) -> None:
+        cell = self.full(host("w1", cores=16), host("w2", cores=16))
+        self.assertLessEqual(cell.member("w1").lasting.cores, 14)
+        cell.add(job("1" * 16, step(4, cores=2)))
+        self.assertEqual(len(cell.plan()), 4)
+
+    def test_a_lasting_task_that_fits_twice_always_starts(self) -> None:
+        cell = Cell(host("w1", cores=6.2))
+        cell.add(job("0" * 16, step(1, cores=3.1, lasting=True)))
+        self.assertEqual(len(cell.plan()), 1)
+
+    def test_cores_in_use_by_short_tasks_count_as_left_to_them(self) -> None:
+        cell = Cell(host("w1", cores=16))
+        cell.add(job("1" * 16, step(2, cores=1)))
+        cell.started(*cell.plan())
+        cell.add(job("0" * 16, step(1, cores=14, lasting=True)))
+        self.assertEqual(len(cell.plan()), 1)
+
+    def test_without_short_tasks_for_a_while_lasting_ones_take_all(self) -> None:
+        cell = self.full(host("w1", cores=15))
+        waiting = len(cell.member("w1").runs)
+        cell.now += 21
+        cell.answer("w1", [listed(order) for order in self.orders(cell)])
+        cell.plan()
+        self.assertEqual(len(cell.member("w1").runs), waiting + 1)
+
+    def orders(self, cell: Cell) -> list[StartTask]:
+        runs = cell.member("w1").runs.values()
+        return [StartTask("w1", run.task, run.number, "", "", 0) for run in runs]
+
+    def test_a_cell_with_only_room_for_short_tasks_is_handed_no_lasting_one(self) -> None:
+        full = self.full(host("w1", cores=16), host("w2", cores=16))
+        load = full.core.load(full.now)[SERVICE]
+        self.assertEqual(load.room(step(1, cores=3, lasting=True)), 0.0)
+        self.assertGreater(load.room(step(1, cores=2)), 0.0)
+
+    def test_a_lasting_task_that_waited_takes_the_room_left_to_short_ones(self) -> None:
+        cell = self.full(host("w1", cores=15))
+        running = len(cell.member("w1").runs)
+        cell.plan()
+        cell.now += 1.6
+        cell.answer("w1", [listed(order) for order in self.orders(cell)])
+        cell.plan()
+        self.assertEqual(len(cell.member("w1").runs), running + 1)
+
+    def test_filling_tasks_work_on_a_worker_kept_for_a_lasting_one(self) -> None:
+        cell = Cell(host("w1", cores=8))
+        cell.add(job("0" * 16, step(6, cores=1)))
+        cell.started(*cell.plan())
+        cell.add(job("1" * 16, step(1, cores=6, lasting=True)))
+        cell.add(job("2" * 16, step(1, cores=1, filling=True)))
+        cell.add(job("3" * 16, step(1, cores=1)))
+        self.assertEqual([order.task.job for order in cell.plan()], ["2" * 16])
+
+    def test_a_short_task_takes_the_least_room_that_holds_it(self) -> None:
+        cell = Cell(host("w1", cores=8), host("w2", cores=2))
+        cell.add(job("0" * 16, step(1, cores=2)))
+        cell.add(job("1" * 16, step(1, cores=8)))
+        self.assertEqual([order.worker for order in cell.plan()], ["w2", "w1"])
+
+    def test_fragments_are_no_room_for_a_larger_task(self) -> None:
+        load = Load(cores=32, free=8, largest=2)
+        self.assertEqual(load.room(step(1, cores=3)), 0.0)
+
+
 class Gangs(unittest.TestCase):
     def test_all_members_start_at_once_with_one_run_or_none_does(self) -> None:
         cell = Cell(host("w1", cores=2))
@@ -386,7 +460,7 @@
         cell.core.adopt(job("0" * 16, step(2, cores=4), step(2, cores=4)), progress, 1, 100, False)
         cell.plan()
         cell.now += 1
-        room = Room("east", {SERVICE: Load(cores=90, free=90, idle=90)})
+        room = Room("east", {SERVICE: Load(cores=90, free=90, idle=90, largest=90)})
         Balance().hand_on(cell.core, [room], cell.now)
         self.assertEqual(progress.cell, CELL)
         self.assertEqual(progress.owner((0, 0, 0)), "south")
