Tell filling images apart in refusals and in what waits; start lasting tasks late only where they fit twice

Cause: a filling task that found no worker made every larger filling task count as refused, of whatever image, though each image presses on other serving ones; a cell's waiting filling cores of all images were taken off the room it showed for one.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
-from curranthall.cells.dispatcher import LASTING_WAIT_S, Dispatcher
-from curranthall.cells.load import Load
+from curranthall.cells.dispatcher import Dispatcher
+from curranthall.cells.load import LEAST_CORES, Load
 from curranthall.cells.tracking import Batch, Tracked
 from curranthall.events import Event, log
 
@@ -13,8 +13,6 @@
 HANDED_S = 1.8
 # Another cell is given at most this part of the room it showed.
 ROOM_SHARE = 0.7
-# A task without cores counts as this much.
-LEAST_CORES = 0.1
 
 
 class Room(NamedTuple):
@@ -39,30 +37,30 @@
     def hand_on(self, dispatcher: Dispatcher, rooms: list[Room], now: float) -> None:
         """Assign stranded tasks to the cells with the most room for them."""
         self._handed = [row for row in self._handed if now - row.at < HANDED_S]
+        dispatcher.rooms_elsewhere = _largest(rooms)
         for batch in dispatcher.stranded(0.0 if dispatcher.closed else STRANDED_S, now):
             self._hand_batch(dispatcher, batch, rooms, now)
 
-    def _left(self, room: Room, batch: Batch, now: float) -> float:
+    def _left(self, dispatcher: Dispatcher, room: Room, batch: Batch, now: float) -> float:
         load = room.loads.get(batch.tracked.queue.service)
         if load is None:
             return 0.0
         handed = sum(row.cores for row in self._handed if row.cell == room.cell)
         if batch.step.lasting:
-            # Lasting tasks go before all others that wait there, and in the end take any room.
-            pressing = now - (batch.stranded_since or now) >= LASTING_WAIT_S
-            fits = pressing and batch.step.size.cores <= load.largest
-            return (load.free if fits else load.room(batch.step)) - handed
+            # Lasting tasks go before all others that wait there.
+            forced = dispatcher.must_start(batch, now) and load.slots(batch.step)
+            return (load.free if forced else load.room(batch.step)) - handed
         return load.room(batch.step) * ROOM_SHARE - handed
 
     def _hand_batch(
         self, dispatcher: Dispatcher, batch: Batch, rooms: list[Room], now: float
     ) -> None:
         cores = max(batch.step.size.cores, LEAST_CORES)
-        room = max(rooms, key=lambda room: self._left(room, batch, now), default=None)
+        room = max(rooms, key=lambda room: self._left(dispatcher, room, batch, now), default=None)
         if room is None:
             return
         waiting = sorted(batch.waiting)
-        fitting = min(int(self._left(room, batch, now) / cores), len(waiting))
+        fitting = min(int(self._left(dispatcher, room, batch, now) / cores), len(waiting))
         if fitting < (len(waiting) if batch.step.gang else 1):
             return
         numbers = waiting[:fitting]
@@ -70,6 +68,15 @@
         _assign(dispatcher, batch.tracked, batch, numbers, room.cell, now)
 
 
+def _largest(rooms: list[Room]) -> dict[str, list[float]]:
+    """Give by service the largest free rooms of workers of other cells."""
+    found: dict[str, list[float]] = {}
+    for room in rooms:
+        for service, load in room.loads.items():
+            found.setdefault(service, []).extend(load.largest)
+    return found
+
+
 def _assign(
     dispatcher: Dispatcher,
     tracked: Tracked,
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -9,9 +9,9 @@
 from curranthall.cells.advice import Advice
 from curranthall.cells.fleet import QUARANTINE_S, Member, Run, RunState, Unrecorded
 from curranthall.cells.interference import Interference, Observation
-from curranthall.cells.load import Load, Waiting, measure
+from curranthall.cells.load import LEAST_CORES, Load, Waiting, measure
 from curranthall.cells.pacing import FULL, adjust, pressure
-from curranthall.cells.placement import SHORT_SHARE, Wish, choose, leaves_short
+from curranthall.cells.placement import SHORT_SHARE, Refusal, Wish, choose, leaves_short
 from curranthall.cells.ports import (
     AskAdvice,
     Ending,
@@ -50,8 +50,8 @@
 FORCE_S = 2.0
 # Cores are kept for short tasks while one came within this time.
 SHORT_MEMORY_S = 20.0
-# A lasting task that waited this long takes any room: the platform allows 3 s where it fits twice,
-# of which handing it to another cell takes 0.4 s.
+# A lasting task that waited this long and fits twice takes any room: the platform allows 3 s, of
+# which handing it to another cell takes 0.4 s.
 LASTING_WAIT_S = 1.5
 # A summary of the cell is logged this often.
 SUMMARY_S = 2.0
@@ -113,6 +113,8 @@
         self._last_run = epoch * RUNS_PER_EPOCH
         self._told_at = 0.0
         self._short_at: float | None = None
+        # By service, the largest free rooms that other cells last showed, in cores.
+        self.rooms_elsewhere: dict[str, list[float]] = {}
 
     # The cell's workers
 
@@ -742,11 +744,25 @@
 
     # Placing
 
-    def _kept_from(self, batch: Batch, now: float) -> float:
-        """Give the part of a worker's cores that a lasting batch leaves to short tasks."""
+    def must_start(self, batch: Batch, now: float) -> bool:
+        """Tell whether a lasting task waited long though it fits twice, here or elsewhere."""
         since = batch.stranded_since
-        waited_long = since is not None and now - since >= LASTING_WAIT_S
-        return 0.0 if waited_long else self._kept_share(now)
+        if since is None or now - since < LASTING_WAIT_S:
+            return False
+        service, cores = batch.tracked.queue.service, max(batch.step.size.cores, LEAST_CORES)
+        rooms = [
+            member.room.cores
+            for member in self.members.values()
+            if member.host.service == service and member.usable(now) and not self.closed
+        ]
+        rooms.extend(self.rooms_elsewhere.get(service, ()))
+        return sum(int(room / cores) for room in rooms) >= 2
+
+    def _kept_from(self, batch: Batch, now: float) -> float:
+        """Give the part of a worker's cores that a batch leaves to short tasks."""
+        if not batch.step.lasting or self.must_start(batch, now):
+            return 0.0
+        return self._kept_share(now)
 
     def _kept_share(self, now: float) -> float:
         """Give the part of each worker's cores that lasting tasks leave to short ones."""
@@ -761,7 +777,7 @@
             return
         usable = [member for member in self.members.values() if member.usable(now)]
         self._relieve(usable, now)
-        refused: list[tuple[str, bool, Size]] = []
+        refused: list[Refusal] = []
         kept: dict[str, Size] = {}
         for batch in sorted(self._ready.values(), key=lambda batch: self._order(batch, now)):
             if not batch.waiting:
@@ -860,7 +876,7 @@
         self,
         batch: Batch,
         usable: list[Member],
-        refused: list[tuple[str, bool, Size]],
+        refused: list[Refusal],
         now: float,
     ) -> None:
         if batch.tracked.queue.advised:
@@ -872,12 +888,13 @@
             return
         tracked, step = batch.tracked, batch.step
         service = tracked.queue.service
-        for _, filling, size in refused:
-            if filling == step.filling and size.fits(step.size):
+        for refusal in refused:
+            if refusal.covers(service, step):
                 self._strand(batch, Wish(service, step, batch.siblings()), usable, now)
                 return
         siblings = batch.siblings()
         racks = self._racks(siblings) if step.same_rack else frozenset()
+        kept_share = self._kept_from(batch, now)
         for index in sorted(batch.waiting):
             avoid = frozenset(tracked.failed_on.get((batch.occurrence, batch.number, index), ()))
             wish = Wish(
@@ -888,13 +905,13 @@
                 racks,
                 self.interference,
                 now=now,
-                kept_share=self._kept_from(batch, now),
+                kept_share=kept_share,
             )
             member = choose(wish, usable)
             if member is None:
                 plain = not (step.requires or step.max_per_worker)
                 if plain:
-                    refused.append((service, step.filling, step.size))
+                    refused.append(Refusal(service, step))
                 self._strand(batch, wish, usable, now)
                 return
             self._start(batch, index, member, self._next_run(tracked), now)
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -12,31 +12,34 @@
 TOGETHER_BONUS = 0.25
 # The own failure domain is preferred when all else is about equal.
 HOME_BONUS = 0.05
+# A task without cores counts as this much.
+LEAST_CORES = 0.1
 # The least weight that a filling room is divided by.
 LEAST_WEIGHT = 0.05
 
 
 class Waiting(NamedTuple):
-    """Cores that waiting tasks ask for."""
+    """Cores that waiting tasks ask for; `filling` by image, as each finds its own workers."""
 
     plain: float = 0.0
-    filling: float = 0.0
     lasting: float = 0.0
+    filling: dict[str, float] = {}
 
     def plus(self, cores: float, step: Step) -> "Waiting":
         """Add tasks of a step."""
         if step.lasting:
             return self._replace(lasting=self.lasting + cores)
         if step.filling:
-            return self._replace(filling=self.filling + cores)
+            sum_of_image = self.filling.get(step.image, 0.0) + cores
+            return self._replace(filling={**self.filling, step.image: sum_of_image})
         return self._replace(plain=self.plain + cores)
 
 
 class Load(NamedTuple):
     """Cores of the usable workers of one service; `filling` is the room by filling image.
 
-    `lasting` is the part of the free cores that lasting tasks may take; `largest` and
-    `largest_lasting` are the most that one worker has of either.
+    `lasting` is the part of the free cores that lasting tasks may take at once, `largest_lasting`
+    the most of it on one worker; `largest` are the largest free rooms of two workers.
     """
 
     cores: float = 0.0
@@ -46,8 +49,8 @@
     filling: dict[str, float] = {}
     serving: dict[str, float] = {}
     lasting: float = 0.0
-    largest: float = 0.0
     largest_lasting: float = 0.0
+    largest: tuple[float, ...] = ()
 
     def room(self, step: Step) -> float:
         """Give the cores that tasks of a step find, less those that others wait for."""
@@ -55,9 +58,13 @@
             fits = step.size.cores <= self.largest_lasting
             return self.lasting - self.waiting.lasting if fits else 0.0
         if not step.filling:
-            fits = step.size.cores <= self.largest
-            return self.free - self.waiting.plain if fits else 0.0
-        return min(self.idle, self.filling.get(step.image, self.idle)) - self.waiting.filling
+            return self.free - self.waiting.plain if self.slots(step) else 0.0
+        room = min(self.idle, self.filling.get(step.image, self.idle))
+        return room - self.waiting.filling.get(step.image, 0.0)
+
+    def slots(self, step: Step) -> int:
+        """Count how often a task of a step fits; 2 stands for more, too."""
+        return sum(int(room / max(step.size.cores, LEAST_CORES)) for room in self.largest)
 
 
 def measure(
@@ -83,7 +90,7 @@
             cores=load.cores + cores,
             free=load.free + free,
             lasting=load.lasting + lasting,
-            largest=max(load.largest, free),
+            largest=tuple(sorted((*load.largest, free), reverse=True)[:2]),
             largest_lasting=max(load.largest_lasting, lasting),
             idle=load.idle + max(0.0, member.idle_cores),
         )
@@ -135,4 +142,7 @@
 def decode_loads(value: dict[str, list[Any]]) -> dict[str, Load]:
     """Read from a row."""
     loads = {service: Load(*fields) for service, fields in value.items()}
-    return {key: load._replace(waiting=Waiting(*load.waiting)) for key, load in loads.items()}
+    return {
+        key: load._replace(waiting=Waiting(*load.waiting), largest=tuple(load.largest))
+        for key, load in loads.items()
+    }
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -41,6 +41,24 @@
     kept_share: float = 0.0
 
 
+class Refusal(NamedTuple):
+    """A step without a label or limit for a task of which no worker was found."""
+
+    service: str
+    step: Step
+
+    def covers(self, service: str, step: Step) -> bool:
+        """Tell whether tasks of another step will find no worker either."""
+        known = self.step
+        # Filling images press on different serving ones, so each finds its own workers.
+        alike = (step.filling, step.lasting, step.image if step.filling else "") == (
+            known.filling,
+            known.lasting,
+            known.image if known.filling else "",
+        )
+        return service == self.service and alike and known.size.fits(step.size)
+
+
 def choose(wish: Wish, members: Iterable[Member]) -> Member | None:
     """Give the best of the usable members that has room, or None."""
     best, best_rank = None, None
