--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -749,23 +749,25 @@
         since = batch.stranded_since
         if since is None or now - since < LASTING_WAIT_S:
             return False
-        service, cores = batch.tracked.queue.service, max(batch.step.size.cores, LEAST_CORES)
+        service, size = batch.tracked.queue.service, batch.step.size
+        cores = max(size.cores, LEAST_CORES)
         rooms = [
             member.room.cores
             for member in self.members.values()
-            if member.host.service == service and member.usable(now) and not self.closed
+            if member.host.service == service
+            and member.usable(now)
+            and not self.closed
+            and size.fits(member.room)
         ]
         rooms.extend(self.rooms_elsewhere.get(service, ()))
         return sum(int(room / cores) for room in rooms) >= 2
 
     def _kept_from(self, batch: Batch, now: float) -> float:
-        """Give the part of a worker's cores that a batch leaves to short tasks."""
-        if not batch.step.lasting or self.must_start(batch, now):
-            return 0.0
-        return self._kept_share(now)
+        """Give the part of a worker that a batch leaves to short tasks."""
+        return 0.0 if batch.step.lasting and self.must_start(batch, now) else self._kept_share(now)
 
     def _kept_share(self, now: float) -> float:
-        """Give the part of each worker's cores that lasting tasks leave to short ones."""
+        """Give the part of each worker that is left to short tasks."""
         if self._short_at is None:
             # Nothing is known yet of what else comes.
             self._short_at = now
@@ -931,6 +933,7 @@
             margin=float("inf"),
             crowded=waited_s >= FORCE_S,
             now=now,
+            kept_share=0.0,
         )
         member = choose(last, usable)
         if member is not None:
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -15,11 +15,9 @@
 STRAIN_LIMIT = 0.85
 # Workers report the last half second, so what started later does not show yet.
 REPORT_SPAN_S = 0.6
-# Part of a worker's cores that lasting tasks leave to short ones. Lasting tasks keep what they
-# have; without it short urgent tasks find only fragments of cores once lasting ones fill up.
+# Part of a worker that lasting tasks leave to short ones, and filling tasks of its memory. Without
+# it short urgent tasks find only fragments once lasting tasks, which keep what they have, fill up.
 SHORT_SHARE = 0.125
-# Sums of cores may be off by this.
-ROUNDING = 1e-6
 # Differences in load below this, of a limit of about 0.8, do not outweigh idle cores.
 PRESS_STEP = 0.02
 
@@ -37,7 +35,7 @@
     now: float = 0.0
     # A filling task may join others where no core is idle.
     crowded: bool = False
-    # Part of a worker's cores that a lasting task leaves free.
+    # Part of a worker that lasting and filling tasks leave to short ones.
     kept_share: float = 0.0
 
 
@@ -88,17 +86,22 @@
 
 
 def leaves_short(step: Step, member: Member, kept_share: float) -> bool:
-    """Tell whether one more lasting task leaves a part of the cores to short ones.
+    """Tell whether one more lasting task leaves a part of the worker to short ones.
 
     It always does where the task fits twice: the platform expects it to start there.
     """
-    cores = member.host.size.cores
-    kept = min(step.size.cores, kept_share * cores)
-    return member.lasting.cores + step.size.cores + kept <= cores + ROUNDING
+    size, taken = member.host.size, member.lasting.plus(step.size)
+    kept = Size(
+        min(step.size.cores, kept_share * size.cores),
+        min(step.size.memory, kept_share * size.memory),
+    )
+    return taken.plus(kept).fits(size)
 
 
 def _may_fill(wish: Wish, member: Member) -> bool:
     step = wish.step
+    if step.size.memory + wish.kept_share * member.host.size.memory > member.room.memory:
+        return False
     if not wish.crowded and member.idle_cores < step.size.cores * FILLING_SHARE:
         return False
     return not member.serving or _strain(wish, member) < wish.margin
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -6,7 +6,7 @@
 from curranthall.cells.load import Load, Waiting
 from curranthall.cells.ports import Ending, EndKind, Listed, StartResult, StartTask
 from curranthall.dag import Phase, Progress
-from curranthall.model import Host, HostState
+from curranthall.model import Host, HostState, Size
 from tests.cell_fixtures import BORN, CELL, SERVICE, Cell, ended, host, job, listed, step, task
 
 
@@ -166,6 +166,17 @@
         cell.add(job("1" * 16, step(1, cores=8)))
         self.assertEqual([order.worker for order in cell.plan()], ["w2", "w1"])
 
+    def test_lasting_and_filling_tasks_leave_memory_to_short_ones(self) -> None:
+        cell = Cell(host("w1", cores=32)._replace(size=Size(32, 16_000)))
+        heavy = Size(1, 4_000)
+        cell.add(job("0" * 16, step(40, lasting=True)._replace(size=heavy)))
+        cell.started(*cell.plan())
+        self.assertEqual(len(cell.member("w1").runs), 3)
+        cell.add(job("1" * 16, step(9, filling=True)))
+        cell.started(*cell.plan())
+        cell.add(job("2" * 16, step(2)))
+        self.assertEqual(len(cell.plan()), 2)
+
     def test_fragments_are_no_room_for_a_larger_task(self) -> None:
         load = Load(cores=32, free=8, largest=(2, 2))
         self.assertEqual(load.room(step(1, cores=3)), 0.0)
