Act on no message about a job that the rows read since contradict; let a successor take jobs over in their rows

Besides, two ways to the same end: a former holder's give-away, unanswered or made when it wakes, passed its check of the row, since the successor's starts write none; and what it had given came back after each conflict. Third find: one failed read of a job ended the loop that follows a cell's rows, for as long as the cell was held.

Change: a message about an untracked job counts only if it is newer than what was read of the rows; a successor writes its epoch into the row of each unfinished job before it starts a task of it, and a former holder that sees a later epoch gives nothing away; a page of the feed of which a read failed is read again. Five tests, each fails without its part.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -147,6 +147,19 @@
         lists by now stands in the rows.
         """
         self.proven = True
+        for tracked in self.tracked.values():
+            self._claim(tracked)
+
+    def _claim(self, tracked: Tracked) -> None:
+        """Write this epoch into the row of a job from before, before any of its tasks starts.
+
+        A write of the former holder that is still on its way, or comes when it wakes, finds the
+        row changed, and learns that the cell is not its own any more.
+        """
+        if tracked.prior and not tracked.claimed and not tracked.progress.phase.final:
+            tracked.progress.claims[self.cell] = self.epoch
+            self._touch(tracked, urgent=True)
+            tracked.claimed = tracked.change
 
     def see_host(self, host: Host) -> Member | None:
         """Take in a worker's listing; give the member when it is new."""
@@ -191,6 +204,8 @@
             tracked.final_at = now
         else:
             tracked.began = progress.phase is Phase.RUNNING
+            if self.proven:
+                self._claim(tracked)
             self._open_steps(tracked, now)
         for member in self.members.values():
             parked, member.parked = member.parked, []
@@ -207,7 +222,7 @@
             return
         was_final = tracked.progress.phase.final
         own_facts = tracked.recorded < tracked.change
-        tracked.progress.merge(progress, self.cell)
+        tracked.progress.merge(progress, self.cell, self.epoch)
         tracked.version = version
         if own_facts:
             self.dirty[job_id] = tracked
@@ -697,7 +712,7 @@
 
     def _tell(self, now: float) -> None:
         """Log what the cell looks like."""
-        waiting = [batch for batch in self._ready.values() if batch.waiting]
+        waiting, loads = [batch for batch in self._ready.values() if batch.waiting], self.load(now)
         log(
             Event.CELL_STATE,
             cell=self.cell,
@@ -713,8 +728,8 @@
             free_cores=[round(member.room.cores, 1) for member in self.members.values()],
             lasting_cores=round(sum(m.lasting.cores for m in self.members.values()), 1),
             waiting_cores=_waiting_cores(waiting),
-            filling_room={name: load.filling for name, load in self.load(now).items()},
-            filling_waits={name: load.waiting.filling for name, load in self.load(now).items()},
+            filling_room={name: load.filling for name, load in loads.items()},
+            filling_waits={name: load.waiting.filling for name, load in loads.items()},
             free_gb=[round(member.room.memory / 1000, 1) for member in self.members.values()],
             waiting_tasks=sum(len(batch.waiting) for batch in waiting),
             waiting_first=[
@@ -865,7 +880,7 @@
         if batch.step.lasting:
             return 0, 0, tracked.due
         rank = 2 if now > tracked.hopeless_at() else 1
-        left_s = tracked.job.chain_ms(batch.number) / 1000
+        left_s = tracked.chains_s[batch.number]
         late = now + left_s > tracked.objective_at()
         value = tracked.value(self._usual_work.get(tracked.job.queue, 0.0))
         worth = value * (LATE_VALUE if late else 1.0) / max(tracked.work_left(), LEAST_WORK)
@@ -873,7 +888,8 @@
 
     def _held_back(self, batch: Batch, now: float) -> bool:
         tracked = batch.tracked
-        return now < tracked.pause_until or (tracked.prior and not self.proven)
+        unsure = tracked.prior and not (self.proven and tracked.recorded >= tracked.claimed)
+        return now < tracked.pause_until or unsure
 
     def _ticketed(self, batch: Batch, usable: list[Member], now: float) -> list[Member]:
         """Give the workers that the advisor approved; ask about those not known yet."""
--- a/src/curranthall/cells/records.py
+++ b/src/curranthall/cells/records.py
@@ -76,13 +76,15 @@
     return None
 
 
-async def read_all(store: Store, cell: str, known: frozenset[str]) -> tuple[list[Stored], int]:
-    """Read a cell's unfinished jobs and the known ones, and a version to follow the feed from."""
+async def read_all(
+    store: Store, cell: str, known: frozenset[str]
+) -> tuple[list[Stored], dict[str, int]]:
+    """Read a cell's unfinished jobs and the known ones, and the version read of each part."""
     found: list[Stored] = []
-    first = 0
+    versions: dict[str, int] = {}
     for part in PARTS:
         listing = await store.scan(PROGRESS_TABLE, part)
-        first = min(first or listing.version, listing.version)
+        versions[part] = listing.version
         rows = {row.key: (progress_of(row), row.version) for row in listing.rows}
         wanted = {
             key: (progress, version)
@@ -95,7 +97,7 @@
             for job in _jobs(jobs.rows):
                 if job.id in wanted:
                     found.append(Stored(job, *wanted[job.id]))
-    return found, first
+    return found, versions
 
 
 async def read_details(store: Store, cell: str) -> Details:
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -136,6 +136,8 @@
         self._commits = 0
         self._ended = False
         self._feed_from = 0
+        # The store's version up to which the rows of each part were read.
+        self._read_to: dict[str, int] = {}
         self._resolving = False
         self.loaded = False
 
@@ -508,7 +510,23 @@
     # Jobs
 
     def offer(self, stored: Stored) -> None:
-        """Take in a job that an entry just accepted for this cell."""
+        """Take in a job that an entry just accepted or another cell just gave to this one.
+
+        The message may have been held up, and the job given on by this cell since. Rows up to
+        the version read were looked at, so an older one of a job that is not tracked is stale.
+        """
+        if stored.job.id in self.dispatcher.tracked:
+            self._take_in(stored)
+        elif not self.loaded or stored.version <= self._read_version(stored.job.id):
+            log(Event.JOB_OFFER_STALE, job=stored.job.id, version=stored.version, cell=self.cell)
+        else:
+            self._take_in(stored)
+
+    def _read_version(self, job_id: str) -> int:
+        return max(self._feed_from, self._read_to.get(part_of(job_id), 0))
+
+    def _take_in(self, stored: Stored) -> None:
+        """Take in a job as its row stands."""
         if stored.job.id in self.dispatcher.tracked:
             self.dispatcher.refresh(stored.job.id, stored.progress, stored.version, self._clock())
         elif concerns(stored.progress, self.cell):
@@ -526,11 +544,12 @@
         """Read all jobs of the cell, then follow their rows."""
         while not self.loaded:
             try:
-                stored, self._feed_from = await read_all(self._store, self.cell, frozenset())
+                stored, self._read_to = await read_all(self._store, self.cell, frozenset())
             except (PlatformDown, AnswerLost) as exc:
                 log(Event.STORE_FAILED, what="load", error=exc)
                 await asyncio.sleep(STORE_RETRY_S)
                 continue
+            self._feed_from = min(self._read_to.values())
             for found in stored:
                 self.dispatcher.adopt(*found, self._clock(), True)
             self.loaded = True
@@ -542,16 +561,17 @@
     async def _follow(self) -> None:
         try:
             page = await self._store.feed(PROGRESS_TABLE, self._feed_from, FEED_WAIT_MS)
+            for row in page.rows:
+                await self._on_row(row)
         except HistoryLost:
             log(Event.FEED_RESTARTED, table=PROGRESS_TABLE, after=self._feed_from)
             await self._reload()
             return
         except (PlatformDown, AnswerLost) as exc:
+            # The page is read again, so no row of it is missed.
             log(Event.STORE_FAILED, what="feed", error=exc)
             await asyncio.sleep(STORE_RETRY_S)
             return
-        for row in page.rows:
-            await self._on_row(row)
         self._feed_from = max(self._feed_from, page.version)
         await asyncio.sleep(FEED_PAUSE_S)
 
@@ -570,18 +590,19 @@
             return
         stored = await read_job(self._store, row.key)
         if stored is not None:
-            self.offer(stored)
+            self._take_in(stored)
 
     async def _reload(self) -> bool:
         """Read all rows of the cell again; tell whether the store answered."""
         try:
-            stored, self._feed_from = await read_all(self._store, self.cell, self._known())
+            stored, self._read_to = await read_all(self._store, self.cell, self._known())
         except (PlatformDown, AnswerLost) as exc:
             log(Event.STORE_FAILED, what="reload", error=exc)
             await asyncio.sleep(STORE_RETRY_S)
             return False
+        self._feed_from = min(self._read_to.values())
         for found in stored:
-            self.offer(found)
+            self._take_in(found)
         return True
 
     def _known(self) -> frozenset[str]:
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -84,13 +84,19 @@
     failed_on: dict[Key, set[str]] = field(default_factory=dict)
     change: int = 0
     recorded: int = 0
+    # The change that takes the job over from a former holder; 0 where there was none.
+    claimed: int = 0
     pause_until: float = 0.0
     final_at: float | None = None
-    # Core-seconds in all, by the caller's estimate.
+    # By the caller's estimates: core-seconds in all, and the longest chain that each step begins.
     work: float = 0.0
+    chains_s: tuple[float, ...] = ()
+    # The work left as of a change and a version: it is asked for at each planning.
+    _left: tuple[int, int, float] = (-1, -1, 0.0)
 
     def __post_init__(self) -> None:
         self.work = self.job.work()
+        self.chains_s = tuple(self.job.chain_ms(at) / 1000 for at in range(len(self.job.steps)))
 
     @property
     def shown(self) -> Phase:
@@ -106,11 +112,16 @@
 
     def objective_at(self) -> float:
         """Give the local time by which the job should be shown as completed."""
-        chain_s = self.job.chain_ms() / 1000
+        chain_s = max(self.chains_s, default=0.0)
         return self.due + self.queue.stretch * chain_s + self.queue.objective_ms / 1000
 
     def work_left(self) -> float:
         """Estimate the core-seconds that the job still needs."""
+        if self._left[:2] != (self.change, self.version):
+            self._left = self.change, self.version, self._sum_left()
+        return self._left[2]
+
+    def _sum_left(self) -> float:
         left = 0.0
         for occurrence in range(self.job.occurrences):
             for number, step in enumerate(self.job.steps):
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -38,6 +38,8 @@
     run_floor: int = 0
     moves: int = 0
     writer: str = ""
+    # By cell, the epoch of the last holder that took the job over.
+    claims: dict[str, int] = field(default_factory=dict)
     # Tasks given away on this side that no committed row shows yet; not stored.
     given: dict[Key, str] = field(default_factory=dict)
     given_whole: str = ""
@@ -95,12 +97,18 @@
         if committed.cell == self.given_whole:
             self.given_whole = ""
 
-    def merge(self, other: "Progress", cell: str) -> None:
-        """Take in the committed row at a cell.
+    def merge(self, other: "Progress", cell: str, epoch: int) -> None:
+        """Take in the committed row at a cell's holder.
 
         A task is its owner's to give away: what this side gave away stands only where the
-        committed row still has the task here, or another cell may have started it by now.
+        committed row still has the task here, or another cell may have started it by now, and
+        no later holder of the cell has taken the job over.
         """
+        if other.claims.get(cell, 0) > epoch:
+            self.given.clear()
+            self.given_whole = ""
+        for claimed, by in other.claims.items():
+            self.claims[claimed] = max(by, self.claims.get(claimed, 0))
         # A committed final phase stands, whatever this side was about to write.
         self.phase = other.phase if other.phase.final else max(self.phase, other.phase)
         for step, mask in other.done.items():
@@ -126,6 +134,8 @@
             value["f"] = [[*key, sorted(runs)] for key, runs in self.failures.items()]
         if self.elsewhere:
             value["e"] = [[*key, cell] for key, cell in self.elsewhere.items()]
+        if self.claims:
+            value["k"] = [[cell, epoch] for cell, epoch in self.claims.items()]
         if self.moves:
             value["m"], value["r"] = self.moves, self.run_floor
         return dumps(value)
@@ -143,4 +153,5 @@
         value.get("r", 0),
         value.get("m", 0),
         value.get("w", ""),
+        {cell: epoch for cell, epoch in value.get("k", ())},
     )
--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -67,6 +67,12 @@
         self.core.plan(self.now)
         return self.take(StartTask)
 
+    def record(self) -> None:
+        """Have the store take all that changed."""
+        for tracked in list(self.core.dirty.values()):
+            self.core.note_recorded(tracked, tracked.change, tracked.version + 1)
+        self.core.dirty.clear()
+
     def take(self, kind: type) -> list:  # type: ignore[type-arg]
         """Take the orders of a kind out of the queue."""
         found = [order for order in self.core.orders if isinstance(order, kind)]
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -322,6 +322,9 @@
         row.add_done(0, 0, 0)
         cell.core.refresh("0" * 16, row, 2, cell.now)
         cell.core.note_rows_read()
+        # A write of the former holder may be on its way until this epoch stands in the row.
+        self.assertEqual(cell.plan(), [])
+        cell.record()
         self.assertEqual([order.task.number for order in cell.plan()], [1])
 
     def test_what_a_worker_listed_before_its_job_was_known_is_not_started_again(self) -> None:
@@ -330,6 +333,9 @@
         self.assertEqual(cell.core.unknown, {"0" * 16})
         cell.add(job(), prior=True)
         cell.core.note_rows_read()
+        # A write of the former holder may be on its way until this epoch stands in the row.
+        self.assertEqual(cell.plan(), [])
+        cell.record()
         self.assertEqual([order.task.number for order in cell.plan()], [1])
 
     def test_an_end_listed_before_its_job_was_known_counts(self) -> None:
@@ -338,6 +344,9 @@
         self.assertEqual(cell.core.cursor(cell.member("w1")), 0)
         cell.add(job(), prior=True)
         cell.core.note_rows_read()
+        # A write of the former holder may be on its way until this epoch stands in the row.
+        self.assertEqual(cell.plan(), [])
+        cell.record()
         self.assertEqual([order.task.number for order in cell.plan()], [1])
 
     def test_a_later_steps_run_proves_the_steps_before_it(self) -> None:
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -27,7 +27,7 @@
         row = stored(self.south)
         self.north.give([Y], "south")
         self.north.give([Z], "west")
-        self.north.merge(row, "north")
+        self.north.merge(row, "north", 7)
         self.assertEqual([self.north.owner(key) for key in (X, Y, Z)], ["west", "south", "west"])
 
     def test_a_task_that_another_cell_has_by_now_is_not_given_away(self) -> None:
@@ -36,24 +36,36 @@
         # The answer was lost; the row was written, and south gave Y on.
         later = stored(row)
         later.give([Y], "west")
-        self.north.merge(stored(later), "north")
+        self.north.merge(stored(later), "north", 7)
         self.assertEqual(self.north.owner(Y), "west")
         self.assertEqual(self.north.given, {})
 
     def test_a_whole_job_is_given_away_only_if_it_is_still_here(self) -> None:
         fresh = Progress("north")
         fresh.give_whole("south")
-        fresh.merge(Progress("north"), "north")
+        fresh.merge(Progress("north"), "north", 7)
         self.assertEqual(fresh.cell, "south")
-        fresh.merge(Progress("west", moves=1), "north")
+        fresh.merge(Progress("west", moves=1), "north", 7)
         self.assertEqual(fresh.cell, "west")
 
     def test_confirmed_moves_are_not_made_again(self) -> None:
         back = stored(self.south)
         back.give([X], "north")
-        self.north.merge(stored(back), "north")
+        self.north.merge(stored(back), "north", 7)
         self.assertEqual(self.north.owner(X), "north")
 
+    def test_a_former_holder_gives_nothing_away_once_its_successor_took_the_job_over(self) -> None:
+        """Else the successor runs the task without a word in the row, and another cell, too."""
+        successor = stored(self.north)
+        successor.claims["north"] = 8
+        self.north.give([Y], "south")
+        self.north.merge(stored(successor), "north", 7)
+        self.assertEqual(self.north.owner(Y), "north")
+        whole = Progress("north")
+        whole.give_whole("south")
+        whole.merge(Progress("north", claims={"north": 8}), "north", 7)
+        self.assertEqual(whole.cell, "north")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -2,17 +2,26 @@
 
 import asyncio
 import unittest
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.owner import CELL_PART, CELL_TABLE, Details, Owner
-from curranthall.cells.records import Stored, part_of, read_details
+from curranthall.cells.ports import Snapshot
+from curranthall.cells.records import (
+    JOB_TABLE,
+    PROGRESS_TABLE,
+    Stored,
+    create,
+    part_of,
+    read_details,
+    read_progress,
+)
 from curranthall.cells.runtime import CellRuntime, Holding, Neighbours
 from curranthall.cells.tracking import Bounds, Queue
 from curranthall.dag import Progress
 from curranthall.errors import AnswerLost
 from curranthall.standin.store import MemoryStore
-from curranthall.store import Check, Committed, Drop, Put, Stale
+from curranthall.store import Check, Committed, Drop, Listing, Put, Stale
 from tests.cell_fixtures import CELL, SERVICE, host, job
 from tests.cluster import no_advice
 from tests.virtual import run
@@ -171,5 +180,110 @@
         self.assertEqual([stored.progress.owner((0, 0, 1)) for stored in told], [CELL])
 
 
+class FailingReads(MemoryStore):
+    """Fails the reads of jobs as often as told to."""
+
+    def __init__(self) -> None:
+        super().__init__(lambda: 0.0)
+        self.fail = 0
+
+    async def scan(self, table: str, part: str, start: str = "", end: str = "") -> Listing:
+        if table == JOB_TABLE and self.fail:
+            self.fail -= 1
+            raise AnswerLost(peer="store", why="test")
+        return await super().scan(table, part, start, end)
+
+
+class Offers(unittest.TestCase):
+    """A message about a job may be held up by a cut; the rows read since then are newer."""
+
+    def play(self, scene: Callable[[MemoryStore, CellRuntime], Awaitable[None]]) -> CellRuntime:
+        """Run a scene on a cell that loads its jobs and follows their rows."""
+        store, runtimes = FailingReads(), list[CellRuntime]()
+
+        async def main() -> None:
+            runtime = made(store, [], asyncio.get_running_loop().time)
+            runtimes.append(runtime)
+            await scene(store, runtime)
+
+        run(main())
+        return runtimes[0]
+
+    async def store_job(self, store: MemoryStore, progress: Progress) -> Stored:
+        """Store a job; give what an entry tells the holder."""
+        answer = await create(store, job(), progress)
+        assert isinstance(answer, Committed)
+        return Stored(job(), progress, answer.version)
+
+    async def follow(self, runtime: CellRuntime, seconds: float) -> None:
+        """Have the cell load and follow the rows for a while."""
+        loop = asyncio.create_task(runtime._load_jobs())
+        await asyncio.sleep(seconds)
+        loop.cancel()
+
+    def test_a_message_from_before_the_job_was_given_on_is_not_acted_on(self) -> None:
+        """Two runs of one task: a cell that came back from a cut started what another had."""
+
+        async def scene(store: MemoryStore, runtime: CellRuntime) -> None:
+            told = await self.store_job(store, Progress(CELL))
+            given = Put(PROGRESS_TABLE, told.job.id, Progress("south", moves=1).encode())
+            await store.commit(part_of(told.job.id), [], [given], [])
+            # Held up until the new holder of the cell has taken it, before and after its load.
+            runtime.offer(told)
+            await self.follow(runtime, 1.0)
+            runtime.offer(told)
+
+        self.assertEqual(self.play(scene).dispatcher.tracked, {})
+
+    def test_a_message_of_a_new_job_is_acted_on_at_once(self) -> None:
+        async def scene(store: MemoryStore, runtime: CellRuntime) -> None:
+            await self.follow(runtime, 1.0)
+            runtime.offer(await self.store_job(store, Progress(CELL)))
+
+        self.assertIn("0" * 16, self.play(scene).dispatcher.tracked)
+
+    def test_a_failed_read_of_a_job_is_made_again(self) -> None:
+        """One lost answer ended the loop that follows the rows for good."""
+
+        async def scene(store: MemoryStore, runtime: CellRuntime) -> None:
+            loop = asyncio.create_task(runtime._load_jobs())
+            await asyncio.sleep(0.5)
+            store.fail = 2  # type: ignore[attr-defined]
+            await self.store_job(store, Progress(CELL))
+            await asyncio.sleep(6.0)
+            loop.cancel()
+
+        self.assertIn("0" * 16, self.play(scene).dispatcher.tracked)
+
+
+class TakingOver(unittest.IsolatedAsyncioTestCase):
+    async def test_a_former_holders_late_write_finds_the_job_taken_over(self) -> None:
+        """It gives away what the successor has started without a word in the row."""
+        store = LossyStore()
+        answer = await create(store, job(), Progress(CELL))
+        assert isinstance(answer, Committed)
+        former, successor = made(store, []), made(store, [])
+        successor.dispatcher.epoch = 8
+        former.dispatcher.adopt(job(), Progress(CELL), answer.version, 0.0, False)
+        successor.dispatcher.see_host(host("w1"))
+        successor.dispatcher.confirm_roster(["w1"])
+        member = successor.dispatcher.members["w1"]
+        successor.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), 0.0, 0.0)
+        successor.dispatcher.adopt(job(), Progress(CELL), answer.version, 0.0, True)
+        successor.dispatcher.plan(0.0)
+        self.assertFalse(successor.dispatcher.orders)
+        part = part_of("0" * 16)
+        await successor._record_part(part)
+        successor.dispatcher.plan(0.0)
+        self.assertEqual(len(successor.dispatcher.orders), 2)
+        tracked = former.dispatcher.tracked["0" * 16]
+        former.dispatcher.move(tracked, tracked.batches[0, 0], None, "south", 0.0)
+        for _ in range(3):
+            await former._record_part(part)
+        found = await read_progress(store, "0" * 16)
+        assert found is not None
+        self.assertEqual({found[0].owner((0, 0, number)) for number in (0, 1)}, {CELL})
+
+
 if __name__ == "__main__":
     unittest.main()
