--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -111,6 +111,9 @@
     # The serving tasks' tails as last reported.
     tails: tuple[float, ...] = ()
     pace_changed_at: float = 0.0
+    # By serving image, load and limit as one planning sees them; kept by `placement`.
+    strain: dict[str, tuple[float, float]] = field(default_factory=dict)
+    strain_as_of: tuple[float, int] = (-1.0, 0)
     recent: deque[bool] = field(default_factory=lambda: deque(maxlen=RECENT_ENDS))
 
     @property
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -113,6 +113,23 @@
 
 def _overloads(wish: Wish, member: Member) -> bool:
     """Tell whether a serving task here is predicted over its part of the limit beside this task."""
+    known, share = wish.interference, wish.step.size.cores / member.host.size.cores
+    for image, (load, limit) in _strain(wish, member).items():
+        press = known.weight(image, wish.step.image) * share
+        margin = wish.margin if press >= LEAST_PRESS else max(wish.margin, LIGHT_LIMIT)
+        if load + press >= margin * limit:
+            return True
+    return False
+
+
+def _strain(wish: Wish, member: Member) -> dict[str, tuple[float, float]]:
+    """Give by serving image the greatest load of its tasks here and its limit.
+
+    The same for all wishes of one planning, until a run is added.
+    """
+    as_of = wish.now, len(member.runs)
+    if member.strain_as_of == as_of:
+        return member.strain
     known, cores = wish.interference, member.host.size.cores
     hidden = []
     for run in member.runs.values():
@@ -120,17 +137,21 @@
             unseen = 1.0 if wish.now - run.sent_at < REPORT_SPAN_S else 1 - run.pace / 100
             if unseen > 0:
                 hidden.append((run.step.image, unseen * run.step.size.cores / cores))
-    share = wish.step.size.cores / cores
+    found: dict[str, tuple[float, float]] = {}
     for run in _serving(member):
         image, target = run.step.image, run.step.target_ms
         # Serving load swings over many seconds, so what a report shows now holds a while.
         seen = known.seen_load(image, run.gauge, target) if run.gauge else known.own(image)
-        press = known.weight(image, wish.step.image) * share
-        load = seen + press + sum(known.weight(image, other) * part for other, part in hidden)
-        margin = wish.margin if press >= LEAST_PRESS else max(wish.margin, LIGHT_LIMIT)
-        if load >= margin * known.limit(image, target):
-            return True
-    return False
+        limit = known.limit(image, target)
+        if image not in found or seen / limit > found[image][0] / found[image][1]:
+            found[image] = seen, limit
+    for image, (seen, limit) in found.items():
+        found[image] = (
+            seen + sum(known.weight(image, other) * part for other, part in hidden),
+            limit,
+        )
+    member.strain, member.strain_as_of = found, as_of
+    return found
 
 
 def _press(wish: Wish, member: Member) -> float:
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -55,6 +55,10 @@
 from curranthall.store import Check, Committed, Put, Row, Stale, Store
 
 TICK_S = 0.1
+# Between two plans: the least pause, and a pause by how long the last one took, so that planning
+# leaves two thirds of the process to looks, starts and records however large a cell is.
+GATHER_EVENTS_S = 0.003
+PLAN_REST = 2.0
 # Holds: how long a worker may keep one open, and the least pause between two.
 BUSY_WAIT_MS = 1_000
 IDLE_WAIT_MS = 2_000
@@ -365,15 +369,17 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
+            began = self._clock()
             if self.permitted():
-                self.dispatcher.plan(self._clock())
+                self.dispatcher.plan(began)
+            took_s = self._clock() - began
             orders = self.dispatcher.orders
             while orders:
                 self._carry_out(orders.popleft())
             if self.dispatcher.dirty:
                 self._record.set()
             # Events that come together are planned for together.
-            await asyncio.sleep(0.003)
+            await asyncio.sleep(max(GATHER_EVENTS_S, PLAN_REST * took_s))
 
     def _carry_out(self, order: Order) -> None:
         if isinstance(order, AskAdvice):
