--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -56,9 +56,9 @@
 
 TICK_S = 0.1
 # Between two plans: the least pause, and a pause by how long the last one took, so that planning
-# leaves two thirds of the process to looks, starts and records however large a cell is.
+# leaves half of the process to looks, starts and records however large a cell is.
 GATHER_EVENTS_S = 0.003
-PLAN_REST = 2.0
+PLAN_REST = 1.0
 # Holds: how long a worker may keep one open, and the least pause between two.
 BUSY_WAIT_MS = 1_000
 IDLE_WAIT_MS = 2_000
