--- a/tools/explain.py
+++ b/tools/explain.py
@@ -113,7 +113,7 @@
     for job in jobs.values():
         queues[job.queue].append(job)
     yield "queue          jobs  ended  moved  failed stopped refused"
-    yield "   step: ready to first start, first to last start, to the last end; job: to its shown end"
+    yield "   step: ready to first start, first to last start, to last end; job: to its shown end"
     for queue, rows in sorted(queues.items()):
         ends: Counter[str] = sum((job.ends for job in rows), Counter())
         yield (
