Log what each start of a task knew, and why a run is taken for over

Callers saw a task that must run once run twice. The logs had of both starts the worker and the run number only, so they could not tell a second holder of the cell from a second cell or from a run judged over too early.

Added: RUN_PLACED names cell, epoch, version of the row, whether the job is from before the takeover, whether all workers were fenced, and the task's former run with the reason why it is over; JOB_ADOPTED tells by what a job became known (rows, feed, message, listed run); RUN_VANISHED is written for each run that is taken for over without a listed end, with the reason (vanished, reborn, lapsed, gone, unsent; it was written for the first only); RUN_REFUSED names the run; RUN_DUPLICATE is written when a worker lists a run of a task that is done or has another run. No decision changes.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -7,7 +7,16 @@
 from collections.abc import Callable, Iterable
 
 from curranthall.cells.advice import Advice
-from curranthall.cells.fleet import QUARANTINE_S, Member, Run, RunState, Unrecorded
+from curranthall.cells.fleet import (
+    QUARANTINE_S,
+    UNLISTED,
+    FormerRun,
+    Member,
+    Over,
+    Run,
+    RunState,
+    Unrecorded,
+)
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import LEAST_CORES, Load, Waiting, measure
 from curranthall.cells.pacing import FULL, adjust, pressure
@@ -362,7 +371,8 @@
 
     def on_snapshot(self, member: Member, snapshot: Snapshot, asked_at: float, now: float) -> None:
         """Take in what runs and what ended on a worker."""
-        if member.note_answer(snapshot, now):
+        reborn = member.note_answer(snapshot, now)
+        if reborn:
             log(Event.WORKER_REBORN, worker=member.name, born=snapshot.born)
         if member.name in self._unproven:
             self._unproven.discard(member.name)
@@ -378,8 +388,7 @@
             self._on_listed(member, entry, asked_at, now)
         for run in list(member.runs.values()):
             if (run.task, run.number) not in listed and asked_at > run.sure_from:
-                log(Event.RUN_VANISHED, task=run.task, run=run.number, worker=member.name)
-                self._drop(run, now)
+                self._drop(run, now, Over.REBORN if reborn else Over.VANISHED)
         self._leave_stalled(member, now)
         self._learn(member)
         level = member.pace
@@ -459,9 +468,25 @@
             tracked.progress.is_done(*task[1:]) and not batch.step.lasting
         )
         if over or (others and not batch.step.copies):
+            self._tell_duplicate(tracked, run, others)
             self._stop(run, now)
         return run
 
+    def _tell_duplicate(self, tracked: Tracked, run: Run, others: list[Run]) -> None:
+        """Log a listed run of a task that is done or has another run."""
+        if tracked.progress.phase.final or run.step.copies:
+            return
+        log(
+            Event.RUN_DUPLICATE,
+            task=run.task,
+            run=run.number,
+            worker=run.worker,
+            cell=self.cell,
+            epoch=self.epoch,
+            done=tracked.progress.is_done(*run.task[1:]),
+            others=[[other.number, other.worker] for other in others if other is not run],
+        )
+
     def _infer_done(self, tracked: Tracked, task: TaskId, now: float) -> None:
         """Steps before one that runs have ended: a former holder started it only then."""
         for before in tracked.job.steps[task.step].after:
@@ -508,7 +533,7 @@
         run = member.runs.get((task, ending.run))
         if tracked.progress.phase.final or task.step >= len(tracked.job.steps):
             if run is not None:
-                self._drop(run, now)
+                self._drop(run, now, Over.ENDED, ending.kind.value)
             return
         if ending.checkpoint:
             tracked.checkpoints[task[1:]] = ending.checkpoint
@@ -526,7 +551,7 @@
         if not step.lasting and ending.kind in (EndKind.DONE, EndKind.FAILED):
             member.unrecorded[ending.number] = Unrecorded(task.job, tracked.change)
         if run is not None:
-            self._drop(run, now)
+            self._drop(run, now, Over.ENDED, ending.kind.value)
         if tracked.progress.phase.final and tracked.final_at is None:
             self._close(tracked, now)
 
@@ -562,8 +587,10 @@
             tracked.progress.phase = Phase.FAILED
         self._touch(tracked, urgent=failed)
 
-    def _drop(self, run: Run, now: float) -> None:
+    def _drop(self, run: Run, now: float, why: Over, how: str = "") -> None:
         """Forget a run that is over; its task waits again unless it is done."""
+        if why in UNLISTED:
+            self._tell_unlisted(run, why)
         member = self.members.get(run.worker)
         if member is not None:
             member.remove(run)
@@ -580,11 +607,27 @@
             tracked.checkpoints[run.task[1:]] = run.checkpoint
         if tracked.progress.phase.final:
             return
+        if run.step.lasting or not tracked.progress.is_done(*run.task[1:]):
+            text = f"{why.value} {how}".rstrip()
+            tracked.former[run.task[1:]] = FormerRun(text, run.number, run.worker)
         if run.step.gang:
             self._break_gang(batch, now)
         else:
             self._share_out(batch, now)
 
+    def _tell_unlisted(self, run: Run, why: Over) -> None:
+        """Log a run that is taken for over though no end of it was listed."""
+        log(
+            Event.RUN_VANISHED,
+            task=run.task,
+            run=run.number,
+            worker=run.worker,
+            cell=self.cell,
+            epoch=self.epoch,
+            state=run.state.value,
+            why=why.value,
+        )
+
     def _break_gang(self, batch: Batch, now: float) -> None:
         """Members work only together: the rest stop, and start again once all are over."""
         for runs in list(batch.active.values()):
@@ -615,7 +658,13 @@
             run.moved_at = now
             self._confirm(run, now)
             return
-        log(Event.RUN_REFUSED, task=run.task, worker=member.name, why=result.value)
+        log(
+            Event.RUN_REFUSED,
+            task=run.task,
+            run=run.number,
+            worker=member.name,
+            why=result.value,
+        )
         match result:
             case StartResult.NO_ROOM:
                 member.avoid_until = max(member.avoid_until, now + NO_ROOM_PAUSE_S)
@@ -625,7 +674,7 @@
                 self._batch(self.tracked[run.task.job], run.task).tickets.drop(member.name, now)
             case StartResult.MALFORMED:
                 self.tracked[run.task.job].pause_until = now + MALFORMED_PAUSE_S
-        self._drop(run, now)
+        self._drop(run, now, Over.REFUSED, result.value)
 
     def on_advice(
         self, order: AskAdvice, advice: Advice | None, asked_at: float, now: float
@@ -648,7 +697,7 @@
         run = self.find(order)
         if run is not None:
             self.on_silence(order.worker, now)
-            self._drop(run, now)
+            self._drop(run, now, Over.UNSENT)
 
     def on_start_unanswered(self, order: StartTask, now: float) -> None:
         """Note that a start may or may not be carried out: stop it and find out."""
@@ -688,7 +737,7 @@
         self._unproven.discard(worker)
         self.interference.forget_worker(worker)
         for run in list(member.runs.values()):
-            self._drop(run, now)
+            self._drop(run, now, Over.GONE)
 
     # Time
 
@@ -754,7 +803,7 @@
         if lapsed and member.runs:
             log(Event.WORKER_LAPSED, worker=member.name, runs=len(member.runs))
             for run in list(member.runs.values()):
-                self._drop(run, now)
+                self._drop(run, now, Over.LAPSED)
         if member.missing_since is not None and lapsed and member.name not in self._unproven:
             self.interference.forget_worker(member.name)
             del self.members[member.name]
@@ -1059,6 +1108,12 @@
             image=batch.step.image,
             waited_ms=int((now - tracked.due) * 1000),
             idle_cores=round(member.idle_cores, 1),
+            cell=self.cell,
+            epoch=self.epoch,
+            version=tracked.version,
+            prior=tracked.prior,
+            fenced=self.fenced_all,
+            after=list(tracked.former.pop(task[1:], ())) or None,
         )
 
     # Figures
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -34,6 +34,30 @@
     STOPPING = "stopping"
 
 
+class Over(Enum):
+    """Why a run is taken for over."""
+
+    ENDED = "ended"
+    REFUSED = "refused"
+    UNSENT = "unsent"
+    LAPSED = "lapsed"
+    VANISHED = "vanished"
+    REBORN = "reborn"
+    GONE = "gone"
+
+
+# What no other line tells of a single run.
+UNLISTED = frozenset({Over.UNSENT, Over.LAPSED, Over.VANISHED, Over.REBORN, Over.GONE})
+
+
+class FormerRun(NamedTuple):
+    """The last run of a task that has to start again, and why it is taken for over."""
+
+    why: str
+    run: int
+    worker: str
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One start of a task on one worker."""
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -358,7 +358,7 @@
                 if stored is None:
                     self.dispatcher.forget_stray(job_id)
                 else:
-                    self.dispatcher.adopt(*stored, self._clock(), True)
+                    self._adopt(stored, prior=True, by="listed run")
                     self.wake()
         finally:
             self._resolving = False
@@ -522,23 +522,38 @@
         the version read were looked at, so an older one of a job that is not tracked is stale.
         """
         if stored.job.id in self.dispatcher.tracked:
-            self._take_in(stored)
+            self._take_in(stored, "message")
         elif not self.loaded or stored.version <= self._read_version(stored.job.id):
             log(Event.JOB_OFFER_STALE, job=stored.job.id, version=stored.version, cell=self.cell)
         else:
-            self._take_in(stored)
+            self._take_in(stored, "message")
 
     def _read_version(self, job_id: str) -> int:
         return max(self._feed_from, self._read_to.get(part_of(job_id), 0))
 
-    def _take_in(self, stored: Stored) -> None:
+    def _take_in(self, stored: Stored, by: str) -> None:
         """Take in a job as its row stands."""
         if stored.job.id in self.dispatcher.tracked:
             self.dispatcher.refresh(stored.job.id, stored.progress, stored.version, self._clock())
         elif concerns(stored.progress, self.cell):
-            self.dispatcher.adopt(*stored, self._clock(), False)
+            self._adopt(stored, prior=False, by=by)
         self.wake()
 
+    def _adopt(self, stored: Stored, prior: bool, by: str) -> None:
+        """Start to track a job, and log by what it became known."""
+        if stored.job.id in self.dispatcher.tracked:
+            return
+        self.dispatcher.adopt(*stored, self._clock(), prior)
+        log(
+            Event.JOB_ADOPTED,
+            job=stored.job.id,
+            cell=self.cell,
+            epoch=self.dispatcher.epoch,
+            version=stored.version,
+            prior=prior,
+            by=by,
+        )
+
     def refresh(self, job_id: str, row: Row) -> None:
         """Take in a row that another writer changed."""
         progress = progress_of(row)
@@ -557,7 +572,7 @@
                 continue
             self._feed_from = min(self._read_to.values())
             for found in stored:
-                self.dispatcher.adopt(*found, self._clock(), True)
+                self._adopt(found, prior=True, by="rows")
             self.loaded = True
             log(Event.CELL_LOADED, cell=self.cell, jobs=len(stored))
             self.wake()
@@ -596,7 +611,7 @@
             return
         stored = await read_job(self._store, row.key)
         if stored is not None:
-            self._take_in(stored)
+            self._take_in(stored, "feed")
 
     async def _reload(self) -> bool:
         """Read all rows of the cell again; tell whether the store answered."""
@@ -608,7 +623,7 @@
             return False
         self._feed_from = min(self._read_to.values())
         for found in stored:
-            self._take_in(found)
+            self._take_in(found, "rows")
         return True
 
     def _known(self) -> frozenset[str]:
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from curranthall.cells.advice import Tickets
-from curranthall.cells.fleet import Run
+from curranthall.cells.fleet import FormerRun, Run
 from curranthall.dag import Job, Phase, Progress, Step, TaskId
 from curranthall.dag.progress import Key
 
@@ -82,6 +82,7 @@
     batches: dict[tuple[int, int], Batch] = field(default_factory=dict)
     checkpoints: dict[Key, str] = field(default_factory=dict)
     failed_on: dict[Key, set[str]] = field(default_factory=dict)
+    former: dict[Key, FormerRun] = field(default_factory=dict)
     change: int = 0
     recorded: int = 0
     # The change that takes the job over from a former holder; 0 where there was none.
