Count jobs by size and outcome, and tell what waiting tasks wait for

Users saw that of the larger jobs of a queue too few were served. No log or metric had the size of a job beside what became of it, nor why a task waited, so order, room and strain could not be told apart.

Added: a size class of each job (work against the usual work of its queue, powers of two, six classes); the counter jobs_by_size_total by queue, size and outcome (accepted, in_time, late, expired: past three objectives, ended or not); the summary of a cell tells by queue, size and reason which tasks wait (closed, held, gang, worker, ticket, order, full, fragments, kept, strain) and of how many of the jobs nothing runs, as CELL_STATE's `waits` and the gauges waiting_tasks and idle_jobs; JOB_STORED has the work, JOB_ADOPTED the size, JOB_ENDED queue, work, size and outcome. No decision changes.

Evidence: tests/test_waits.py, 27 tests.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -34,11 +34,12 @@
     StopTask,
     WorkerOrder,
 )
-from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, Tracked
+from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, Tracked, classify
+from curranthall.cells.waits import Scene, WaitRow, summarize
 from curranthall.dag import Job, Phase, Progress, Step, TaskId
 from curranthall.events import Event, log
 from curranthall.model import Host, Size
-from curranthall.telemetry import completion_seconds
+from curranthall.telemetry import completion_seconds, jobs_by_size
 
 # A start that is carried out later than this is refused by the worker's clock.
 START_WINDOW_S = 1.5
@@ -131,6 +132,8 @@
         self._busy: dict[str, bool] = {}
         # Core-seconds of a job by queue, on average.
         self._usual_work: dict[str, float] = {}
+        # What tasks waited for at the last summary.
+        self.waits: list[WaitRow] = []
         # By service, what other cells last showed.
         self.elsewhere: dict[str, list[Load]] = {}
 
@@ -206,6 +209,7 @@
         self.tracked[job.id] = tracked
         usual = self._usual_work.setdefault(job.queue, tracked.work)
         self._usual_work[job.queue] = usual + USUAL_GAIN * (tracked.work - usual)
+        self._classify(tracked, usual, now)
         if any(not (step.lasting or step.filling) for step in job.steps):
             self._short_at = now
         self.unknown.discard(job.id)
@@ -224,6 +228,30 @@
             for entry in member.strays.pop(job.id, ()):
                 self._on_listed(member, entry, member.asked_at, now)
 
+    def _classify(self, tracked: Tracked, usual_work: float, now: float) -> None:
+        """Note a job's size class; count the job where its cell takes it in first."""
+        tracked.size_class = classify(tracked.work, usual_work)
+        progress = tracked.progress
+        if tracked.prior:
+            tracked.expired = now > tracked.hopeless_at()
+        elif progress.cell == self.cell and not progress.moves:
+            self._count(tracked, "accepted")
+
+    def _count(self, tracked: Tracked, outcome: str) -> None:
+        queue = tracked.queue.name
+        jobs_by_size.count(queue=queue, size=tracked.size_class, outcome=outcome)
+
+    def _count_expired(self, now: float) -> None:
+        """Count the jobs that earn nothing any more, each once."""
+        for tracked in self.tracked.values():
+            if tracked.expired or tracked.final_at is not None:
+                continue
+            if tracked.job.timed or tracked.job.lasting or tracked.progress.cell != self.cell:
+                continue
+            if now > tracked.hopeless_at():
+                tracked.expired = True
+                self._count(tracked, "expired")
+
     def refresh(self, job_id: str, progress: Progress, version: int, now: float) -> None:
         """Take in a newer row of a tracked job."""
         tracked = self.tracked[job_id]
@@ -352,7 +380,19 @@
             phase = tracked.progress.phase.name.lower()
             took_s = (tracked.final_at or tracked.due) - tracked.due
             completion_seconds.observe(took_s, queue=tracked.queue.name, phase=phase)
-            log(Event.JOB_ENDED, job=tracked.job.id, phase=phase, took_ms=int(took_s * 1000))
+            outcome = tracked.outcome()
+            if not tracked.expired:
+                self._count(tracked, outcome)
+            log(
+                Event.JOB_ENDED,
+                job=tracked.job.id,
+                phase=phase,
+                took_ms=int(took_s * 1000),
+                queue=tracked.queue.name,
+                work=round(tracked.work, 1),
+                size=tracked.size_class,
+                outcome=outcome,
+            )
         tracked.recorded = max(tracked.recorded, change)
         tracked.version = max(tracked.version, version)
 
@@ -757,11 +797,13 @@
         self._forget_old(now)
         if now - self._told_at >= SUMMARY_S:
             self._told_at = now
+            self._count_expired(now)
             self._tell(now)
 
     def _tell(self, now: float) -> None:
         """Log what the cell looks like."""
         waiting, loads = [batch for batch in self._ready.values() if batch.waiting], self.load(now)
+        self.waits = self._summarize(waiting, now)
         log(
             Event.CELL_STATE,
             cell=self.cell,
@@ -781,6 +823,7 @@
             filling_waits={name: load.waiting.filling for name, load in loads.items()},
             free_gb=[round(member.room.memory / 1000, 1) for member in self.members.values()],
             waiting_tasks=sum(len(batch.waiting) for batch in waiting),
+            waits=[list(row) for row in self.waits],
             waiting_first=[
                 [
                     batch.tracked.job.id,
@@ -794,6 +837,13 @@
             ],
         )
 
+    def _summarize(self, waiting: list[Batch], now: float) -> list[WaitRow]:
+        members = self.members.values()
+        usable = [(member, member.room) for member in members if member.usable(now)]
+        kept_share = self._kept_share(now)
+        scene = Scene(usable, self.interference, now, kept_share, self.closed, self._held_back)
+        return summarize(waiting, scene)
+
     def _tick_member(self, member: Member, now: float) -> None:
         for run in list(member.runs.values()):
             if run.state is RunState.STOPPING and now - run.stop_sent_at > STOP_RETRY_S:
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -552,6 +552,7 @@
             version=stored.version,
             prior=prior,
             by=by,
+            size=self.dispatcher.tracked[stored.job.id].size_class,
         )
 
     def refresh(self, job_id: str, row: Row) -> None:
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -1,6 +1,7 @@
 """What a cell's holder keeps of each job: its queue, its steps' waiting tasks and runs."""
 
 from dataclasses import dataclass, field
+from math import floor, log2
 from typing import NamedTuple
 
 from curranthall.cells.advice import Tickets
@@ -18,6 +19,18 @@
 # many times the usual job (the platform's rules).
 BASE_VALUE = 0.3
 MOST_VALUE = 4.0
+# Classes of jobs by work, in powers of two of the usual work of their queue; the first and the
+# last take in what is beyond.
+LEAST_CLASS = -2
+MOST_CLASS = 3
+
+
+def classify(work: float, usual_work: float) -> str:
+    """Name the size class of a job by the least multiple of the usual work in it."""
+    if work <= 0 or usual_work <= 0:
+        return "1"
+    power = floor(log2(work / usual_work))
+    return f"{2.0 ** min(max(power, LEAST_CLASS), MOST_CLASS):g}"
 
 
 class Queue(NamedTuple):
@@ -89,6 +102,9 @@
     claimed: int = 0
     pause_until: float = 0.0
     final_at: float | None = None
+    size_class: str = "1"
+    # Counted as past the time after which it earns nothing.
+    expired: bool = False
     # By the caller's estimates: core-seconds in all, and the longest chain that each step begins.
     work: float = 0.0
     chains_s: tuple[float, ...] = ()
@@ -136,6 +152,15 @@
             return 1.0
         return min(MOST_VALUE, BASE_VALUE + (1 - BASE_VALUE) * self.work / usual_work)
 
+    def outcome(self) -> str:
+        """Name what became of a job that is over, by its objective where it has one."""
+        phase, at = self.progress.phase, self.final_at
+        if phase is not Phase.COMPLETED or at is None or self.job.timed or self.job.lasting:
+            return phase.name.lower()
+        if at <= self.objective_at():
+            return "in_time"
+        return "late" if at <= self.hopeless_at() else "expired"
+
     def hopeless_at(self) -> float:
         """Give the local time after which the job earns nothing."""
         return self.due + LATE_FACTOR * (self.objective_at() - self.due)
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -13,6 +13,7 @@
 from curranthall.cells.runtime import CellRuntime
 from curranthall.cells.succession import Succession, Surroundings
 from curranthall.cells.tracking import Bounds
+from curranthall.cells.waits import idle_jobs
 from curranthall.errors import AnswerLost, PlatformDown
 from curranthall.events import Event, log
 from curranthall.intake import Intake
@@ -100,6 +101,11 @@
     yield Sample("runs", label, sum(len(member.runs) for member in members))
     for queue, count in dispatcher.waiting_jobs().items():
         yield Sample("queue_waiting_jobs", {**label, "queue": queue}, count)
+    for row in dispatcher.waits:
+        labels = {**label, "queue": row.queue, "size": row.size}
+        yield Sample("waiting_tasks", {**labels, "reason": row.why}, row.tasks)
+    for (queue, size), count in idle_jobs(dispatcher.waits).items():
+        yield Sample("idle_jobs", {**label, "queue": queue, "size": size}, count)
 
 
 class Daemon:
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -150,7 +150,8 @@
         match answer:
             case Committed(version):
                 stored = Stored(job, progress, version)
-                log(Event.JOB_STORED, job=job.id, queue=job.queue, cell=progress.cell)
+                work = round(job.work(), 1)
+                log(Event.JOB_STORED, job=job.id, queue=job.queue, cell=progress.cell, work=work)
                 self._hand_over(stored)
             case Stale():
                 log(Event.JOB_KNOWN, job=job.id, queue=job.queue)
--- a/src/curranthall/telemetry.py
+++ b/src/curranthall/telemetry.py
@@ -1,5 +1,6 @@
 """Figures of a daemon: counted as things happen, rendered by aioprometheus when asked for."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
@@ -45,10 +46,28 @@
             yield Sample(f"{self._name}_sum", labels, series[-1])
 
 
+class Tally:
+    """Counts by labels."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._series: Counter[tuple[tuple[str, str], ...]] = Counter()
+
+    def count(self, **labels: str) -> None:
+        """Count one."""
+        self._series[tuple(sorted(labels.items()))] += 1
+
+    def samples(self) -> Iterator[Sample]:
+        """Give the figures."""
+        for key, count in self._series.items():
+            yield Sample(self._name, dict(key), count)
+
+
 acceptance_seconds = Histogram("acceptance_seconds")
 completion_seconds = Histogram("completion_seconds")
 store_call_seconds = Histogram("store_call_seconds")
 hold_seconds = Histogram("worker_look_seconds")
+jobs_by_size = Tally("jobs_by_size_total")
 
 
 class Telemetry:
@@ -77,4 +96,5 @@
             yield Sample("events_total", {"event": name.lower()}, count)
         for histogram in (acceptance_seconds, completion_seconds, store_call_seconds, hold_seconds):
             yield from histogram.samples()
+        yield from jobs_by_size.samples()
         yield from self._gauges()
--- /dev/null
+++ b/tests/test_waits.py
@@ -0,0 +1,238 @@
+"""Jobs by size and outcome, and what waiting tasks wait for, in the log and the figures."""
+
+import re
+import unittest
+from types import SimpleNamespace
+
+from curranthall import telemetry
+from curranthall.cells.ports import EndKind, Listed
+from curranthall.cells.tracking import classify
+from curranthall.cells.waits import MAX_SEEN, Wait, idle_jobs
+from curranthall.daemon import _cell_figures
+from curranthall.dag import Progress, Step
+from curranthall.model import Host
+from curranthall.telemetry import Tally, Telemetry
+from tests.cell_fixtures import Cell, ended, host, job, step
+from tests.test_events import CATALOGUE
+from tests.test_traces import Logged
+
+
+class Classes(unittest.TestCase):
+    def test_classes_are_powers_of_two_of_the_usual_work(self) -> None:
+        found = [classify(work, 10) for work in (4, 5, 9.9, 10, 19, 20, 40, 80)]
+        self.assertEqual(found, ["0.25", "0.5", "0.5", "1", "1", "2", "4", "8"])
+
+    def test_labels_stay_few_whatever_the_work(self) -> None:
+        self.assertEqual([classify(work, 1) for work in (1e-9, 1e9)], ["0.25", "8"])
+        self.assertEqual([classify(0, 1), classify(1, 0)], ["1", "1"])
+
+    def test_a_job_is_classed_by_what_its_queue_saw_before_it(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1)))
+        cell.add(job("1" * 16, step(5)))
+        found = [tracked.size_class for tracked in cell.core.tracked.values()]
+        self.assertEqual(found, ["1", "4"])
+
+
+class Counted(Logged):
+    def setUp(self) -> None:
+        super().setUp()
+        telemetry.jobs_by_size._series.clear()
+        self.addCleanup(telemetry.jobs_by_size._series.clear)
+        self.cell = Cell(host("w1"))
+
+    def counts(self) -> dict[str, float]:
+        """Give the counted jobs by outcome."""
+        return {each.labels["outcome"]: each.value for each in telemetry.jobs_by_size.samples()}
+
+    def complete(self, after_s: float) -> dict[str, object]:
+        """Complete a job of 1 s and an objective of 3 s after a time; give the line."""
+        cell = self.cell
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.now += after_s
+        cell.core.tick(cell.now)
+        cell.answer("w1", [], [ended(1, order, EndKind.DONE)])
+        cell.record()
+        (line,) = self.lines.of("JOB_ENDED")
+        return line
+
+    def test_a_job_in_time_is_counted_and_told_as_such(self) -> None:
+        line = self.complete(2.5)
+        wanted = {"queue": "q", "work": 1.0, "size": "1", "outcome": "in_time"}
+        self.assertEqual({key: line[key] for key in wanted}, wanted)
+        self.assertEqual(self.counts(), {"accepted": 1, "in_time": 1})
+
+    def test_a_job_within_three_objectives_is_late(self) -> None:
+        self.assertEqual(self.complete(8.5)["outcome"], "late")
+        self.assertEqual(self.counts(), {"accepted": 1, "late": 1})
+
+    def test_a_job_that_ends_past_three_objectives_is_counted_as_expired_once(self) -> None:
+        self.assertEqual(self.complete(9.5)["outcome"], "expired")
+        self.assertEqual(self.counts(), {"accepted": 1, "expired": 1})
+
+    def test_a_job_that_never_ends_is_counted_as_expired_once(self) -> None:
+        self.cell.add(job("0" * 16, step(1, cores=99)))
+        for _ in range(3):
+            self.cell.now += 9.5
+            self.cell.core.tick(self.cell.now)
+        self.assertEqual(self.counts(), {"accepted": 1, "expired": 1})
+
+    def test_a_lasting_job_never_expires(self) -> None:
+        self.cell.add(job("0" * 16, step(1, lasting=True)))
+        self.cell.now += 99
+        self.cell.core.tick(self.cell.now)
+        self.assertEqual(self.counts(), {"accepted": 1})
+
+    def test_a_failed_job_is_no_late_one(self) -> None:
+        self.cell.queue = self.cell.queue._replace(max_attempts=1)
+        self.cell.add(job("0" * 16, step(1)))
+        (order,) = self.cell.plan()
+        self.cell.answer("w1", [], [ended(1, order, EndKind.FAILED)])
+        self.cell.record()
+        self.assertEqual(self.lines.of("JOB_ENDED")[0]["outcome"], "failed")
+        self.assertEqual(self.counts(), {"accepted": 1, "failed": 1})
+
+    def test_a_job_from_before_a_takeover_or_of_another_cell_is_not_counted_again(self) -> None:
+        self.cell.add(job("0" * 16), prior=True)
+        given = Progress("south", elsewhere={(0, 0, 1): "north"}, moves=1)
+        self.cell.core.adopt(job("1" * 16), given, 1, self.cell.now, False)
+        self.cell.core.adopt(job("2" * 16), Progress("north", moves=1), 1, self.cell.now, False)
+        self.assertEqual(self.counts(), {})
+
+    def test_counts_are_rendered_as_text(self) -> None:
+        self.complete(2.5)
+        body, _ = Telemetry(lambda: iter(())).render()
+        line = 'curranthall_jobs_by_size_total{outcome="in_time",queue="q",size="1"} 1'
+        self.assertIn(line, body.decode())
+
+    def test_a_tally_keeps_labels_apart(self) -> None:
+        tally = Tally("x")
+        tally.count(a="1")
+        tally.count(a="2")
+        tally.count(a="1")
+        found = {each.labels["a"]: each.value for each in tally.samples()}
+        self.assertEqual(found, {"1": 2, "2": 1})
+
+
+class Reasons(Logged):
+    def waits(self, cell: Cell) -> dict[str, int]:
+        """Plan and have the summary told; give the waiting tasks by reason."""
+        cell.plan()
+        cell.core.tick(cell.now)
+        (line,) = self.lines.of("CELL_STATE")
+        self.assertEqual(line["waits"], [list(row) for row in cell.core.waits])
+        return {row.why: row.tasks for row in cell.core.waits}
+
+    def busy(self, *hosts: Host, cores: float = 5) -> Cell:
+        """Fill most of each worker with a task."""
+        cell = Cell(*hosts)
+        cell.add(job("0" * 16, step(len(hosts), cores=cores)))
+        cell.started(*cell.plan())
+        return cell
+
+    def strained(self, *more: Step) -> Cell:
+        """Have a serving task run near its target."""
+        cell = Cell(host("w1", cores=16))
+        serving = step(1, cores=4, lasting=True, image="watch", target_ms=20)
+        cell.add(job("0" * 16, serving))
+        (first,) = cell.plan()
+        cell.started(first)
+        cell.now += 1
+        cell.answer("w1", [Listed(first.task, first.run, "", 100, 19)])
+        for number, each in enumerate(more, 1):
+            cell.add(job(f"{number}" * 16, each))
+        return cell
+
+    def test_cores_that_are_too_few_in_all_are_full(self) -> None:
+        cell = self.busy(host("w1"))
+        cell.add(job("1" * 16, step(2, cores=4)))
+        self.assertEqual(self.waits(cell), {"full": 2})
+
+    def test_cores_that_lie_apart_are_fragments(self) -> None:
+        cell = self.busy(host("w1"), host("w2"))
+        cell.add(job("1" * 16, step(2, cores=4)))
+        self.assertEqual(self.waits(cell), {"fragments": 2})
+
+    def test_filling_tasks_lack_idle_cores(self) -> None:
+        cell = self.busy(host("w1", cores=8), cores=7.5)
+        cell.add(job("1" * 16, step(3, cores=2, filling=True, image="fill")))
+        self.assertEqual(self.waits(cell), {"full": 3})
+
+    def test_a_serving_task_near_its_target_is_strain(self) -> None:
+        cell = self.strained(step(3, cores=4, filling=True, image="fill"))
+        self.assertEqual(self.waits(cell), {"strain": 3})
+
+    def test_what_runs_beside_tells_a_job_at_a_standstill_from_one_at_work(self) -> None:
+        cell = self.strained(*[step(3, cores=4, filling=True, image="fill") for _ in range(2)])
+        batch = cell.core.tracked["1" * 16].batches[0, 0]
+        cell.core._start(batch, 0, cell.member("w1"), 99, cell.now)
+        self.assertEqual(self.waits(cell), {"strain": 5})
+        (row,) = cell.core.waits
+        self.assertEqual((row.queue, row.cores, row.jobs, row.idle_jobs), ("q", 20, 2, 1))
+        self.assertEqual(idle_jobs(cell.core.waits), {("q", "2"): 1})
+
+    def test_room_left_to_short_tasks_is_kept(self) -> None:
+        cell = Cell(host("w1", cores=16))
+        cell.add(job("0" * 16, step(40, cores=3, lasting=True)))
+        self.assertEqual(set(self.waits(cell)), {"kept"})
+
+    def test_room_kept_for_a_lasting_task_leaves_the_others_in_order(self) -> None:
+        cell = Cell(host("w1", cores=4))
+        cell.add(job("0" * 16, step(3, cores=1)))
+        cell.started(*cell.plan())
+        cell.add(job("1" * 16, step(1, cores=3, lasting=True)))
+        cell.add(job("2" * 16, step(1, cores=1)))
+        self.assertEqual(self.waits(cell), {"full": 1, "order": 1})
+
+    def test_no_worker_with_the_label_is_told(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(2, requires="other")))
+        self.assertEqual(self.waits(cell), {"worker": 2})
+
+    def test_a_step_without_approved_workers_waits_for_a_ticket(self) -> None:
+        cell = Cell(host("w1"))
+        cell.queue = cell.queue._replace(advised=True)
+        cell.add(job("0" * 16, step(2)))
+        self.assertEqual(self.waits(cell), {"ticket": 2})
+
+    def test_a_gang_waits_for_room_for_all(self) -> None:
+        cell = Cell(host("w1", cores=2))
+        cell.add(job("0" * 16, step(3, gang=True)))
+        self.assertEqual(self.waits(cell), {"gang": 3})
+
+    def test_a_job_that_is_not_proven_yet_is_held(self) -> None:
+        cell = Cell(settled=False)
+        cell.core.take_over([host("w1")], cell.now + 9)
+        cell.add(job("0" * 16), prior=True)
+        self.assertEqual(self.waits(cell), {"held": 2})
+
+    def test_a_cell_that_is_taken_out_is_closed(self) -> None:
+        cell = Cell(host("w1"))
+        cell.core.closed = True
+        cell.add(job("0" * 16))
+        self.assertEqual(self.waits(cell), {"closed": 2})
+
+    def test_a_summary_looks_at_so_many_batches_at_most(self) -> None:
+        cell = Cell(host("w1", cores=1))
+        for number in range(2 * MAX_SEEN + 1):
+            cell.add(job(f"{number:016x}", step(1, cores=9)))
+        self.assertLessEqual(self.waits(cell)["full"], MAX_SEEN)
+
+    def test_every_reason_is_on_the_page(self) -> None:
+        rows = set(re.findall(r"^\| ([a-z]+) \|", CATALOGUE.read_text(), re.MULTILINE))
+        self.assertLessEqual({why.value for why in Wait}, rows)
+
+    def test_the_figures_show_what_the_summary_told(self) -> None:
+        cell = self.busy(host("w1"))
+        cell.add(job("1" * 16, step(2, cores=4)))
+        self.waits(cell)
+        runtime = SimpleNamespace(dispatcher=cell.core, confirmed_at=cell.now)
+        found = {sample.name: sample for sample in _cell_figures("north", runtime, cell.now)}  # type: ignore[arg-type]
+        labels = {"cell": "north", "queue": "q", "size": "1"}
+        self.assertEqual(found["waiting_tasks"][1:], ({**labels, "reason": "full"}, 2))
+        self.assertEqual(found["idle_jobs"][1:], (labels, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
