Log the end of a run whose job is not read yet

An end as done or failed is kept and told later. Now RUN_ENDED is written for each. Test: each kind of end is told once; before, those that were stopped were not (run against the former code). No decision changes.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -569,6 +569,8 @@
             if ending.kind in (EndKind.DONE, EndKind.FAILED):
                 self.unknown.add(task.job)
                 member.parked.append(ending)
+            else:
+                self._tell_end(member, ending)
             return
         run = member.runs.get((task, ending.run))
         if tracked.progress.phase.final or task.step >= len(tracked.job.steps):
@@ -580,7 +582,7 @@
         step = tracked.job.steps[task.step]
         if member.note_end(ending.kind, now):
             log(Event.WORKER_QUARANTINED, worker=member.name, why="its runs fail")
-        log(Event.RUN_ENDED, task=task, run=ending.run, worker=member.name, how=ending.kind.value)
+        self._tell_end(member, ending)
         if run is not None:
             run.checkpoint = ending.checkpoint or run.checkpoint
         match ending.kind:
@@ -595,6 +597,15 @@
         if tracked.progress.phase.final and tracked.final_at is None:
             self._close(tracked, now)
 
+    def _tell_end(self, member: Member, ending: Ending) -> None:
+        log(
+            Event.RUN_ENDED,
+            task=ending.task,
+            run=ending.run,
+            worker=member.name,
+            how=ending.kind.value,
+        )
+
     def _on_done(self, tracked: Tracked, task: TaskId, now: float) -> None:
         step, progress = tracked.job.steps[task.step], tracked.progress
         tracked.checkpoints.pop(task[1:], None)
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -8,13 +8,13 @@
 from unittest.mock import patch
 
 from curranthall import events
-from curranthall.cells.ports import EndKind, StartResult
+from curranthall.cells.ports import EndKind, StartResult, StartTask
 from curranthall.cells.records import Stored, create
 from curranthall.cells.runtime import CellRuntime
 from curranthall.dag import Progress
 from curranthall.standin.store import MemoryStore
 from curranthall.store import Committed
-from tests.cell_fixtures import BORN, CELL, EPOCH, Cell, ended, host, job, listed, step
+from tests.cell_fixtures import BORN, CELL, EPOCH, Cell, ended, host, job, listed, step, task
 from tests.test_runtime import made
 from tests.virtual import run
 
@@ -135,6 +135,23 @@
         self.assertEqual(cell.core.tracked["0" * 16].former, {})
 
 
+class EndsBeforeTheirJob(Logged):
+    """The first look at a worker after a takeover lists ends of jobs that are not read yet."""
+
+    def ends(self, kind: EndKind) -> list[str]:
+        """List the end of a run before its job is known; give the ends told in all."""
+        cell = Cell(host("w1"))
+        order = StartTask("w1", task(), 3_000_001, "spec", "", 0)
+        cell.answer("w1", [], [ended(1, order, kind)])
+        cell.add(job(), prior=True)
+        return [line["how"] for line in self.lines.of("RUN_ENDED")]
+
+    def test_each_kind_of_end_is_told_once(self) -> None:
+        for kind in EndKind:
+            self.lines.found.clear()
+            self.assertEqual(self.ends(kind), [kind.value])
+
+
 class Duplicates(Logged):
     def test_a_second_run_of_a_task_is_told_with_the_first(self) -> None:
         cell = Cell(host("w1"), host("w2"))
