Add tools.explain sizes and twice

`sizes` gives by queue and size of job (all, the largest tenth, the fifth below it, the size classes) what was stored, begun, in time, late, expired, failed, cancelled and open, and what tasks waited for; `twice` gives second starts of a task while the first run may be at work, or after it was done, both lines field by field with the ends of the first run. Both tell which lines the writers left out.

--- a/tools/explain.py
+++ b/tools/explain.py
@@ -1,5 +1,8 @@
 """Where the time of jobs went, from the logs of all entries: `python -m tools.explain LOG...`.
 
+`python -m tools.explain sizes LOG...` tells by queue and size of job what was served and what
+tasks waited for; `python -m tools.explain twice LOG...` shows doubtful second starts of a task.
+
 A line is a JSON object, alone or behind other words (time, name of the process).
 """
 
@@ -127,13 +130,156 @@
         yield "   " + " |".join(_spread(part) for part in [*parts, shown])
 
 
-def main(paths: list[str]) -> None:
-    """Print the table of some logs."""
+class JobEnd(NamedTuple):
+    """What became of one job, by its size."""
+
+    queue: str
+    work: float
+    size: str
+    begun: bool
+    outcome: str
+
+
+ENDS = ("in_time", "late", "expired", "failed", "cancelled", "open")
+
+
+def job_ends(found: Iterable[dict[str, Any]]) -> list[JobEnd]:
+    """Give each stored job's size and what became of it."""
+    jobs: dict[str, JobEnd] = {}
+    for event in sorted(found, key=lambda event: float(event["t"])):
+        job_id = event.get("job") or str(event.get("task", "")).partition(".")[0]
+        if event["name"] == "JOB_STORED":
+            work = float(event.get("work", 0.0))
+            jobs[job_id] = JobEnd(str(event["queue"]), work, "", False, "open")
+        elif job_id in jobs:
+            jobs[job_id] = _ended(jobs[job_id], event)
+    return list(jobs.values())
+
+
+def _ended(job: JobEnd, event: dict[str, Any]) -> JobEnd:
+    match event["name"]:
+        case "JOB_ADOPTED" if not job.size:
+            return job._replace(size=str(event.get("size", "")))
+        case "RUN_PLACED":
+            return job._replace(begun=True)
+        case "JOB_CANCELLED":
+            return job._replace(outcome="cancelled")
+        case "JOB_ENDED" if job.outcome == "open":
+            return job._replace(outcome=str(event.get("outcome", event["phase"])))
+    return job
+
+
+def _ranks(jobs: list[JobEnd]) -> Iterator[tuple[str, list[JobEnd]]]:
+    """Part a queue's jobs: all, the largest tenth, the fifth below it, and by size class."""
+    ordered = sorted(jobs, key=lambda job: -job.work)
+    tenth, third = -(-len(ordered) // 10), -(-3 * len(ordered) // 10)
+    yield "all", ordered
+    yield "largest 10%", ordered[:tenth]
+    yield "next 20%", ordered[tenth:third]
+    for size in sorted({job.size for job in jobs if job.size}, key=float):
+        yield f"x{size}", [job for job in jobs if job.size == size]
+
+
+def waits(found: Iterable[dict[str, Any]]) -> dict[tuple[str, str], Counter[str]]:
+    """Sum up by queue and size class what tasks waited for in the cells' summaries."""
+    reasons: dict[tuple[str, str], Counter[str]] = defaultdict(Counter)
+    for event in found:
+        for queue, size, why, tasks, *_ in event.get("waits", ()):
+            reasons[queue, f"x{size}"][why] += tasks
+            reasons[queue, "all"][why] += tasks
+    return reasons
+
+
+def sizes(found: list[dict[str, Any]]) -> Iterator[str]:
+    """Give a table by queue and size: jobs stored, begun, ended how, and what tasks waited for."""
+    queues: dict[str, list[JobEnd]] = defaultdict(list)
+    for job in job_ends(found):
+        queues[job.queue].append(job)
+    reasons = waits(found)
+    yield "queue        size        stored begun" + "".join(
+        f"{end:>10}" for end in ENDS
+    ) + "  waits"
+    for queue, jobs in sorted(queues.items()):
+        for name, rows in _ranks(jobs):
+            ends = Counter(job.outcome for job in rows)
+            ends["in_time"] += ends["completed"]
+            counts = "".join(f"{ends[end]:10}" for end in ENDS)
+            why = " ".join(f"{why}:{n}" for why, n in reasons[queue, name].most_common())
+            yield f"{queue:<13}{name:<12}{len(rows):6}{sum(j.begun for j in rows):6}{counts}  {why}"
+
+
+class Pair(NamedTuple):
+    """Two starts of one task that should not both be, and the kind of doubt."""
+
+    kind: str
+    first: dict[str, Any]
+    second: dict[str, Any]
+    ends: list[dict[str, Any]]
+
+
+OVER = {"RUN_ENDED", "RUN_REFUSED", "RUN_VANISHED"}
+
+
+def pairs(found: Iterable[dict[str, Any]]) -> Iterator[Pair]:
+    """Give starts of a task while an earlier run may be at work, or after it was done."""
+    tasks: dict[str, list[dict[str, Any]]] = defaultdict(list)
+    for event in sorted(found, key=lambda event: float(event["t"])):
+        if event["name"] == "RUN_PLACED" or event["name"] in OVER:
+            tasks[str(event["task"])].append(event)
+    for lines in tasks.values():
+        starts = [line for line in lines if line["name"] == "RUN_PLACED"]
+        for first, second in zip(starts, starts[1:], strict=False):
+            ends = [e for e in lines if e["name"] in OVER and e.get("run") == first["run"]]
+            kind = _doubt(ends, first, second)
+            if kind:
+                yield Pair(kind, first, second, ends)
+
+
+def _doubt(ends: list[dict[str, Any]], first: dict[str, Any], second: dict[str, Any]) -> str:
+    before = [end for end in ends if float(end["t"]) <= float(second["t"])]
+    # The second start names the end that its holder knew, should that line be left out.
+    why, run, _ = second.get("after") or ("", None, "")
+    known = why if run == first["run"] else ""
+    if known == "ended done" or any(end.get("how") == "done" for end in before):
+        return "started after done"
+    if any(end["name"] == "RUN_ENDED" and end not in before for end in ends):
+        return "two runs at once"
+    return "" if before or known else "no end of the first run in the logs"
+
+
+def twice(found: list[dict[str, Any]]) -> Iterator[str]:
+    """Give each pair of doubtful starts: both lines field by field, then the first run's ends."""
+    listed = sorted(pairs(found), key=lambda pair: (pair.kind, float(pair.second["t"])))
+    for pair in listed:
+        yield f"{pair.second['task']}: {pair.kind}"
+        for key in dict.fromkeys([*pair.first, *pair.second]):
+            if key not in ("event", "name", "task"):
+                yield f"  {key:<12}{pair.first.get(key)!s:<32}{pair.second.get(key)}"
+        for end in pair.ends:
+            yield "  " + json.dumps(end)
+    for kind, count in Counter(pair.kind for pair in listed).items():
+        yield f"{count} x {kind}"
+    yield f"{sum(event['name'] == 'RUN_DUPLICATE' for event in found)} RUN_DUPLICATE"
+
+
+def left_out(found: Iterable[dict[str, Any]]) -> Iterator[str]:
+    """Tell what the logs are missing."""
+    total: Counter[str] = Counter()
+    for event in found:
+        if event["name"] == "LEFT_OUT":
+            total.update(event["counts"])
+    if total:
+        yield "left out by the writers: " + " ".join(f"{k}:{n}" for k, n in total.items())
+
+
+def main(arguments: list[str]) -> None:
+    """Print a table of some logs: `sizes`, `twice`, or where the time went."""
+    table = {"sizes": sizes, "twice": twice}.get(arguments[0]) if arguments else None
     found: list[dict[str, Any]] = []
-    for path in paths:
+    for path in arguments[1:] if table else arguments:
         with open(path, encoding="utf-8", errors="replace") as log:
             found.extend(events(log))
-    for line in report(trace(found)):
+    for line in (*(table(found) if table else report(trace(found))), *left_out(found)):
         print(line)
 
 
