--- a/tools/findings.py
+++ b/tools/findings.py
@@ -22,7 +22,7 @@
 def _name(day: dict[str, Any]) -> str:
     """Name a day as it is played again; drawn days have their seed in the name."""
     name, seed = str(day.get("name", "?")), day.get("seed")
-    return name if seed is None or str(seed) in name else f"{name} --seed {seed}"
+    return name if seed is None or f"--seed {seed}" in name else f"{name} --seed {seed}"
 
 
 def _day(name: str, day: dict[str, Any]) -> Iterator[str]:
