Say how to look into a task that ran twice and large jobs that are not served

Two cases in tests/test_operations.py play a lost worker and a job that fits nowhere and read the answers by the page's commands.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -11,6 +11,7 @@
 from typing import Any
 from unittest.mock import patch
 
+import tools.explain
 from curranthall import events
 from curranthall.dag import Job, Phase, Step
 from curranthall.intake import Verdict
@@ -114,6 +115,49 @@
         self.assertIn("WORKER_SILENT", fate)
         self.assertTrue(fate & {"WORKER_GONE", "WORKER_LAPSED"})
 
+    def test_a_task_that_started_again_names_the_run_before(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            job = made(1, Step(1, Size(1, 1_000), 4_000))
+            cluster.work[job.id] = 4.0
+            await cluster.submit("a-e0", job)
+            await asyncio.sleep(1)
+            (self.worker,) = [n for n, r in cluster.runners.items() if r.running]
+            cluster.crash_worker(self.worker)
+            await cluster.until(lambda: completed(cluster, job), 40)
+            self.task = f"{job.id}.0.0.0"
+
+        self.play(scene)
+        lines = self.ask("grep -E 'RUN_(PLACED", TASK=self.task)
+        first, second = [line for line in lines if line["name"] == "RUN_PLACED"]
+        self.assertEqual(second["after"][1:], [first["run"], self.worker])
+        (judged,) = [line for line in lines if line["name"] == "RUN_VANISHED"]
+        self.assertEqual((judged["why"], judged["run"]), (second["after"][0], first["run"]))
+        told = self.explain("twice")
+        self.assertEqual(told, ["0 RUN_DUPLICATE"])
+
+    def explain(self, table: str) -> list[str]:
+        """Give a table of the page's tool."""
+        self.assertIn(f"`python -m tools.explain {table} LOG...`", PAGE.read_text())
+        with open(self.logs.name, encoding="utf-8") as log:
+            found = list(tools.explain.events(log))
+        return list(getattr(tools.explain, table)(found))
+
+    def test_jobs_that_no_worker_has_room_for_are_told_by_size(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            small, large = made(1, one_task()), made(2, Step(1, Size(90, 1_000), 1_000))
+            for job in (small, large):
+                await cluster.submit("a-e0", job)
+            await cluster.until(lambda: completed(cluster, small), 40)
+            await asyncio.sleep(5)
+
+        self.play(scene)
+        rows = [row.split() for row in self.explain("sizes")]
+        heads = ["stored", "begun", "in_time", "late", "expired", "failed", "cancelled", "open"]
+        self.assertEqual(rows[0][2:10], heads)
+        (row,) = [row for row in rows if row[:2] == ["q", "all"]]
+        self.assertEqual(row[2:10], ["2", "1", "1", "0", "0", "0", "0", "1"])
+        self.assertTrue(row[10].startswith("full:"), row)
+
     def test_a_job_whose_dispatcher_died(self) -> None:
         async def scene(cluster: Cluster) -> None:
             job = made(1, one_task(), one_task()._replace(after=(0,)))
