--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -7,7 +7,16 @@
 from collections.abc import Callable, Iterable
 
 from curranthall.cells.advice import Advice
-from curranthall.cells.fleet import QUARANTINE_S, Member, Run, RunState, Unrecorded
+from curranthall.cells.fleet import (
+    QUARANTINE_S,
+    UNLISTED,
+    FormerRun,
+    Member,
+    Over,
+    Run,
+    RunState,
+    Unrecorded,
+)
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import LEAST_CORES, Load, Waiting, measure
 from curranthall.cells.pacing import FULL, adjust, pressure
@@ -25,11 +34,12 @@
     StopTask,
     WorkerOrder,
 )
-from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, Tracked
+from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, Tracked, classify
+from curranthall.cells.waits import Scene, WaitRow, summarize
 from curranthall.dag import Job, Phase, Progress, Step, TaskId
 from curranthall.events import Event, log
 from curranthall.model import Host, Size
-from curranthall.telemetry import completion_seconds
+from curranthall.telemetry import completion_seconds, jobs_by_size
 
 # A start that is carried out later than this is refused by the worker's clock.
 START_WINDOW_S = 1.5
@@ -122,6 +132,8 @@
         self._busy: dict[str, bool] = {}
         # Core-seconds of a job by queue, on average.
         self._usual_work: dict[str, float] = {}
+        # What tasks waited for at the last summary.
+        self.waits: list[WaitRow] = []
         # By service, what other cells last showed.
         self.elsewhere: dict[str, list[Load]] = {}
 
@@ -197,6 +209,7 @@
         self.tracked[job.id] = tracked
         usual = self._usual_work.setdefault(job.queue, tracked.work)
         self._usual_work[job.queue] = usual + USUAL_GAIN * (tracked.work - usual)
+        self._classify(tracked, usual, now)
         if any(not (step.lasting or step.filling) for step in job.steps):
             self._short_at = now
         self.unknown.discard(job.id)
@@ -215,6 +228,30 @@
             for entry in member.strays.pop(job.id, ()):
                 self._on_listed(member, entry, member.asked_at, now)
 
+    def _classify(self, tracked: Tracked, usual_work: float, now: float) -> None:
+        """Note a job's size class; count the job where its cell takes it in first."""
+        tracked.size_class = classify(tracked.work, usual_work)
+        progress = tracked.progress
+        if tracked.prior:
+            tracked.expired = now > tracked.hopeless_at()
+        elif progress.cell == self.cell and not progress.moves:
+            self._count(tracked, "accepted")
+
+    def _count(self, tracked: Tracked, outcome: str) -> None:
+        queue = tracked.queue.name
+        jobs_by_size.count(queue=queue, size=tracked.size_class, outcome=outcome)
+
+    def _count_expired(self, now: float) -> None:
+        """Count the jobs that earn nothing any more, each once."""
+        for tracked in self.tracked.values():
+            if tracked.expired or tracked.final_at is not None:
+                continue
+            if tracked.job.timed or tracked.job.lasting or tracked.progress.cell != self.cell:
+                continue
+            if now > tracked.hopeless_at():
+                tracked.expired = True
+                self._count(tracked, "expired")
+
     def refresh(self, job_id: str, progress: Progress, version: int, now: float) -> None:
         """Take in a newer row of a tracked job."""
         tracked = self.tracked[job_id]
@@ -343,7 +380,19 @@
             phase = tracked.progress.phase.name.lower()
             took_s = (tracked.final_at or tracked.due) - tracked.due
             completion_seconds.observe(took_s, queue=tracked.queue.name, phase=phase)
-            log(Event.JOB_ENDED, job=tracked.job.id, phase=phase, took_ms=int(took_s * 1000))
+            outcome = tracked.outcome()
+            if not tracked.expired:
+                self._count(tracked, outcome)
+            log(
+                Event.JOB_ENDED,
+                job=tracked.job.id,
+                phase=phase,
+                took_ms=int(took_s * 1000),
+                queue=tracked.queue.name,
+                work=round(tracked.work, 1),
+                size=tracked.size_class,
+                outcome=outcome,
+            )
         tracked.recorded = max(tracked.recorded, change)
         tracked.version = max(tracked.version, version)
 
@@ -362,7 +411,8 @@
 
     def on_snapshot(self, member: Member, snapshot: Snapshot, asked_at: float, now: float) -> None:
         """Take in what runs and what ended on a worker."""
-        if member.note_answer(snapshot, now):
+        reborn = member.note_answer(snapshot, now)
+        if reborn:
             log(Event.WORKER_REBORN, worker=member.name, born=snapshot.born)
         if member.name in self._unproven:
             self._unproven.discard(member.name)
@@ -378,8 +428,7 @@
             self._on_listed(member, entry, asked_at, now)
         for run in list(member.runs.values()):
             if (run.task, run.number) not in listed and asked_at > run.sure_from:
-                log(Event.RUN_VANISHED, task=run.task, run=run.number, worker=member.name)
-                self._drop(run, now)
+                self._drop(run, now, Over.REBORN if reborn else Over.VANISHED)
         self._leave_stalled(member, now)
         self._learn(member)
         level = member.pace
@@ -459,9 +508,25 @@
             tracked.progress.is_done(*task[1:]) and not batch.step.lasting
         )
         if over or (others and not batch.step.copies):
+            self._tell_duplicate(tracked, run, others)
             self._stop(run, now)
         return run
 
+    def _tell_duplicate(self, tracked: Tracked, run: Run, others: list[Run]) -> None:
+        """Log a listed run of a task that is done or has another run."""
+        if tracked.progress.phase.final or run.step.copies:
+            return
+        log(
+            Event.RUN_DUPLICATE,
+            task=run.task,
+            run=run.number,
+            worker=run.worker,
+            cell=self.cell,
+            epoch=self.epoch,
+            done=tracked.progress.is_done(*run.task[1:]),
+            others=[[other.number, other.worker] for other in others if other is not run],
+        )
+
     def _infer_done(self, tracked: Tracked, task: TaskId, now: float) -> None:
         """Steps before one that runs have ended: a former holder started it only then."""
         for before in tracked.job.steps[task.step].after:
@@ -504,18 +569,20 @@
             if ending.kind in (EndKind.DONE, EndKind.FAILED):
                 self.unknown.add(task.job)
                 member.parked.append(ending)
+            else:
+                self._tell_end(member, ending)
             return
         run = member.runs.get((task, ending.run))
         if tracked.progress.phase.final or task.step >= len(tracked.job.steps):
             if run is not None:
-                self._drop(run, now)
+                self._drop(run, now, Over.ENDED, ending.kind.value)
             return
         if ending.checkpoint:
             tracked.checkpoints[task[1:]] = ending.checkpoint
         step = tracked.job.steps[task.step]
         if member.note_end(ending.kind, now):
             log(Event.WORKER_QUARANTINED, worker=member.name, why="its runs fail")
-        log(Event.RUN_ENDED, task=task, run=ending.run, worker=member.name, how=ending.kind.value)
+        self._tell_end(member, ending)
         if run is not None:
             run.checkpoint = ending.checkpoint or run.checkpoint
         match ending.kind:
@@ -526,10 +593,19 @@
         if not step.lasting and ending.kind in (EndKind.DONE, EndKind.FAILED):
             member.unrecorded[ending.number] = Unrecorded(task.job, tracked.change)
         if run is not None:
-            self._drop(run, now)
+            self._drop(run, now, Over.ENDED, ending.kind.value)
         if tracked.progress.phase.final and tracked.final_at is None:
             self._close(tracked, now)
 
+    def _tell_end(self, member: Member, ending: Ending) -> None:
+        log(
+            Event.RUN_ENDED,
+            task=ending.task,
+            run=ending.run,
+            worker=member.name,
+            how=ending.kind.value,
+        )
+
     def _on_done(self, tracked: Tracked, task: TaskId, now: float) -> None:
         step, progress = tracked.job.steps[task.step], tracked.progress
         tracked.checkpoints.pop(task[1:], None)
@@ -562,8 +638,10 @@
             tracked.progress.phase = Phase.FAILED
         self._touch(tracked, urgent=failed)
 
-    def _drop(self, run: Run, now: float) -> None:
+    def _drop(self, run: Run, now: float, why: Over, how: str = "") -> None:
         """Forget a run that is over; its task waits again unless it is done."""
+        if why in UNLISTED:
+            self._tell_unlisted(run, why)
         member = self.members.get(run.worker)
         if member is not None:
             member.remove(run)
@@ -580,11 +658,27 @@
             tracked.checkpoints[run.task[1:]] = run.checkpoint
         if tracked.progress.phase.final:
             return
+        if run.step.lasting or not tracked.progress.is_done(*run.task[1:]):
+            text = f"{why.value} {how}".rstrip()
+            tracked.former[run.task[1:]] = FormerRun(text, run.number, run.worker)
         if run.step.gang:
             self._break_gang(batch, now)
         else:
             self._share_out(batch, now)
 
+    def _tell_unlisted(self, run: Run, why: Over) -> None:
+        """Log a run that is taken for over though no end of it was listed."""
+        log(
+            Event.RUN_VANISHED,
+            task=run.task,
+            run=run.number,
+            worker=run.worker,
+            cell=self.cell,
+            epoch=self.epoch,
+            state=run.state.value,
+            why=why.value,
+        )
+
     def _break_gang(self, batch: Batch, now: float) -> None:
         """Members work only together: the rest stop, and start again once all are over."""
         for runs in list(batch.active.values()):
@@ -615,7 +709,13 @@
             run.moved_at = now
             self._confirm(run, now)
             return
-        log(Event.RUN_REFUSED, task=run.task, worker=member.name, why=result.value)
+        log(
+            Event.RUN_REFUSED,
+            task=run.task,
+            run=run.number,
+            worker=member.name,
+            why=result.value,
+        )
         match result:
             case StartResult.NO_ROOM:
                 member.avoid_until = max(member.avoid_until, now + NO_ROOM_PAUSE_S)
@@ -625,7 +725,7 @@
                 self._batch(self.tracked[run.task.job], run.task).tickets.drop(member.name, now)
             case StartResult.MALFORMED:
                 self.tracked[run.task.job].pause_until = now + MALFORMED_PAUSE_S
-        self._drop(run, now)
+        self._drop(run, now, Over.REFUSED, result.value)
 
     def on_advice(
         self, order: AskAdvice, advice: Advice | None, asked_at: float, now: float
@@ -648,7 +748,7 @@
         run = self.find(order)
         if run is not None:
             self.on_silence(order.worker, now)
-            self._drop(run, now)
+            self._drop(run, now, Over.UNSENT)
 
     def on_start_unanswered(self, order: StartTask, now: float) -> None:
         """Note that a start may or may not be carried out: stop it and find out."""
@@ -688,7 +788,7 @@
         self._unproven.discard(worker)
         self.interference.forget_worker(worker)
         for run in list(member.runs.values()):
-            self._drop(run, now)
+            self._drop(run, now, Over.GONE)
 
     # Time
 
@@ -708,11 +808,13 @@
         self._forget_old(now)
         if now - self._told_at >= SUMMARY_S:
             self._told_at = now
+            self._count_expired(now)
             self._tell(now)
 
     def _tell(self, now: float) -> None:
         """Log what the cell looks like."""
         waiting, loads = [batch for batch in self._ready.values() if batch.waiting], self.load(now)
+        self.waits = self._summarize(waiting, now)
         log(
             Event.CELL_STATE,
             cell=self.cell,
@@ -732,6 +834,7 @@
             filling_waits={name: load.waiting.filling for name, load in loads.items()},
             free_gb=[round(member.room.memory / 1000, 1) for member in self.members.values()],
             waiting_tasks=sum(len(batch.waiting) for batch in waiting),
+            waits=[list(row) for row in self.waits],
             waiting_first=[
                 [
                     batch.tracked.job.id,
@@ -745,6 +848,13 @@
             ],
         )
 
+    def _summarize(self, waiting: list[Batch], now: float) -> list[WaitRow]:
+        members = self.members.values()
+        usable = [(member, member.room) for member in members if member.usable(now)]
+        kept_share = self._kept_share(now)
+        scene = Scene(usable, self.interference, now, kept_share, self.closed, self._held_back)
+        return summarize(waiting, scene)
+
     def _tick_member(self, member: Member, now: float) -> None:
         for run in list(member.runs.values()):
             if run.state is RunState.STOPPING and now - run.stop_sent_at > STOP_RETRY_S:
@@ -754,7 +864,7 @@
         if lapsed and member.runs:
             log(Event.WORKER_LAPSED, worker=member.name, runs=len(member.runs))
             for run in list(member.runs.values()):
-                self._drop(run, now)
+                self._drop(run, now, Over.LAPSED)
         if member.missing_since is not None and lapsed and member.name not in self._unproven:
             self.interference.forget_worker(member.name)
             del self.members[member.name]
@@ -1059,6 +1169,12 @@
             image=batch.step.image,
             waited_ms=int((now - tracked.due) * 1000),
             idle_cores=round(member.idle_cores, 1),
+            cell=self.cell,
+            epoch=self.epoch,
+            version=tracked.version,
+            prior=tracked.prior,
+            fenced=self.fenced_all,
+            after=list(tracked.former.pop(task[1:], ())) or None,
         )
 
     # Figures
