Hold a worker that is listed again while its former hold still waits

What callers saw: nothing directly. The cell lost the worker's room until it was given up, and the worker stayed in the committed roster, so that a successor had to wait for it to answer or for its last lease to be over.

Cause: holds and ports are kept by the worker's name, and no hold loop was started while one by that name was there. A 421 to a start, or a lapse of an unlisted worker, removes the member; its loop ends only when its last hold is answered, up to 2.6 s later. A listing in between made a new member without a loop: never asked, so never settled, never silent and never removed.

Evidence: found by reading. The new test plays it with a stand-in worker in virtual time and failed on the code before (the worker was not settled 3 s after it was listed again).

Why this works: a new member ends the former loop at once and gets a port and a loop of its own; the answer of the former hold is no longer taken for its own.

Ruled out elsewhere by reading: links between entries (a link that is no longer wanted is cancelled and removed in one step, and removes itself only if it is still the current one), the lookup of unknown jobs (its flag is reset whatever happens), the table watches (one loop each, keyed by nothing).

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -306,9 +306,13 @@
         self.wake()
 
     def _watch(self, member: Member) -> None:
-        if member.name not in self._holds:
-            self._ports[member.name] = self._connect(member.host)
-            self._holds[member.name] = asyncio.ensure_future(self._guard(self._hold_loop(member)))
+        former = self._holds.get(member.name)
+        if former is not None:
+            # A worker is listed again under its name while its last hold may still wait.
+            former.cancel()
+            self._ports[member.name].close()
+        self._ports[member.name] = self._connect(member.host)
+        self._holds[member.name] = asyncio.ensure_future(self._guard(self._hold_loop(member)))
 
     async def _hold_loop(self, member: Member) -> None:
         while self.dispatcher.members.get(member.name) is member:
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -6,7 +6,14 @@
 
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.owner import CELL_PART, CELL_TABLE, Details, Owner
-from curranthall.cells.ports import Snapshot
+from curranthall.cells.ports import (
+    PaceTask,
+    Snapshot,
+    StartResult,
+    StartTask,
+    StopTask,
+    WorkerPort,
+)
 from curranthall.cells.records import (
     JOB_TABLE,
     PROGRESS_TABLE,
@@ -20,6 +27,7 @@
 from curranthall.cells.tracking import Bounds, Queue
 from curranthall.dag import Progress
 from curranthall.errors import AnswerLost
+from curranthall.model import Host
 from curranthall.standin.store import MemoryStore
 from curranthall.store import Check, Committed, Drop, Listing, Put, Stale
 from tests.cell_fixtures import CELL, SERVICE, host, job
@@ -60,7 +68,10 @@
 
 
 def made(
-    store: MemoryStore, told: list[Stored], clock: Callable[[], float] = lambda: 0.0
+    store: MemoryStore,
+    told: list[Stored],
+    clock: Callable[[], float] = lambda: 0.0,
+    connect: Callable[[Host], WorkerPort] = lambda host: None,  # type: ignore[arg-type, return-value]
 ) -> CellRuntime:
     """Build a runtime that holds its cell by version 0, none of its loops started."""
     queue = Queue("q", SERVICE)
@@ -69,7 +80,7 @@
         dispatcher,
         Holding(Owner("e", "e:1", 1, 7, {}, {}), 0, 0.0, Details([])),
         store,
-        lambda host: None,  # type: ignore[arg-type, return-value]
+        connect,
         clock,
         lambda runtime, why: None,
         lambda cell, owner, version: None,
@@ -120,6 +131,50 @@
         self.assertLess(max(sizes), 1_000)
 
 
+class IdleWorker:
+    """Runs nothing, and answers a hold after its whole wait."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+
+    async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
+        await asyncio.sleep(wait_ms / 1000)
+        return Snapshot(int(self._clock() * 1000), 1, [], [])
+
+    async def start(self, epoch: int, order: StartTask) -> StartResult:
+        return StartResult.UNHEALTHY
+
+    async def stop(self, epoch: int, order: StopTask) -> None:
+        pass
+
+    async def pace(self, epoch: int, order: PaceTask) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+class Watching(unittest.TestCase):
+    def test_a_worker_listed_again_while_its_former_hold_waits_is_held(self) -> None:
+        """It stayed a member that is never asked, in the roster, until the cell was given up."""
+
+        async def main() -> None:
+            clock = asyncio.get_running_loop().time
+            runtime = made(LossyStore(), [], clock, lambda host: IdleWorker(clock))
+            runtime.confirmed_at = clock()
+            listed = {"w1": host("w1")}
+            runtime.on_hosts(listed)
+            await asyncio.sleep(0.5)
+            runtime.dispatcher.on_gone("w1", clock())
+            runtime.on_hosts(listed)
+            await asyncio.sleep(3.0)
+            settled = runtime.dispatcher.members["w1"].settled
+            runtime.end("test")
+            self.assertTrue(settled)
+
+        run(main())
+
+
 class FarStore(MemoryStore):
     """Takes a while for each transaction, and counts them."""
 
