Keep a cell's count of waiting jobs while its holder changes

What callers saw: `pending` far too low for some seconds.

Cause: the count of a cell is what its row says. A new holder wrote the row with none, knew no job until its rows were loaded, and wrote its next row a renewal later; a holder that gave its cell back wrote none, and a row without a holder was not counted. So for 1 to 4 s after each change of holder, and longer while the store is slow, all waiting jobs of the cell were missing.

Evidence: both new tests failed on the code before, with 0 and 2 of 6 jobs shown while the cells' holders left or were killed.

Why this works: the successor's first row carries the count of the row that it replaces, a released row keeps it, and a row counts whether it is held or not. Once the rows are loaded the true count is written at once. The row that every entry polls has the same fields as before.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -144,6 +144,11 @@
             return None
         return sighting.owner
 
+    def waiting(self, cell: str) -> dict[str, int]:
+        """Count a cell's waiting jobs by queue as its row shows them, held or not."""
+        sighting = self.sightings.get(cell)
+        return sighting.owner.waiting if sighting is not None and sighting.owner else {}
+
     def fresh(self, cell: str, now: float) -> Owner | None:
         """Give the row of a cell whose holder renews it."""
         owner = self.holder(cell)
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -175,7 +175,7 @@
             if not self.dispatcher.dirty:
                 break
             await asyncio.gather(*(self._record_part(part) for part in PARTS))
-        freed = self.owner._replace(holder="", load={}, waiting={})
+        freed = self.owner._replace(holder="", load={}, waiting=self.waiting_jobs())
         try:
             await self._put_owner(freed, self._details._replace(roster=self.dispatcher.roster()))
         except (PlatformDown, AnswerLost) as exc:
@@ -186,6 +186,10 @@
         """Tell whether this holder may still give orders."""
         return self._clock() - self.confirmed_at < ORDER_LIMIT_S
 
+    def waiting_jobs(self) -> dict[str, int]:
+        """Count by queue the jobs of which nothing has begun."""
+        return self.dispatcher.waiting_jobs() if self.loaded else self.owner.waiting
+
     def wake(self) -> None:
         """Have orders planned and carried out soon."""
         self._wake.set()
@@ -225,9 +229,7 @@
         if self._cut_off(now):
             await self.release()
             return
-        fresh = self.owner._replace(
-            load=self.dispatcher.load(now), waiting=self.dispatcher.waiting_jobs()
-        )
+        fresh = self.owner._replace(load=self.dispatcher.load(now), waiting=self.waiting_jobs())
         details = self._details._replace(roster=self.dispatcher.roster())
         if now - self._shared_at >= SHARE_S:
             self._shared_at = now
@@ -564,6 +566,7 @@
                 self.dispatcher.adopt(*found, self._clock(), True)
             self.loaded = True
             log(Event.CELL_LOADED, cell=self.cell, jobs=len(stored))
+            self._renew_now.set()
             self.wake()
         while True:
             await self._follow()
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -129,7 +129,9 @@
         former = vacancy.owner.epoch if vacancy.owner else 0
         epoch = max(self.watch.epoch_seen, former) + 1
         me = self.me
-        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, {})
+        # The former holder's count stands until the rows are loaded.
+        waiting = vacancy.owner.waiting if vacancy.owner else {}
+        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, waiting)
         sent_at = around.clock()
         try:
             answer = await around.store.commit(
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -98,7 +98,7 @@
     yield Sample("workers", {**label, "state": "other"}, len(members) - usable)
     yield Sample("workers_paced", label, sum(member.pace < 100 for member in members))
     yield Sample("runs", label, sum(len(member.runs) for member in members))
-    for queue, count in dispatcher.waiting_jobs().items():
+    for queue, count in runtime.waiting_jobs().items():
         yield Sample("queue_waiting_jobs", {**label, "queue": queue}, count)
 
 
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -226,15 +226,12 @@
 
     def pending(self, queue: str) -> int:
         """Count the accepted jobs of a queue of which nothing has begun."""
-        count = 0
-        for cell in self._succession.watch.cells:
-            runtime = self._succession.held.get(cell)
-            if runtime is not None:
-                count += runtime.dispatcher.waiting_jobs().get(queue, 0)
-                continue
-            owner = self._succession.watch.holder(cell)
-            count += owner.waiting.get(queue, 0) if owner is not None else 0
-        return count
+        watch, held = self._succession.watch, self._succession.held
+        counts = [
+            held[cell].waiting_jobs() if cell in held else watch.waiting(cell)
+            for cell in watch.cells
+        ]
+        return sum(count.get(queue, 0) for count in counts)
 
     # Cancelling
 
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -281,6 +281,51 @@
         self.play(scene)
 
 
+class Pending(unittest.TestCase):
+    """Jobs that no worker holds wait; no entry may show much fewer, whatever befalls holders."""
+
+    COUNT = 6
+
+    def least_shown(self, befall: Callable[[Cluster, str], Awaitable[None]]) -> int:
+        """Give the least count that a living entry shows while each holder is replaced."""
+
+        async def main() -> int:
+            cluster = Cluster()
+            cluster.start()
+            await asyncio.sleep(3)
+            for number in range(1, self.COUNT + 1):
+                job = made(number, Step(1, Size(100, 1_000), 1_000))
+                self.assertIs(await cluster.submit("a-e0", job), Verdict.ACCEPTED)
+            await asyncio.sleep(3)
+            for cell in cluster.domains:
+                holder = cluster.holder(cell)
+                assert holder is not None
+                await befall(cluster, holder)
+            shown = []
+            for _ in range(100):
+                await asyncio.sleep(0.1)
+                alive = [each for each in cluster.entries.values() if not each.dead]
+                shown += [each.intake.pending("q") for each in alive]
+            self.assertEqual({cell for cell in cluster.domains if cluster.holder(cell)}, {*"abc"})
+            cluster.close()
+            return min(shown)
+
+        return run(main())
+
+    def test_waiting_jobs_are_counted_while_a_killed_holder_is_followed(self) -> None:
+        async def kill(cluster: Cluster, holder: str) -> None:
+            cluster.kill(holder)
+
+        self.assertEqual(self.least_shown(kill), self.COUNT)
+
+    def test_waiting_jobs_are_counted_while_a_cell_is_given_back(self) -> None:
+        async def leave(cluster: Cluster, holder: str) -> None:
+            await cluster.entries[holder].succession.leave()
+            cluster.kill(holder)
+
+        self.assertEqual(self.least_shown(leave), self.COUNT)
+
+
 class Soak(unittest.TestCase):
     def test_faults_of_all_kinds_by_turns(self) -> None:
         for seed in SOAK_SEEDS:
