Wait for an unanswered start's deadline by the worker's slowest clock

What callers saw: nothing seen. A task could be started again up to 7 ms before a start of it that had no answer was surely too late, so it could have run twice.

Cause: after START_WINDOW_S * 1.05 = 1.575 s from the start a list without the run was taken as proof. The deadline is on the worker's clock, which is estimated from its last answer, up to 2.5 s (STALE_ANSWER_S) before, and may be 2 % slow. The estimate is then up to 50 ms ahead, and the window takes up to (2.5 + 1.5) / 0.98 - 2.5 = 1.582 s. The factor covers answers up to 2.17 s old.

Evidence: found by reading. The new test (an answer 2.45 s old, a clock 2 % slow) failed on the code before: the task was started again while the worker's clock stood 5 ms before the first start's deadline.

Why this works: the local time at which the clock has surely passed the deadline is computed from the member's last reading, as for its leases, and needs no factor. A whole millisecond is added, since clocks are cut to milliseconds.

Still suspected: a worker that starts again under its id begins a new clock, on which the deadline of an earlier boot lies far ahead; only the answered stop is a proof then.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -652,12 +652,11 @@
 
     def on_start_unanswered(self, order: StartTask, now: float) -> None:
         """Note that a start may or may not be carried out: stop it and find out."""
-        run = self.find(order)
-        if run is None or run.state is not RunState.STARTING:
+        run, member = self.find(order), self.members.get(order.worker)
+        if run is None or member is None or run.state is not RunState.STARTING:
             return
         log(Event.RUN_UNSURE, task=run.task, run=run.number, worker=run.worker)
-        window_s = START_WINDOW_S * 1.05
-        run.sure_from = run.sent_at + window_s
+        run.sure_from = member.passed_at(order.deadline_ms)
         self._stop(run, now)
 
     def on_stop_answered(self, order: StopTask, now: float) -> None:
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -202,10 +202,14 @@
         """Estimate the worker's clock; it may run slower than this, not faster."""
         return self.clock_ms + int((now - self.clock_at) * 1000)
 
+    def passed_at(self, clock_ms: int) -> float:
+        """Give the local time at which the worker's clock has surely passed a value."""
+        left_s = (clock_ms + 1 - self.clock_ms) / 1000
+        return self.clock_at + max(left_s, 0.0) / (1 - CLOCK_DRIFT)
+
     def lapses_at(self) -> float:
         """Give the local time at which every lease that was ever sent is surely over."""
-        left_s = (self.granted_ms - self.clock_ms) / 1000
-        return self.clock_at + max(left_s, 0.0) / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
+        return self.passed_at(self.granted_ms) + LAPSE_SLACK_S
 
     def grant(self, now: float, hold_s: float) -> int | None:
         """Give the lease end to send, on the worker's clock."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -4,7 +4,7 @@
 
 from curranthall.cells.balance import Balance, Room
 from curranthall.cells.load import Load, Waiting
-from curranthall.cells.ports import Ending, EndKind, Listed, StartResult, StartTask
+from curranthall.cells.ports import Ending, EndKind, Listed, Snapshot, StartResult, StartTask
 from curranthall.dag import Phase, Progress
 from curranthall.model import Host, HostState, Size
 from tests.cell_fixtures import BORN, CELL, SERVICE, Cell, ended, host, job, listed, step, task
@@ -468,6 +468,30 @@
         cell.core.tick(cell.now)
         self.assertEqual([stop.run for stop in cell.stops()], [order.run])
 
+    def test_a_slow_clock_that_was_read_long_ago_leaves_a_start_possible_for_longer(self) -> None:
+        """A task could be started again up to 7 ms before its first start was too late."""
+        cell = Cell(host("w1"), host("w2"))
+        cell.add(job("0" * 16, step(1)))
+        read_at, read_ms = cell.now, int(cell.now * 1000)
+        cell.now += 2.45
+        (order,) = cell.plan()
+        cell.core.on_start_unanswered(order, cell.now + 0.6)
+        other = "w2" if order.worker == "w1" else "w1"
+
+        def answer(at: float) -> int:
+            """Have the worker answer with a clock that is 2 % slow."""
+            cell.now = at
+            cell.answer(other)
+            clock_ms = read_ms + int((at - read_at) * 980)
+            snapshot = Snapshot(clock_ms, BORN, [], [])
+            cell.core.on_snapshot(cell.member(order.worker), snapshot, at, at)
+            return clock_ms
+
+        self.assertLess(answer(read_at + 2.45 + 1.576), order.deadline_ms)
+        self.assertEqual(cell.plan(), [])
+        self.assertGreater(answer(read_at + 2.45 + 1.590), order.deadline_ms)
+        self.assertEqual(len(cell.plan()), 1)
+
     def test_the_starts_deadline_is_short(self) -> None:
         cell = Cell(host("w1"))
         cell.add(job("0" * 16, step(1)))
