Show a job as running when a worker lists a run of it after a takeover

What callers saw: after a change of holder a job at work was shown as `queued` and counted in `pending`, a lasting one for as long as it ran: `pending` too high.

Cause: starts write no row, so the row of a job that has begun may say queued. A run that the successor found in a worker's list was entered as running without noting that its job had begun.

The new test failed on the code before (the listed job still waited).

Why this works: a listed run is confirmed in the same way as an answered start.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -452,7 +452,8 @@
         self._infer_done(tracked, task, now)
         batch = self._batch(tracked, task)
         run = Run(task, entry.run, member.name, batch.step, RunState.RUNNING, now)
-        run.sure_from, run.moved_at = now, now
+        run.moved_at = now
+        self._confirm(run, now)
         others = batch.active.get(task.number, [])
         self._enter(batch, run, member)
         over = tracked.progress.phase.final or (
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -338,6 +338,16 @@
         cell.record()
         self.assertEqual([order.task.number for order in cell.plan()], [1])
 
+    def test_a_prior_job_that_runs_is_shown_as_running_and_waits_no_more(self) -> None:
+        """Starts write no row, so a successor showed it as queued for as long as it ran."""
+        cell = Cell(host("w1"))
+        cell.core.take_over([host("w1")], cell.now + 9)
+        cell.add(job("0" * 16, step(1, lasting=True)), prior=True)
+        self.assertEqual(cell.core.waiting_jobs(), {"q": 1})
+        cell.answer("w1", [Listed(task(), 3, "", 0, 0)])
+        self.assertEqual(cell.core.waiting_jobs(), {})
+        self.assertIs(cell.core.tracked["0" * 16].shown, Phase.RUNNING)
+
     def test_an_end_listed_before_its_job_was_known_counts(self) -> None:
         cell = self.successor("w1")
         cell.answer("w1", [], [Ending(1, task(number=0), 3, EndKind.DONE, "")])
