--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -118,6 +118,10 @@
         self.lose_answers = 0.0
         self.apply_late = 0.0
         self.cuts: set[frozenset[str]] = set()
+        # Entries whose transactions the store refuses while it answers their reads.
+        self.read_only: set[str] = set()
+        # Seconds that a message between entries is under way, by sender.
+        self.held_up: dict[str, float] = {}
         self.dead: set[str] = set()
         self.domains = ("a", "b", "c")
         self.queue = Queue("q", SERVICE, 0, 3, 3.0, 2_000)
@@ -282,7 +286,7 @@
 
     async def call(self, peer: str, verb: str, body: Any, timeout: float) -> Any:
         """Ask a peer."""
-        await asyncio.sleep(NET_S)
+        await asyncio.sleep(NET_S + self.cluster.held_up.get(self.name, 0.0))
         other = self.cluster.entries[peer]
         if other.dead or not self.cluster.open(self.name, peer):
             raise PeerUnreachable(peer=peer)
@@ -312,6 +316,8 @@
         """Commit, with answers lost and effects late."""
         await self._reach()
         cluster = self._cluster
+        if self._entry.name in cluster.read_only:
+            raise PlatformDown(why="refused")
         if cluster.rng.random() < cluster.lose_answers:
             if cluster.rng.random() < 0.5:
                 delay = cluster.rng.uniform(0.5, 3.0)
