Name in a job's row the epoch that may start its tasks

Cause: a job's row gave its tasks to a cell, and whoever held the cell, or thought so, took that for itself. A job stored or moved during a takeover was started by the successor at once; the former holder, cut from the store or only refused its writes, learned of the same job from an entry, the feed or a message of another cell, and started it on the workers that its successor had not fenced yet.

The giver now writes the epoch of the holder that it knows of into the row (`claims`): an entry when it stores the job, a cell when it moves tasks, a peer that stores for an entry cut from the store. A holder starts tasks only of jobs whose row names its epoch. With an earlier one it waits until all workers are fenced, reads the rows again, and commits its own epoch, as it did with jobs loaded at the takeover; with a later one it is deposed, and neither starts nor gives away. This holds for every way into `adopt` and `refresh`, so `adopt` needs no word on where the job came from. A cell that the row names already gets no newer epoch with more tasks: starts of the ones before stand in no row. What is committed outweighs what a writer was about to name.

Cost: a job that names the present epoch waits for no proof and no write, tested during a takeover with two of four workers out of reach.

Changed tests: `adopt` lost its argument `prior`, which the row now tells, so the builders give rows that name the epoch (`granted`); no assertion changed.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -20,6 +20,7 @@
 
     cell: str
     loads: dict[str, Load]
+    epoch: int = 0
 
 
 class _Handed(NamedTuple):
@@ -65,7 +66,7 @@
             return
         numbers = waiting[:fitting]
         self._handed.append(_Handed(now, room.cell, cores * fitting))
-        _assign(dispatcher, batch.tracked, batch, numbers, room.cell, now)
+        _assign(dispatcher, batch.tracked, batch, numbers, room, now)
 
 
 def _by_service(rooms: list[Room]) -> dict[str, list[Load]]:
@@ -81,18 +82,18 @@
     tracked: Tracked,
     batch: Batch,
     numbers: list[int],
-    cell: str,
+    room: Room,
     now: float,
 ) -> None:
     # Other cells may be at work on tasks that were given to them before.
     untouched = not (tracked.active() or tracked.began or tracked.progress.elsewhere)
     whole = untouched and len(numbers) == batch.step.width
-    dispatcher.move(tracked, batch, None if whole else numbers, cell, now)
+    dispatcher.move(tracked, batch, None if whole else numbers, room.cell, now, room.epoch)
     log(
         Event.JOB_MOVED,
         job=tracked.job.id,
         step=batch.number,
         tasks=len(numbers),
         whole=whole,
-        to=cell,
+        to=room.cell,
     )
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -25,6 +25,7 @@
     StopTask,
     WorkerOrder,
 )
+from curranthall.cells.records import concerns
 from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, Tracked
 from curranthall.dag import Job, Phase, Progress, Step, TaskId
 from curranthall.events import Event, log
@@ -151,13 +152,16 @@
             self._claim(tracked)
 
     def _claim(self, tracked: Tracked) -> None:
-        """Write this epoch into the row of a job from before, before any of its tasks starts.
+        """Write this epoch into a row that names an earlier one, before a task of it starts.
 
         A write of the former holder that is still on its way, or comes when it wakes, finds the
         row changed, and learns that the cell is not its own any more.
         """
-        if tracked.prior and not tracked.claimed and not tracked.progress.phase.final:
-            tracked.progress.claims[self.cell] = self.epoch
+        progress = tracked.progress
+        if progress.phase.final or not concerns(progress, self.cell):
+            return
+        if progress.claims.get(self.cell, 0) < self.epoch:
+            progress.claims[self.cell] = self.epoch
             self._touch(tracked, urgent=True)
             tracked.claimed = tracked.change
 
@@ -188,12 +192,12 @@
 
     # Jobs
 
-    def adopt(self, job: Job, progress: Progress, version: int, now: float, prior: bool) -> None:
+    def adopt(self, job: Job, progress: Progress, version: int, now: float) -> None:
         """Start to track a job."""
         if job.id in self.tracked:
             return
         due = now - (self._wall_ms() - job.accepted_ms) / 1000
-        tracked = Tracked(job, progress, version, self._queue_of(job), due, prior)
+        tracked = Tracked(job, progress, version, self._queue_of(job), due)
         self.tracked[job.id] = tracked
         usual = self._usual_work.setdefault(job.queue, tracked.work)
         self._usual_work[job.queue] = usual + USUAL_GAIN * (tracked.work - usual)
@@ -230,6 +234,8 @@
             self._close(tracked, now)
             log(Event.JOB_CLOSED, job=job_id, phase=tracked.progress.phase.name.lower())
         elif not tracked.progress.phase.final:
+            if self.proven:
+                self._claim(tracked)
             self._open_steps(tracked, now)
             if tracked.progress.all_done(tracked.job):
                 tracked.progress.phase = Phase.COMPLETED
@@ -256,14 +262,21 @@
         return sorted(found, key=lambda batch: self._order(batch, now))
 
     def move(
-        self, tracked: Tracked, batch: Batch, numbers: list[int] | None, cell: str, now: float
+        self,
+        tracked: Tracked,
+        batch: Batch,
+        numbers: list[int] | None,
+        cell: str,
+        now: float,
+        epoch: int = 0,
     ) -> None:
-        """Give tasks of a batch, or the whole job, to another cell."""
+        """Give tasks of a batch, or the whole job, to another cell held under an epoch."""
         progress = tracked.progress
         if numbers is None:
-            progress.give_whole(cell)
+            progress.give_whole(cell, epoch)
         else:
-            progress.give([(batch.occurrence, batch.number, each) for each in numbers], cell)
+            keys = [(batch.occurrence, batch.number, each) for each in numbers]
+            progress.give(keys, cell, epoch)
         progress.run_floor = max(progress.run_floor, self._last_run)
         self._touch(tracked, urgent=True)
         for each in tracked.batches.values():
@@ -888,8 +901,16 @@
 
     def _held_back(self, batch: Batch, now: float) -> bool:
         tracked = batch.tracked
-        unsure = tracked.prior and not (self.proven and tracked.recorded >= tracked.claimed)
-        return now < tracked.pause_until or unsure
+        return now < tracked.pause_until or not self._may_start(tracked)
+
+    def _may_start(self, tracked: Tracked) -> bool:
+        """Tell whether the job's row names this epoch, so that no other holder starts its tasks.
+
+        A row that names an earlier one is taken over first; one that names a later one shows that
+        the cell is not this holder's any more.
+        """
+        named = tracked.progress.claims.get(self.cell, 0)
+        return named == self.epoch and tracked.recorded >= tracked.claimed
 
     def _ticketed(self, batch: Batch, usable: list[Member], now: float) -> list[Member]:
         """Give the workers that the advisor approved; ask about those not known yet."""
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -144,6 +144,11 @@
             return None
         return sighting.owner
 
+    def epoch(self, cell: str) -> int:
+        """Give the epoch of a cell's holder; 0 where none is known."""
+        owner = self.holder(cell)
+        return owner.epoch if owner is not None else 0
+
     def fresh(self, cell: str, now: float) -> Owner | None:
         """Give the row of a cell whose holder renews it."""
         owner = self.holder(cell)
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -358,7 +358,7 @@
                 if stored is None:
                     self.dispatcher.forget_stray(job_id)
                 else:
-                    self.dispatcher.adopt(*stored, self._clock(), True)
+                    self.dispatcher.adopt(*stored, self._clock())
                     self.wake()
         finally:
             self._resolving = False
@@ -536,7 +536,7 @@
         if stored.job.id in self.dispatcher.tracked:
             self.dispatcher.refresh(stored.job.id, stored.progress, stored.version, self._clock())
         elif concerns(stored.progress, self.cell):
-            self.dispatcher.adopt(*stored, self._clock(), False)
+            self.dispatcher.adopt(*stored, self._clock())
         self.wake()
 
     def refresh(self, job_id: str, row: Row) -> None:
@@ -557,7 +557,7 @@
                 continue
             self._feed_from = min(self._read_to.values())
             for found in stored:
-                self.dispatcher.adopt(*found, self._clock(), True)
+                self.dispatcher.adopt(*found, self._clock())
             self.loaded = True
             log(Event.CELL_LOADED, cell=self.cell, jobs=len(stored))
             self.wake()
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -189,7 +189,7 @@
         for other in self.watch.cells:
             owner = self.watch.fresh(other, now)
             if owner is not None and other != cell and other not in out:
-                found.append(Room(other, owner.load))
+                found.append(Room(other, owner.load, owner.epoch))
         return found
 
     def hand_over(self, cell: str, stored: Stored) -> None:
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -77,14 +77,13 @@
     version: int
     queue: Queue
     due: float
-    prior: bool = False
     began: bool = False
     batches: dict[tuple[int, int], Batch] = field(default_factory=dict)
     checkpoints: dict[Key, str] = field(default_factory=dict)
     failed_on: dict[Key, set[str]] = field(default_factory=dict)
     change: int = 0
     recorded: int = 0
-    # The change that takes the job over from a former holder; 0 where there was none.
+    # The change that takes the job over from a former holder; 0 where none is needed.
     claimed: int = 0
     pause_until: float = 0.0
     final_at: float | None = None
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -38,7 +38,8 @@
     run_floor: int = 0
     moves: int = 0
     writer: str = ""
-    # By cell, the epoch of the last holder that took the job over.
+    # By cell, the epoch whose holder may start the tasks there: that of the holder to whom the
+    # first ones were given, until a later holder has taken the job over.
     claims: dict[str, int] = field(default_factory=dict)
     # Tasks given away on this side that no committed row shows yet; not stored.
     given: dict[Key, str] = field(default_factory=dict)
@@ -78,15 +79,17 @@
         """Name the cell that runs a task."""
         return self.elsewhere.get(key, self.cell)
 
-    def give(self, keys: list[Key], cell: str) -> None:
-        """Give tasks to another cell."""
+    def give(self, keys: list[Key], cell: str, epoch: int = 0) -> None:
+        """Give tasks to another cell, held under an epoch as far as is known."""
         self.moves += 1
+        self.claims.setdefault(cell, epoch)
         for key in keys:
             self.elsewhere[key] = self.given[key] = cell
 
-    def give_whole(self, cell: str) -> None:
+    def give_whole(self, cell: str, epoch: int = 0) -> None:
         """Give a job of which nothing has run to another cell."""
         self.moves += 1
+        self.claims.setdefault(cell, epoch)
         self.cell = self.given_whole = cell
         self.elsewhere.clear()
         self.given.clear()
@@ -107,8 +110,11 @@
         if other.claims.get(cell, 0) > epoch:
             self.given.clear()
             self.given_whole = ""
-        for claimed, by in other.claims.items():
-            self.claims[claimed] = max(by, self.claims.get(claimed, 0))
+        # The committed epochs stand, but for the one that this holder is about to raise.
+        own = self.claims.get(cell, 0)
+        self.claims.update(other.claims)
+        if own > self.claims.get(cell, 0):
+            self.claims[cell] = own
         # A committed final phase stands, whatever this side was about to write.
         self.phase = other.phase if other.phase.final else max(self.phase, other.phase)
         for step, mask in other.done.items():
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -88,7 +88,9 @@
         """Store a job; accepted means committed, refused that it never runs."""
         began = self._clock()
         until = began + min(wait_s - ANSWER_S, wait_s * UNSURE_SHARE)
-        progress = Progress(self.choose_cell(job), writer=self._succession.me.name)
+        cell = self.choose_cell(job)
+        claims = {cell: self._succession.watch.epoch(cell)}
+        progress = Progress(cell, writer=self._succession.me.name, claims=claims)
         store = self._relay if self._store.failing else self._create
         verdict = await store(job, progress, until)
         acceptance_seconds.observe(self._clock() - began, verdict=verdict.value)
@@ -144,7 +146,11 @@
         stored = decode_stored(body)
         if self._store.failing:
             return Verdict.REFUSED
-        return await self._create(stored.job, stored.progress, self._clock() + RELAY_S)
+        progress = stored.progress
+        # An entry that is cut from the store may not know of a takeover yet.
+        known = self._succession.watch.epoch(progress.cell)
+        progress.claims[progress.cell] = max(known, progress.claims.get(progress.cell, 0))
+        return await self._create(stored.job, progress, self._clock() + RELAY_S)
 
     def _accepted(self, job: Job, progress: Progress, answer: Committed | Stale) -> Verdict:
         match answer:
--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -40,6 +40,11 @@
     return Step(width, Size(cores, 1_000), 1_000)._replace(**fields)  # type: ignore[arg-type]
 
 
+def granted(epoch: int = EPOCH, **fields: object) -> Progress:
+    """Build a row that gives a job to the cell's holder of an epoch."""
+    return Progress(CELL, claims={CELL: epoch}, **fields)  # type: ignore[arg-type]
+
+
 class Cell:
     """A dispatcher under test with a clock of its own; workers answer when told to."""
 
@@ -55,8 +60,9 @@
                 self.answer(each.name)
 
     def add(self, made: Job, prior: bool = False, version: int = 1) -> None:
-        """Track a job that nothing is known of."""
-        self.core.adopt(made, Progress(CELL), version, self.now, prior)
+        """Track a job that nothing is known of; its row names this epoch, or an earlier one."""
+        progress = granted(EPOCH - 1 if prior else EPOCH)
+        self.core.adopt(made, progress, version, self.now)
 
     def member(self, name: str) -> Member:
         """Give a worker as the dispatcher sees it."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -7,7 +7,19 @@
 from curranthall.cells.ports import Ending, EndKind, Listed, StartResult, StartTask
 from curranthall.dag import Phase, Progress
 from curranthall.model import Host, HostState, Size
-from tests.cell_fixtures import BORN, CELL, SERVICE, Cell, ended, host, job, listed, step, task
+from tests.cell_fixtures import (
+    BORN,
+    CELL,
+    SERVICE,
+    Cell,
+    ended,
+    granted,
+    host,
+    job,
+    listed,
+    step,
+    task,
+)
 
 
 class Starting(unittest.TestCase):
@@ -222,7 +234,7 @@
         cell.add(job("0" * 16, step(2)))
         cell.now += 4
         cell.answer("w1")
-        cell.core.adopt(job("1" * 16, step(2), accepted_ms=-1), Progress(CELL), 1, cell.now, False)
+        cell.core.adopt(job("1" * 16, step(2), accepted_ms=-1), granted(), 1, cell.now)
         self.assertEqual({order.task.job for order in cell.plan()}, {"1" * 16})
 
     def test_a_large_job_is_worth_more_so_it_does_not_starve_behind_small_ones(self) -> None:
@@ -230,7 +242,7 @@
         for number in range(2, 9):
             cell.add(job(str(number) * 16, step(2, cores=0.1)))
         cell.started(*cell.plan())
-        cell.core.adopt(job("0" * 16, step(60)), Progress(CELL), 1, cell.now, False)
+        cell.core.adopt(job("0" * 16, step(60)), granted(), 1, cell.now)
         self.assertGreater(cell.core.tracked["0" * 16].value(2.0), 3.9)
 
 
@@ -327,6 +339,34 @@
         cell.record()
         self.assertEqual([order.task.number for order in cell.plan()], [1])
 
+    def test_a_job_given_to_this_holder_starts_during_the_takeover_at_once(self) -> None:
+        cell = self.successor("w1", "w2")
+        cell.answer("w1")
+        cell.core.confirm_roster(["w1"])
+        cell.add(job())
+        self.assertEqual(len(cell.plan()), 2)
+        self.assertEqual(cell.core.dirty, {})
+
+    def test_a_job_given_to_a_former_holder_is_taken_over_whenever_it_comes(self) -> None:
+        cell = self.successor("w1")
+        cell.answer("w1")
+        cell.core.note_rows_read()
+        cell.add(job(), prior=True)
+        cell.core.adopt(job("1" * 16), Progress("south", claims={"south": 3}), 1, cell.now)
+        cell.core.refresh("1" * 16, granted(3), 2, cell.now)
+        self.assertEqual(cell.plan(), [])
+        cell.record()
+        self.assertEqual(len(cell.plan()), 4)
+
+    def test_a_job_given_to_a_successor_is_neither_started_nor_given_away(self) -> None:
+        cell = Cell(host("w1"))
+        cell.core.adopt(job(), granted(8), 1, cell.now)
+        cell.add(job("1" * 16))
+        cell.core.refresh("1" * 16, granted(8), 2, cell.now)
+        self.assertEqual(cell.plan(), [])
+        cell.core.closed = True
+        self.assertEqual(cell.core.stranded(0.0, cell.now), [])
+
     def test_what_a_worker_listed_before_its_job_was_known_is_not_started_again(self) -> None:
         cell = self.successor("w1")
         cell.answer("w1", [Listed(task(number=0), 3, "", 40, 0)])
@@ -488,7 +528,7 @@
 
     def test_a_cancelled_jobs_late_run_is_stopped(self) -> None:
         cell = Cell(host("w1"))
-        cell.core.adopt(job(), Progress(CELL, Phase.CANCELLED), 1, cell.now, False)
+        cell.core.adopt(job(), granted(phase=Phase.CANCELLED), 1, cell.now)
         cell.answer("w1", [Listed(task(), 3, "", 40, 0)])
         self.assertEqual([stop.run for stop in cell.stops()], [3])
 
@@ -514,14 +554,14 @@
 class Sharing(unittest.TestCase):
     def test_tasks_of_another_cell_are_not_started_here(self) -> None:
         cell = Cell(host("w1"))
-        progress = Progress(CELL, elsewhere={(0, 0, 1): "south"})
-        cell.core.adopt(job(), progress, 1, cell.now, False)
+        progress = granted(elsewhere={(0, 0, 1): "south"})
+        cell.core.adopt(job(), progress, 1, cell.now)
         self.assertEqual([order.task.number for order in cell.plan()], [0])
 
     def test_a_job_whose_last_tasks_ended_elsewhere_is_completed(self) -> None:
         cell = Cell(host("w1"))
-        progress = Progress(CELL, elsewhere={(0, 0, 1): "south"})
-        cell.core.adopt(job(), progress, 1, cell.now, False)
+        progress = granted(elsewhere={(0, 0, 1): "south"})
+        cell.core.adopt(job(), progress, 1, cell.now)
         (order,) = cell.plan()
         cell.started(order)
         cell.answer("w1", [], [ended(1, order, EndKind.DONE)])
@@ -540,8 +580,8 @@
 
     def test_tasks_given_to_one_cell_stay_there_when_the_rest_goes_to_another(self) -> None:
         cell = Cell(host("w1", cores=1))
-        progress = Progress(CELL, elsewhere={(0, 0, 0): "south"})
-        cell.core.adopt(job("0" * 16, step(2, cores=4), step(2, cores=4)), progress, 1, 100, False)
+        progress = granted(elsewhere={(0, 0, 0): "south"})
+        cell.core.adopt(job("0" * 16, step(2, cores=4), step(2, cores=4)), progress, 1, 100)
         cell.plan()
         cell.now += 1
         room = Room("east", {SERVICE: Load(cores=90, free=90, idle=90, largest=(90,))})
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -6,8 +6,7 @@
 
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.ports import EndKind, Listed, StartTask, StopTask
-from curranthall.dag import Progress
-from tests.cell_fixtures import CELL, Cell, ended, host, job, step
+from tests.cell_fixtures import Cell, ended, granted, host, job, step
 
 TARGET_MS = 20.0
 # The platform allows 4 s over a target; a report covers half a second.
@@ -283,7 +282,7 @@
 
     def test_an_image_beyond_its_last_task_costs_nothing(self) -> None:
         cell = Cell(host("w1", cores=16))
-        cell.core.adopt(job("2" * 16, step(1, filling=True)), Progress(CELL), 1, cell.now, False)
+        cell.core.adopt(job("2" * 16, step(1, filling=True)), granted(), 1, cell.now)
         (order,) = cell.plan()
         cell.started(order)
         cell.answer("w1", [], [ended(1, order, EndKind.DONE)])
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -66,6 +66,18 @@
         whole.merge(Progress("north", claims={"north": 8}), "north", 7)
         self.assertEqual(whole.cell, "north")
 
+    def test_a_cell_with_tasks_from_before_a_takeover_is_not_granted_anew(self) -> None:
+        """A start of the former holder is in no row, so the successor has to wait with them."""
+        row = Progress("north", claims={"north": 7})
+        row.give([X], "south", 8)
+        row.give([Y], "south", 9)
+        row.give([Z], "north", 10)
+        self.assertEqual(row.claims, {"north": 7, "south": 8})
+        given = Progress("north", claims={"north": 7})
+        given.give_whole("south", 9)
+        given.merge(stored(row), "north", 7)
+        self.assertEqual(given.claims, {"north": 7, "south": 8})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -22,7 +22,7 @@
 from curranthall.errors import AnswerLost
 from curranthall.standin.store import MemoryStore
 from curranthall.store import Check, Committed, Drop, Listing, Put, Stale
-from tests.cell_fixtures import CELL, SERVICE, host, job
+from tests.cell_fixtures import CELL, SERVICE, granted, host, job
 from tests.cluster import no_advice
 from tests.virtual import run
 
@@ -143,7 +143,7 @@
 
         async def main() -> None:
             runtime = made(store, [], asyncio.get_running_loop().time)
-            runtime.dispatcher.adopt(job(), Progress(CELL), 0, 0.0, False)
+            runtime.dispatcher.adopt(job(), granted(), 0, 0.0)
             tracked = runtime.dispatcher.tracked["0" * 16]
             loop = asyncio.create_task(runtime._record_loop(part_of("0" * 16)))
             for _ in range(600):
@@ -169,7 +169,7 @@
         store, told = SlowStore(), list[Stored]()
         runtime = made(store, told)
         dispatcher = runtime.dispatcher
-        dispatcher.adopt(job(), Progress(CELL), 0, 0.0, False)
+        dispatcher.adopt(job(), granted(), 0, 0.0)
         tracked = dispatcher.tracked["0" * 16]
         batch = tracked.batches[0, 0]
         dispatcher.move(tracked, batch, [0], "south", 0.0)
@@ -260,16 +260,16 @@
     async def test_a_former_holders_late_write_finds_the_job_taken_over(self) -> None:
         """It gives away what the successor has started without a word in the row."""
         store = LossyStore()
-        answer = await create(store, job(), Progress(CELL))
+        answer = await create(store, job(), granted())
         assert isinstance(answer, Committed)
         former, successor = made(store, []), made(store, [])
         successor.dispatcher.epoch = 8
-        former.dispatcher.adopt(job(), Progress(CELL), answer.version, 0.0, False)
+        former.dispatcher.adopt(job(), granted(), answer.version, 0.0)
         successor.dispatcher.see_host(host("w1"))
         successor.dispatcher.confirm_roster(["w1"])
         member = successor.dispatcher.members["w1"]
         successor.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), 0.0, 0.0)
-        successor.dispatcher.adopt(job(), Progress(CELL), answer.version, 0.0, True)
+        successor.dispatcher.adopt(job(), granted(), answer.version, 0.0)
         successor.dispatcher.plan(0.0)
         self.assertFalse(successor.dispatcher.orders)
         part = part_of("0" * 16)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -109,12 +109,39 @@
             split.cluster.read_only = {split.former}
             split.part()
             await split.taken()
-            await asyncio.sleep(0.9)
+            await asyncio.sleep(1.8)
             await split.submit("b-e1", made(1, tasks(6)))
             await asyncio.sleep(4)
 
         self.play(scene)
 
+    def test_a_new_job_does_not_wait_for_a_worker_that_is_out_of_reach(self) -> None:
+        async def scene(split: Split) -> None:
+            split.close("b", "c")
+            split.cut(split.former, "store")
+            split.part()
+            await split.taken()
+            await asyncio.sleep(1.8)
+            await split.submit("b-e1", made(1, tasks(6)))
+            await asyncio.sleep(0.1)
+            self.assertEqual(split.cluster.judge.starts, 6)
+
+        self.play(scene)
+
+    def test_a_relayed_job_does_not_wait_for_a_worker_that_is_out_of_reach(self) -> None:
+        async def scene(split: Split) -> None:
+            split.close("b", "c")
+            split.cut(split.former, "store")
+            split.part()
+            await split.taken()
+            await asyncio.sleep(0.9)
+            split.cut(split.former, split.successor)
+            await split.submit(split.former, made(1, tasks(6)))
+            await asyncio.sleep(0.5)
+            self.assertEqual(split.cluster.judge.starts, 6)
+
+        self.play(scene)
+
     def test_tasks_from_another_cell_are_not_started_by_a_former_holder(self) -> None:
         async def scene(split: Split) -> None:
             split.close("a", "c")
