Wait for the leases that a former holder extended with its last order

Cause: a holder that can't renew its row gives orders for 12 s, and extends leases by 6 s up to that moment; its successor took runs on workers that it can't reach for over after the 12 s alone. The same gap let an end count twice: one that the former holder lists before the 12 s are over could be acknowledged after its task was started again, with the lease still good.

Weighed: leases that end with the 12 s. Work would then lapse in outages of the store that it survives today. The price of waiting: with a worker that a successor can't reach, jobs from before the takeover wait up to 18.7 s in place of 12; jobs handed in since then do not wait.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -18,7 +18,8 @@
 # A row unchanged this long has lost its holder: three renewals missed.
 VACANT_S = 2.4
 # A holder that can't renew its row orders nothing more after this; it outlasts the
-# outages of the store that a cell is to bridge, and bounds what a successor waits for.
+# outages of the store that a cell is to bridge, and bounds, with the leases that it extended
+# last, what a successor waits for.
 ORDER_LIMIT_S = 12.0
 # Reads of the rows further apart than this say nothing of the time between.
 GAP_S = 1.6
@@ -168,14 +169,16 @@
         self, cell: str, sighting: Sighting, me: Claimant, held: int, now: float
     ) -> Vacancy | None:
         owner, version = sighting.owner, sighting.version
-        ended = now + self.max_hold_s * 1.03 + 0.5
+        lease_s = self.max_hold_s * 1.03 + 0.5
+        ended = now + lease_s
         turn_at = max(
             sighting.since + self._turn_s(cell, me, held), self.abstain_until.get(cell, 0.0)
         )
         if owner is None or not owner.holder:
             return Vacancy(cell, owner, version, turn_at, ended)
         if owner.address != me.address:
-            ended = max(ended, sighting.since + ORDER_LIMIT_S)
+            # Its last order may extend a lease.
+            ended = max(ended, sighting.since + ORDER_LIMIT_S + lease_s)
             return Vacancy(cell, owner, version, turn_at + VACANT_S, ended)
         if owner.incarnation == me.incarnation:
             return None
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -61,7 +61,7 @@
         began = self.now
         while (found := self.vacancy()) is None:
             self.read(OTHER)
-        self.assertGreaterEqual(found.proof_at, began + ORDER_LIMIT_S)
+        self.assertGreaterEqual(found.proof_at, began + ORDER_LIMIT_S + HOLD_S)
         self.assertGreaterEqual(found.proof_at, self.now + HOLD_S)
 
     def test_the_holder_gets_its_time_again_after_the_store_was_away(self) -> None:
