--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -18,7 +18,8 @@
 # A row unchanged this long has lost its holder: three renewals missed.
 VACANT_S = 2.4
 # A holder that can't renew its row orders nothing more after this; it outlasts the
-# outages of the store that a cell is to bridge, and bounds what a successor waits for.
+# outages of the store that a cell is to bridge, and bounds, with the leases that it extended
+# last, what a successor waits for.
 ORDER_LIMIT_S = 12.0
 # Reads of the rows further apart than this say nothing of the time between.
 GAP_S = 1.6
@@ -149,6 +150,11 @@
         sighting = self.sightings.get(cell)
         return sighting.owner.waiting if sighting is not None and sighting.owner else {}
 
+    def epoch(self, cell: str) -> int:
+        """Give the epoch of a cell's holder; 0 where none is known."""
+        owner = self.holder(cell)
+        return owner.epoch if owner is not None else 0
+
     def fresh(self, cell: str, now: float) -> Owner | None:
         """Give the row of a cell whose holder renews it."""
         owner = self.holder(cell)
@@ -168,14 +174,16 @@
         self, cell: str, sighting: Sighting, me: Claimant, held: int, now: float
     ) -> Vacancy | None:
         owner, version = sighting.owner, sighting.version
-        ended = now + self.max_hold_s * 1.03 + 0.5
+        lease_s = self.max_hold_s * 1.03 + 0.5
+        ended = now + lease_s
         turn_at = max(
             sighting.since + self._turn_s(cell, me, held), self.abstain_until.get(cell, 0.0)
         )
         if owner is None or not owner.holder:
             return Vacancy(cell, owner, version, turn_at, ended)
         if owner.address != me.address:
-            ended = max(ended, sighting.since + ORDER_LIMIT_S)
+            # Its last order may extend a lease.
+            ended = max(ended, sighting.since + ORDER_LIMIT_S + lease_s)
             return Vacancy(cell, owner, version, turn_at + VACANT_S, ended)
         if owner.incarnation == me.incarnation:
             return None
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -364,7 +364,7 @@
                 if stored is None:
                     self.dispatcher.forget_stray(job_id)
                 else:
-                    self._adopt(stored, prior=True, by="listed run")
+                    self._adopt(stored, by="listed run")
                     self.wake()
         finally:
             self._resolving = False
@@ -542,23 +542,24 @@
         if stored.job.id in self.dispatcher.tracked:
             self.dispatcher.refresh(stored.job.id, stored.progress, stored.version, self._clock())
         elif concerns(stored.progress, self.cell):
-            self._adopt(stored, prior=False, by=by)
+            self._adopt(stored, by=by)
         self.wake()
 
-    def _adopt(self, stored: Stored, prior: bool, by: str) -> None:
+    def _adopt(self, stored: Stored, by: str) -> None:
         """Start to track a job, and log by what it became known."""
         if stored.job.id in self.dispatcher.tracked:
             return
-        self.dispatcher.adopt(*stored, self._clock(), prior)
+        self.dispatcher.adopt(*stored, self._clock())
+        tracked = self.dispatcher.tracked[stored.job.id]
         log(
             Event.JOB_ADOPTED,
             job=stored.job.id,
             cell=self.cell,
             epoch=self.dispatcher.epoch,
             version=stored.version,
-            prior=prior,
+            prior=tracked.prior,
             by=by,
-            size=self.dispatcher.tracked[stored.job.id].size_class,
+            size=tracked.size_class,
         )
 
     def refresh(self, job_id: str, row: Row) -> None:
@@ -579,7 +580,7 @@
                 continue
             self._feed_from = min(self._read_to.values())
             for found in stored:
-                self._adopt(found, prior=True, by="rows")
+                self._adopt(found, by="rows")
             self.loaded = True
             log(Event.CELL_LOADED, cell=self.cell, jobs=len(stored))
             self._renew_now.set()
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -90,6 +90,7 @@
     version: int
     queue: Queue
     due: float
+    # The row named another epoch when the job became known here.
     prior: bool = False
     began: bool = False
     batches: dict[tuple[int, int], Batch] = field(default_factory=dict)
@@ -98,7 +99,7 @@
     former: dict[Key, FormerRun] = field(default_factory=dict)
     change: int = 0
     recorded: int = 0
-    # The change that takes the job over from a former holder; 0 where there was none.
+    # The change that takes the job over from a former holder; 0 where none is needed.
     claimed: int = 0
     pause_until: float = 0.0
     final_at: float | None = None
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -14,7 +14,19 @@
 from curranthall.dag import Progress
 from curranthall.standin.store import MemoryStore
 from curranthall.store import Committed
-from tests.cell_fixtures import BORN, CELL, EPOCH, Cell, ended, host, job, listed, step, task
+from tests.cell_fixtures import (
+    BORN,
+    CELL,
+    EPOCH,
+    Cell,
+    ended,
+    granted,
+    host,
+    job,
+    listed,
+    step,
+    task,
+)
 from tests.test_runtime import made
 from tests.virtual import run
 
@@ -197,10 +209,10 @@
 
         run(main())
 
-    async def store_job(self, store: MemoryStore) -> Stored:
-        answer = await create(store, job(), Progress(CELL))
+    async def store_job(self, store: MemoryStore, progress: Progress) -> Stored:
+        answer = await create(store, job(), progress)
         assert isinstance(answer, Committed)
-        return Stored(job(), Progress(CELL), answer.version)
+        return Stored(job(), progress, answer.version)
 
     async def follow(self, runtime: CellRuntime) -> None:
         loop = asyncio.create_task(runtime._load_jobs())
@@ -209,7 +221,7 @@
 
     def test_a_job_read_at_the_takeover_is_from_before_it(self) -> None:
         async def scene(store: MemoryStore, runtime: CellRuntime) -> None:
-            self.version = (await self.store_job(store)).version
+            self.version = (await self.store_job(store, granted(EPOCH - 1))).version
             await self.follow(runtime)
 
         self.play(scene)
@@ -219,7 +231,7 @@
     def test_a_message_brings_a_new_job(self) -> None:
         async def scene(store: MemoryStore, runtime: CellRuntime) -> None:
             await self.follow(runtime)
-            runtime.offer(await self.store_job(store))
+            runtime.offer(await self.store_job(store, granted()))
 
         self.play(scene)
         self.assertFalse(self.adopted("message")["prior"])
@@ -228,7 +240,7 @@
         async def scene(store: MemoryStore, runtime: CellRuntime) -> None:
             loop = asyncio.create_task(runtime._load_jobs())
             await asyncio.sleep(0.5)
-            await self.store_job(store)
+            await self.store_job(store, granted())
             await asyncio.sleep(6.0)
             loop.cancel()
 
@@ -237,7 +249,7 @@
 
     def test_a_run_on_a_worker_brings_its_job(self) -> None:
         async def scene(store: MemoryStore, runtime: CellRuntime) -> None:
-            stored = await self.store_job(store)
+            stored = await self.store_job(store, granted(EPOCH - 1))
             runtime.loaded = True
             runtime.dispatcher.unknown.add(stored.job.id)
             await runtime._resolve_unknown()
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -96,8 +96,8 @@
     def test_a_job_from_before_a_takeover_or_of_another_cell_is_not_counted_again(self) -> None:
         self.cell.add(job("0" * 16), prior=True)
         given = Progress("south", elsewhere={(0, 0, 1): "north"}, moves=1)
-        self.cell.core.adopt(job("1" * 16), given, 1, self.cell.now, False)
-        self.cell.core.adopt(job("2" * 16), Progress("north", moves=1), 1, self.cell.now, False)
+        self.cell.core.adopt(job("1" * 16), given, 1, self.cell.now)
+        self.cell.core.adopt(job("2" * 16), Progress("north", moves=1), 1, self.cell.now)
         self.assertEqual(self.counts(), {})
 
     def test_counts_are_rendered_as_text(self) -> None:
@@ -227,7 +227,9 @@
         cell = self.busy(host("w1"))
         cell.add(job("1" * 16, step(2, cores=4)))
         self.waits(cell)
-        runtime = SimpleNamespace(dispatcher=cell.core, confirmed_at=cell.now)
+        runtime = SimpleNamespace(
+            dispatcher=cell.core, confirmed_at=cell.now, waiting_jobs=cell.core.waiting_jobs
+        )
         found = {sample.name: sample for sample in _cell_figures("north", runtime, cell.now)}  # type: ignore[arg-type]
         labels = {"cell": "north", "queue": "q", "size": "1"}
         self.assertEqual(found["waiting_tasks"][1:], ({**labels, "reason": "full"}, 2))
