Extend no lease once a successor may read that the cell is free

Same class as the leases of a holder that can't renew: effects that outlast what a successor waits for. A successor of a released cell waits for one lease (6.7 s) from when it read the row. A holder that gave its cell back went on extending leases until the transaction was answered or its call timed out (1.2 s), so on a worker that the successor can't reach a run could go on for half a second after it was started elsewhere.

Now the holds end before the transaction is sent.

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -175,6 +175,9 @@
             if not self.dispatcher.dirty:
                 break
             await asyncio.gather(*(self._record_part(part) for part in PARTS))
+        # A successor waits out the leases from the moment at which it reads that the cell is free.
+        for hold in self._holds.values():
+            hold.cancel()
         freed = self.owner._replace(holder="", load={}, waiting=self.waiting_jobs())
         try:
             await self._put_owner(freed, self._details._replace(roster=self.dispatcher.roster()))
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -175,6 +175,26 @@
         run(main())
 
 
+class Releasing(unittest.TestCase):
+    def test_no_lease_is_extended_once_a_successor_may_read_that_the_cell_is_free(self) -> None:
+        async def main() -> None:
+            clock = asyncio.get_running_loop().time
+            store = FarStore(0.0)
+            worker = IdleWorker(clock)
+            runtime = made(store, [], clock, lambda host: worker)
+            runtime.confirmed_at = clock()
+            runtime.on_hosts({"w1": host("w1")})
+            await asyncio.sleep(0.5)
+            store.latency_s = 5.0
+            release = asyncio.create_task(runtime.release())
+            await asyncio.sleep(0)
+            granted_ms = runtime.dispatcher.members["w1"].granted_ms
+            await release
+            self.assertEqual(runtime.dispatcher.members["w1"].granted_ms, granted_ms)
+
+        run(main())
+
+
 class FarStore(MemoryStore):
     """Takes a while for each transaction, and counts them."""
 
