Count a job that is given to another cell until its row shows that cell

What callers saw: nothing seen by itself; `pending` too low by the jobs that are on their way between cells, for as long as the store takes no record.

Cause: a holder that gives a whole job away stopped to count it at once, though the other cell hears of it only after the job's row is committed.

The new test failed on the code before.

Why this works: what was given away and is not committed is known to the job's progress already, and ends with the commit, or with a row that undoes it.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1068,7 +1068,8 @@
         counts: dict[str, int] = {}
         for tracked in self.tracked.values():
             if not (tracked.began or tracked.job.timed or tracked.progress.phase.final):
-                if tracked.progress.cell == self.cell:
+                # A job given away is counted here until its row shows the other cell.
+                if tracked.progress.cell == self.cell or tracked.progress.given_whole:
                     counts[tracked.job.queue] = counts.get(tracked.job.queue, 0) + 1
         return counts
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -584,6 +584,16 @@
         self.assertEqual(progress.owner((0, 0, 0)), "south")
         self.assertEqual(progress.owner((0, 1, 0)), "east")
 
+    def test_a_job_given_to_another_cell_is_counted_here_until_that_is_committed(self) -> None:
+        """While the store was away, no cell counted a job that was on its way."""
+        cell = Cell(host("w1"))
+        cell.add(job())
+        tracked = cell.core.tracked["0" * 16]
+        cell.core.move(tracked, tracked.batches[0, 0], None, "south", cell.now)
+        self.assertEqual(cell.core.waiting_jobs(), {"q": 1})
+        tracked.progress.confirm(Progress("south"))
+        self.assertEqual(cell.core.waiting_jobs(), {})
+
     def test_moved_tasks_wait_here_no_more(self) -> None:
         cell = Cell(host("w1", cores=1))
         cell.add(job())
