Carry a cell's unfinished fencing over to the next holder

Cause: a holder that gives its cell back, or restarts on its address, leaves a wait of one lease (6.7 s) to the next one. If it had itself just taken the cell from a holder that is cut off, and reached too few workers to fence them all, the one before it is still at work: the third holder started its tasks again after 6.7 s (114.31 s of the new play, eight tasks twice), while it may give orders for 12 s and its leases last 6 s more.

The cell's row now says whether all workers are fenced; where they are not, the next holder waits the full time, counted from the last row it saw.

The chain is likely where a cell's workers are reached by different entries: a holder that reaches less than half of them gives up after 1 s, and the next one tries.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -40,16 +40,18 @@
     epoch: int
     load: dict[str, Load]
     waiting: dict[str, int]
+    # Whether no worker obeys an earlier holder any more.
+    fenced: bool = True
 
     def encode(self) -> bytes:
         """Write the row's value."""
-        return dumps([*self[:4], encode_loads(self.load), self.waiting])
+        return dumps([*self[:4], encode_loads(self.load), self.waiting, self.fenced])
 
 
 def decode_owner(data: bytes) -> Owner:
     """Read a row's value; raise ValueError."""
-    holder, address, incarnation, epoch, load, waiting = loads(data)
-    return Owner(holder, address, incarnation, epoch, decode_loads(load), waiting)
+    holder, address, incarnation, epoch, load, waiting, fenced = loads(data)
+    return Owner(holder, address, incarnation, epoch, decode_loads(load), waiting, fenced)
 
 
 class Details(NamedTuple):
@@ -171,6 +173,9 @@
         owner, version = sighting.owner, sighting.version
         lease_s = self.max_hold_s * 1.03 + 0.5
         ended = now + lease_s
+        if owner is not None and not owner.fenced:
+            # The holder before it was deposed after this holder's first row, at the latest.
+            ended = max(ended, sighting.since + ORDER_LIMIT_S + lease_s)
         turn_at = max(
             sighting.since + self._turn_s(cell, me, held), self.abstain_until.get(cell, 0.0)
         )
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -175,7 +175,8 @@
             if not self.dispatcher.dirty:
                 break
             await asyncio.gather(*(self._record_part(part) for part in PARTS))
-        freed = self.owner._replace(holder="", load={}, waiting={})
+        fenced = self.dispatcher.fenced_all
+        freed = self.owner._replace(holder="", load={}, waiting={}, fenced=fenced)
         try:
             await self._put_owner(freed, self._details._replace(roster=self.dispatcher.roster()))
         except (PlatformDown, AnswerLost) as exc:
@@ -226,7 +227,9 @@
             await self.release()
             return
         fresh = self.owner._replace(
-            load=self.dispatcher.load(now), waiting=self.dispatcher.waiting_jobs()
+            load=self.dispatcher.load(now),
+            waiting=self.dispatcher.waiting_jobs(),
+            fenced=self.dispatcher.fenced_all,
         )
         details = self._details._replace(roster=self.dispatcher.roster())
         if now - self._shared_at >= SHARE_S:
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -129,7 +129,8 @@
         former = vacancy.owner.epoch if vacancy.owner else 0
         epoch = max(self.watch.epoch_seen, former) + 1
         me = self.me
-        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, {})
+        fenced = not details.roster
+        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, {}, fenced)
         sent_at = around.clock()
         try:
             answer = await around.store.commit(
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -76,6 +76,19 @@
         assert found is not None
         self.assertGreaterEqual(found.proof_at, self.now + HOLD_S)
 
+    def test_a_holder_that_had_not_fenced_all_workers_leaves_the_full_wait(self) -> None:
+        for owner in (
+            OTHER._replace(holder="", fenced=False),
+            OTHER._replace(holder="e1", address="e1:1", incarnation=3, fenced=False),
+        ):
+            self.setUp()
+            self.read(owner)
+            began = self.now
+            self.read(owner)
+            found = self.vacancy()
+            assert found is not None
+            self.assertGreaterEqual(found.proof_at, began + ORDER_LIMIT_S + HOLD_S)
+
     def test_the_same_name_at_another_address_is_another_process(self) -> None:
         self.read(OTHER._replace(holder="e1", address="elsewhere:1", incarnation=3))
         self.assertIsNone(self.vacancy())
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -179,6 +179,24 @@
 
         self.play(scene)
 
+    def test_a_successor_that_gives_up_leaves_its_wait_to_the_next_one(self) -> None:
+        async def scene(split: Split) -> None:
+            split.close("b", "c")
+            await split.submit("b-e1", made(1, tasks(8, lasting=True)))
+            await asyncio.sleep(1)
+            split.cut(split.former, "store")
+            split.part()
+            for name in split.others():
+                split.cut(name, "a-w2")
+            while not split.successor:
+                await asyncio.sleep(POLL_S)
+            while split.successor:
+                await asyncio.sleep(POLL_S)
+            split.cluster.cuts -= {frozenset((name, "a-w2")) for name in split.others()}
+            await asyncio.sleep(25)
+
+        self.play(scene)
+
 
 if __name__ == "__main__":
     unittest.main()
