Start nothing on a worker that restarted before the cell is confirmed again

Cause: a worker that restarts under its name has seen no epoch.

A holder now uses a restarted worker only after a renewal that began since it saw the restart, as it does with a new one; it renews at once. A holder that still has its row at that time has no successor that could have fenced the worker's earlier life. Price: one write of the cell's row (some milliseconds) for a restart, and no use of restarted workers while the store is away.

Evidence: the new play of tests/test_takeover.py and the new test of tests/test_runtime.py fail on the code before and pass now. Changed test: a restarted worker's task is expected to wait for the renewal and to start after it (one assertion more than before).

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -184,6 +184,18 @@
         """List the workers that may run something of this cell."""
         return [member.host for member in self.members.values()]
 
+    def lives(self) -> dict[str, int]:
+        """Give the boot that each worker last answered from; 0 where none has."""
+        return {member.name: member.born for member in self.members.values()}
+
+    def same_lives(self, lives: dict[str, int]) -> list[str]:
+        """Name the workers that have not restarted since."""
+        return [
+            name
+            for name, born in lives.items()
+            if name in self.members and born in (0, self.members[name].born)
+        ]
+
     def confirm_roster(self, names: Iterable[str]) -> None:
         """Note the workers that the committed owner row names: they may be used."""
         for name in names:
@@ -376,6 +388,8 @@
     def on_snapshot(self, member: Member, snapshot: Snapshot, asked_at: float, now: float) -> None:
         """Take in what runs and what ended on a worker."""
         if member.note_answer(snapshot, now):
+            # It knows of no epoch, so this holder's has to be confirmed first.
+            member.in_roster = False
             log(Event.WORKER_REBORN, worker=member.name, born=snapshot.born)
         if member.name in self._unproven:
             self._unproven.discard(member.name)
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -232,6 +232,7 @@
             fenced=self.dispatcher.fenced_all,
         )
         details = self._details._replace(roster=self.dispatcher.roster())
+        lives = self.dispatcher.lives()
         if now - self._shared_at >= SHARE_S:
             self._shared_at = now
             details = details._replace(learned=self.dispatcher.interference.shared())
@@ -239,7 +240,7 @@
         try:
             if await self._put_owner(fresh, details):
                 self.confirmed_at = max(self.confirmed_at, now)
-                self.dispatcher.confirm_roster([host.name for host in details.roster])
+                self.dispatcher.confirm_roster(self.dispatcher.same_lives(lives))
                 self.wake()
             else:
                 self.end("deposed")
@@ -341,7 +342,10 @@
         except OtherBoot:
             dispatcher.on_gone(member.name, self._clock())
             return 0.0
+        usable = member.in_roster
         dispatcher.on_snapshot(member, snapshot, asked_at, self._clock())
+        if usable and not member.in_roster:
+            self._renew_now.set()
         if dispatcher.unknown and not self._resolving:
             self._resolving = True
             self._spawn(self._resolve_unknown())
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -456,6 +456,8 @@
         cell.started(order)
         cell.now += 1
         cell.answer("w1", born=BORN + 5)
+        self.assertEqual(cell.plan(), [])
+        cell.core.confirm_roster(["w1"])
         self.assertEqual(len(cell.plan()), 1)
 
     def test_a_worker_whose_runs_fail_is_put_aside(self) -> None:
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -93,6 +93,20 @@
         used = {m.name for m in runtime.dispatcher.members.values() if m.in_roster}
         self.assertEqual(used, {"w1", "w2"})
 
+    async def test_a_worker_that_restarts_during_a_renewal_waits_for_the_next_one(self) -> None:
+        store = SlowStore()
+        runtime = made(store, [])
+        runtime.dispatcher.see_host(host("w1"))
+        member = runtime.dispatcher.members["w1"]
+        runtime.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), 0.0, 0.0)
+        restarted = Snapshot(0, 2, [], [])
+        store.meanwhile = lambda: runtime.dispatcher.on_snapshot(member, restarted, 0.0, 0.0)
+        await runtime._renew()
+        self.assertFalse(member.in_roster)
+        store.meanwhile = lambda: None
+        await runtime._renew()
+        self.assertTrue(member.in_roster)
+
     async def test_a_roster_is_written_again_after_a_lost_answer_though_it_is_as_before(
         self,
     ) -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -197,6 +197,23 @@
 
         self.play(scene)
 
+    def test_a_worker_that_restarts_after_its_fence_obeys_no_former_holder(self) -> None:
+        async def scene(split: Split) -> None:
+            split.close("b", "c")
+            job = made(1, tasks(4, lasting=True))
+            await split.submit("b-e1", job)
+            await asyncio.sleep(1)
+            split.cut(split.former, "store")
+            await split.taken()
+            await asyncio.sleep(0.1)
+            split.part()
+            for worker in ("a-w0", "a-w1"):
+                split.cluster.crash_worker(worker)
+                split.cluster.add_worker(worker, "a")
+            await asyncio.sleep(20)
+
+        self.play(scene)
+
 
 if __name__ == "__main__":
     unittest.main()
