Await a start without an answer to its end on the slowest clock

A start that got no answer was taken for refused 1.575 s after it was sent if a list asked for later does not show it. Its deadline is 1.5 s on the worker's clock as estimated from an answer up to 2.5 s old; with that clock 2 % slow the worker carries it out up to 1.582 s after. The wait now follows from the drift and the age of the answer, with 0.05 s on top: 1.632 s.

Evidence: the new test of tests/test_dispatcher.py fails on the code before with an answer 2.4 s old (the worker's clock stands 4.5 ms before the deadline), and passes now.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -7,7 +7,15 @@
 from collections.abc import Callable, Iterable
 
 from curranthall.cells.advice import Advice
-from curranthall.cells.fleet import QUARANTINE_S, Member, Run, RunState, Unrecorded
+from curranthall.cells.fleet import (
+    CLOCK_DRIFT,
+    QUARANTINE_S,
+    STALE_ANSWER_S,
+    Member,
+    Run,
+    RunState,
+    Unrecorded,
+)
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import LEAST_CORES, Load, Waiting, measure
 from curranthall.cells.pacing import FULL, adjust, pressure
@@ -34,6 +42,8 @@
 
 # A start that is carried out later than this is refused by the worker's clock.
 START_WINDOW_S = 1.5
+# The same on this process's clock: the worker's may be slow since its last answer.
+START_OVER_S = (START_WINDOW_S + CLOCK_DRIFT * STALE_ANSWER_S) / (1 - CLOCK_DRIFT) + 0.05
 # A stop without an answer is sent again.
 STOP_RETRY_S = 0.6
 # Run numbers: the epoch in the high digits, a counter in the low ones.
@@ -683,8 +693,7 @@
         if run is None or run.state is not RunState.STARTING:
             return
         log(Event.RUN_UNSURE, task=run.task, run=run.number, worker=run.worker)
-        window_s = START_WINDOW_S * 1.05
-        run.sure_from = run.sent_at + window_s
+        run.sure_from = run.sent_at + START_OVER_S
         self._stop(run, now)
 
     def on_stop_answered(self, order: StopTask, now: float) -> None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -440,6 +440,21 @@
         cell.answer(other)
         self.assertEqual([again.worker for again in cell.plan()], [other])
 
+    def test_a_start_without_an_answer_is_awaited_to_its_end_on_the_slowest_clock(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1)))
+        for waited_s in (0.0, 2.4):
+            cell.answer("w1")
+            member, answered_at = cell.member("w1"), cell.now
+            cell.now += waited_s
+            (order,) = cell.plan()
+            cell.core.on_start_unanswered(order, cell.now)
+            run = member.runs[order.task, order.run]
+            clock_ms = member.clock_ms + (run.sure_from - answered_at) * 980
+            self.assertGreater(clock_ms, order.deadline_ms)
+            cell.core.on_stop_answered(cell.stops()[0], cell.now)
+            cell.now += 0.1
+
     def test_another_boot_at_the_address_ends_all_at_once(self) -> None:
         cell = Cell(host("w1"), host("w2"))
         cell.add(job("0" * 16, step(1)))
