Order nothing while a cell is being given back

A holder that gives its cell back still extended leases, and after a cut could start tasks, until the store's answer came, though the next holder may be there from the moment that the row is written.

Evidence: the new test of tests/test_runtime.py fails on the code before and passes now.

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -139,6 +139,7 @@
         self._shared_at = 0.0
         self._commits = 0
         self._ended = False
+        self._releasing = False
         self._feed_from = 0
         # The store's version up to which the rows of each part were read.
         self._read_to: dict[str, int] = {}
@@ -175,6 +176,8 @@
             if not self.dispatcher.dirty:
                 break
             await asyncio.gather(*(self._record_part(part) for part in PARTS))
+        # From here on another holder may be there before the answer is.
+        self._releasing = True
         fenced = self.dispatcher.fenced_all
         freed = self.owner._replace(holder="", load={}, waiting={}, fenced=fenced)
         try:
@@ -185,7 +188,7 @@
 
     def permitted(self) -> bool:
         """Tell whether this holder may still give orders."""
-        return self._clock() - self.confirmed_at < ORDER_LIMIT_S
+        return not self._releasing and self._clock() - self.confirmed_at < ORDER_LIMIT_S
 
     def wake(self) -> None:
         """Have orders planned and carried out soon."""
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -107,6 +107,14 @@
         await runtime._renew()
         self.assertTrue(member.in_roster)
 
+    async def test_nothing_is_ordered_while_the_answer_to_giving_back_is_awaited(self) -> None:
+        store, permitted = SlowStore(), list[bool]()
+        runtime = made(store, [])
+        store.meanwhile = lambda: permitted.append(runtime.permitted())
+        await runtime._renew()
+        await runtime.release()
+        self.assertEqual(permitted, [True, False])
+
     async def test_a_roster_is_written_again_after_a_lost_answer_though_it_is_as_before(
         self,
     ) -> None:
