--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -196,6 +196,18 @@
         """List the workers that may run something of this cell."""
         return [member.host for member in self.members.values()]
 
+    def lives(self) -> dict[str, int]:
+        """Give the boot that each worker last answered from; 0 where none has."""
+        return {member.name: member.born for member in self.members.values()}
+
+    def same_lives(self, lives: dict[str, int]) -> list[str]:
+        """Name the workers that have not restarted since."""
+        return [
+            name
+            for name, born in lives.items()
+            if name in self.members and born in (0, self.members[name].born)
+        ]
+
     def confirm_roster(self, names: Iterable[str]) -> None:
         """Note the workers that the committed owner row names: they may be used."""
         for name in names:
@@ -427,6 +439,8 @@
         """Take in what runs and what ended on a worker."""
         reborn = member.note_answer(snapshot, now)
         if reborn:
+            # It knows of no epoch, so this holder's has to be confirmed first.
+            member.in_roster = False
             log(Event.WORKER_REBORN, worker=member.name, born=snapshot.born)
         if member.name in self._unproven:
             self._unproven.discard(member.name)
@@ -806,8 +820,8 @@
 
     # Time
 
-    def tick(self, now: float) -> None:
-        """Do what time alone brings about."""
+    def tick(self, now: float, confirmed_at: float) -> None:
+        """Do what time alone brings about; the cell was this holder's at `confirmed_at`."""
         for key, at in list(self._timed.items()):
             if now >= at:
                 del self._timed[key]
@@ -818,7 +832,7 @@
             log(Event.CELL_PROVEN, cell=self.cell, by="lapse", workers=len(self._unproven))
             self._unproven.clear()
         for member in list(self.members.values()):
-            self._tick_member(member, now)
+            self._tick_member(member, now, confirmed_at)
         self._forget_old(now)
         if now - self._told_at >= SUMMARY_S:
             self._told_at = now
@@ -869,12 +883,13 @@
         scene = Scene(usable, self.interference, now, kept_share, self.closed, self._held_back)
         return summarize(waiting, scene)
 
-    def _tick_member(self, member: Member, now: float) -> None:
+    def _tick_member(self, member: Member, now: float, confirmed_at: float) -> None:
         for run in list(member.runs.values()):
             if run.state is RunState.STOPPING and now - run.stop_sent_at > STOP_RETRY_S:
                 run.stop_sent_at = now
                 self.orders.append(StopTask(run.worker, run.task, run.number))
-        lapsed = member.silent_since is not None and now > member.lapses_at()
+        # A successor may have extended the leases since this holder was last confirmed.
+        lapsed = member.silent_since is not None and confirmed_at > member.lapses_at()
         if lapsed and member.runs:
             log(Event.WORKER_LAPSED, worker=member.name, runs=len(member.runs))
             for run in list(member.runs.values()):
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -139,6 +139,7 @@
         self._shared_at = 0.0
         self._commits = 0
         self._ended = False
+        self._releasing = False
         self._feed_from = 0
         # The store's version up to which the rows of each part were read.
         self._read_to: dict[str, int] = {}
@@ -175,10 +176,16 @@
             if not self.dispatcher.dirty:
                 break
             await asyncio.gather(*(self._record_part(part) for part in PARTS))
-        # A successor waits out the leases from the moment at which it reads that the cell is free.
+        # From here on another holder may be there, which waits out the leases from now.
+        self._releasing = True
         for hold in self._holds.values():
             hold.cancel()
-        freed = self.owner._replace(holder="", load={}, waiting=self.waiting_jobs())
+        freed = self.owner._replace(
+            holder="",
+            load={},
+            waiting=self.waiting_jobs(),
+            fenced=self.dispatcher.fenced_all,
+        )
         try:
             await self._put_owner(freed, self._details._replace(roster=self.dispatcher.roster()))
         except (PlatformDown, AnswerLost) as exc:
@@ -187,7 +194,7 @@
 
     def permitted(self) -> bool:
         """Tell whether this holder may still give orders."""
-        return self._clock() - self.confirmed_at < ORDER_LIMIT_S
+        return not self._releasing and self._clock() - self.confirmed_at < ORDER_LIMIT_S
 
     def waiting_jobs(self) -> dict[str, int]:
         """Count by queue the jobs of which nothing has begun."""
@@ -232,8 +239,13 @@
         if self._cut_off(now):
             await self.release()
             return
-        fresh = self.owner._replace(load=self.dispatcher.load(now), waiting=self.waiting_jobs())
+        fresh = self.owner._replace(
+            load=self.dispatcher.load(now),
+            waiting=self.waiting_jobs(),
+            fenced=self.dispatcher.fenced_all,
+        )
         details = self._details._replace(roster=self.dispatcher.roster())
+        lives = self.dispatcher.lives()
         if now - self._shared_at >= SHARE_S:
             self._shared_at = now
             details = details._replace(learned=self.dispatcher.interference.shared())
@@ -241,7 +253,7 @@
         try:
             if await self._put_owner(fresh, details):
                 self.confirmed_at = max(self.confirmed_at, now)
-                self.dispatcher.confirm_roster([host.name for host in details.roster])
+                self.dispatcher.confirm_roster(self.dispatcher.same_lives(lives))
                 self.wake()
             else:
                 self.end("deposed")
@@ -347,7 +359,10 @@
         except OtherBoot:
             dispatcher.on_gone(member.name, self._clock())
             return 0.0
+        usable = member.in_roster
         dispatcher.on_snapshot(member, snapshot, asked_at, self._clock())
+        if usable and not member.in_roster:
+            self._renew_now.set()
         if dispatcher.unknown and not self._resolving:
             self._resolving = True
             self._spawn(self._resolve_unknown())
@@ -447,7 +462,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             now = self._clock()
-            self.dispatcher.tick(now)
+            self.dispatcher.tick(now, self.confirmed_at)
             if self.loaded and self.dispatcher.fenced_all and not self.dispatcher.proven:
                 await self._prove()
             if self.permitted() and self.loaded:
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -131,7 +131,8 @@
         me = self.me
         # The former holder's count stands until the rows are loaded.
         waiting = vacancy.owner.waiting if vacancy.owner else {}
-        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, waiting)
+        fenced = not details.roster
+        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, waiting, fenced)
         sent_at = around.clock()
         try:
             answer = await around.store.commit(
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -425,10 +425,10 @@
         cell.add(job(), prior=True)
         cell.answer("w1")
         cell.now += 6
-        cell.core.tick(cell.now)
+        cell.core.tick(cell.now, cell.now)
         self.assertFalse(cell.core.fenced_all)
         cell.now += 2
-        cell.core.tick(cell.now)
+        cell.core.tick(cell.now, cell.now)
         self.assertTrue(cell.core.fenced_all)
 
 
@@ -442,14 +442,29 @@
         member.grant(cell.now, 6.0)
         cell.core.on_silence(order.worker, cell.now)
         cell.now += 5.9
-        cell.core.tick(cell.now)
+        cell.core.tick(cell.now, cell.now)
         self.assertEqual(cell.plan(), [])
         cell.now += 0.6
-        cell.core.tick(cell.now)
+        cell.core.tick(cell.now, cell.now)
         other = "w2" if order.worker == "w1" else "w1"
         cell.answer(other)
         self.assertEqual([again.worker for again in cell.plan()], [other])
 
+    def test_a_start_without_an_answer_is_awaited_to_its_end_on_the_slowest_clock(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1)))
+        for waited_s in (0.0, 2.4):
+            cell.answer("w1")
+            member, answered_at = cell.member("w1"), cell.now
+            cell.now += waited_s
+            (order,) = cell.plan()
+            cell.core.on_start_unanswered(order, cell.now)
+            run = member.runs[order.task, order.run]
+            clock_ms = member.clock_ms + (run.sure_from - answered_at) * 980
+            self.assertGreater(clock_ms, order.deadline_ms)
+            cell.core.on_stop_answered(cell.stops()[0], cell.now)
+            cell.now += 0.1
+
     def test_another_boot_at_the_address_ends_all_at_once(self) -> None:
         cell = Cell(host("w1"), host("w2"))
         cell.add(job("0" * 16, step(1)))
@@ -466,6 +481,8 @@
         cell.started(order)
         cell.now += 1
         cell.answer("w1", born=BORN + 5)
+        self.assertEqual(cell.plan(), [])
+        cell.core.confirm_roster(["w1"])
         self.assertEqual(len(cell.plan()), 1)
 
     def test_a_worker_whose_runs_fail_is_put_aside(self) -> None:
@@ -515,7 +532,7 @@
         cell.stops()
         cell.answer("w1", [listed(order)])
         cell.now += 1
-        cell.core.tick(cell.now)
+        cell.core.tick(cell.now, cell.now)
         self.assertEqual([stop.run for stop in cell.stops()], [order.run])
 
     def test_a_slow_clock_that_was_read_long_ago_leaves_a_start_possible_for_longer(self) -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -53,11 +53,11 @@
         """Give what an entry thinks it holds."""
         return self.cluster.entries[entry].succession.held
 
-    def part(self) -> None:
-        """Leave half of the cell's workers to the former holder, the others to everyone else."""
-        self.cut(self.former, "a-w2", "a-w3")
+    def part(self, kept: tuple[str, ...] = ("a-w0", "a-w1")) -> None:
+        """Leave some of the cell's workers to the former holder, the rest to everyone else."""
+        self.cut(self.former, *({"a-w0", "a-w1", "a-w2", "a-w3"} - {*kept}))
         for name in self.others():
-            self.cut(name, "a-w0", "a-w1")
+            self.cut(name, *kept)
 
     def cut(self, entry: str, *places: str) -> None:
         """Cut an entry off from places."""
@@ -167,6 +167,53 @@
 
         self.play(scene)
 
+    def test_a_former_holder_takes_no_run_for_over_that_its_successor_may_keep(self) -> None:
+        async def scene(split: Split) -> None:
+            split.close("b", "c")
+            await split.submit("b-e1", made(1, tasks(7, lasting=True)))
+            await asyncio.sleep(1)
+            self.assertEqual(len(split.cluster.runners["a-w0"].running), 7)
+            split.cut(split.former, "store")
+            split.part(("a-w2", "a-w3"))
+            await asyncio.sleep(12)
+
+        self.play(scene)
+
+    def test_a_successor_that_gives_up_leaves_its_wait_to_the_next_one(self) -> None:
+        async def scene(split: Split) -> None:
+            split.close("b", "c")
+            await split.submit("b-e1", made(1, tasks(8, lasting=True)))
+            await asyncio.sleep(1)
+            split.cut(split.former, "store")
+            split.part()
+            for name in split.others():
+                split.cut(name, "a-w2")
+            while not split.successor:
+                await asyncio.sleep(POLL_S)
+            while split.successor:
+                await asyncio.sleep(POLL_S)
+            split.cluster.cuts -= {frozenset((name, "a-w2")) for name in split.others()}
+            await asyncio.sleep(25)
+
+        self.play(scene)
+
+    def test_a_worker_that_restarts_after_its_fence_obeys_no_former_holder(self) -> None:
+        async def scene(split: Split) -> None:
+            split.close("b", "c")
+            job = made(1, tasks(4, lasting=True))
+            await split.submit("b-e1", job)
+            await asyncio.sleep(1)
+            split.cut(split.former, "store")
+            await split.taken()
+            await asyncio.sleep(0.1)
+            split.part()
+            for worker in ("a-w0", "a-w1"):
+                split.cluster.crash_worker(worker)
+                split.cluster.add_worker(worker, "a")
+            await asyncio.sleep(20)
+
+        self.play(scene)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -116,6 +116,7 @@
         cell = self.started("w1")
         cell.now += 1
         cell.answer("w1", born=BORN + 1)
+        cell.core.confirm_roster(["w1"])
         self.vanished("reborn")
         self.assertEqual(self.again(cell)["after"], ["reborn", self.first.run, "w1"])
 
@@ -124,7 +125,7 @@
         worker = self.first.worker
         cell.core.on_silence(worker, cell.now)
         cell.now += 20
-        cell.core.tick(cell.now)
+        cell.core.tick(cell.now, cell.now)
         (line,) = self.lines.of("RUN_VANISHED")
         self.assertEqual((line["why"], line["worker"]), ("lapsed", worker))
 
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -51,7 +51,7 @@
         cell.add(job("0" * 16, step(1)))
         (order,) = cell.plan()
         cell.now += after_s
-        cell.core.tick(cell.now)
+        cell.core.tick(cell.now, cell.now)
         cell.answer("w1", [], [ended(1, order, EndKind.DONE)])
         cell.record()
         (line,) = self.lines.of("JOB_ENDED")
@@ -75,13 +75,13 @@
         self.cell.add(job("0" * 16, step(1, cores=99)))
         for _ in range(3):
             self.cell.now += 9.5
-            self.cell.core.tick(self.cell.now)
+            self.cell.core.tick(self.cell.now, self.cell.now)
         self.assertEqual(self.counts(), {"accepted": 1, "expired": 1})
 
     def test_a_lasting_job_never_expires(self) -> None:
         self.cell.add(job("0" * 16, step(1, lasting=True)))
         self.cell.now += 99
-        self.cell.core.tick(self.cell.now)
+        self.cell.core.tick(self.cell.now, self.cell.now)
         self.assertEqual(self.counts(), {"accepted": 1})
 
     def test_a_failed_job_is_no_late_one(self) -> None:
@@ -119,7 +119,7 @@
     def waits(self, cell: Cell) -> dict[str, int]:
         """Plan and have the summary told; give the waiting tasks by reason."""
         cell.plan()
-        cell.core.tick(cell.now)
+        cell.core.tick(cell.now, cell.now)
         (line,) = self.lines.of("CELL_STATE")
         self.assertEqual(line["waits"], [list(row) for row in cell.core.waits])
         return {row.why: row.tasks for row in cell.core.waits}
