End what a read of the rows shows with a later holder

A holder learned that its cell is not its own any more only from a renewal or a worker. Where the store refuses its writes and answers its reads, the entry read its successor's row every 0.8 s and went on for up to 12 s. Now such a read ends the cell here. This shortens the time with two holders; what keeps them apart in it are the epochs.

--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -85,6 +85,7 @@
         self.read_ok_at = asked_at
         now = around.clock()
         self.watch.observe(listing, now)
+        self._end_deposed()
         if self._leaving or around.hosts() is None:
             return MIN_PAUSE_S
         vacancy = self.watch.vacancy(self.me, len(self.held), now)
@@ -96,6 +97,13 @@
             await self._try_to_take(vacancy)
         return MIN_PAUSE_S
 
+    def _end_deposed(self) -> None:
+        """End what the rows show with a later holder: a renewal may fail for long."""
+        for cell, runtime in list(self.held.items()):
+            owner = self.watch.sightings[cell].owner
+            if owner is not None and owner.epoch > runtime.dispatcher.epoch:
+                runtime.end("deposed")
+
     async def _try_to_take(self, vacancy: Vacancy) -> None:
         try:
             # Read after the cell's row: a later change of the roster changes that row, too, and
