Let no lease outlast what a successor waits for

What callers saw: nothing seen. Two runs of one task, in a test of our own: a lasting task went on at a worker that its cell's former holder kept, while the cell's new holder had started it again elsewhere.

Cause: two holders of one cell. A holder that can't renew its row orders nothing after ORDER_LIMIT_S (12 s), and a successor waits that long for workers that it can't reach. But in the last permitted second the former holder still extended leases by all of max-hold (6 s), and started tasks with 1.5 s to come. So a worker that the former holder reached, and the successor did not, could run its tasks up to 18 s after the last renewal; the successor took them for over after 12 s.

Evidence: found by reading, while working out the bound of an unanswered start.

Why this works: a lease, and a start's deadline, end within the time for which the holder may give orders; the successor waits for that time and the slack of the workers' clocks. While the store answers nothing changes, as a renewal is under 1 s old. In an outage of the store what runs now ends after 12 s instead of 18; the longest outage that the sites list is 9.1 s. The other way, to wait for 18.7 s, would hold back all jobs from before in each takeover with a silent worker.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -17,9 +17,12 @@
 RENEW_S = 0.8
 # A row unchanged this long has lost its holder: three renewals missed.
 VACANT_S = 2.4
-# A holder that can't renew its row orders nothing more after this; it outlasts the
-# outages of the store that a cell is to bridge, and bounds what a successor waits for.
+# A holder that can't renew its row orders nothing more after this, and no lease of it lasts longer;
+# it outlasts the outages of the store that a cell is to bridge, and bounds what a successor waits
+# for.
 ORDER_LIMIT_S = 12.0
+# Clocks of workers may be 2 % slow, and their readings a while old.
+LEASE_SLACK_S = 0.5
 # Reads of the rows further apart than this say nothing of the time between.
 GAP_S = 1.6
 # Entries take turns by how well they suit, so that few of them race for a row.
@@ -168,14 +171,14 @@
         self, cell: str, sighting: Sighting, me: Claimant, held: int, now: float
     ) -> Vacancy | None:
         owner, version = sighting.owner, sighting.version
-        ended = now + self.max_hold_s * 1.03 + 0.5
+        ended = now + self.max_hold_s * 1.03 + LEASE_SLACK_S
         turn_at = max(
             sighting.since + self._turn_s(cell, me, held), self.abstain_until.get(cell, 0.0)
         )
         if owner is None or not owner.holder:
             return Vacancy(cell, owner, version, turn_at, ended)
         if owner.address != me.address:
-            ended = max(ended, sighting.since + ORDER_LIMIT_S)
+            ended = max(ended, sighting.since + ORDER_LIMIT_S + LEASE_SLACK_S)
             return Vacancy(cell, owner, version, turn_at + VACANT_S, ended)
         if owner.incarnation == me.incarnation:
             return None
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -6,7 +6,7 @@
 
 from curranthall.cells.advice import Advice
 from curranthall.cells.balance import Balance, Room
-from curranthall.cells.dispatcher import Dispatcher
+from curranthall.cells.dispatcher import START_WINDOW_S, Dispatcher
 from curranthall.cells.fleet import Member
 from curranthall.cells.owner import (
     CELL_PART,
@@ -184,7 +184,11 @@
 
     def permitted(self) -> bool:
         """Tell whether this holder may still give orders."""
-        return self._clock() - self.confirmed_at < ORDER_LIMIT_S
+        return self._permitted_s() > 0
+
+    def _permitted_s(self) -> float:
+        """Give how long this holder may still give orders, and what they allow may last."""
+        return self.confirmed_at + ORDER_LIMIT_S - self._clock()
 
     def waiting_jobs(self) -> dict[str, int]:
         """Count by queue the jobs of which nothing has begun."""
@@ -326,9 +330,11 @@
 
     async def _hold(self, member: Member) -> float:
         dispatcher, asked_at = self.dispatcher, self._clock()
+        # A successor takes no lease to last longer than this holder's permission.
+        hold_s = min(dispatcher.bounds.max_hold_s, self._permitted_s())
         # A lease that a silent worker may never hear of would only put off the proof of its lapse.
-        extend = self.permitted() and member.silent_since is None
-        lease = member.grant(asked_at, dispatcher.bounds.max_hold_s) if extend else None
+        extend = hold_s > 0 and member.silent_since is None
+        lease = member.grant(asked_at, hold_s) if extend else None
         wait_ms = BUSY_WAIT_MS if member.runs else IDLE_WAIT_MS
         if member.serving and member.filling_cores > 0:
             wait_ms = SHARED_WAIT_MS
@@ -376,7 +382,7 @@
             await self._wake.wait()
             self._wake.clear()
             began = self._clock()
-            if self.permitted():
+            if self._permitted_s() > START_WINDOW_S:
                 self.dispatcher.plan(began)
             took_s = self._clock() - began
             orders = self.dispatcher.orders
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -326,6 +326,47 @@
         self.assertEqual(self.least_shown(leave), self.COUNT)
 
 
+class SplitReach(unittest.TestCase):
+    """A holder cut from the store keeps half of its workers; others reach the other half."""
+
+    def play(self, meanwhile: Callable[[Cluster, str], Awaitable[None]]) -> None:
+        """Expect that the former holder's tasks start again, and none runs twice."""
+
+        async def main() -> None:
+            cluster = Cluster(workers=4)
+            cluster.start()
+            await asyncio.sleep(3)
+            cluster.out = frozenset("bc")
+            job = made(1, Step(4, Size(5, 1_000), 1_000, lasting=True))
+            await asyncio.sleep(0.5)
+            self.assertIs(await cluster.submit("a-e0", job), Verdict.ACCEPTED)
+            await asyncio.sleep(2)
+            cluster.out = frozenset()
+            former = cluster.holder("a")
+            assert former is not None
+            others = cluster.entries.keys() - {former}
+            cluster.cuts = {
+                frozenset((former, "store")),
+                *(frozenset((former, worker)) for worker in ("a-w2", "a-w3")),
+                *(frozenset((each, worker)) for each in others for worker in ("a-w0", "a-w1")),
+            }
+            await meanwhile(cluster, former)
+            await asyncio.sleep(22)
+            cluster.close()
+            self.assertEqual(cluster.judge.broken, [])
+            self.assertEqual(cluster.judge.starts, 6)
+
+        run(main())
+
+    def test_a_successor_waits_for_leases_given_after_it_took_the_cell(self) -> None:
+        """Two runs of one task: a lease ordered in the last permitted second lasted 6 s more."""
+
+        async def meanwhile(cluster: Cluster, former: str) -> None:
+            await asyncio.sleep(4)
+
+        self.play(meanwhile)
+
+
 class Soak(unittest.TestCase):
     def test_faults_of_all_kinds_by_turns(self) -> None:
         for seed in SOAK_SEEDS:
