Call a worker at the address of its latest listing

What callers saw: nothing seen.

One that is listed at another address under its name was called at the old one for as long as the cell was held, and never used.

Evidence: found by reading, looking for the same cause elsewhere. The new test failed on the code before. Whether the platform moves an id is not known; its pages say that a worker may start again under its id, not where.

Why this works: a changed address ends the loop and the port, and opens others.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -162,13 +162,14 @@
             tracked.claimed = tracked.change
 
     def see_host(self, host: Host) -> Member | None:
-        """Take in a worker's listing; give the member when it is new."""
+        """Take in a worker's listing; give the member when it is new or at another address."""
         member = self.members.get(host.name)
         if member is None:
             member = self.members[host.name] = Member(host)
             return member
+        moved = member.host.address != host.address
         member.host, member.missing_since = host, None
-        return None
+        return member if moved else None
 
     def miss_host(self, name: str, now: float) -> None:
         """Note that a worker is no longer listed."""
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -175,6 +175,37 @@
         run(main())
 
 
+    def test_a_worker_that_is_listed_at_another_address_is_asked_there(self) -> None:
+        """The port stayed with the address of the first listing."""
+        asked: list[str] = []
+
+        class Noted(IdleWorker):
+            """Notes the address that a hold went to."""
+
+            def __init__(self, clock: Callable[[], float], address: str) -> None:
+                super().__init__(clock)
+                self._address = address
+
+            async def hold(
+                self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int
+            ) -> Snapshot:
+                asked.append(self._address)
+                return await super().hold(epoch, cursor, lease_ms, wait_ms)
+
+        async def main() -> None:
+            clock = asyncio.get_running_loop().time
+            runtime = made(LossyStore(), [], clock, lambda host: Noted(clock, host.address))
+            runtime.confirmed_at = clock()
+            runtime.on_hosts({"w1": host("w1")})
+            await asyncio.sleep(0.5)
+            runtime.on_hosts({"w1": host("w1", address="w1:2")})
+            await asyncio.sleep(0.5)
+            runtime.end("test")
+
+        run(main())
+        self.assertEqual(asked[-1], "w1:2")
+
+
 class FarStore(MemoryStore):
     """Takes a while for each transaction, and counts them."""
 
