Ask workers no more often once a holder has no permission left

Callers saw nothing yet: a holder that could not renew its row for 12 s asked each of its workers again as soon as it had answered, without a pause, for as long as the store was away: processor time of weak hosts, and calls to workers.

Cause: a hold that extends no lease waits for nothing and is followed at once by the next, meant for the first answer of a worker that was silent or is new.

Evidence: found when a test of the leases played beyond the 12 s.

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -353,7 +353,9 @@
         wait_ms = BUSY_WAIT_MS if member.runs else IDLE_WAIT_MS
         if member.serving and member.filling_cores > 0:
             wait_ms = SHARED_WAIT_MS
-        if lease is None:
+        soon = lease is None and hold_s > 0
+        if soon:
+            # The answer tells how far to extend the lease.
             wait_ms = 0
         try:
             snapshot = await self._ports[member.name].hold(
@@ -372,7 +374,7 @@
         if dispatcher.unknown and not self._resolving:
             self._resolving = True
             self._spawn(self._resolve_unknown())
-        return HOLD_PAUSE_S if lease is not None else 0.0
+        return 0.0 if soon else HOLD_PAUSE_S
 
     async def _resolve_unknown(self) -> None:
         """Look up the jobs that workers know and this holder doesn't."""
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from curranthall.cells.dispatcher import Dispatcher
-from curranthall.cells.owner import CELL_PART, CELL_TABLE, Details, Owner
+from curranthall.cells.owner import CELL_PART, CELL_TABLE, ORDER_LIMIT_S, Details, Owner
 from curranthall.cells.ports import (
     PaceTask,
     Snapshot,
@@ -227,6 +227,48 @@
         self.assertEqual(asked[-1], "w1:2")
 
 
+class Leases(unittest.TestCase):
+    def test_no_lease_of_a_holder_that_can_not_renew_outlasts_its_permission(self) -> None:
+        async def main() -> None:
+            clock = asyncio.get_running_loop().time
+            runtime = made(LossyStore(), [], clock, lambda host: IdleWorker(clock))
+            runtime.confirmed_at = confirmed_at = clock()
+            runtime.on_hosts({"w1": host("w1")})
+            await asyncio.sleep(ORDER_LIMIT_S + 5)
+            runtime.end("test")
+            granted_s = runtime.dispatcher.members["w1"].granted_ms / 1000
+            self.assertGreater(granted_s, confirmed_at + ORDER_LIMIT_S - 1)
+            self.assertLessEqual(granted_s, confirmed_at + ORDER_LIMIT_S)
+
+        run(main())
+
+    def test_a_holder_without_permission_asks_its_workers_no_more_often(self) -> None:
+        async def main() -> None:
+            clock = asyncio.get_running_loop().time
+            asked: list[float] = []
+
+            class Noted(IdleWorker):
+                """Notes when a hold comes."""
+
+                async def hold(
+                    self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int
+                ) -> Snapshot:
+                    asked.append(clock())
+                    await asyncio.sleep(0.001)
+                    return await super().hold(epoch, cursor, lease_ms, wait_ms)
+
+            runtime = made(LossyStore(), [], clock, lambda host: Noted(clock))
+            runtime.confirmed_at = clock()
+            runtime.on_hosts({"w1": host("w1")})
+            await asyncio.sleep(ORDER_LIMIT_S)
+            before = len(asked)
+            await asyncio.sleep(ORDER_LIMIT_S)
+            runtime.end("test")
+            self.assertLessEqual(len(asked) - before, before)
+
+        run(main())
+
+
 class Releasing(unittest.TestCase):
     def test_no_lease_is_extended_once_a_successor_may_read_that_the_cell_is_free(self) -> None:
         async def main() -> None:
