--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -77,6 +77,8 @@
         given.give_whole("south", 9)
         given.merge(stored(row), "north", 7)
         self.assertEqual(given.claims, {"north": 7, "south": 8})
+        given.give_whole("south", 9)
+        self.assertEqual(given.claims, {"north": 7, "south": 8})
 
 
 if __name__ == "__main__":
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -8,11 +8,14 @@
 from curranthall.dag import Job, Step
 from curranthall.intake import Verdict
 from curranthall.model import Size
+from tests import takeover
 from tests.cluster import SERVICE, Cluster, now
 from tests.virtual import run
 
 CELL = "a"
 POLL_S = 0.01
+# Seeds of random plays that broke something before.
+SEEDS = (1018, 1080)
 
 
 def made(number: int, step: Step) -> Job:
@@ -157,6 +160,21 @@
 
         self.play(scene)
 
+    def test_tasks_from_another_cell_do_not_wait_for_a_worker_that_is_out_of_reach(self) -> None:
+        async def scene(split: Split) -> None:
+            split.close("a", "c")
+            split.cut(split.former, "store")
+            split.part()
+            await split.taken()
+            await asyncio.sleep(1.8)
+            await split.submit("b-e1", made(1, tasks(40, lasting=True)))
+            split.close("c")
+            await asyncio.sleep(2.5)
+            started = [len(split.cluster.runners[name].running) for name in ("a-w2", "a-w3")]
+            self.assertGreater(sum(started), 0)
+
+        self.play(scene)
+
     def test_tasks_from_another_cell_are_not_started_by_a_former_holder(self) -> None:
         async def scene(split: Split) -> None:
             split.close("a", "c")
@@ -230,5 +248,12 @@
         self.play(scene)
 
 
+class RandomPlays(unittest.TestCase):
+    def test_seeds_that_broke_something_stay_clean(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(takeover.play(seed), [])
+
+
 if __name__ == "__main__":
     unittest.main()
