Read a cell's row of an earlier version as one that is not fenced

A store with rows from before an upgrade would have stopped the loop that reads them. Tested in tests/test_owner.py.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -50,7 +50,9 @@
 
 def decode_owner(data: bytes) -> Owner:
     """Read a row's value; raise ValueError."""
-    holder, address, incarnation, epoch, load, waiting, fenced = loads(data)
+    holder, address, incarnation, epoch, load, waiting, *more = loads(data)
+    # A row of an earlier version does not tell.
+    fenced = bool(more and more[0])
     return Owner(holder, address, incarnation, epoch, decode_loads(load), waiting, fenced)
 
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from cbor2 import dumps, loads
+
 from curranthall.catalogue import Catalogue, Operations, Route
 from curranthall.cells.load import Load, Waiting
 from curranthall.cells.owner import (
@@ -110,6 +112,8 @@
         load = Load(8.0, 4.0, 2.0, Waiting(1.0, 2.0, {"f": 3.0}), {"f": 1.5}, {"s": 4.0})
         owner = OTHER._replace(load={"desk": load}, waiting={"q": 2})
         self.assertEqual(decode_owner(owner.encode()), owner)
+        earlier = dumps(loads(owner.encode())[:6])
+        self.assertEqual(decode_owner(earlier), owner._replace(fenced=False))
         details = Details([host("w1"), host("w2")], [["s", "f", 1, 0.1]])
         self.assertEqual(decode_details(details.encode()), details)
 
