--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -74,6 +74,7 @@
         (question,) = self.asked()
         self.answer(question, w1="t1")
         self.cell.answer("w1", born=BORN + 1)
+        self.cell.core.confirm_roster(["w1"])
         (question,) = self.asked()
         self.assertEqual(question.workers, ("w1",))
 
