--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -874,8 +874,7 @@
     def _order(self, batch: Batch, now: float) -> tuple[int, int, float]:
         """Rank a batch: lasting tasks, then by priority, each by worth for the work still to do.
 
-        Nearly finished jobs come before new ones, and late ones after those in time. Some of the
-        large ones count more, or none of them would be served under overload.
+        Nearly finished jobs come before new ones, and late ones after those in time.
         """
         tracked = batch.tracked
         if batch.step.lasting:
@@ -883,8 +882,7 @@
         rank = 2 if now > tracked.hopeless_at() else 1
         left_s = tracked.chains_s[batch.number]
         late = now + left_s > tracked.objective_at()
-        usual_work = self._usual_work.get(tracked.job.queue, 0.0)
-        value = tracked.value(usual_work) * tracked.weight(usual_work)
+        value = tracked.value(self._usual_work.get(tracked.job.queue, 0.0))
         worth = value * (LATE_VALUE if late else 1.0) / max(tracked.work_left(), LEAST_WORK)
         return rank, tracked.queue.priority, -worth
 
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -1,6 +1,5 @@
 """What a cell's holder keeps of each job: its queue, its steps' waiting tasks and runs."""
 
-import hashlib
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -19,9 +18,6 @@
 # many times the usual job (the platform's rules).
 BASE_VALUE = 0.3
 MOST_VALUE = 4.0
-# Among jobs larger than usual this share, drawn by id, counts so many times its worth.
-DRAWN_SHARE = 0.5
-DRAWN_FACTOR = 8
 
 
 class Queue(NamedTuple):
@@ -97,10 +93,8 @@
     chains_s: tuple[float, ...] = ()
     # The work left as of a change and a version: it is asked for at each planning.
     _left: tuple[int, int, float] = (-1, -1, 0.0)
-    _drawn: bool = False
 
     def __post_init__(self) -> None:
-        self._drawn = _is_drawn(self.job.id)
         self.work = self.job.work()
         self.chains_s = tuple(self.job.chain_ms(at) / 1000 for at in range(len(self.job.steps)))
 
@@ -141,19 +135,6 @@
             return 1.0
         return min(MOST_VALUE, BASE_VALUE + (1 - BASE_VALUE) * self.work / usual_work)
 
-    def weight(self, usual_work: float) -> float:
-        """Give the factor by which the job's worth counts in the order.
-
-        By worth alone large jobs would never come first under overload. The draw goes by the id,
-        so that all cells that share a job agree.
-        """
-        return DRAWN_FACTOR if self._drawn and self.work > usual_work else 1.0
-
     def hopeless_at(self) -> float:
         """Give the local time after which the job earns nothing."""
         return self.due + LATE_FACTOR * (self.objective_at() - self.due)
-
-
-def _is_drawn(job_id: str) -> bool:
-    digest = hashlib.blake2b(job_id.encode(), digest_size=4).digest()
-    return int.from_bytes(digest, "big") < DRAWN_SHARE * 2**32
