--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -25,15 +25,7 @@
     StopTask,
     WorkerOrder,
 )
-from curranthall.cells.tracking import (
-    BEHIND_FACTOR,
-    LATE_VALUE,
-    Batch,
-    Bounds,
-    Queue,
-    Tracked,
-    Work,
-)
+from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, Tracked
 from curranthall.dag import Job, Phase, Progress, Step, TaskId
 from curranthall.events import Event, log
 from curranthall.model import Host, Size
@@ -67,11 +59,6 @@
 # The part of a new job's work that its queue's average takes over, and the least work counted.
 USUAL_GAIN = 0.05
 LEAST_WORK = 0.1
-# A size class is behind where less than this part of what its queue gets of its work is done;
-# jobs that ended, and those that wait, count for so long.
-LEAST_PART = 0.8
-SERVED_MEMORY_S = 20.0
-WAITING_MEMORY_S = 40.0
 # A summary of the cell is logged this often.
 SUMMARY_S = 2.0
 # No share in percent, so that the next one ordered differs.
@@ -133,8 +120,6 @@
         self._told_at = 0.0
         self._short_at: float | None = None
         self._busy: dict[str, bool] = {}
-        # Queues and size classes that are served too little.
-        self._behind: set[tuple[str, int]] = set()
         # Core-seconds of a job by queue, on average.
         self._usual_work: dict[str, float] = {}
         # By service, what other cells last showed.
@@ -721,7 +706,6 @@
         for member in list(self.members.values()):
             self._tick_member(member, now)
         self._forget_old(now)
-        self._behind = self._find_behind(now)
         if now - self._told_at >= SUMMARY_S:
             self._told_at = now
             self._tell(now)
@@ -890,8 +874,7 @@
     def _order(self, batch: Batch, now: float) -> tuple[int, int, float]:
         """Rank a batch: lasting tasks, then by priority, each by worth for the work still to do.
 
-        Nearly finished jobs come before new ones, and late ones after those in time. Large jobs are
-        worth less for their work, so their size class goes first once it falls behind its queue.
+        Nearly finished jobs come before new ones, and late ones after those in time.
         """
         tracked = batch.tracked
         if batch.step.lasting:
@@ -900,33 +883,9 @@
         left_s = tracked.chains_s[batch.number]
         late = now + left_s > tracked.objective_at()
         value = tracked.value(self._usual_work.get(tracked.job.queue, 0.0))
-        if self._size_class(tracked) in self._behind:
-            value *= BEHIND_FACTOR
         worth = value * (LATE_VALUE if late else 1.0) / max(tracked.work_left(), LEAST_WORK)
         return rank, tracked.queue.priority, -worth
 
-    def _size_class(self, tracked: Tracked) -> tuple[str, int]:
-        queue = tracked.job.queue
-        return queue, tracked.size_class(self._usual_work.get(queue, 0.0))
-
-    def _find_behind(self, now: float) -> set[tuple[str, int]]:
-        """Name the size classes of which less of the work was done than of their queue's."""
-        classes: dict[tuple[str, int], Work] = {}
-        queues: dict[str, Work] = {}
-        for tracked in self.tracked.values():
-            if tracked.job.lasting or tracked.progress.phase is Phase.CANCELLED:
-                continue
-            recent_s = SERVED_MEMORY_S if tracked.final_at is not None else WAITING_MEMORY_S
-            if now - (tracked.final_at or tracked.due) > recent_s:
-                continue
-            done = tracked.work - tracked.work_left()
-            key = self._size_class(tracked)
-            classes[key] = classes.get(key, Work()).plus(tracked.work, done)
-            queues[key[0]] = queues.get(key[0], Work()).plus(tracked.work, done)
-        return {
-            key for key, work in classes.items() if work.share < LEAST_PART * queues[key[0]].share
-        }
-
     def _held_back(self, batch: Batch, now: float) -> bool:
         tracked = batch.tracked
         unsure = tracked.prior and not (self.proven and tracked.recorded >= tracked.claimed)
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -1,6 +1,5 @@
 """What a cell's holder keeps of each job: its queue, its steps' waiting tasks and runs."""
 
-import math
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -19,12 +18,6 @@
 # many times the usual job (the platform's rules).
 BASE_VALUE = 0.3
 MOST_VALUE = 4.0
-# Jobs of a size class that is served less than the others count so many times their worth.
-BEHIND_FACTOR = 10.0
-# The least work that a share is taken of.
-LEAST_ASKED = 0.1
-# The largest size class.
-MOST_CLASS = 3
 
 
 class Queue(NamedTuple):
@@ -49,22 +42,6 @@
     status_s: float = 120.0
 
 
-class Work(NamedTuple):
-    """Core-seconds that were asked for, and the part of them that is done."""
-
-    asked: float = 0.0
-    done: float = 0.0
-
-    def plus(self, asked: float, done: float) -> "Work":
-        """Add a job's."""
-        return Work(self.asked + asked, self.done + done)
-
-    @property
-    def share(self) -> float:
-        """Give the part that is done."""
-        return self.done / max(self.asked, LEAST_ASKED)
-
-
 @dataclass(slots=True, eq=False)
 class Batch:
     """One occurrence of one step: the tasks that wait and those with runs."""
@@ -158,12 +135,6 @@
             return 1.0
         return min(MOST_VALUE, BASE_VALUE + (1 - BASE_VALUE) * self.work / usual_work)
 
-    def size_class(self, usual_work: float) -> int:
-        """Give 0 below the usual work of the queue, else a number that rises with each doubling."""
-        if usual_work <= 0:
-            return 0
-        return min(MOST_CLASS, max(0, math.frexp(self.work / usual_work)[1]))
-
     def hopeless_at(self) -> float:
         """Give the local time after which the job earns nothing."""
         return self.due + LATE_FACTOR * (self.objective_at() - self.due)
