Wait out the leases that another holder may have granted a worker

Same class: only the leases that this holder sent were waited for, so a worker that fell silent after its first answer counted as lapsed at once.

Now the first answer of each life of a worker counts as a lease of the full length. The new test fails on the code before (the task is started elsewhere while the other holder's lease may run).

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -438,7 +438,7 @@
 
     def on_snapshot(self, member: Member, snapshot: Snapshot, asked_at: float, now: float) -> None:
         """Take in what runs and what ended on a worker."""
-        reborn = member.note_answer(snapshot, now)
+        reborn = member.note_answer(snapshot, now, self.bounds.max_hold_s)
         if reborn:
             # It knows of no epoch, so this holder's has to be confirmed first.
             member.in_roster = False
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -239,18 +239,21 @@
         """Give the lease end to send, on the worker's clock."""
         if not self.born:
             return None
-        self.granted_ms = max(self.granted_ms, self.clock_now(now) + int(hold_s * 1000))
-        return self.granted_ms
+        lease_ms = self.clock_now(now) + int(hold_s * 1000)
+        self.granted_ms = max(self.granted_ms, lease_ms)
+        return lease_ms
 
-    def note_answer(self, snapshot: Snapshot, now: float) -> bool:
+    def note_answer(self, snapshot: Snapshot, now: float, max_hold_s: float) -> bool:
         """Take in an answer's clock; tell whether it comes from another boot than before."""
         reborn = self.born not in (0, snapshot.born)
+        if snapshot.born != self.born:
+            # Another holder may have extended a lease until now.
+            self.granted_ms = snapshot.clock_ms + int(max_hold_s * 1000)
         if reborn:
             self.seen = 0
             self.unrecorded.clear()
             self.parked.clear()
             self.strays.clear()
-            self.granted_ms = 0
         self.born = snapshot.born
         self.clock_ms, self.clock_at = snapshot.clock_ms, now
         self.answered_at, self.silent_since, self.settled = now, None, True
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -465,6 +465,22 @@
             cell.core.on_stop_answered(cell.stops()[0], cell.now)
             cell.now += 0.1
 
+    def test_a_silent_workers_runs_may_have_leases_that_another_holder_granted(self) -> None:
+        cell = Cell(host("w1"), host("w2"), settled=False)
+        cell.add(job("0" * 16, step(1, lasting=True)))
+        other = StartTask("w1", task(), 1, "spec", "", 0)
+        cell.answer("w1", [listed(other)])
+        cell.answer("w2")
+        cell.core.on_silence("w1", cell.now)
+        cell.now += 5.9
+        cell.answer("w2")
+        cell.core.tick(cell.now, cell.now)
+        self.assertEqual(cell.plan(), [])
+        cell.now += 0.6
+        cell.answer("w2")
+        cell.core.tick(cell.now, cell.now)
+        self.assertEqual([again.worker for again in cell.plan()], ["w2"])
+
     def test_another_boot_at_the_address_ends_all_at_once(self) -> None:
         cell = Cell(host("w1"), host("w2"))
         cell.add(job("0" * 16, step(1)))
