Take a start without an answer for refused only when its worker's present life says so

A start got no answer, its worker crashed and came back under its name: the first list without the run was taken as proof once the start's deadline was over on the former life's clock. The next life's clock begins anew, so the order could still be carried out there.

Now an answered stop is the only proof after a restart, and the stop is sent at once. The new test fails on the code before: the task is started again at once.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -442,6 +442,7 @@
         if reborn:
             # It knows of no epoch, so this holder's has to be confirmed first.
             member.in_roster = False
+            self._await_stops(member)
             log(Event.WORKER_REBORN, worker=member.name, born=snapshot.born)
         if member.name in self._unproven:
             self._unproven.discard(member.name)
@@ -470,6 +471,15 @@
                 tail_over_target=round(pressure(member), 2),
             )
 
+    def _await_stops(self, member: Member) -> None:
+        """Ask a restarted worker to bar the starts that got no answer.
+
+        Their deadline is on the former life's clock, so it may lie far ahead on the new one.
+        """
+        for run in member.runs.values():
+            if run.state is RunState.STOPPING:
+                run.sure_from, run.stop_sent_at = float("inf"), 0.0
+
     def _leave_stalled(self, member: Member, now: float) -> None:
         """Take runs that stand still off a worker, and leave it alone for a while."""
         stalled = [run for run in member.runs.values() if run.stalled(now)]
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -400,16 +400,17 @@
             raise AnswerLost(peer=self._name)
         return runner
 
-    async def _late(self, runner: Runner, share: float, effect: Callable[[], object]) -> None:
-        """Lose the answer now and carry the order out seconds later."""
+    async def _late(self, share: float, effect: Callable[[Runner], object]) -> None:
+        """Lose the answer now; the life that is there seconds later carries the order out."""
         cluster = self._cluster
         if not share or cluster.rng.random() >= share:
             return
 
         def carry_out() -> None:
+            runner = cluster.runners.get(self._name)
             try:
-                if cluster.runners.get(self._name) is runner:
-                    effect()
+                if runner is not None:
+                    effect(runner)
             except CurranthallError:
                 pass
 
@@ -422,10 +423,11 @@
         """Hold."""
         runner = await self._reach()
 
-        def late() -> None:
-            asyncio.ensure_future(self._quiet_hold(runner, epoch, cursor, lease_ms))
+        def late(there: Runner) -> None:
+            if there is runner:
+                asyncio.ensure_future(self._quiet_hold(runner, epoch, cursor, lease_ms))
 
-        await self._late(runner, self._cluster.late_holds, late)
+        await self._late(self._cluster.late_holds, late)
         snapshot = await self._unless_crashed(runner.hold(epoch, cursor, lease_ms, wait_ms))
         await self._reach()
         return snapshot
@@ -455,14 +457,14 @@
         """Start."""
         runner = await self._reach()
         late = self._cluster.apply_late
-        await self._late(runner, late, lambda: runner.start(epoch, order))
+        await self._late(late, lambda there: there.start(epoch, order))
         return runner.start(epoch, order)
 
     async def stop(self, epoch: int, order: StopTask) -> None:
         """Stop."""
         runner = await self._reach()
         late = self._cluster.apply_late
-        await self._late(runner, late, lambda: runner.stop(epoch, order))
+        await self._late(late, lambda there: there.stop(epoch, order))
         runner.stop(epoch, order)
 
     async def pace(self, epoch: int, order: PaceTask) -> None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -481,6 +481,24 @@
         cell.core.tick(cell.now, cell.now)
         self.assertEqual([again.worker for again in cell.plan()], ["w2"])
 
+    def test_a_start_without_an_answer_is_not_over_because_its_worker_restarted(self) -> None:
+        cell = Cell(host("w1"), host("w2"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.core.on_start_unanswered(order, cell.now)
+        cell.stops()
+        cell.now += 5
+        for worker in ("w1", "w2"):
+            cell.answer(worker, born=BORN + 1)
+        cell.core.confirm_roster(["w1", "w2"])
+        self.assertEqual(cell.plan(), [])
+        cell.core.tick(cell.now, cell.now)
+        (stop,) = cell.stops()
+        cell.core.on_stop_answered(stop, cell.now)
+        cell.now += 0.1
+        cell.answer(order.worker, born=BORN + 1)
+        self.assertEqual(len(cell.plan()), 1)
+
     def test_another_boot_at_the_address_ends_all_at_once(self) -> None:
         cell = Cell(host("w1"), host("w2"))
         cell.add(job("0" * 16, step(1)))
