Take a cell again whose row names this process though it does not hold it

Where a take or a release got no answer from the store and no other entry reaches the cell's workers, the row names a process that does not hold the cell, and that process never took it: it took its own incarnation for a sign that it holds it.

Now what the process holds decides. An own row that is not held is taken like that of a silent holder, with a new epoch and the full wait. Both new tests fail on the code before (unheld 60 s after all is well) and pass now.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -1,5 +1,6 @@
 """Who holds a cell: its row in the store, and when another entry may take it."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -167,7 +168,7 @@
         fresh = owner is not None and now - self.sightings[cell].since < VACANT_S
         return owner if fresh else None
 
-    def vacancy(self, me: Claimant, held: int, now: float) -> Vacancy | None:
+    def vacancy(self, me: Claimant, held: Collection[str], now: float) -> Vacancy | None:
         """Give the cell that this entry may take first, if there is one."""
         found = [
             vacancy
@@ -177,7 +178,7 @@
         return min(found, key=lambda vacancy: vacancy.takeable_at, default=None)
 
     def _vacancy(
-        self, cell: str, sighting: Sighting, me: Claimant, held: int, now: float
+        self, cell: str, sighting: Sighting, me: Claimant, held: Collection[str], now: float
     ) -> Vacancy | None:
         owner, version = sighting.owner, sighting.version
         ended = now + self.max_hold_s * 1.03 + LEASE_SLACK_S
@@ -186,15 +187,17 @@
             # The holder before it was deposed after this holder's first row, at the latest.
             ended = max(ended, silent_until)
         turn_at = max(
-            sighting.since + self._turn_s(cell, me, held), self.abstain_until.get(cell, 0.0)
+            sighting.since + self._turn_s(cell, me, len(held)), self.abstain_until.get(cell, 0.0)
         )
         if owner is None or not owner.holder:
             return Vacancy(cell, owner, version, turn_at, ended)
-        if owner.address != me.address:
+        if cell in held:
+            return None
+        own = owner.incarnation == me.incarnation
+        if owner.address != me.address or own:
+            # An own row that is not held: a take or a release had no answer.
             ended = max(ended, silent_until)
             return Vacancy(cell, owner, version, turn_at + VACANT_S, ended)
-        if owner.incarnation == me.incarnation:
-            return None
         # The former process on this address is gone: this one has its port.
         return Vacancy(cell, owner, version, now, ended)
 
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -88,7 +88,7 @@
         self._end_deposed()
         if self._leaving or around.hosts() is None:
             return MIN_PAUSE_S
-        vacancy = self.watch.vacancy(self.me, len(self.held), now)
+        vacancy = self.watch.vacancy(self.me, self.held.keys(), now)
         if vacancy is None:
             return RENEW_S
         if vacancy.takeable_at > now:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -383,6 +383,46 @@
         self.play(meanwhile)
 
 
+class Unheld(unittest.TestCase):
+    """A cell whose workers only one entry reaches, and whose row names that entry."""
+
+    def lone(self) -> Cluster:
+        """Build a cluster in which only a-e0 reaches the workers of a."""
+        cluster = Cluster(1, entries=1)
+        cluster.cuts |= {frozenset((n, f"a-w{at}")) for n in ("b-e0", "c-e0") for at in range(3)}
+        return cluster
+
+    def test_a_cell_given_back_while_the_store_is_away_is_held_again(self) -> None:
+        async def main() -> str | None:
+            cluster = self.lone()
+            cluster.start()
+            await asyncio.sleep(11)
+            cut = {frozenset(("a-e0", place)) for place in ("a-w0", "a-w1", "a-w2", "store")}
+            cluster.cuts |= cut
+            await asyncio.sleep(6)
+            cluster.cuts -= cut
+            await asyncio.sleep(60)
+            holder = cluster.holder("a")
+            cluster.close()
+            return holder
+
+        self.assertEqual(run(main()), "a-e0")
+
+    def test_a_cell_taken_without_an_answer_of_the_store_is_held(self) -> None:
+        async def main() -> str | None:
+            cluster = self.lone()
+            cluster.lose_answers = 1.0
+            cluster.start()
+            await asyncio.sleep(6)
+            cluster.lose_answers = 0.0
+            await asyncio.sleep(60)
+            holder = cluster.holder("a")
+            cluster.close()
+            return holder
+
+        self.assertEqual(run(main()), "a-e0")
+
+
 class Soak(unittest.TestCase):
     def test_faults_of_all_kinds_by_turns(self) -> None:
         for seed in SOAK_SEEDS:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,6 +1,7 @@
 """When a cell may be taken, by whom, and what a successor has to wait for."""
 
 import unittest
+from collections.abc import Collection
 
 from cbor2 import dumps, loads
 
@@ -42,7 +43,7 @@
         rows = [Row(CELL_TABLE, "", "north", owner.encode(), self.version)] if owner else []
         self.watch.observe(Listing(rows, 9, 0), self.now)
 
-    def vacancy(self, me: Claimant = ME, held: int = 0) -> Vacancy | None:
+    def vacancy(self, me: Claimant = ME, held: Collection[str] = ()) -> Vacancy | None:
         """Give the cell that may be taken now."""
         found = self.watch.vacancy(me, held, self.now)
         return found if found is not None and found.takeable_at <= self.now else None
@@ -102,7 +103,7 @@
         self.read(OTHER._replace(holder=""))
         self.assertIsNotNone(self.vacancy())
         self.assertIsNone(self.vacancy(ME._replace(domain="south")))
-        self.assertIsNone(self.vacancy(held=3))
+        self.assertIsNone(self.vacancy(held=("a", "b", "c")))
 
     def test_an_entry_that_gave_a_cell_up_abstains(self) -> None:
         self.watch.abstain_until["north"] = self.now + 30
