Take nothing for over by a full page of a worker's ends

A worker lists 500 ends at a time. A run that ended as done beyond them was neither running nor ended by its list, so it was taken for vanished and started again, and a successor took such a list for proof of all that its former holder had started.

Until a shorter list comes, such a worker proves nothing and gets no new task. Both new tests fail on the code before and pass now.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -444,7 +444,9 @@
             member.in_roster = False
             self._await_stops(member)
             log(Event.WORKER_REBORN, worker=member.name, born=snapshot.born)
-        if member.name in self._unproven:
+        # Until its last ends are listed, a run that is not may have ended as done.
+        member.settled = snapshot.complete
+        if snapshot.complete:
             self._unproven.discard(member.name)
         for ending in snapshot.ended:
             if ending.number > member.seen:
@@ -456,7 +458,7 @@
         for entry in snapshot.running:
             listed.add((entry.task, entry.run))
             self._on_listed(member, entry, asked_at, now)
-        for run in list(member.runs.values()):
+        for run in list(member.runs.values()) if snapshot.complete else ():
             if (run.task, run.number) not in listed and asked_at > run.sure_from:
                 self._drop(run, now, Over.REBORN if reborn else Over.VANISHED)
         self._leave_stalled(member, now)
--- a/src/curranthall/cells/ports.py
+++ b/src/curranthall/cells/ports.py
@@ -37,6 +37,9 @@
     checkpoint: str
 
 
+MAX_LISTED_ENDS = 500
+
+
 class Snapshot(NamedTuple):
     """A worker's answer to a hold; `clock_ms` is its steady clock, `born` names its boot."""
 
@@ -45,6 +48,11 @@
     running: list[Listed]
     ended: list[Ending]
 
+    @property
+    def complete(self) -> bool:
+        """Tell whether all ends are listed: a worker lists so many at a time."""
+        return len(self.ended) < MAX_LISTED_ENDS
+
 
 class StartResult(Enum):
     """A worker's answer to a start."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -695,5 +695,32 @@
         self.assertIn("0" * 16, cell.core.dirty)
 
 
+class FullPages(unittest.TestCase):
+    """A worker lists 500 ends at a time."""
+
+    PAGE = 500
+
+    def test_a_task_whose_end_is_not_on_a_full_page_is_not_started_again(self) -> None:
+        cell = Cell(host("w1", cores=600))
+        cell.add(job("0" * 16, step(self.PAGE + 1)))
+        orders = cell.plan()
+        cell.started(*orders)
+        cell.now += 1
+        ends = [ended(at, order, EndKind.DONE) for at, order in enumerate(orders, 1)]
+        cell.answer("w1", ended=ends[: self.PAGE])
+        self.assertEqual(cell.plan(), [])
+
+    def test_a_full_page_is_no_proof_of_what_a_former_holder_started(self) -> None:
+        cell = Cell()
+        cell.core.take_over([host("w1", cores=600)], proof_at=1e9)
+        cell.core.confirm_roster(["w1"])
+        cell.add(job("0" * 16, step(self.PAGE + 1)), prior=True)
+        ends = [Ending(at, task(number=at - 1), at, EndKind.DONE, "") for at in range(1, 502)]
+        cell.answer("w1", ended=ends[: self.PAGE])
+        cell.core.note_rows_read()
+        cell.record()
+        self.assertEqual(cell.plan(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
