--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -81,11 +81,17 @@
 
 
 class Takeover(unittest.TestCase):
-    def play(self, scene: Callable[[Split], Coroutine[Any, Any, None]], seed: int = 1) -> None:
+    def play(
+        self,
+        scene: Callable[[Split], Coroutine[Any, Any, None]],
+        seed: int = 1,
+        before: Callable[[Split], None] = lambda split: None,
+    ) -> None:
         """Play a scene, then hold the judge's findings against it."""
 
         async def main() -> list[str]:
             split = Split(seed)
+            before(split)
             await split.begin()
             await scene(split)
             split.cluster.close()
@@ -247,6 +253,34 @@
 
         self.play(scene)
 
+    def test_a_worker_first_heard_of_after_its_restart_is_not_started_on(self) -> None:
+        async def scene(split: Split) -> None:
+            unheard = "a-w0"
+            split.cluster.cuts -= {frozenset((name, unheard)) for name in split.others()}
+            split.close("b", "c")
+            await split.submit("b-e1", made(1, tasks(4, lasting=True)))
+            await asyncio.sleep(1)
+            busy = next(name for name, at in split.cluster.runners.items() if at.running)
+            split.cut(split.former, "store")
+            await split.taken()
+            await asyncio.sleep(0.1)
+            split.cut(split.former, *(f"a-w{at}" for at in range(4) if f"a-w{at}" != busy))
+            for name in split.others():
+                split.cut(name, unheard, busy)
+            split.cluster.cuts -= {frozenset((split.former, unheard))}
+            split.cluster.crash_worker(unheard)
+            split.cluster.crash_worker(busy)
+            split.cluster.add_worker(unheard, CELL)
+            await asyncio.sleep(0.8)
+            split.cluster.add_worker(busy, CELL)
+            await asyncio.sleep(20)
+
+        def unreached(split: Split) -> None:
+            for name in split.cluster.entries:
+                split.cut(name, "a-w0")
+
+        self.play(scene, before=unreached)
+
 
 class RandomPlays(unittest.TestCase):
     def test_seeds_that_broke_something_stay_clean(self) -> None:
