--- a/src/curranthall/cells/ports.py
+++ b/src/curranthall/cells/ports.py
@@ -37,6 +37,7 @@
     checkpoint: str
 
 
+# A worker lists at most so many ends in one answer.
 MAX_LISTED_ENDS = 500
 
 
