Log which ends a hold acknowledges, and the rows behind them

A task ran again after its end had been acknowledged, and no log told who had acknowledged it, whether a committed row stood behind it, or what the next holder read. ENDS_ACKED names worker, boot, epoch and, for each end that needed a row, its number, job and row version; RUN_ENDED has the end's number, boot and epoch; JOB_ADOPTED the tasks that the row has as done. tools.explain twice prints the acknowledgement of the first run's end and what happened to its worker and cell in between.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -444,12 +444,31 @@
 
     def cursor(self, member: Member) -> int:
         """Return the number up to which a worker's ends may be acknowledged."""
+        recorded: list[tuple[int, str, int]] = []
+        number = self._advance_cursor(member, recorded)
+        if number > member.acked_end:
+            log(
+                Event.ENDS_ACKED,
+                worker=member.name,
+                born=member.born,
+                after=member.acked_end,
+                upto=number,
+                cell=self.cell,
+                epoch=self.epoch,
+                recorded=[list(row) for row in recorded],
+            )
+            member.acked_end = number
+        return number
+
+    def _advance_cursor(self, member: Member, recorded: list[tuple[int, str, int]]) -> int:
+        """Return a worker's cursor; add the number, job and row version of each recorded end."""
         for number in sorted(member.pending_acks):
             job, change = member.pending_acks[number]
             tracked = self.tracked.get(job)
             if tracked is not None and tracked.recorded < change:
                 return number - 1
             del member.pending_acks[number]
+            recorded.append((number, job, tracked.version if tracked is not None else 0))
         deferred_ends = [end.number for end in member.deferred_ends]
         return min(deferred_ends) - 1 if deferred_ends else member.last_end
 
@@ -666,6 +685,10 @@
             run=ending.run,
             worker=member.name,
             how=ending.kind.value,
+            number=ending.number,
+            born=member.born,
+            cell=self.cell,
+            epoch=self.epoch,
         )
 
     def _on_done(self, tracked: TrackedJob, task: TaskId, now: float) -> None:
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -127,6 +127,8 @@
     silent_since: float | None = None
     missing_since: float | None = None
     last_end: int = 0
+    # The highest number of an end that a hold has acknowledged.
+    acked_end: int = 0
     pending_acks: dict[int, PendingAck] = field(default_factory=dict)
     # Ends of runs of jobs that this holder does not know yet.
     deferred_ends: list[Ending] = field(default_factory=list)
@@ -259,7 +261,7 @@
             # Another holder may have extended a lease up to now.
             self.granted_ms = snapshot.clock_ms + int(max_hold_s * 1000)
         if has_restarted:
-            self.last_end = 0
+            self.last_end = self.acked_end = 0
             self.pending_acks.clear()
             self.deferred_ends.clear()
             self.unknown_runs.clear()
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -589,6 +589,7 @@
             prior=tracked.prior,
             by=by,
             size=tracked.size_class,
+            done=stored.progress.count_done(),
         )
 
     def refresh(self, job_id: str, row: Row) -> None:
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -55,6 +55,10 @@
         self.done[occurrence, step] = mask | 1 << index
         return not mask >> index & 1
 
+    def count_done(self) -> int:
+        """Return the number of tasks that are done."""
+        return sum(mask.bit_count() for mask in self.done.values())
+
     def add_failure(self, key: TaskKey, run: int) -> int:
         """Record a failed run; return the number of the task's failed runs."""
         runs = self.failures.setdefault(key, set())
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -149,6 +149,22 @@
         self.assertIn('"how": "stopped"', rows[-3])
         self.assertEqual(rows[-2:], ["1 x two runs at once", "0 RUN_DUPLICATE"])
 
+    def test_the_acknowledgement_of_the_first_end_is_shown(self) -> None:
+        end = line(
+            4.0, "RUN_ENDED", task="ab.0.0.0", run=1, worker="w1", how="done", number=7, born=1
+        )
+        acks = [
+            line(4.0 + upto, "ENDS_ACKED", worker="w1", after=upto - 2, upto=upto, recorded=[])
+            for upto in (6, 8, 10)
+        ]
+        silent = [line(at, "WORKER_SILENT", worker="w1", running=1) for at in (0.5, 4.5)]
+        rows = list(twice(list(parse_events([self.first, end, *acks, *silent, self.second]))))
+        context = [json.loads(row) for row in rows if row.startswith("  {")]
+        self.assertEqual(
+            [(row["name"], row.get("upto"), row["t"]) for row in context],
+            [("RUN_ENDED", None, 4.0), ("ENDS_ACKED", 8, 12.0), ("WORKER_SILENT", None, 4.5)],
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/explain.py
+++ b/tools/explain.py
@@ -218,6 +218,8 @@
 
 
 END_EVENTS = {"RUN_ENDED", "RUN_REFUSED", "RUN_VANISHED"}
+WORKER_EVENTS = {"WORKER_SILENT", "WORKER_LAPSED", "WORKER_REBORN", "WORKER_GONE"}
+CELL_EVENTS = {"CELL_TAKEN", "CELL_PROVEN", "CELL_LOST"}
 
 
 def find_suspect_pairs(events: Iterable[dict[str, Any]]) -> Iterator[SuspectPair]:
@@ -252,8 +254,24 @@
     return "" if before or known_end else "no end of the first run in the logs"
 
 
+def _is_context(event: dict[str, Any], pair: SuspectPair) -> bool:
+    """Return whether an event of the worker or a cell may explain a pair."""
+    worker = pair.first["worker"]
+    match event["name"]:
+        case "ENDS_ACKED" if event["worker"] == worker:
+            numbers = [end.get("number", 0) for end in pair.ends]
+            return any(event["after"] < number <= event["upto"] for number in numbers)
+        case name if name in WORKER_EVENTS:
+            is_about = event["worker"] == worker
+        case name if name in CELL_EVENTS:
+            is_about = event["cell"] in (pair.first.get("cell"), pair.second.get("cell"))
+        case _:
+            return False
+    return is_about and float(pair.first["t"]) <= float(event["t"]) <= float(pair.second["t"])
+
+
 def twice(events: list[dict[str, Any]]) -> Iterator[str]:
-    """Yield each suspect pair: both lines field by field, then the ends of the first run."""
+    """Yield each suspect pair: both lines field by field, the first run's ends, and the context."""
     suspects = sorted(
         find_suspect_pairs(events), key=lambda pair: (pair.kind, float(pair.second["t"]))
     )
@@ -262,8 +280,8 @@
         for key in dict.fromkeys([*pair.first, *pair.second]):
             if key not in ("event", "name", "task"):
                 yield f"  {key:<12}{pair.first.get(key)!s:<32}{pair.second.get(key)}"
-        for end in pair.ends:
-            yield "  " + json.dumps(end)
+        for event in (*pair.ends, *(each for each in events if _is_context(each, pair))):
+            yield "  " + json.dumps(event)
     for kind, count in Counter(pair.kind for pair in suspects).items():
         yield f"{count} x {kind}"
     yield f"{sum(event['name'] == 'RUN_DUPLICATE' for event in events)} RUN_DUPLICATE"
