Acknowledge no end of an unknown job behind one that waits for its row

Seen: a task ran again after its end had been acknowledged. Cause (by reading, shown by the test): Dispatcher.cursor looked at the ends deferred for jobs that aren't known here yet only when no other end waited for its row; otherwise it returned the number below the first waiting one, past deferred ends. If the holder is replaced before it reads the job's row, the end is gone. Takeovers on a saturated host leave this open for seconds: rows are read for two seconds and unknown jobs one by one. Now both bound the cursor. The test failed before (cursor 1 in place of 0). Not shown to be the cause of the users' record.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -462,15 +462,15 @@
 
     def _advance_cursor(self, member: Member, recorded: list[tuple[int, str, int]]) -> int:
         """Return a worker's cursor; add the number, job and row version of each recorded end."""
-        for number in sorted(member.pending_acks):
+        last = min((end.number - 1 for end in member.deferred_ends), default=member.last_end)
+        for number in sorted(each for each in member.pending_acks if each <= last):
             job, change = member.pending_acks[number]
             tracked = self.tracked.get(job)
             if tracked is not None and tracked.recorded < change:
                 return number - 1
             del member.pending_acks[number]
             recorded.append((number, job, tracked.version if tracked is not None else 0))
-        deferred_ends = [end.number for end in member.deferred_ends]
-        return min(deferred_ends) - 1 if deferred_ends else member.last_end
+        return last
 
     # Snapshots
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -317,6 +317,24 @@
         cell.dispatcher.note_recorded(tracked, tracked.change, 2)
         self.assertEqual(cell.dispatcher.cursor(member), 1)
 
+    def test_an_end_of_an_unknown_job_is_not_acknowledged_before_one_that_waits_for_its_row(
+        self,
+    ) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job())
+        first, second = cell.plan()
+        cell.started(first, second)
+        unknown = Ending(1, task("f" * 16), 3, EndKind.DONE, "")
+        cell.answer("w1", [listed(second)], [unknown, ended(2, first, EndKind.DONE)])
+        member = cell.member("w1")
+        self.assertEqual(cell.dispatcher.cursor(member), 0)
+        cell.record()
+        self.assertEqual(cell.dispatcher.cursor(member), 0)
+        cell.add(job("f" * 16))
+        self.assertEqual(cell.dispatcher.cursor(member), 0)
+        cell.record()
+        self.assertEqual(cell.dispatcher.cursor(member), 2)
+
 
 class Takeover(unittest.TestCase):
     def successor(self, *names: str) -> Cell:
