Acknowledge no end of a job before its final phase is in the row

Seen: as before, a task started again after an acknowledged end. Cause (by reading, shown by the test): once a job had failed here, its later ends were taken as needing no record, also while the row with the failure wasn't committed. An outage of the store makes that window long; a successor finds the job unfinished, the ends gone, and starts their tasks again. Such an end now waits for the change that holds the final phase. The test failed before (cursors [0, 1] in place of [0, 0]).

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -655,6 +655,8 @@
             return
         run = member.runs.get((task, ending.run))
         if tracked.progress.phase.is_final or task.step >= len(tracked.job.steps):
+            # The end needs no record of its own once the row holds the final phase.
+            member.pending_acks[ending.number] = PendingAck(task.job, tracked.change)
             if run is not None:
                 self._remove_run(run, now, EndReason.ENDED, ending.kind.value)
             return
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -335,6 +335,20 @@
         cell.record()
         self.assertEqual(cell.dispatcher.cursor(member), 2)
 
+    def test_an_end_of_a_failed_job_is_not_acknowledged_before_the_failure_is_recorded(
+        self,
+    ) -> None:
+        cell = Cell(host("w1", cores=1), host("w2", cores=1), max_attempts=1)
+        cell.add(job())
+        first, second = cell.plan()
+        cell.started(first, second)
+        cell.answer(first.worker, [], [ended(1, first, EndKind.FAILED)])
+        cell.answer(second.worker, [], [ended(1, second, EndKind.DONE)])
+        members = [cell.member(order.worker) for order in (first, second)]
+        self.assertEqual([cell.dispatcher.cursor(each) for each in members], [0, 0])
+        cell.record()
+        self.assertEqual([cell.dispatcher.cursor(each) for each in members], [1, 1])
+
 
 class Takeover(unittest.TestCase):
     def successor(self, *names: str) -> Cell:
