Leave a vacant cell to the entry best suited to hold it

Cause: entries that see a vacancy wait 0.13 to 0.6 s by their suitability, but each from the time of its own last read, which differ by 0.8 s; and where workers had been out of reach the delays had passed long before, so the first of 97 to probe took the cell. The row now holds the time of the renewal by the store's clock, from which all entries count alike, and the delays apply again from when the workers are back in reach. Few cores weigh by what is left per held cell.

tests.test_owner Suitability and the heal of a cut domain in tests.test_cells fail before (a cell was taken from a holder that was about to renew), pass now. Entries of earlier code read the new rows as before (a field at the end).

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -26,9 +26,13 @@
 # After a longer gap between two reads, an unchanged row does not show a missed renewal.
 GAP_S = 1.6
 # Delays before a vacant cell is taken: better suited entries try first, so that few compete.
-PER_HELD_CELL_S = 0.3
 OTHER_DOMAIN_S = 0.6
-FEW_CORES_S = 0.15
+PER_HELD_CELL_S = 0.1
+FEW_CORES_S = 0.4
+# CPU quota that a holder needs per cell; an entry with less waits up to FEW_CORES_S.
+CORES_PER_CELL = 1.0
+# Bounds on the pause between two probes of a cell whose workers are out of reach.
+MIN_PROBE_PAUSE_S = 0.2
 # How long an entry that gave up a cell (e.g. its workers are out of reach) leaves it to others.
 ABSTAIN_S = 6.0
 
@@ -44,18 +48,23 @@
     waiting: dict[str, int]
     # No worker accepts orders of an earlier holder any more.
     fenced: bool = True
+    # When the row was written, by the store's clock; 0 if unknown.
+    written_ms: int = 0
 
     def encode(self) -> bytes:
         """Encode the row's value."""
-        return dumps([*self[:4], encode_loads(self.load), self.waiting, self.fenced])
+        loads_ = encode_loads(self.load)
+        return dumps([*self[:4], loads_, self.waiting, self.fenced, self.written_ms])
 
 
 def decode_owner(data: bytes) -> Owner:
     """Decode a row's value; raise ValueError when it is invalid."""
     holder, address, incarnation, epoch, load, waiting, *more = loads(data)
-    # Rows written by an earlier version lack this field.
-    fenced = bool(more and more[0])
-    return Owner(holder, address, incarnation, epoch, decode_loads(load), waiting, fenced)
+    # Rows written by earlier versions lack these fields.
+    fenced, written_ms = bool(more and more[0]), more[1] if len(more) > 1 else 0
+    return Owner(
+        holder, address, incarnation, epoch, decode_loads(load), waiting, fenced, written_ms
+    )
 
 
 class Details(NamedTuple):
@@ -95,11 +104,16 @@
 
 @dataclass(slots=True)
 class OwnerObservation:
-    """A cell's owner row as last read; `since` is when its version was first seen."""
+    """A cell's owner row as last read.
+
+    `since` is when its version was first seen, and `renewed_at` when it was written, as far as the
+    holder could tell: all entries agree on it, whenever they read the row.
+    """
 
     owner: Owner | None
     version: int
     since: float
+    renewed_at: float
 
 
 class Vacancy(NamedTuple):
@@ -122,11 +136,20 @@
     read_at: float = 0.0
     epoch_seen: int = 0
     abstain_until: dict[str, float] = field(default_factory=dict)
+    # When the workers of a cell came back into reach after a failed probe.
+    reachable_since: dict[str, float] = field(default_factory=dict)
+    # The store's clock minus the local one.
+    _store_offset_ms: float = 0.0
+
+    def store_ms(self, now: float) -> int:
+        """Estimate the store's clock, from the last read of the owner rows."""
+        return int(now * 1000 + self._store_offset_ms)
 
     def observe(self, listing: Listing, now: float) -> None:
         """Process a read of the owner rows."""
-        missed_reads = now - self.read_at > GAP_S
-        self.read_at = now
+        read_at, self.read_at = self.read_at, now
+        missed_reads = now - read_at > GAP_S
+        self._store_offset_ms = listing.now_ms - now * 1000
         self.epoch_seen = max(self.epoch_seen, listing.version)
         found = {row.key: row for row in listing.rows}
         for cell in self.cells:
@@ -135,14 +158,36 @@
             known = self.observations.get(cell)
             if known is None or known.version != version:
                 owner = decode_owner(row.value) if row and row.value is not None else None
-                self.observations[cell] = OwnerObservation(owner, version, now)
+                renewed_at = now
+                if owner is not None and owner.written_ms and not missed_reads:
+                    age_s = (listing.now_ms - owner.written_ms) / 1000
+                    renewed_at = min(now, max(read_at, now - age_s))
+                self.observations[cell] = OwnerObservation(owner, version, now, renewed_at)
+                self.reachable_since.pop(cell, None)
             elif missed_reads:
                 # The holder could not renew either if the store was down: restart its timeout.
-                known.since = now
+                known.since = known.renewed_at = now
 
     def record(self, cell: str, owner: Owner, version: int, now: float) -> None:
         """Record a row that this entry wrote."""
-        self.observations[cell] = OwnerObservation(owner, version, now)
+        self.observations[cell] = OwnerObservation(owner, version, now, now)
+
+    def note_probe(self, cell: str, reached: bool, me: Claimant, held: int, now: float) -> bool:
+        """Record whether a probe reached a cell's workers; return whether it may be taken now.
+
+        Workers that come back are found by all entries within a probe's pause. The delays apply
+        again from then on, so that the cell goes to a well suited entry and not to the first one.
+        """
+        delay_s = self._take_delay_s(cell, me, held)
+        if not reached:
+            pause_s = max(MIN_PROBE_PAUSE_S, min(RENEW_S, delay_s))
+            self.abstain_until[cell] = now + pause_s
+            self.reachable_since[cell] = float("inf")
+            return False
+        if self.reachable_since.get(cell) == float("inf"):
+            self.reachable_since[cell] = now
+            return delay_s == 0
+        return True
 
     def holder(self, cell: str) -> Owner | None:
         """Return a cell's owner row, or None when it has no holder."""
@@ -185,9 +230,11 @@
         if owner is not None and not owner.fenced:
             # Its predecessor was deposed, at the latest, when this holder wrote its first row.
             proof_at = max(proof_at, silent_until)
-        takeable_at = max(
-            seen.since + self._take_delay_s(cell, me, len(held)), self.abstain_until.get(cell, 0.0)
-        )
+        delay_s = self._take_delay_s(cell, me, len(held))
+        takeable_at = max(seen.renewed_at + delay_s, self.abstain_until.get(cell, 0.0))
+        reachable_since = self.reachable_since.get(cell, 0.0)
+        if reachable_since < float("inf"):
+            takeable_at = max(takeable_at, reachable_since + delay_s)
         if owner is None or not owner.holder:
             return Vacancy(cell, owner, version, takeable_at, proof_at)
         if cell in held:
@@ -202,5 +249,5 @@
 
     def _take_delay_s(self, cell: str, me: Claimant, held: int) -> float:
         other_domain = OTHER_DOMAIN_S if me.domain != cell else 0.0
-        few_cores = FEW_CORES_S * max(0.0, 2.0 - me.cores) / 2.0
-        return other_domain + held * PER_HELD_CELL_S + few_cores
+        missing_share = max(0.0, 1.0 - me.cores / (held + 1) / CORES_PER_CELL)
+        return other_domain + held * PER_HELD_CELL_S + FEW_CORES_S * missing_share
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -121,6 +121,8 @@
         self.owner = taken.owner
         self.confirmed_at = taken.taken_at
         self._version = taken.version
+        # The store's clock minus the local one, at most the delay of a call too large.
+        self._store_offset_ms = taken.owner.written_ms - taken.taken_at * 1000
         self._store = store
         self._connect = connect
         self._clock = clock
@@ -186,6 +188,7 @@
             load={},
             waiting=self.waiting_jobs(),
             fenced=self.dispatcher.is_fully_fenced,
+            written_ms=self._store_ms(),
         )
         try:
             await self._write_owner(
@@ -241,6 +244,9 @@
             self._renew_now.clear()
             await self._renew()
 
+    def _store_ms(self) -> int:
+        return int(self._clock() * 1000 + self._store_offset_ms)
+
     async def _renew(self) -> None:
         now = self._clock()
         if self._is_cut_off(now):
@@ -250,6 +256,7 @@
             load=self.dispatcher.load(now),
             waiting=self.waiting_jobs(),
             fenced=self.dispatcher.is_fully_fenced,
+            written_ms=self._store_ms(),
         )
         details = self._details._replace(roster=self.dispatcher.roster())
         boot_ids = self.dispatcher.boot_ids()
@@ -282,10 +289,12 @@
             # If the answer is lost, the row may have the old or the new details.
             self._details_stored = False
         for _ in range(2):
+            sent_at = self._clock()
             match await self._store.commit(
                 CELL_PART, [Check(CELL_TABLE, self.cell, self._version)], puts, []
             ):
-                case Committed(version):
+                case Committed(version, now_ms):
+                    self._store_offset_ms = now_ms - sent_at * 1000
                     self.owner, self._version = owner, version
                     self._details, self._details_stored = details, True
                     self._on_renewed(self.cell, owner, version)
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -110,7 +110,9 @@
         except (PlatformDown, AnswerLost) as exc:
             log(Event.STORE_FAILED, what="roster", error=exc)
             return
-        if await self._can_reach_workers(vacancy, details.roster):
+        reached = await self._can_reach_workers(vacancy, details.roster)
+        held, now = len(self.held), self._env.clock()
+        if self.watch.note_probe(vacancy.cell, reached, self.me, held, now):
             await self._take(vacancy, details)
 
     async def _can_reach_workers(self, vacancy: Vacancy, roster: list[Host]) -> bool:
@@ -126,7 +128,6 @@
         found = await asyncio.gather(*(self._env.can_reach(host) for host in asked))
         if not any(found):
             log(Event.CELL_OUT_OF_REACH, cell=vacancy.cell, asked=len(asked))
-            self.watch.abstain_until[vacancy.cell] = self._env.clock() + RENEW_S
         return any(found)
 
     async def _take(self, vacancy: Vacancy, details: Details) -> None:
@@ -138,8 +139,9 @@
         # Publish the former holder's counts until the jobs are loaded.
         waiting = vacancy.owner.waiting if vacancy.owner else {}
         fenced = not details.roster
-        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, waiting, fenced)
         sent_at = env.clock()
+        written_ms = self.watch.store_ms(sent_at)
+        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, waiting, fenced, written_ms)
         try:
             answer = await env.store.commit(
                 CELL_PART,
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -149,6 +149,21 @@
 
         self.play(scene)
 
+    def test_a_holder_that_was_cut_off_with_its_workers_keeps_its_cell(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            holder = cluster.holder("a")
+            assert holder is not None
+            epoch = cluster.entries[holder].succession.held["a"].dispatcher.epoch
+            cluster.cuts = {frozenset(("a", other)) for other in ("b", "c", "store")}
+            await asyncio.sleep(6 + cluster.rng.random())
+            cluster.cuts = set()
+            await asyncio.sleep(3)
+            held = cluster.entries[holder].succession.held
+            self.assertEqual(held["a"].dispatcher.epoch if "a" in held else None, epoch)
+
+        for seed in range(1, 9):
+            self.play(scene, seed)
+
     def test_a_holder_cut_from_the_store_is_fenced(self) -> None:
         async def scene(cluster: Cluster) -> None:
             jobs = await self.submit_jobs(cluster, 6)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -121,6 +121,69 @@
         self.assertEqual(decode_details(details.encode()), details)
 
 
+class Suitability(unittest.TestCase):
+    """Entries that read the owner rows at different times, and the one that takes a cell first."""
+
+    strong = Claimant("e1", "e1:1", 11, "north", 2.0)
+    weak = Claimant("e4", "e4:1", 12, "north", 0.3)
+    far = Claimant("e3", "e3:1", 13, "south", 2.0)
+
+    def watch_from(self, at: float, owner: Owner, renewed_at: float) -> OwnerWatch:
+        """Return a watch that reads every 0.8 s from `at` on, past the time of the last renewal."""
+        watch = OwnerWatch(("north",), HOLD_S)
+        while at < renewed_at + 0.8:
+            renewed = at >= renewed_at
+            row_owner = owner._replace(written_ms=int(renewed_at * 1000)) if renewed else owner
+            row = Row(CELL_TABLE, "", "north", row_owner.encode(), 2 if renewed else 1)
+            watch.observe(Listing([row], 9, int(at * 1000)), at)
+            at += 0.8
+        return watch
+
+    def takeable_at(self, me: Claimant, first_read: float, owner: Owner = OTHER) -> float:
+        """Return when an entry may take a cell that was last renewed at 102.0."""
+        found = self.watch_from(first_read, owner, 102.0).vacancy(me, (), 102.8)
+        assert found is not None
+        return found.takeable_at
+
+    def test_entries_agree_on_when_a_cell_is_vacant(self) -> None:
+        times = [self.takeable_at(self.strong, 100 + phase / 10) for phase in range(8)]
+        self.assertLess(max(times) - min(times), 0.01)
+        self.assertAlmostEqual(min(times), 102.0 + VACANT_S, places=2)
+
+    def test_an_entry_with_few_cores_waits_for_one_with_many_whoever_reads_first(self) -> None:
+        last_strong = max(self.takeable_at(self.strong, 100 + phase / 10) for phase in range(8))
+        first_weak = min(self.takeable_at(self.weak, 100 + phase / 10) for phase in range(8))
+        self.assertGreater(first_weak, last_strong + 0.1)
+
+    def test_a_late_read_shows_no_missed_renewal(self) -> None:
+        watch = self.watch_from(100.0, OTHER, 102.0)
+        row = Row(CELL_TABLE, "", "north", OTHER._replace(written_ms=103_000).encode(), 3)
+        watch.observe(Listing([row], 9, 113_000), 113.0)
+        found = watch.vacancy(self.strong, (), 113.0)
+        assert found is not None
+        self.assertGreaterEqual(found.takeable_at, 113.0 + VACANT_S)
+
+    def test_workers_that_come_back_into_reach_are_left_to_the_best_suited_entry(self) -> None:
+        released = OTHER._replace(holder="")
+        waits = {}
+        for me in (self.strong, self.weak, self.far):
+            watch = self.watch_from(100.0, released, 102.0)
+            self.assertFalse(watch.note_probe("north", False, me, 0, 110.0))
+            found = watch.vacancy(me, (), 110.0)
+            assert found is not None
+            retry_at = found.takeable_at
+            if watch.note_probe("north", True, me, 0, retry_at):
+                waits[me.name] = retry_at - 110.0
+                continue
+            found = watch.vacancy(me, (), retry_at)
+            assert found is not None
+            self.assertTrue(watch.note_probe("north", True, me, 0, found.takeable_at))
+            waits[me.name] = found.takeable_at - retry_at
+        # The well suited entry needs at most one probe; the others wait longer after theirs.
+        self.assertLess(waits["e1"], waits["e4"])
+        self.assertLess(waits["e4"], waits["e3"])
+
+
 class Configurations(unittest.TestCase):
     def test_an_older_configuration_is_not_applied(self) -> None:
         operations = Operations()
