--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -235,23 +235,26 @@
     # Owner row
 
     async def _renew_loop(self) -> None:
+        pause_s = RENEW_S
         while True:
             try:
-                async with asyncio.timeout(RENEW_S):
+                async with asyncio.timeout(pause_s):
                     await self._renew_now.wait()
             except TimeoutError:
                 pass
             self._renew_now.clear()
-            await self._renew()
+            # When the store is back, entries that can reach the workers may take the cell at once.
+            pause_s = RENEW_S if await self._renew() else STORE_RETRY_S
 
     def _store_ms(self) -> int:
         return int(self._clock() * 1000 + self._store_offset_ms)
 
-    async def _renew(self) -> None:
+    async def _renew(self) -> bool:
+        """Renew the owner row, or give the cell up; return False when the store failed."""
         now = self._clock()
         if self._is_cut_off(now):
             await self.release()
-            return
+            return True
         renewed = self.owner._replace(
             load=self.dispatcher.load(now),
             waiting=self.waiting_jobs(),
@@ -273,6 +276,8 @@
                 self.end("deposed")
         except (PlatformDown, AnswerLost) as exc:
             log(Event.STORE_FAILED, what="renewal", error=exc)
+            return False
+        return True
 
     async def _learn_from_others(self) -> None:
         """Merge the interference estimates of the other cells."""
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -8,7 +8,7 @@
 from curranthall.dag import Job, Phase, Step
 from curranthall.intake import Verdict
 from curranthall.model import Size
-from tests.cluster import SERVICE, WAIT_S, Cluster, now
+from tests.cluster import SERVICE, TIMEOUT_S, WAIT_S, Cluster, now
 from tests.virtual import run
 
 SOAK_SEEDS = range(12)
@@ -164,6 +164,23 @@
         for seed in range(1, 9):
             self.play(scene, seed)
 
+    def test_a_holder_renews_soon_after_the_store_is_back(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            runtime = cluster.entries["a-e0"].succession.held.get("a")
+            if runtime is None:
+                runtime = cluster.entries["a-e1"].succession.held["a"]
+            cluster.store_down = True
+            await asyncio.sleep(3 + cluster.rng.random())
+            cluster.store_down = False
+            back_at = now()
+            while runtime.confirmed_at < back_at:
+                await asyncio.sleep(0.01)
+            # A call that began before may take its whole timeout.
+            self.assertLess(now() - back_at, TIMEOUT_S + 0.3)
+
+        for seed in range(1, 9):
+            self.play(scene, seed)
+
     def test_a_holder_cut_from_the_store_is_fenced(self) -> None:
         async def scene(cluster: Cluster) -> None:
             jobs = await self.submit_jobs(cluster, 6)
