Keep deferred ends by job

Seen: a successor with few cores took 2 to 3 s from taking a cell to having loaded its jobs (plays with logs, 107 to 173 jobs), in which nothing renews or answers. Part of it: each job that was adopted looked through all ends of all workers. No change of behaviour; the tests of the cells and the dispatcher pass.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -252,8 +252,7 @@
                 self._claim(tracked)
             self._open_steps(tracked, now)
         for member in self.members.values():
-            deferred_ends, member.deferred_ends = member.deferred_ends, []
-            for ending in deferred_ends:
+            for ending in member.deferred_ends.pop(job.id, ()):
                 self._on_end(member, ending, now)
             # Runs that a worker listed before the job was known here.
             for entry in member.unknown_runs.pop(job.id, ()):
@@ -356,7 +355,7 @@
             for entry in member.unknown_runs.pop(job_id, ()):
                 log(Event.RUN_UNKNOWN, task=entry.task, run=entry.run, worker=member.name)
                 self.orders.append(StopTask(member.name, entry.task, entry.run))
-            member.deferred_ends = [end for end in member.deferred_ends if end.task.job != job_id]
+            member.deferred_ends.pop(job_id, None)
 
     def _open_steps(self, tracked: TrackedJob, now: float) -> None:
         job, progress = tracked.job, tracked.progress
@@ -462,7 +461,9 @@
 
     def _advance_cursor(self, member: Member, recorded: list[tuple[int, str, int]]) -> int:
         """Return a worker's cursor; add the number, job and row version of each recorded end."""
-        last = min((end.number - 1 for end in member.deferred_ends), default=member.last_end)
+        # Ends are listed in ascending order, so a job's first one is its lowest.
+        deferred = [ends[0].number - 1 for ends in member.deferred_ends.values()]
+        last = min(deferred, default=member.last_end)
         for number in sorted(each for each in member.pending_acks if each <= last):
             job, change = member.pending_acks[number]
             tracked = self.tracked.get(job)
@@ -649,7 +650,7 @@
         if tracked is None:
             if ending.kind in (EndKind.DONE, EndKind.FAILED):
                 self.unknown_jobs.add(task.job)
-                member.deferred_ends.append(ending)
+                member.deferred_ends.setdefault(task.job, []).append(ending)
             else:
                 self._log_end(member, ending)
             return
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -130,8 +130,8 @@
     # The highest number of an end that a hold has acknowledged.
     acked_end: int = 0
     pending_acks: dict[int, PendingAck] = field(default_factory=dict)
-    # Ends of runs of jobs that this holder does not know yet.
-    deferred_ends: list[Ending] = field(default_factory=list)
+    # By job, ends of runs of jobs that this holder does not know yet.
+    deferred_ends: dict[str, list[Ending]] = field(default_factory=dict)
     # By job, listed runs of jobs that this holder does not know yet.
     unknown_runs: dict[str, list[ListedRun]] = field(default_factory=dict)
     asked_at: float = 0.0
