--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -380,13 +380,16 @@
         tracked.batches[occurrence, number] = batch
         self._update_waiting(batch, now)
 
-    def _update_waiting(self, batch: Batch, now: float) -> None:
+    def _update_waiting(
+        self, batch: Batch, now: float, indexes: Iterable[int] | None = None
+    ) -> None:
         """Update a batch's waiting tasks: owned by this cell, not done and without a run.
 
-        Runs of tasks that are done are stopped.
+        Runs of tasks that are done are stopped. `indexes` are the tasks that may have changed, by
+        default all.
         """
         progress = batch.tracked.progress
-        for index in range(batch.step.width):
+        for index in range(batch.step.width) if indexes is None else indexes:
             key = batch.occurrence, batch.number, index
             is_own = progress.owner(key) == self.cell
             done = progress.is_done(*key) and not batch.step.lasting
@@ -711,7 +714,7 @@
             self._open_steps(tracked, now)
         batch = tracked.batches.get((task.occurrence, task.step))
         if batch is not None:
-            self._update_waiting(batch, now)
+            self._update_waiting(batch, now, None if step.gang else (task.number,))
 
     def _on_failed(self, tracked: TrackedJob, task: TaskId, ending: Ending, member: Member) -> None:
         key = task[1:]
@@ -752,7 +755,7 @@
         if run.step.gang:
             self._stop_gang(batch, now)
         else:
-            self._update_waiting(batch, now)
+            self._update_waiting(batch, now, (run.task.number,))
 
     def _log_unlisted(self, run: Run, why: EndReason) -> None:
         """Log a run that is considered over although no worker listed its end."""
