--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -42,7 +42,13 @@
 )
 from curranthall.cells.records import has_tasks_in
 from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, TrackedJob, classify
-from curranthall.cells.waits import WaitContext, WaitRow, summarize
+from curranthall.cells.waits import (
+    WaitContext,
+    WaitRow,
+    count_lasting,
+    list_lasting_waits,
+    summarize,
+)
 from curranthall.dag import Job, Phase, Progress, Step, TaskId
 from curranthall.events import Event, log
 from curranthall.model import Host, Size
@@ -875,7 +881,8 @@
     def _log_summary(self, now: float) -> None:
         """Log a summary of the cell."""
         waiting, loads = [batch for batch in self._ready.values() if batch.waiting], self.load(now)
-        self.waits = self._summarize(waiting, now)
+        ctx = self._wait_context(now)
+        self.waits = summarize(waiting, ctx)
         log(
             Event.CELL_STATE,
             cell=self.cell,
@@ -896,6 +903,8 @@
             free_gb=[round(member.room.memory / 1000, 1) for member in self.members.values()],
             waiting_tasks=sum(len(batch.waiting) for batch in waiting),
             waits=[list(row) for row in self.waits],
+            lasting=count_lasting(waiting, self.members.values())._asdict(),
+            lasting_waits=[list(row) for row in list_lasting_waits(waiting, ctx)],
             waiting_first=[
                 [
                     batch.tracked.job.id,
@@ -909,12 +918,11 @@
             ],
         )
 
-    def _summarize(self, waiting: list[Batch], now: float) -> list[WaitRow]:
+    def _wait_context(self, now: float) -> WaitContext:
         members = self.members.values()
         usable = [(member, member.room) for member in members if member.is_usable(now)]
         kept_share = self._kept_share(now)
-        ctx = WaitContext(usable, self.interference, now, kept_share, self.closed, self._is_held)
-        return summarize(waiting, ctx)
+        return WaitContext(usable, self.interference, now, kept_share, self.closed, self._is_held)
 
     def _tick_member(self, member: Member, now: float, confirmed_at: float) -> None:
         for run in list(member.runs.values()):
--- a/src/curranthall/cells/waits.py
+++ b/src/curranthall/cells/waits.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from curranthall.cells.fleet import Member
+from curranthall.cells.fleet import Member, RunState
 from curranthall.cells.interference import Interference
 from curranthall.cells.placement import FILLING_SHARE, PlacementRequest, fits
 from curranthall.cells.tracking import Batch
@@ -12,6 +12,8 @@
 
 # Most batches that one summary looks at; a larger number is sampled evenly.
 MAX_SAMPLED_BATCHES = 40
+# The most lasting batches that one summary lists, those that waited longest.
+MAX_LASTING_WAITS = 8
 
 
 class WaitReason(Enum):
@@ -41,6 +43,27 @@
     idle_jobs: int
 
 
+class LastingState(NamedTuple):
+    """Lasting tasks of a cell: waiting ones, and runs that are at work or over their target."""
+
+    waiting: int
+    runs: int
+    at_work: int
+    over_target: int
+    over_beside_filling: int
+
+
+class LastingWait(NamedTuple):
+    """Tasks of a lasting step that found no worker for `waited_s`."""
+
+    job: str
+    step: int
+    tasks: int
+    cores: float
+    waited_s: float
+    why: str
+
+
 class WaitContext(NamedTuple):
     """State of a cell that wait reasons are derived from."""
 
@@ -142,3 +165,37 @@
     for row in rows:
         counts[row.queue, row.size] = counts.get((row.queue, row.size), 0) + row.idle_jobs
     return counts
+
+
+def count_lasting(batches: Iterable[Batch], members: Iterable[Member]) -> LastingState:
+    """Count the lasting tasks that wait, and the runs by what the workers last reported."""
+    runs = [(run, each) for each in members for run in each.runs.values() if run.step.lasting]
+    at_work = [row for row in runs if row[0].state is RunState.RUNNING and row[0].percent >= 100]
+    over = [member for run, member in runs if 0 < run.step.target_ms < run.gauge]
+    return LastingState(
+        waiting=sum(len(batch.waiting) for batch in batches if batch.step.lasting),
+        runs=len(runs),
+        at_work=len(at_work),
+        over_target=len(over),
+        over_beside_filling=sum(member.filling_cores > 0 for member in over),
+    )
+
+
+def list_lasting_waits(batches: Iterable[Batch], ctx: WaitContext) -> list[LastingWait]:
+    """Return the lasting steps that have waited for a worker longest."""
+    found = [
+        (batch.unplaced_since, batch)
+        for batch in batches
+        if batch.step.lasting and batch.waiting and batch.unplaced_since is not None
+    ]
+    return [
+        LastingWait(
+            batch.tracked.job.id,
+            batch.number,
+            len(batch.waiting),
+            batch.step.size.cores,
+            round(ctx.now - since, 2),
+            find_reason(batch, ctx).value,
+        )
+        for since, batch in sorted(found, key=lambda row: row[0])[:MAX_LASTING_WAITS]
+    ]
