Start lasting tasks that waited behind a refusal that left room for short tasks

A refused step rules out all later ones of its kind in the same plan. A lasting task that waited 1.5 s may use the room kept free for short tasks, but was ruled out by an older job's refusal that had left that room free. Each older job that begins to wait delays it by up to 1.5 s more; the platform allows 3 s (LOST).

Found by reading while tracing LOST on the large order-desk; no play shows that it caused one. The refusal now carries the share it left free, and rules out only requests that leave as much. test_a_lasting_task_that_waited_starts_behind_an_older_job_that_has_just_begun_to_wait failed before: nothing was started.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1118,15 +1118,12 @@
             return
         tracked, step = batch.tracked, batch.step
         service = tracked.queue.service
-        for refusal in refused:
-            if refusal.covers(service, step):
-                self._handle_unplaced(
-                    batch, PlacementRequest(service, step, batch.siblings()), usable, now
-                )
-                return
-        siblings = batch.siblings()
+        siblings, kept_share = batch.siblings(), self._kept_share_for(batch, now)
+        req = PlacementRequest(service, step, siblings, kept_share=kept_share)
+        if any(refusal.covers(req) for refusal in refused):
+            self._handle_unplaced(batch, req, usable, now)
+            return
         racks = self._racks(siblings) if step.same_rack else frozenset()
-        kept_share = self._kept_share_for(batch, now)
         for index in sorted(batch.waiting):
             avoid = frozenset(tracked.failed_on.get((batch.occurrence, batch.number, index), ()))
             req = PlacementRequest(
@@ -1143,7 +1140,7 @@
             if member is None:
                 plain = not (step.requires or step.max_per_worker)
                 if plain:
-                    refused.append(Refusal(service, step))
+                    refused.append(Refusal(service, step, kept_share))
                 self._handle_unplaced(batch, req, usable, now)
                 return
             self._start(batch, index, member, self._next_run(tracked), now)
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -48,17 +48,23 @@
 
     service: str
     step: Step
+    kept_share: float = 0.0
 
-    def covers(self, service: str, step: Step) -> bool:
+    def covers(self, req: PlacementRequest) -> bool:
         """Return whether tasks of another step will find no worker either."""
-        known = self.step
+        known, step = self.step, req.step
         # Filling images interfere with different serving ones, so one may fit where another fails.
         same_group = (step.filling, step.lasting, step.image if step.filling else "") == (
             known.filling,
             known.lasting,
             known.image if known.filling else "",
         )
-        return service == self.service and same_group and known.size.fits(step.size)
+        return (
+            req.service == self.service
+            and req.kept_share >= self.kept_share
+            and same_group
+            and known.size.fits(step.size)
+        )
 
 
 def choose_worker(req: PlacementRequest, members: Iterable[Member]) -> Member | None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -163,6 +163,20 @@
         cell.plan()
         self.assertEqual(len(cell.member("w1").runs), running)
 
+    def test_a_lasting_task_that_waited_starts_behind_an_older_job_that_has_just_begun_to_wait(
+        self,
+    ) -> None:
+        cell = Cell(host("w1", cores=15))
+        cell.dispatcher.other_cell_loads = {SERVICE: [Load(largest=(3.0,))]}
+        cell.add(job("0" * 16, step(4, cores=3, lasting=True)))
+        cell.started(*cell.plan())
+        cell.add(job("1" * 16, step(1, cores=3, lasting=True)))
+        cell.plan()
+        cell.now += 1.6
+        cell.answer("w1", [listed(order) for order in self.orders(cell)])
+        cell.add(job("2" * 16, step(1, cores=3, lasting=True), accepted_ms=-9_000))
+        self.assertEqual([order.task.job for order in cell.plan()], ["1" * 16])
+
     def test_filling_tasks_run_on_a_worker_reserved_for_a_lasting_task(self) -> None:
         cell = Cell(host("w1", cores=8))
         cell.add(job("0" * 16, step(6, cores=1)))
