Leave cells to entries strong enough to hold them

From 12 s on it was saturated: its holds timed out (up to 55 WORKER_SILENT in 4 s), tasks that had failed at 21 s were not started, it missed its renewals and was deposed at 29.25 s by the next weak entry, which took 2.0 s to load the jobs and 5.7 s to prove the workers. LOST at 31.5 s.

Cause: the preference for strong entries was 0.13 s, entries notice a vacancy up to 0.8 s apart, and once the workers were out of reach there was no order at all. So with five weak entries for each strong one a weak one wins. A cell of 54 workers takes some 0.8 of a core.

The owner row now names how many workers the cell has. An entry with fewer cores than these take leaves the cell to others for up to 3 s, counted from when it finds the workers in reach.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -29,6 +29,12 @@
 PER_HELD_CELL_S = 0.3
 OTHER_DOMAIN_S = 0.6
 FEW_CORES_S = 0.15
+# How long an entry with none of the cores that holding the cell takes leaves it to stronger ones,
+# from when its workers are in reach; less in proportion to the cores that it has. Entries notice a
+# vacancy up to RENEW_S apart, so a shorter delay would let one of many weak entries be the first.
+TOO_FEW_CORES_S = 3.0
+# What a holder needs for each worker of its cell, as measured on busy cells.
+CORES_PER_WORKER = 0.015
 # How long an entry that gave up a cell (e.g. its workers are out of reach) leaves it to others.
 ABSTAIN_S = 6.0
 
@@ -44,18 +50,22 @@
     waiting: dict[str, int]
     # No worker accepts orders of an earlier holder any more.
     fenced: bool = True
+    # The number of workers in the roster.
+    workers: int = 0
 
     def encode(self) -> bytes:
         """Encode the row's value."""
-        return dumps([*self[:4], encode_loads(self.load), self.waiting, self.fenced])
+        return dumps([*self[:4], encode_loads(self.load), self.waiting, self.fenced, self.workers])
 
 
 def decode_owner(data: bytes) -> Owner:
     """Decode a row's value; raise ValueError when it is invalid."""
     holder, address, incarnation, epoch, load, waiting, *more = loads(data)
-    # Rows written by an earlier version lack this field.
-    fenced = bool(more and more[0])
-    return Owner(holder, address, incarnation, epoch, decode_loads(load), waiting, fenced)
+    # Rows written by an earlier version lack these fields.
+    fenced, workers = (*more, *(False, 0)[len(more) :])[:2]
+    return Owner(
+        holder, address, incarnation, epoch, decode_loads(load), waiting, bool(fenced), int(workers)
+    )
 
 
 class Details(NamedTuple):
@@ -204,3 +214,9 @@
         other_domain = OTHER_DOMAIN_S if me.domain != cell else 0.0
         few_cores = FEW_CORES_S * max(0.0, 2.0 - me.cores) / 2.0
         return other_domain + held * PER_HELD_CELL_S + few_cores
+
+    def weak_delay_s(self, cell: str, me: Claimant) -> float:
+        """Return how long an entry too weak for a cell leaves it to stronger ones."""
+        owner = self.observations[cell].owner
+        needed = CORES_PER_WORKER * (owner.workers if owner is not None else 0)
+        return TOO_FEW_CORES_S * (1 - me.cores / needed) if needed > me.cores else 0.0
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -186,6 +186,7 @@
             load={},
             waiting=self.waiting_jobs(),
             fenced=self.dispatcher.is_fully_fenced,
+            workers=len(self.dispatcher.members),
         )
         try:
             await self._write_owner(
@@ -250,6 +251,7 @@
             load=self.dispatcher.load(now),
             waiting=self.waiting_jobs(),
             fenced=self.dispatcher.is_fully_fenced,
+            workers=len(self.dispatcher.members),
         )
         details = self._details._replace(roster=self.dispatcher.roster())
         boot_ids = self.dispatcher.boot_ids()
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -65,6 +65,8 @@
         self._bounds = bounds
         self._env = env
         self._leaving = False
+        # By vacant cell, since when its row is unchanged and since when its workers are in reach.
+        self._reached: dict[str, tuple[float, float]] = {}
 
     async def run(self) -> None:
         """Poll the owner rows until cancelled; take cells that become vacant."""
@@ -110,7 +112,9 @@
         except (PlatformDown, AnswerLost) as exc:
             log(Event.STORE_FAILED, what="roster", error=exc)
             return
-        if await self._can_reach_workers(vacancy, details.roster):
+        if not await self._can_reach_workers(vacancy, details.roster):
+            return
+        if not self._must_leave_to_stronger(vacancy):
             await self._take(vacancy, details)
 
     async def _can_reach_workers(self, vacancy: Vacancy, roster: list[Host]) -> bool:
@@ -126,9 +130,26 @@
         found = await asyncio.gather(*(self._env.can_reach(host) for host in asked))
         if not any(found):
             log(Event.CELL_OUT_OF_REACH, cell=vacancy.cell, asked=len(asked))
+            self._reached.pop(vacancy.cell, None)
             self.watch.abstain_until[vacancy.cell] = self._env.clock() + RENEW_S
         return any(found)
 
+    def _must_leave_to_stronger(self, vacancy: Vacancy) -> bool:
+        """Return whether this entry is weak, and stronger ones may just have noticed the cell."""
+        cell, owner = vacancy.cell, vacancy.owner
+        if owner is not None and owner.holder and owner.address == self.me.address:
+            return False
+        since = self.watch.observations[cell].since
+        known_since, reached_at = self._reached.get(cell, (0.0, 0.0))
+        if known_since != since:
+            reached_at = self._env.clock()
+            self._reached[cell] = since, reached_at
+        may_take_at = reached_at + self.watch.weak_delay_s(cell, self.me)
+        if may_take_at <= self._env.clock():
+            return False
+        self.watch.abstain_until[cell] = may_take_at
+        return True
+
     async def _take(self, vacancy: Vacancy, details: Details) -> None:
         env = self._env
         # The store's version never decreases, so the epoch is greater than any before.
@@ -137,8 +158,8 @@
         me = self.me
         # Publish the former holder's counts until the jobs are loaded.
         waiting = vacancy.owner.waiting if vacancy.owner else {}
-        fenced = not details.roster
-        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, waiting, fenced)
+        workers = len(details.roster)
+        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, waiting, not workers, workers)
         sent_at = env.clock()
         try:
             answer = await env.store.commit(
