Count a lasting task's wait where it was moved from

A lasting task that no cell has ordinary room for waited 1.5 s before it was moved by force, and 1.5 s again in the cell that received it: a move reset its wait. In virtual time, with room for it in two other cells, it stood still for 3.5 s; the platform allows 3 s (LOST) and pays lasting jobs by the tasks at work.

A batch whose waiting tasks were all moved away also kept its old wait, so that the next task to end was moved at once although there was room.

Both tests failed before: 4 of 6 tasks at work after 2.8 s; a task stranded as soon as its run ended.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -406,6 +406,8 @@
                     self._stop(run, now)
         if batch.waiting:
             self._ready[batch.tracked.job.id, batch.occurrence, batch.number] = batch
+        else:
+            batch.unplaced_since = None
 
     def _close_job(self, tracked: TrackedJob, now: float) -> None:
         """Stop all runs of a job in a final phase and drop its waiting tasks."""
@@ -955,7 +957,10 @@
     def must_start(self, batch: Batch, now: float) -> bool:
         """Return whether a lasting task waited too long although the cells have room for two."""
         since = batch.unplaced_since
-        if since is None or now - since < LASTING_WAIT_S:
+        if since is None:
+            return False
+        # Tasks moved here have already waited in another cell.
+        if now - since < LASTING_WAIT_S and not batch.has_moved_in(self.cell):
             return False
         service, size = batch.tracked.queue.service, batch.step.size
         cores = max(size.cores, MIN_CORES)
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -78,6 +78,16 @@
         """Return the id of a task."""
         return TaskId(self.tracked.job.id, self.occurrence, self.number, index)
 
+    def has_moved_in(self, cell: str) -> bool:
+        """Return whether a waiting task was moved to the cell and has had no run there."""
+        progress, former = self.tracked.progress, self.tracked.former
+        keys = {(self.occurrence, self.number, index) for index in self.waiting} - former.keys()
+        is_moved_job = progress.moves > 0 and progress.cell == cell
+        return any(
+            progress.moved_to[key] == cell if key in progress.moved_to else is_moved_job
+            for key in keys
+        )
+
 
 @dataclass(slots=True, eq=False)
 class TrackedJob:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -238,6 +238,26 @@
 
         self.play(scene)
 
+    def test_lasting_tasks_of_a_lost_worker_restart_in_the_room_kept_for_short_ones_elsewhere(
+        self,
+    ) -> None:
+        async def main() -> int:
+            cluster = Cluster(workers=1)
+            cluster.start()
+            await asyncio.sleep(3)
+            for number, cell in enumerate(cluster.domains, 1):
+                job = make_job(number, Step(2, Size(2.5, 1_000), 1_000, lasting=True))
+                self.assertIs(await cluster.submit(f"{cell}-e0", job), Verdict.ACCEPTED)
+            await asyncio.sleep(3)
+            cluster.crash_worker("a-w0", reborn=True)
+            # The platform allows 3 s.
+            await asyncio.sleep(2.8)
+            cluster.close()
+            self.assertEqual(cluster.judge.broken, [])
+            return sum(len(each.running) for each in cluster.runners.values())
+
+        self.assertEqual(run(main()), 6)
+
     def test_a_job_waiting_in_a_closed_cell_runs_elsewhere(self) -> None:
         async def scene(cluster: Cluster) -> None:
             jobs = await self.submit_jobs(cluster, 12)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -177,6 +177,17 @@
         cell.add(job("2" * 16, step(1, cores=3, lasting=True), accepted_ms=-9_000))
         self.assertEqual([order.task.job for order in cell.plan()], ["1" * 16])
 
+    def test_the_wait_of_a_task_that_was_moved_does_not_count_for_a_later_one(self) -> None:
+        cell = Cell(host("w1", cores=3))
+        cell.add(job("0" * 16, step(2, cores=2, lasting=True)))
+        (order,) = cell.plan()
+        cell.started(order)
+        tracked = cell.dispatcher.tracked["0" * 16]
+        cell.dispatcher.move(tracked, tracked.batches[0, 0], [1], "south", cell.now)
+        cell.now += 5
+        cell.answer("w1", [], [ended(1, order, EndKind.FAILED)])
+        self.assertEqual(cell.dispatcher.stranded(0.4, cell.now), [])
+
     def test_filling_tasks_run_on_a_worker_reserved_for_a_lasting_task(self) -> None:
         cell = Cell(host("w1", cores=8))
         cell.add(job("0" * 16, step(6, cores=1)))
