--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -42,7 +42,13 @@
 )
 from curranthall.cells.records import has_tasks_in
 from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, TrackedJob, classify
-from curranthall.cells.waits import WaitContext, WaitRow, summarize
+from curranthall.cells.waits import (
+    WaitContext,
+    WaitRow,
+    count_lasting,
+    list_lasting_waits,
+    summarize,
+)
 from curranthall.dag import Job, Phase, Progress, Step, TaskId
 from curranthall.events import Event, log
 from curranthall.model import Host, Size
@@ -407,6 +413,8 @@
                     self._stop(run, now)
         if batch.waiting:
             self._ready[batch.tracked.job.id, batch.occurrence, batch.number] = batch
+        else:
+            batch.unplaced_since = None
 
     def _close_job(self, tracked: TrackedJob, now: float) -> None:
         """Stop all runs of a job in a final phase and drop its waiting tasks."""
@@ -909,7 +917,8 @@
     def _log_summary(self, now: float) -> None:
         """Log a summary of the cell."""
         waiting, loads = [batch for batch in self._ready.values() if batch.waiting], self.load(now)
-        self.waits = self._summarize(waiting, now)
+        ctx = self._wait_context(now)
+        self.waits = summarize(waiting, ctx)
         log(
             Event.CELL_STATE,
             cell=self.cell,
@@ -930,6 +939,8 @@
             free_gb=[round(member.room.memory / 1000, 1) for member in self.members.values()],
             waiting_tasks=sum(len(batch.waiting) for batch in waiting),
             waits=[list(row) for row in self.waits],
+            lasting=count_lasting(waiting, self.members.values())._asdict(),
+            lasting_waits=[list(row) for row in list_lasting_waits(waiting, ctx)],
             waiting_first=[
                 [
                     batch.tracked.job.id,
@@ -943,12 +954,11 @@
             ],
         )
 
-    def _summarize(self, waiting: list[Batch], now: float) -> list[WaitRow]:
+    def _wait_context(self, now: float) -> WaitContext:
         members = self.members.values()
         usable = [(member, member.room) for member in members if member.is_usable(now)]
         kept_share = self._kept_share(now)
-        ctx = WaitContext(usable, self.interference, now, kept_share, self.closed, self._is_held)
-        return summarize(waiting, ctx)
+        return WaitContext(usable, self.interference, now, kept_share, self.closed, self._is_held)
 
     def _tick_member(self, member: Member, now: float, confirmed_at: float) -> None:
         for run in list(member.runs.values()):
@@ -981,7 +991,10 @@
     def must_start(self, batch: Batch, now: float) -> bool:
         """Return whether a lasting task waited too long although the cells have room for two."""
         since = batch.unplaced_since
-        if since is None or now - since < LASTING_WAIT_S:
+        if since is None:
+            return False
+        # Tasks moved here have already waited in another cell.
+        if now - since < LASTING_WAIT_S and not batch.has_moved_in(self.cell):
             return False
         service, size = batch.tracked.queue.service, batch.step.size
         cores = max(size.cores, MIN_CORES)
@@ -1144,15 +1157,12 @@
             return
         tracked, step = batch.tracked, batch.step
         service = tracked.queue.service
-        for refusal in refused:
-            if refusal.covers(service, step):
-                self._handle_unplaced(
-                    batch, PlacementRequest(service, step, batch.siblings()), usable, now
-                )
-                return
-        siblings = batch.siblings()
+        siblings, kept_share = batch.siblings(), self._kept_share_for(batch, now)
+        req = PlacementRequest(service, step, siblings, kept_share=kept_share)
+        if any(refusal.covers(req) for refusal in refused):
+            self._handle_unplaced(batch, req, usable, now)
+            return
         racks = self._racks(siblings) if step.same_rack else frozenset()
-        kept_share = self._kept_share_for(batch, now)
         for index in sorted(batch.waiting):
             avoid = frozenset(tracked.failed_on.get((batch.occurrence, batch.number, index), ()))
             req = PlacementRequest(
@@ -1169,7 +1179,7 @@
             if member is None:
                 plain = not (step.requires or step.max_per_worker)
                 if plain:
-                    refused.append(Refusal(service, step))
+                    refused.append(Refusal(service, step, kept_share))
                 self._handle_unplaced(batch, req, usable, now)
                 return
             self._start(batch, index, member, self._next_run(tracked), now)
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -27,12 +27,16 @@
 GAP_S = 1.6
 # Delays before a vacant cell is taken: better suited entries try first, so that few compete.
 OTHER_DOMAIN_S = 0.6
-PER_HELD_CELL_S = 0.1
-FEW_CORES_S = 0.4
-# CPU quota that a holder needs per cell; an entry with less waits up to FEW_CORES_S.
-CORES_PER_CELL = 1.0
+PER_HELD_CELL_S = 0.3
+FEW_CORES_S = 0.15
+# Delay of an entry with none of the cores that holding the cell takes; less in proportion to the
+# cores that it has. It exceeds the time in which all entries notice a released cell.
+TOO_FEW_CORES_S = 3.0
+# What a holder needs for each worker of its cell, as measured on busy cells.
+CORES_PER_WORKER = 0.015
 # Bounds on the pause between two probes of a cell whose workers are out of reach.
 MIN_PROBE_PAUSE_S = 0.2
+UNREACHED = float("inf")
 # How long an entry that gave up a cell (e.g. its workers are out of reach) leaves it to others.
 ABSTAIN_S = 6.0
 
@@ -50,20 +54,31 @@
     fenced: bool = True
     # When the row was written, by the store's clock; 0 if unknown.
     written_ms: int = 0
+    # The number of workers in the roster.
+    workers: int = 0
 
     def encode(self) -> bytes:
         """Encode the row's value."""
         loads_ = encode_loads(self.load)
-        return dumps([*self[:4], loads_, self.waiting, self.fenced, self.written_ms])
+        more = self.fenced, self.written_ms, self.workers
+        return dumps([*self[:4], loads_, self.waiting, *more])
 
 
 def decode_owner(data: bytes) -> Owner:
     """Decode a row's value; raise ValueError when it is invalid."""
     holder, address, incarnation, epoch, load, waiting, *more = loads(data)
     # Rows written by earlier versions lack these fields.
-    fenced, written_ms = bool(more and more[0]), more[1] if len(more) > 1 else 0
+    fenced, written_ms, workers = (*more, *(False, 0, 0)[len(more) :])[:3]
     return Owner(
-        holder, address, incarnation, epoch, decode_loads(load), waiting, fenced, written_ms
+        holder,
+        address,
+        incarnation,
+        epoch,
+        decode_loads(load),
+        waiting,
+        bool(fenced),
+        int(written_ms),
+        int(workers),
     )
 
 
@@ -117,13 +132,17 @@
 
 
 class Vacancy(NamedTuple):
-    """When a cell may be taken; leases of former holders may last until `proof_at`."""
+    """When a cell may be taken; leases of former holders may last until `proof_at`.
+
+    From `probe_at` on, a probe of the workers may show that the cell has to be left to others.
+    """
 
     cell: str
     owner: Owner | None
     version: int
     takeable_at: float
     proof_at: float
+    probe_at: float
 
 
 @dataclass(slots=True)
@@ -136,7 +155,7 @@
     read_at: float = 0.0
     epoch_seen: int = 0
     abstain_until: dict[str, float] = field(default_factory=dict)
-    # When the workers of a cell came back into reach after a failed probe.
+    # When a vacant cell's workers were found in reach, or UNREACHED after a failed probe.
     reachable_since: dict[str, float] = field(default_factory=dict)
     # The store's clock minus the local one.
     _store_offset_ms: float = 0.0
@@ -176,15 +195,16 @@
         """Record whether a probe reached a cell's workers; return whether it may be taken now.
 
         Workers that come back are found by all entries within a probe's pause. The delays apply
-        again from then on, so that the cell goes to a well suited entry and not to the first one.
+        from then on, so that the cell goes to a well suited entry and not to the first one.
         """
         delay_s = self._take_delay_s(cell, me, held)
         if not reached:
             pause_s = max(MIN_PROBE_PAUSE_S, min(RENEW_S, delay_s))
             self.abstain_until[cell] = now + pause_s
-            self.reachable_since[cell] = float("inf")
+            self.reachable_since[cell] = UNREACHED
             return False
-        if self.reachable_since.get(cell) == float("inf"):
+        since = self.reachable_since.get(cell)
+        if since == UNREACHED or (since is None and self.holder(cell) is None):
             self.reachable_since[cell] = now
             return delay_s == 0
         return True
@@ -219,7 +239,7 @@
             for cell, seen in self.observations.items()
             if (vacancy := self._vacancy(cell, seen, me, held, now)) is not None
         ]
-        return min(found, key=lambda vacancy: vacancy.takeable_at, default=None)
+        return min(found, key=lambda vacancy: vacancy.probe_at, default=None)
 
     def _vacancy(
         self, cell: str, seen: OwnerObservation, me: Claimant, held: Collection[str], now: float
@@ -233,21 +253,31 @@
         delay_s = self._take_delay_s(cell, me, len(held))
         takeable_at = max(seen.renewed_at + delay_s, self.abstain_until.get(cell, 0.0))
         reachable_since = self.reachable_since.get(cell, 0.0)
-        if reachable_since < float("inf"):
+        if reachable_since < UNREACHED:
             takeable_at = max(takeable_at, reachable_since + delay_s)
         if owner is None or not owner.holder:
-            return Vacancy(cell, owner, version, takeable_at, proof_at)
+            probe_at = takeable_at
+            if cell not in self.reachable_since:
+                # The holder may have released the cell because its workers are out of reach.
+                probe_at = max(seen.renewed_at, self.abstain_until.get(cell, 0.0))
+            return Vacancy(cell, owner, version, takeable_at, proof_at, probe_at)
         if cell in held:
             return None
         own_process = owner.incarnation == me.incarnation
         if owner.address != me.address or own_process:
             # If `own_process`, the answer to this entry's take or release was lost.
             proof_at = max(proof_at, silent_until)
-            return Vacancy(cell, owner, version, takeable_at + VACANT_S, proof_at)
+            takeable_at += VACANT_S
+            return Vacancy(cell, owner, version, takeable_at, proof_at, takeable_at)
         # The former process on this address has exited: this process is bound to its port.
-        return Vacancy(cell, owner, version, now, proof_at)
+        return Vacancy(cell, owner, version, now, proof_at, now)
 
     def _take_delay_s(self, cell: str, me: Claimant, held: int) -> float:
         other_domain = OTHER_DOMAIN_S if me.domain != cell else 0.0
-        missing_share = max(0.0, 1.0 - me.cores / (held + 1) / CORES_PER_CELL)
-        return other_domain + held * PER_HELD_CELL_S + FEW_CORES_S * missing_share
+        few_cores = FEW_CORES_S * max(0.0, 2.0 - me.cores) / 2.0
+        seen = self.observations.get(cell)
+        workers = seen.owner.workers if seen is not None and seen.owner is not None else 0
+        needed = CORES_PER_WORKER * workers
+        missing_share = max(0.0, 1 - me.cores / (held + 1) / needed) if needed else 0.0
+        too_few_cores = TOO_FEW_CORES_S * missing_share
+        return other_domain + held * PER_HELD_CELL_S + few_cores + too_few_cores
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -191,6 +191,7 @@
             waiting=self.waiting_jobs(),
             fenced=self.dispatcher.is_fully_fenced,
             written_ms=self._store_ms(),
+            workers=len(self.dispatcher.members),
         )
         try:
             await self._write_owner(
@@ -262,6 +263,7 @@
             waiting=self.waiting_jobs(),
             fenced=self.dispatcher.is_fully_fenced,
             written_ms=self._store_ms(),
+            workers=len(self.dispatcher.members),
         )
         details = self._details._replace(roster=self.dispatcher.roster())
         boot_ids = self.dispatcher.boot_ids()
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -89,8 +89,8 @@
         vacancy = self.watch.vacancy(self.me, self.held.keys(), now)
         if vacancy is None:
             return RENEW_S
-        if vacancy.takeable_at > now:
-            return max(MIN_PAUSE_S, min(RENEW_S, vacancy.takeable_at - now))
+        if vacancy.probe_at > now:
+            return max(MIN_PAUSE_S, min(RENEW_S, vacancy.probe_at - now))
         if vacancy.cell not in self.held:
             await self._try_take(vacancy)
         return MIN_PAUSE_S
@@ -138,10 +138,20 @@
         me = self.me
         # Publish the former holder's counts until the jobs are loaded.
         waiting = vacancy.owner.waiting if vacancy.owner else {}
-        fenced = not details.roster
+        workers = len(details.roster)
         sent_at = env.clock()
         written_ms = self.watch.store_ms(sent_at)
-        owner = Owner(me.name, me.address, me.incarnation, epoch, {}, waiting, fenced, written_ms)
+        owner = Owner(
+            me.name,
+            me.address,
+            me.incarnation,
+            epoch,
+            {},
+            waiting,
+            fenced=not workers,
+            written_ms=written_ms,
+            workers=workers,
+        )
         try:
             answer = await env.store.commit(
                 CELL_PART,
