Read what has arrived before a call counts as unanswered

Cause: the loop was busy for longer than a call's timeout, so the timer and the answer came up in the same turn, and the timer won although the answer had been there for long. A silent worker is asked with a shorter timeout, so a busy holder never heard it again. Now the turn's bytes are handled first.

--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
 from typing import Any, NamedTuple
 
 import h11
@@ -227,6 +227,29 @@
         await writer.drain()
 
 
+@asynccontextmanager
+async def _timeout_after_reading(seconds: float) -> AsyncIterator[None]:
+    """Raise TimeoutError after a time, unless the awaited bytes have arrived by then.
+
+    While the process was busy, bytes may have arrived that the loop reads only in the turn in which
+    the time is over: they are handled first.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as limit:
+
+        def expire() -> None:
+            if limit_is_open:
+                limit.reschedule(loop.time())
+
+        limit_is_open = True
+        timer = loop.call_later(seconds, lambda: loop.call_soon(expire))
+        try:
+            yield
+        finally:
+            limit_is_open = False
+            timer.cancel()
+
+
 class _Connection(NamedTuple):
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
@@ -256,7 +279,7 @@
         """Send one request; raise ConnectFailed (nothing sent) or AnswerLost."""
         sent = False
         try:
-            async with asyncio.timeout(timeout), self._semaphore:
+            async with _timeout_after_reading(timeout), self._semaphore:
                 pooled = await self._get_connection()
                 sent = True
                 return await self._exchange(pooled, method, path, body, headers)
