load: call adopt and tick with their present arguments

tests.test_sizes measured nothing: it stopped with a TypeError, since Dispatcher.adopt lost its argument `prior` and tick gained `confirmed_at`.

The simulation now passes present arguments, writes the epoch of the receiving cell's holder into each row and into each move (without it no task may start), and confirms the rosters after the workers' first answers. Waits are counted in samples, so that their Counter holds integers; sum_waits returns task-seconds as before.

A test that is not known red plays a light load, in which every filling job is served in time: it stopped with the same TypeError before.

--- a/tests/load.py
+++ b/tests/load.py
@@ -149,7 +149,7 @@
     size: str = "rest"
     running_s: float = 0.0
     wanted_s: float = 0.0
-    # Waiting time of its tasks in task-seconds, by reason.
+    # Samples of its waiting tasks, by reason.
     waits: Counter[str] = field(default_factory=Counter)
 
     @property
@@ -311,7 +311,6 @@
             self.cells[cell], self.balancers[cell] = dispatcher, Balancer()
             for number in range(plan.workers):
                 self._add_worker(cell, number)
-            dispatcher.confirm_roster(list(dispatcher.members))
         # A quarter of the image pairs interfere strongly, the others hardly.
         self.weights = {
             (f"watches-{serving}", f"batches-{filling}"): self.rng.choice(
@@ -385,9 +384,9 @@
             ),
         )
         self.sent_cores[cell] = self.sent_cores.get(cell, 0.0) + step.width * step.size.cores
-        progress = Progress(cell)
+        progress = Progress(cell, claims={cell: self.cells[cell].epoch})
         self.rows[sim_job.job.id] = progress.encode(), 1
-        self.cells[cell].adopt(sim_job.job, progress, 1, self.now, False)
+        self.cells[cell].adopt(sim_job.job, progress, 1, self.now)
         return sim_job
 
     def _arrival_rate(self, profile: JobProfile, at: float) -> float:
@@ -481,7 +480,7 @@
         if job.id in dispatcher.tracked:
             dispatcher.refresh(job.id, progress, version, self.now)
         elif has_tasks_in(progress, dispatcher.cell):
-            dispatcher.adopt(job, progress, version, self.now, False)
+            dispatcher.adopt(job, progress, version, self.now)
 
     # Time
 
@@ -540,7 +539,7 @@
                             else _wait_reason(batch, usable, dispatcher, self.now)
                         )
                         waits = self.jobs[tracked.job.id].waits
-                        waits[why] += WAIT_SAMPLE_S * len(batch.waiting)
+                        waits[why] += len(batch.waiting)
 
     def step(self) -> None:
         """Advance the simulation by one time step."""
@@ -553,9 +552,9 @@
             worker.advance(self.now, self.weights)
             self._send_snapshot(worker)
         for name, dispatcher in self.cells.items():
-            dispatcher.tick(self.now)
+            dispatcher.tick(self.now, self.now)
             rooms = [
-                CellLoads(other, {} if self.cells[other].closed else loads)
+                CellLoads(other, {} if self.cells[other].closed else loads, self.cells[other].epoch)
                 for other, loads in self.loads.items()
                 if other != name
             ]
@@ -574,6 +573,8 @@
         self._exchange_loads()
         for worker in self.workers.values():
             self._send_snapshot(worker)
+        for dispatcher in self.cells.values():
+            dispatcher.confirm_roster(list(dispatcher.members))
         self._submit_initial_jobs()
         for _ in range(int((self.plan.seconds + self.plan.drain_s) / STEP_S)):
             self.step()
@@ -601,7 +602,7 @@
         for sim_job in self.jobs.values():
             if sim_job.profile.queue.name == queue and sim_job.size == size:
                 reasons.update(sim_job.waits)
-        return {why: round(seconds) for why, seconds in reasons.most_common()}
+        return {why: round(WAIT_SAMPLE_S * count) for why, count in reasons.most_common()}
 
     def earned_share(self, queue: str) -> float:
         """Return the earned share of a queue's value; a job's value grows with its work."""
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -1,4 +1,4 @@
-"""Tests of the share of jobs of each size that is served under overload."""
+"""Tests of the share of jobs of each size that is served."""
 
 import unittest
 
@@ -8,6 +8,7 @@
 LEAST_PART = 0.5
 SEEDS = (1, 2)
 OVERLOAD = Plan(seconds=30, bursts=(("batches", 2.0, 5, 30),), workers=4)
+LIGHT_LOAD = Plan(seconds=5)
 
 
 def served(plan: Plan) -> dict[str, Tally]:
@@ -25,7 +26,12 @@
 
 
 class Sizes(unittest.TestCase):
-    """Sizes of jobs under overload."""
+    """Sizes of jobs under light load and under overload."""
+
+    def test_all_jobs_are_served_in_time_under_light_load(self) -> None:
+        for size, tally in served(LIGHT_LOAD).items():
+            self.assertGreater(tally.jobs, 0, size)
+            self.assertEqual(tally.in_time, tally.jobs, size)
 
     def test_large_jobs_do_not_starve_under_overload(self) -> None:
         found = served(OVERLOAD)
