Start nothing on a worker before a renewal since its first answer

A deposed holder first heard of a worker after it had restarted. The worker knew no epoch, the former holder's roster named it, so the holder started tasks on it that its successor runs elsewhere.

Cause: a renewal counted for every worker that its roster named, also for those that had not answered yet, and a taken cell's workers counted from the start. Now a worker is used only after a confirmed renewal that was sent when this holder had heard from its present boot: the holder held the cell at that time, so a successor takes it later and fences that boot, or waits for its leases. A boot after it waits for the next renewal.

A first answer triggers a renewal after 0.05 s, so that workers that answer together share one; a new listing no longer triggers one. The published load counts the workers that its renewal confirms: else the first row of a new holder would show no room for 0.8 s.

Builders of tests confirmed the roster before any answer; an answer in them is now followed by a renewal, so that each worker counts where it did before. The two tests in which the roster is not confirmed yet leave the renewal out. No assertion is weaker; test_a_worker_is_used_only_once_the_stored_roster_names_it also asserts that it is not used before.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -156,7 +156,7 @@
     def take_over(self, roster: Iterable[Host], proof_at: float) -> None:
         """Start with the former holder's workers, whose leases will be over at `proof_at`."""
         for host in roster:
-            self.members[host.name] = Member(host, prior=True, in_roster=True)
+            self.members[host.name] = Member(host, prior=True)
         self._unproven = set(self.members)
         self._proof_at = proof_at
         self.proven = not self._unproven
@@ -211,22 +211,18 @@
         return [member.host for member in self.members.values()]
 
     def boot_ids(self) -> dict[str, int]:
-        """Return each worker's boot as of its last answer; 0 if it never answered."""
-        return {member.name: member.born for member in self.members.values()}
-
-    def list_unrestarted(self, boot_ids: dict[str, int]) -> list[str]:
-        """Return the names of the workers that have not restarted since `boot_ids` was taken."""
-        return [
-            name
-            for name, born in boot_ids.items()
-            if name in self.members and born in (0, self.members[name].born)
-        ]
+        """Return the boot of each worker that has answered, as of its last answer."""
+        return {member.name: member.born for member in self.members.values() if member.born}
+
+    def confirm_roster(self, boot_ids: dict[str, int]) -> None:
+        """Record that a renewal sent when `boot_ids` was taken was confirmed.
 
-    def confirm_roster(self, names: Iterable[str]) -> None:
-        """Record that the stored roster names these workers."""
-        for name in names:
-            if name in self.members:
-                self.members[name].in_roster = True
+        Workers that have restarted since then wait for the next renewal.
+        """
+        for name, born in boot_ids.items():
+            member = self.members.get(name)
+            if member is not None and member.born == born:
+                member.confirmed = True
 
     # Jobs
 
@@ -459,9 +455,7 @@
         """Process the runs and ends that a worker lists."""
         reborn = member.note_answer(snapshot, now, self.bounds.max_hold_s)
         if reborn:
-            # A restarted worker knows no epoch and would also accept a deposed holder, so the next
-            # renewal has to show first that this one still holds the cell.
-            member.in_roster = False
+            member.confirmed = False
             self._resend_stops(member)
             log(Event.WORKER_REBORN, worker=member.name, born=snapshot.born)
         # While the list of ends is incomplete, an unlisted run may have ended as done.
@@ -1276,11 +1270,11 @@
         return counts
 
     def load(self, now: float) -> dict[str, Load]:
-        """Return the cell's load by service."""
+        """Return the cell's load by service, once the renewal that publishes it is confirmed."""
         waiting: dict[str, Waiting] = {}
         for batch in self._ready.values():
             service = batch.tracked.queue.service
             cores = len(batch.waiting) * batch.step.size.cores
             waiting[service] = waiting.get(service, Waiting()).plus(cores, batch.step)
-        usable = [m for m in self.members.values() if not self.closed and m.is_usable(now)]
+        usable = [m for m in self.members.values() if not self.closed and m.is_available(now)]
         return measure(usable, waiting, self.interference, self._kept_share(now))
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -121,8 +121,9 @@
     # The latest lease end or start deadline that the worker may have, on its clock.
     granted_ms: int = 0
     all_ends_listed: bool = False
-    # The stored roster names the worker, so a successor would wait for its leases.
-    in_roster: bool = False
+    # A renewal sent after the first answer of the worker's present boot was confirmed: a successor
+    # would wait for its leases. A restarted worker knows no epoch and accepts a deposed holder too.
+    confirmed: bool = False
     answered_at: float = 0.0
     silent_since: float | None = None
     missing_since: float | None = None
@@ -168,9 +169,12 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether a task may be started on this worker."""
+        return self.confirmed and self.is_available(now)
+
+    def is_available(self, now: float) -> bool:
+        """Return whether a task may be started on this worker once a renewal confirms it."""
         return (
             self.all_ends_listed
-            and self.in_roster
             and self.missing_since is None
             and self.host.state is HostState.LIVE
             and self.silent_since is None
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -55,6 +55,8 @@
 from curranthall.store import Check, Committed, Put, Row, Stale, Store
 
 TICK_S = 0.1
+# A worker that answers for the first time waits for a renewal; this delay lets one cover several.
+CONFIRM_DELAY_S = 0.05
 # The least pause between two plans, and the pause as a multiple of the last plan's duration:
 # planning leaves half of the process's time to polls, starts and writes, however large the cell is.
 MIN_PLAN_PAUSE_S = 0.003
@@ -236,6 +238,7 @@
             try:
                 async with asyncio.timeout(RENEW_S):
                     await self._renew_now.wait()
+                    await asyncio.sleep(CONFIRM_DELAY_S)
             except TimeoutError:
                 pass
             self._renew_now.clear()
@@ -260,7 +263,7 @@
         try:
             if await self._write_owner(renewed, details):
                 self.confirmed_at = max(self.confirmed_at, now)
-                self.dispatcher.confirm_roster(self.dispatcher.list_unrestarted(boot_ids))
+                self.dispatcher.confirm_roster(boot_ids)
                 self.wake()
             else:
                 self.end("deposed")
@@ -322,7 +325,6 @@
                 continue
             member = self.dispatcher.update_host(host)
             if member is not None:
-                self._renew_now.set()
                 self._start_holds(member)
         for name in list(self.dispatcher.members):
             if name not in hosts:
@@ -370,9 +372,9 @@
         except OtherBoot:
             dispatcher.on_gone(member.name, self._clock())
             return 0.0
-        was_in_roster = member.in_roster
+        born = member.born
         dispatcher.on_snapshot(member, snapshot, asked_at, self._clock())
-        if was_in_roster and not member.in_roster:
+        if member.born != born:
             self._renew_now.set()
         if dispatcher.unknown_jobs and not self._resolving:
             self._resolving = True
--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -54,7 +54,6 @@
         self.dispatcher = Dispatcher(CELL, EPOCH, Bounds(), lambda job: self.queue, lambda: 0.0)
         for each in hosts:
             self.dispatcher.update_host(each)
-        self.dispatcher.confirm_roster([each.name for each in hosts])
         if settled:
             for each in hosts:
                 self.answer(each.name)
@@ -106,11 +105,18 @@
         ended: list[Ending] | None = None,
         born: int = BORN,
         asked_at: float | None = None,
+        confirm: bool = True,
     ) -> None:
-        """Process a worker's answer to a hold."""
+        """Process a worker's answer to a hold and, if `confirm`, a renewal sent after it."""
         snapshot = Snapshot(int(self.now * 1000), born, running or [], ended or [])
         asked = self.now if asked_at is None else asked_at
         self.dispatcher.on_snapshot(self.dispatcher.members[name], snapshot, asked, self.now)
+        if confirm:
+            self.confirm_roster()
+
+    def confirm_roster(self) -> None:
+        """Process a confirmed renewal."""
+        self.dispatcher.confirm_roster(self.dispatcher.boot_ids())
 
 
 def listed(order: StartTask, percent: float = 50, gauge: float = 0, saved: str = "") -> ListedRun:
--- a/tests/load.py
+++ b/tests/load.py
@@ -574,7 +574,7 @@
         for worker in self.workers.values():
             self._send_snapshot(worker)
         for dispatcher in self.cells.values():
-            dispatcher.confirm_roster(list(dispatcher.members))
+            dispatcher.confirm_roster(dispatcher.boot_ids())
         self._submit_initial_jobs()
         for _ in range(int((self.plan.seconds + self.plan.drain_s) / STEP_S)):
             self.step()
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -74,7 +74,6 @@
         (request,) = self.plan_requests()
         self.answer(request, w1="t1")
         self.cell.answer("w1", born=BORN + 1)
-        self.cell.dispatcher.confirm_roster(["w1"])
         (request,) = self.plan_requests()
         self.assertEqual(request.workers, ("w1",))
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -37,7 +37,7 @@
     def test_a_worker_outside_the_committed_roster_gets_nothing(self) -> None:
         cell = Cell(host("w1"))
         cell.dispatcher.update_host(host("w2"))
-        cell.answer("w2")
+        cell.answer("w2", confirm=False)
         cell.add(job("0" * 16, step(8, cores=8)))
         self.assertEqual({order.worker for order in cell.plan()}, {"w1"})
 
@@ -256,7 +256,6 @@
         cell.add(job("0" * 16, step(3, gang=True)))
         self.assertEqual(cell.plan(), [])
         cell.dispatcher.update_host(host("w2", cores=2))
-        cell.dispatcher.confirm_roster(["w2"])
         cell.answer("w2")
         orders = cell.plan()
         self.assertEqual(len(orders), 3)
@@ -346,11 +345,24 @@
     def test_a_job_given_to_this_holder_starts_during_the_takeover_at_once(self) -> None:
         cell = self.successor("w1", "w2")
         cell.answer("w1")
-        cell.dispatcher.confirm_roster(["w1"])
         cell.add(job())
         self.assertEqual(len(cell.plan()), 2)
         self.assertEqual(cell.dispatcher.dirty, {})
 
+    def test_a_worker_is_not_started_on_before_a_renewal_since_its_first_answer(self) -> None:
+        cell = self.successor("w1")
+        cell.add(job())
+        cell.confirm_roster()
+        cell.answer("w1", confirm=False)
+        self.assertEqual(cell.plan(), [])
+        cell.confirm_roster()
+        self.assertEqual(len(cell.plan()), 2)
+
+    def test_the_load_counts_the_workers_that_its_renewal_confirms(self) -> None:
+        cell = self.successor("w1", "w2")
+        cell.answer("w1", confirm=False)
+        self.assertEqual(cell.dispatcher.load(cell.now)[SERVICE].free, cell.member("w1").room.cores)
+
     def test_a_job_given_to_a_former_holder_is_taken_over_whenever_it_comes(self) -> None:
         cell = self.successor("w1")
         cell.answer("w1")
@@ -496,7 +508,6 @@
         cell.now += 5
         for worker in ("w1", "w2"):
             cell.answer(worker, born=BORN + 1)
-        cell.dispatcher.confirm_roster(["w1", "w2"])
         self.assertEqual(cell.plan(), [])
         cell.dispatcher.tick(cell.now, cell.now)
         (stop,) = cell.stops()
@@ -520,9 +531,9 @@
         (order,) = cell.plan()
         cell.started(order)
         cell.now += 1
-        cell.answer("w1", born=BORN + 5)
+        cell.answer("w1", born=BORN + 5, confirm=False)
         self.assertEqual(cell.plan(), [])
-        cell.dispatcher.confirm_roster(["w1"])
+        cell.confirm_roster()
         self.assertEqual(len(cell.plan()), 1)
 
     def test_a_worker_whose_runs_fail_is_quarantined(self) -> None:
@@ -719,7 +730,6 @@
     def test_no_prior_task_starts_while_a_worker_lists_only_part_of_its_ends(self) -> None:
         cell = Cell()
         cell.dispatcher.take_over([host("w1", cores=600)], proof_at=1e9)
-        cell.dispatcher.confirm_roster(["w1"])
         cell.add(job("0" * 16, step(self.MAX_ENDS + 1)), prior=True)
         ends = [Ending(at, task(number=at - 1), at, EndKind.DONE, "") for at in range(1, 502)]
         cell.answer("w1", ended=ends[: self.MAX_ENDS])
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -280,7 +280,6 @@
             ]
             cell.answer("w1", running)
         cell.dispatcher.update_host(host("w2", cores=16))
-        cell.dispatcher.confirm_roster(["w2"])
         cell.answer("w2")
         cell.now += 0.6
         cell.answer("w1", running)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -1,12 +1,20 @@
 """The runtime of a held cell: renewals, holds, records and messages to other cells."""
 
 import asyncio
+import random
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from curranthall.cells.dispatcher import Dispatcher
-from curranthall.cells.owner import CELL_PART, CELL_TABLE, ORDER_LIMIT_S, Details, Owner
+from curranthall.cells.owner import (
+    CELL_PART,
+    CELL_TABLE,
+    ORDER_LIMIT_S,
+    RENEW_S,
+    Details,
+    Owner,
+)
 from curranthall.cells.ports import (
     PaceTask,
     Snapshot,
@@ -99,11 +107,27 @@
         runtime = make_runtime(store, [])
         for name in ("w1", "w2"):
             runtime.dispatcher.update_host(host(name))
+            member = runtime.dispatcher.members[name]
+            runtime.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), 0.0, 0.0)
+            self.assertFalse(member.is_usable(0.0))
             await runtime._renew()
         self.assertEqual(await self.stored_names(store), {"w1", "w2"})
-        used = {m.name for m in runtime.dispatcher.members.values() if m.in_roster}
+        used = {m.name for m in runtime.dispatcher.members.values() if m.is_usable(0.0)}
         self.assertEqual(used, {"w1", "w2"})
 
+    async def test_a_worker_that_answers_during_a_renewal_waits_for_the_next_one(self) -> None:
+        store = SlowStore()
+        runtime = make_runtime(store, [])
+        runtime.dispatcher.take_over([host("w1")], proof_at=7.0)
+        member = runtime.dispatcher.members["w1"]
+        answer = Snapshot(0, 1, [], [])
+        store.meanwhile = lambda: runtime.dispatcher.on_snapshot(member, answer, 0.0, 0.0)
+        await runtime._renew()
+        self.assertFalse(member.is_usable(0.0))
+        store.meanwhile = lambda: None
+        await runtime._renew()
+        self.assertTrue(member.is_usable(0.0))
+
     async def test_a_worker_that_restarts_during_a_renewal_waits_for_the_next_one(self) -> None:
         store = SlowStore()
         runtime = make_runtime(store, [])
@@ -113,10 +137,10 @@
         after_restart = Snapshot(0, 2, [], [])
         store.meanwhile = lambda: runtime.dispatcher.on_snapshot(member, after_restart, 0.0, 0.0)
         await runtime._renew()
-        self.assertFalse(member.in_roster)
+        self.assertFalse(member.is_usable(0.0))
         store.meanwhile = lambda: None
         await runtime._renew()
-        self.assertTrue(member.in_roster)
+        self.assertTrue(member.is_usable(0.0))
 
     async def test_no_orders_are_sent_while_a_release_awaits_its_answer(self) -> None:
         store, can_order = SlowStore(), list[bool]()
@@ -229,6 +253,35 @@
         self.assertEqual(holds[-1], "w1:2")
 
 
+class FirstAnswers(unittest.TestCase):
+    def test_workers_that_answer_together_are_usable_soon_after_few_renewals(self) -> None:
+        async def main() -> None:
+            clock = asyncio.get_running_loop().time
+            delays_s = random.Random(1)
+
+            class SpreadWorker(IdleWorker):
+                """Answers each hold up to 0.1 s late."""
+
+                async def hold(
+                    self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int
+                ) -> Snapshot:
+                    await asyncio.sleep(delays_s.uniform(0, 0.1))
+                    return await super().hold(epoch, cursor, lease_ms, wait_ms)
+
+            store, hosts = DelayedStore(0.01), [host(f"w{number}") for number in range(60)]
+            runtime = make_runtime(store, [], clock, lambda host: SpreadWorker(clock))
+            runtime.dispatcher.take_over(hosts, clock() + 7)
+            runtime.confirmed_at = clock()
+            runtime.start()
+            await asyncio.sleep(RENEW_S / 2)
+            members = list(runtime.dispatcher.members.values())
+            runtime.end("test")
+            self.assertTrue(all(member.is_usable(clock()) for member in members))
+            self.assertLess(store.commits, len(members) / 10)
+
+        run(main())
+
+
 class Leases(unittest.TestCase):
     def test_no_lease_of_a_holder_that_can_not_renew_outlasts_the_order_limit(self) -> None:
         async def main() -> None:
@@ -437,9 +490,9 @@
         successor.dispatcher.epoch = 8
         former.dispatcher.adopt(job(), claimed_progress(), answer.version, 0.0)
         successor.dispatcher.update_host(host("w1"))
-        successor.dispatcher.confirm_roster(["w1"])
         member = successor.dispatcher.members["w1"]
         successor.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), 0.0, 0.0)
+        successor.dispatcher.confirm_roster(successor.dispatcher.boot_ids())
         successor.dispatcher.adopt(job(), claimed_progress(), answer.version, 0.0)
         successor.dispatcher.plan(0.0)
         self.assertFalse(successor.dispatcher.orders)
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -116,7 +116,6 @@
         cell = self.started("w1")
         cell.now += 1
         cell.answer("w1", born=BORN + 1)
-        cell.dispatcher.confirm_roster(["w1"])
         self.vanished_line("reborn")
         self.assertEqual(self.restart_line(cell)["after"], ["reborn", self.first.run, "w1"])
 
