--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -144,6 +144,22 @@
             cell.add(job(f"{number}" * 16, each))
         return cell
 
+    def test_lasting_tasks_are_counted_and_those_that_wait_are_listed(self) -> None:
+        cell = Cell(host("w1", cores=10))
+        cell.add(job("0" * 16, step(2, cores=3, lasting=True, image="s", target_ms=20)))
+        cell.started(*cell.plan())
+        runs = cell.member("w1").runs.values()
+        tails = [ListedRun(run.task, run.number, "", 100, 21 - at) for at, run in enumerate(runs)]
+        cell.answer("w1", tails)
+        cell.add(job("1" * 16, step(1, cores=3, lasting=True)))
+        cell.plan()
+        cell.now += 1
+        self.assertEqual(self.waits(cell), {"kept": 1})
+        (line,) = self.lines.named("CELL_STATE")
+        counted = {"waiting": 1, "runs": 2, "at_work": 2, "over_target": 1}
+        self.assertEqual(line["lasting"], {**counted, "over_beside_filling": 0})
+        self.assertEqual(line["lasting_waits"], [["1" * 16, 0, 1, 3, 1.0, "kept"]])
+
     def test_too_few_cores_in_total_are_reported_as_full(self) -> None:
         cell = self.busy_cell(host("w1"))
         cell.add(job("1" * 16, step(2, cores=4)))
