Do not count the cores of cells already held when another is taken

A strong entry that holds two busy cells is too weak for a third; it leaves it to entries with cores left, like a weak one. Covered by test_the_cores_for_cells_already_held_do_not_count_for_another.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -215,8 +215,13 @@
         few_cores = FEW_CORES_S * max(0.0, 2.0 - me.cores) / 2.0
         return other_domain + held * PER_HELD_CELL_S + few_cores
 
-    def weak_delay_s(self, cell: str, me: Claimant) -> float:
-        """Return how long an entry too weak for a cell leaves it to stronger ones."""
-        owner = self.observations[cell].owner
-        needed = CORES_PER_WORKER * (owner.workers if owner is not None else 0)
-        return TOO_FEW_CORES_S * (1 - me.cores / needed) if needed > me.cores else 0.0
+    def weak_delay_s(self, cell: str, me: Claimant, held: Collection[str]) -> float:
+        """Return how long an entry too weak for one more cell leaves it to stronger ones."""
+        needed = self._cores_needed(cell)
+        left = max(0.0, me.cores - sum(self._cores_needed(each) for each in held))
+        return TOO_FEW_CORES_S * (1 - left / needed) if needed > left else 0.0
+
+    def _cores_needed(self, cell: str) -> float:
+        seen = self.observations.get(cell)
+        workers = seen.owner.workers if seen is not None and seen.owner is not None else 0
+        return CORES_PER_WORKER * workers
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -144,7 +144,7 @@
         if known_since != since:
             reached_at = self._env.clock()
             self._reached[cell] = since, reached_at
-        may_take_at = reached_at + self.watch.weak_delay_s(cell, self.me)
+        may_take_at = reached_at + self.watch.weak_delay_s(cell, self.me, self.held.keys())
         if may_take_at <= self._env.clock():
             return False
         self.watch.abstain_until[cell] = may_take_at
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -10,6 +10,7 @@
 from curranthall.cells.owner import (
     CELL_TABLE,
     ORDER_LIMIT_S,
+    TOO_FEW_CORES_S,
     VACANT_S,
     Claimant,
     Details,
@@ -111,12 +112,25 @@
             self.read(OTHER._replace(holder=""))
         self.assertIsNone(self.vacancy())
 
+    def test_an_entry_leaves_a_cell_longer_the_more_cores_it_lacks(self) -> None:
+        self.read(OTHER._replace(workers=40))
+        cores = (0.0, 0.3, 0.6, 2.0)
+        delays = [self.watch.weak_delay_s("north", ME._replace(cores=n), ()) for n in cores]
+        self.assertEqual(delays, [TOO_FEW_CORES_S, TOO_FEW_CORES_S / 2, 0.0, 0.0])
+
+    def test_the_cores_for_cells_already_held_do_not_count_for_another(self) -> None:
+        self.watch = OwnerWatch(("north", "south"), HOLD_S)
+        self.read(OTHER._replace(workers=40))
+        self.watch.record("south", OTHER._replace(workers=80), 1, self.now)
+        delay_s = self.watch.weak_delay_s("north", ME._replace(cores=1.5), ("south",))
+        self.assertAlmostEqual(delay_s, TOO_FEW_CORES_S / 2)
+
     def test_rows_survive_encoding_and_decoding(self) -> None:
         load = Load(8.0, 4.0, 2.0, Waiting(1.0, 2.0, {"f": 3.0}), {"f": 1.5}, {"s": 4.0})
-        owner = OTHER._replace(load={"desk": load}, waiting={"q": 2})
+        owner = OTHER._replace(load={"desk": load}, waiting={"q": 2}, workers=3)
         self.assertEqual(decode_owner(owner.encode()), owner)
         earlier = dumps(loads(owner.encode())[:6])
-        self.assertEqual(decode_owner(earlier), owner._replace(fenced=False))
+        self.assertEqual(decode_owner(earlier), owner._replace(fenced=False, workers=0))
         details = Details([host("w1"), host("w2")], [["s", "f", 1, 0.1]])
         self.assertEqual(decode_details(details.encode()), details)
 
