--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -191,7 +191,9 @@
         """Record a row that this entry wrote."""
         self.observations[cell] = OwnerObservation(owner, version, now, now)
 
-    def note_probe(self, cell: str, reached: bool, me: Claimant, held: int, now: float) -> bool:
+    def note_probe(
+        self, cell: str, reached: bool, me: Claimant, held: Collection[str], now: float
+    ) -> bool:
         """Record whether a probe reached a cell's workers; return whether it may be taken now.
 
         Workers that come back are found by all entries within a probe's pause. The delays apply
@@ -250,7 +252,7 @@
         if owner is not None and not owner.fenced:
             # Its predecessor was deposed, at the latest, when this holder wrote its first row.
             proof_at = max(proof_at, silent_until)
-        delay_s = self._take_delay_s(cell, me, len(held))
+        delay_s = self._take_delay_s(cell, me, held)
         takeable_at = max(seen.renewed_at + delay_s, self.abstain_until.get(cell, 0.0))
         reachable_since = self.reachable_since.get(cell, 0.0)
         if reachable_since < UNREACHED:
@@ -272,12 +274,19 @@
         # The former process on this address has exited: this process is bound to its port.
         return Vacancy(cell, owner, version, now, proof_at, now)
 
-    def _take_delay_s(self, cell: str, me: Claimant, held: int) -> float:
+    def _take_delay_s(self, cell: str, me: Claimant, held: Collection[str]) -> float:
         other_domain = OTHER_DOMAIN_S if me.domain != cell else 0.0
         few_cores = FEW_CORES_S * max(0.0, 2.0 - me.cores) / 2.0
+        weak = self.weak_delay_s(cell, me, held)
+        return other_domain + len(held) * PER_HELD_CELL_S + few_cores + weak
+
+    def weak_delay_s(self, cell: str, me: Claimant, held: Collection[str]) -> float:
+        """Return how long an entry too weak for one more cell leaves it to stronger ones."""
+        needed = self._cores_needed(cell)
+        left = max(0.0, me.cores - sum(self._cores_needed(each) for each in held))
+        return TOO_FEW_CORES_S * (1 - left / needed) if needed > left else 0.0
+
+    def _cores_needed(self, cell: str) -> float:
         seen = self.observations.get(cell)
         workers = seen.owner.workers if seen is not None and seen.owner is not None else 0
-        needed = CORES_PER_WORKER * workers
-        missing_share = max(0.0, 1 - me.cores / (held + 1) / needed) if needed else 0.0
-        too_few_cores = TOO_FEW_CORES_S * missing_share
-        return other_domain + held * PER_HELD_CELL_S + few_cores + too_few_cores
+        return CORES_PER_WORKER * workers
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -111,8 +111,8 @@
             log(Event.STORE_FAILED, what="roster", error=exc)
             return
         reached = await self._can_reach_workers(vacancy, details.roster)
-        held, now = len(self.held), self._env.clock()
-        if self.watch.note_probe(vacancy.cell, reached, self.me, held, now):
+        now = self._env.clock()
+        if self.watch.note_probe(vacancy.cell, reached, self.me, self.held.keys(), now):
             await self._take(vacancy, details)
 
     async def _can_reach_workers(self, vacancy: Vacancy, roster: list[Host]) -> bool:
