--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -59,9 +59,7 @@
 
     def encode(self) -> bytes:
         """Encode the row's value."""
-        loads_ = encode_loads(self.load)
-        more = self.fenced, self.written_ms, self.workers
-        return dumps([*self[:4], loads_, self.waiting, *more])
+        return dumps([*self[:4], encode_loads(self.load), *self[5:]])
 
 
 def decode_owner(data: bytes) -> Owner:
