tests: simulate overloaded holders, and judge ends that were listed

Holders that miss a worker's answers, slow commits, workers that drain, restart at once under their name, holders released or killed one after another, and a lost feed history were not played. The judge knew only ends that a cursor had reached. The platform also counts an end 100 ms after its worker listed it while no disturbance is near, whether the holder got that answer or not.

`python -m tests.takeover FIRST COUNT overload` plays these faults; even seeds have no fault of the platform.

--- a/src/curranthall/standin/runner.py
+++ b/src/curranthall/standin/runner.py
@@ -61,7 +61,7 @@
         self._ended: list[Ending] = []
         self._last_end = 0
         # Ends up to this number precede the last lapse of the lease.
-        self._lapsed_to = 0
+        self.lapsed_to = 0
         self._barred_runs: dict[TaskId, int] = {}
         self._end_added = asyncio.Event()
 
@@ -77,7 +77,7 @@
         for end in self._ended:
             if end.number <= cursor:
                 # An end from before a lapse is never reported as acknowledged.
-                event = "lapsed" if end.number <= self._lapsed_to else f"acked {end.kind.value}"
+                event = "lapsed" if end.number <= self.lapsed_to else f"acked {end.kind.value}"
                 self._on_event(event, end.task, end.run, self.host.name)
         self._ended = [end for end in self._ended if end.number > cursor]
         if lease_ms is not None:
@@ -157,7 +157,7 @@
 
     def _record_lapse(self) -> None:
         if self.clock_ms > self._lease_ms:
-            self._lapsed_to = self._last_end
+            self.lapsed_to = self._last_end
 
     def _extend(self, lease_ms: int) -> None:
         self._record_lapse()
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -7,7 +7,15 @@
 
 from curranthall.cells.advice import Advice
 from curranthall.cells.owner import CELL_PART, Claimant
-from curranthall.cells.ports import AskAdvice, PaceTask, Snapshot, StartResult, StartTask, StopTask
+from curranthall.cells.ports import (
+    AskAdvice,
+    EndKind,
+    PaceTask,
+    Snapshot,
+    StartResult,
+    StartTask,
+    StopTask,
+)
 from curranthall.cells.succession import Environment, Succession
 from curranthall.cells.tracking import Bounds, Queue
 from curranthall.dag import Job, Phase, TaskId
@@ -35,6 +43,10 @@
 STEP_S = 0.05
 # The platform's bound on runs of a cancelled job: time to learn of the cancel, then to stop.
 CANCEL_S = 3.9
+# The platform's bounds: an end that a worker lists counts as acknowledged after LISTED_S if no fault
+# was active within CALM_S of the listing.
+LISTED_S = 0.1
+CALM_S = 5.0
 
 
 async def no_advice(order: AskAdvice) -> Advice:
@@ -55,6 +67,9 @@
         self.at_work: dict[TaskId, set[tuple[str, int]]] = {}
         self.done: dict[tuple[TaskId, int], float] = {}
         self.acked: set[TaskId] = set()
+        # When a worker first listed an end as done, while no fault was near.
+        self.listed: dict[TaskId, float] = {}
+        self.fault_at = -CALM_S
         self.last_start: dict[TaskId, float] = {}
         self.cancelled: dict[str, float] = {}
         self.jobs: dict[str, Job] = {}
@@ -79,6 +94,19 @@
             case "failed" | "stopped" | "lapsed":
                 at_work.discard((worker, run))
 
+    def note_fault(self) -> None:
+        """Record that a fault is active; listings near it don't count."""
+        self.fault_at = now()
+        self.listed = {task: at for task, at in self.listed.items() if now() - at >= CALM_S}
+
+    def note_listed(self, runner: Runner, snapshot: Snapshot) -> None:
+        """Process a worker's answer, whether its caller receives it or not."""
+        if now() - self.fault_at < CALM_S:
+            return
+        for end in snapshot.ended:
+            if end.kind is EndKind.DONE and end.number > runner.lapsed_to:
+                self.listed.setdefault(end.task, now())
+
     def _on_start(self, task: TaskId, run: int, worker: str) -> None:
         self.starts += 1
         self.last_start[task] = now()
@@ -87,6 +115,8 @@
             self._report("two runs at once", task, at_work, worker)
         if task in self.acked:
             self._report("started after an acknowledged end", task, run, worker)
+        elif now() - self.listed.get(task, now()) > LISTED_S:
+            self._report("started after a listed end", task, run, worker)
         job = self.jobs.get(task.job)
         if job is None:
             self._report("started without being submitted", task, run, worker)
@@ -119,6 +149,8 @@
         self.lose_answers = 0.0
         self.apply_late = 0.0
         self.late_holds = 0.0
+        # Whether a restarted worker still executes the late orders to its former boot.
+        self.late_orders_outlive_boot = True
         self.cuts: set[frozenset[str]] = set()
         # Entries whose commits fail while their reads succeed.
         self.read_only: set[str] = set()
@@ -126,6 +158,13 @@
         self.cell_rows_down: set[str] = set()
         # Extra delay of messages to other entries, by sender.
         self.send_delay_s: dict[str, float] = {}
+        # Extra duration of each commit.
+        self.commit_delay_s = 0.0
+        # Pairs of an entry and a worker whose holds are executed, but answered too late for the
+        # entry, as when the entry is short of processor time: no fault of the platform.
+        self.missed_holds: set[tuple[str, str]] = set()
+        # Workers that have announced their shutdown.
+        self.leaving: set[str] = set()
         # Paused entries: they send nothing, and answers to them wait.
         self.frozen: dict[str, asyncio.Event] = {}
         self.crashed: dict[str, asyncio.Event] = {}
@@ -155,7 +194,9 @@
 
     def crash_worker(self, name: str, reborn: bool = False) -> None:
         """Crash a worker; its address then times out, or answers as another boot."""
+        self.judge.note_fault()
         runner = self.runners.pop(name)
+        self.leaving.discard(name)
         self.crashed[name].set()
         self.judge.note_crash(name, runner)
         if reborn:
@@ -163,7 +204,14 @@
 
     def hosts(self) -> dict[str, Host]:
         """Return the workers by name."""
-        return {name: runner.host for name, runner in self.runners.items()}
+        return {
+            name: (
+                runner.host._replace(state=HostState.LEAVING)
+                if name in self.leaving
+                else runner.host
+            )
+            for name, runner in self.runners.items()
+        }
 
     def open(self, one: str, other: str) -> bool:
         """Return whether two names reach each other; the first letter of a name is its domain."""
@@ -178,6 +226,7 @@
 
     def kill(self, name: str) -> None:
         """Kill an entry's process."""
+        self.judge.note_fault()
         self.entries[name].kill()
 
     def restart(self, name: str) -> None:
@@ -213,9 +262,17 @@
         for entry in self.entries.values():
             entry.kill()
 
+    def _is_disturbed(self) -> bool:
+        """Return whether a fault of the platform or a process is active."""
+        shares = self.lose_answers + self.apply_late + self.late_holds + self.commit_delay_s
+        places = self.cuts or self.read_only or self.cell_rows_down or self.send_delay_s
+        return bool(self.store_down or shares or places or self.frozen)
+
     async def _step_workers(self) -> None:
         while True:
             await asyncio.sleep(STEP_S)
+            if self._is_disturbed():
+                self.judge.note_fault()
             for runner in list(self.runners.values()):
                 runner.step()
                 if not Size(0, 0).fits(runner.host.size.minus(runner.total_reserved())):
@@ -360,7 +417,7 @@
             await asyncio.sleep(TIMEOUT_S)
             raise AnswerLost(why="lost")
         answer = cluster.store.apply(part, checks, puts, drops)
-        await asyncio.sleep(NET_S)
+        await asyncio.sleep(NET_S + cluster.commit_delay_s)
         await cluster.thawed(self._entry.name)
         return answer
 
@@ -406,11 +463,13 @@
         cluster = self._cluster
         if not share or cluster.rng.random() >= share:
             return
+        ordered = cluster.runners.get(self._name)
 
         def apply() -> None:
             runner = cluster.runners.get(self._name)
             try:
-                if runner is not None:
+                is_same = runner is ordered or cluster.late_orders_outlive_boot
+                if runner is not None and is_same:
                     effect(runner)
             except CurranthallError:
                 pass
@@ -430,6 +489,10 @@
 
         await self._maybe_late(self._cluster.late_holds, late)
         snapshot = await self._await_unless_crashed(runner.hold(epoch, cursor, lease_ms, wait_ms))
+        self._cluster.judge.note_listed(runner, snapshot)
+        if (self._entry.name, self._name) in self._cluster.missed_holds:
+            await asyncio.sleep(TIMEOUT_S)
+            raise AnswerLost(peer=self._name, why="overload")
         await self._reach()
         return snapshot
 
--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -1,6 +1,7 @@
 """Random simulations of takeovers in which the former holder is unaware of its successor.
 
-`python -m tests.takeover [FIRST [COUNT]]` simulates COUNT seeds and prints the broken rules.
+`python -m tests.takeover [FIRST [COUNT [KIND]]]` simulates COUNT seeds and prints the broken rules;
+KIND is `takeover` or `overload`.
 """
 
 import asyncio
@@ -150,11 +151,114 @@
         self.cluster.cuts -= new
 
 
-def play(seed: int) -> list[str]:
+class Overload(Simulation):
+    """A simulation in which holders miss answers, and workers, holders and jobs come and go."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        # Half of the seeds have no fault of the platform, so that all listed ends count.
+        self.calm = seed % 2 == 0
+        self.cluster.late_orders_outlive_boot = False
+        # Numbers of jobs and workers that are added besides the usual ones.
+        self.extra = 0
+
+    async def _fault(self) -> None:
+        rng, cluster = self.rng, self.cluster
+        cell = rng.choice(cluster.domains)
+        seconds = rng.uniform(1.0, 8.0)
+        match rng.randrange(5 if self.calm else 11):
+            case 0:
+                await self._miss_holds(cell, list(cluster.entries), 1, seconds)
+            case 1:
+                await self._miss_holds(cell, [cluster.holder(cell) or ""], 1, seconds)
+            case 2:
+                await self._miss_holds(cell, [cluster.holder(cell) or ""], 4, seconds)
+            case 3:
+                await self._release(rng.sample(cluster.domains, rng.randint(1, 3)))
+            case 4:
+                cluster.store.drop_history()
+                await asyncio.gather(*(self._submit_later(JOBS + n) for n in self._numbers(4)))
+            case 5:
+                await self._restart_worker(cell)
+            case 6:
+                cluster.commit_delay_s = rng.uniform(0.1, 0.8)
+                await asyncio.sleep(seconds)
+                cluster.commit_delay_s = 0.0
+            case 7:
+                await self._drain(cell)
+            case 8:
+                await self._kill(rng.sample(cluster.domains, rng.randint(2, 3)))
+            case 9:
+                cluster.evacuated = frozenset(rng.sample(cluster.domains, rng.randint(1, 2)))
+                await asyncio.sleep(seconds)
+                cluster.evacuated = frozenset()
+            case 10:
+                cluster.apply_late = cluster.late_holds = 0.3
+                await self._restart_worker(cell)
+                await asyncio.sleep(seconds)
+                cluster.apply_late = cluster.late_holds = 0.0
+
+    def _numbers(self, count: int) -> range:
+        self.extra += count
+        return range(self.extra - count + 1, self.extra + 1)
+
+    async def _miss_holds(
+        self, cell: str, entries: list[str], workers: int, seconds: float
+    ) -> None:
+        """Let entries miss the answers of some of a cell's workers."""
+        names = sorted(name for name in self.cluster.runners if name[0] == cell)
+        chosen = self.rng.sample(names, min(workers, len(names)))
+        missed = {(entry, name) for entry in entries for name in chosen}
+        self.cluster.missed_holds |= missed
+        await asyncio.sleep(seconds)
+        self.cluster.missed_holds -= missed
+
+    async def _release(self, cells: list[str]) -> None:
+        """Release cells one after another."""
+        for cell in cells:
+            holder = self.cluster.holder(cell)
+            if holder is not None:
+                await self.cluster.entries[holder].succession.held[cell].release()
+            await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+
+    async def _kill(self, cells: list[str]) -> None:
+        for cell in cells:
+            holder = self.cluster.holder(cell)
+            if holder is not None:
+                self.cluster.kill(holder)
+                await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+                self.cluster.restart(holder)
+
+    def _random_worker(self, cell: str) -> str | None:
+        names = sorted(name for name in self.cluster.runners if name[0] == cell)
+        return self.rng.choice(names) if names else None
+
+    async def _restart_worker(self, cell: str) -> None:
+        name = self._random_worker(cell)
+        if name is not None:
+            self.cluster.crash_worker(name)
+            await asyncio.sleep(self.rng.uniform(0.0, 0.4))
+            self.cluster.add_worker(name, cell)
+
+    async def _drain(self, cell: str) -> None:
+        name = self._random_worker(cell)
+        if name is not None:
+            self.cluster.leaving.add(name)
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+            if name in self.cluster.runners:
+                self.cluster.crash_worker(name)
+            self.extra += 1
+            self.cluster.add_worker(f"{cell}-x{self.extra}", cell)
+
+
+KINDS = {"takeover": Simulation, "overload": Overload}
+
+
+def play(seed: int, kind: type[Simulation] = Simulation) -> list[str]:
     """Simulate a seed; return the broken rules."""
 
     async def main() -> list[str]:
-        return await Simulation(seed).run()
+        return await kind(seed).run()
 
     found: list[str] = run(main())
     return found
@@ -162,10 +266,10 @@
 
 def main() -> None:
     """Simulate a range of seeds."""
-    first, count = ([int(word) for word in sys.argv[1:]] + [0, 100][len(sys.argv) - 1 :])[:2]
+    first, count, kind = (sys.argv[1:] + ["0", "100", "takeover"][len(sys.argv) - 1 :])[:3]
     wrong = 0
-    for seed in range(first, first + count):
-        broken = play(seed)
+    for seed in range(int(first), int(first) + int(count)):
+        broken = play(seed, KINDS[kind])
         wrong += bool(broken)
         if broken:
             print(f"seed {seed}: {len(broken)} broken, first: {broken[0]}", flush=True)
