Acknowledge no ends of a worker that may have restarted

A worker that restarts under its id numbers its ends from 1 again, and a hold names only the id. The first holds to the new boot carried the cursor of the former one (or did so seconds later, when executed late), so the new boot forgot ends that nobody had seen. The holder then took the run for gone (reborn or vanished) and started the task again: a start after an acknowledged end.

A worker is now asked with cursor 0 from a failed hold until it answers; 0 forgets nothing, and ends that are listed again are skipped by their number. Open: a restart that no hold notices, within the 50 ms between two holds, while the next one is executed late.

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -360,10 +360,10 @@
         if retry_now:
             # The answer has the worker's clock, on which the next lease is based.
             wait_ms = 0
+        # A silent worker may have restarted, and a new boot numbers its ends from 1 again.
+        cursor = dispatcher.cursor(member) if member.silent_since is None else 0
         try:
-            snapshot = await self._ports[member.name].hold(
-                dispatcher.epoch, dispatcher.cursor(member), lease, wait_ms
-            )
+            snapshot = await self._ports[member.name].hold(dispatcher.epoch, cursor, lease, wait_ms)
         except (ConnectFailed, AnswerLost):
             dispatcher.on_silence(member.name, self._clock())
             return SILENT_PAUSE_S
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -43,8 +43,8 @@
 STEP_S = 0.05
 # The platform's bound on runs of a cancelled job: time to learn of the cancel, then to stop.
 CANCEL_S = 3.9
-# The platform's bounds: an end that a worker lists counts as acknowledged after LISTED_S if no fault
-# was active within CALM_S of the listing.
+# The platform's bounds: an end that a worker lists counts as acknowledged after LISTED_S if no
+# fault was active within CALM_S of the listing.
 LISTED_S = 0.1
 CALM_S = 5.0
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -16,6 +16,7 @@
 POLL_S = 0.01
 # Seeds of random simulations that failed before.
 SEEDS = (1018, 1080)
+OVERLOAD_SEEDS = (411, 457)
 
 
 def make_job(number: int, step: Step) -> Job:
@@ -281,12 +282,40 @@
 
         self.play(scenario, prepare=unreached)
 
+    def test_a_restarted_workers_ends_are_not_acknowledged_by_its_former_boots_numbers(
+        self,
+    ) -> None:
+        async def scenario(split: SplitCell) -> None:
+            cluster, worker = split.cluster, "a-w0"
+            split.close_cells("b", "c")
+            await split.submit("b-e1", make_job(1, make_step(8)))
+            await asyncio.sleep(4)
+            member = split.held(split.former)[CELL].dispatcher.members[worker]
+            cluster.late_holds = 1.0
+            answered_at = member.answered_at
+            while member.answered_at == answered_at:
+                await asyncio.sleep(POLL_S)
+            await asyncio.sleep(0.1)
+            cluster.crash_worker(worker)
+            cluster.add_worker(worker, CELL)
+            await split.submit("b-e1", make_job(2, make_step(8)))
+            await asyncio.sleep(0.1)
+            self.assertTrue(cluster.runners[worker].running)
+            await asyncio.sleep(1.5)
+            cluster.late_holds = 0.0
+            await asyncio.sleep(8)
+
+        self.play(scenario)
+
 
 class RegressionSeeds(unittest.TestCase):
     def test_previously_failing_seeds_pass(self) -> None:
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 self.assertEqual(takeover.play(seed), [])
+        for seed in OVERLOAD_SEEDS:
+            with self.subTest(overload_seed=seed):
+                self.assertEqual(takeover.play(seed, takeover.Overload), [])
 
 
 if __name__ == "__main__":
