Don't run finite tasks of a silent worker again as long as it may list their ends

A holder that got no answer from a worker for a lease took all its runs for over and started their tasks again, although the worker was up, listed them as done in answers that the holder missed, and would do so in the next one. A lapse proves that nothing runs there any more, not that nothing ended. A successor did the same with every worker of the roster that had not answered it by the time of the proof.

Now, while the worker is still listed as up, its finite tasks wait up to 6 s more (a lease) for an answer; at a takeover those of jobs from before do. Lasting tasks, which have no end as done, and those of a worker that is no longer listed start again at the lapse, as before.

Open: a worker that is listed, but unreachable for longer.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -8,6 +8,7 @@
 
 from curranthall.cells.advice import Advice
 from curranthall.cells.fleet import (
+    END_WAIT_S,
     NO_END_LISTED,
     QUARANTINE_S,
     EndReason,
@@ -138,6 +139,8 @@
         # Workers that may still accept orders of a former holder, until `_proof_at` at the latest.
         self._unproven: set[str] = set()
         self._proof_at = 0.0
+        # Workers of the former holder that have not answered this one, so that they may list ends.
+        self._unheard: set[str] = set()
         # Whether rows were read after all workers were fenced.
         self.proven = True
         self._last_run = epoch * RUNS_PER_EPOCH
@@ -158,6 +161,7 @@
         for host in roster:
             self.members[host.name] = Member(host, prior=True, in_roster=True)
         self._unproven = set(self.members)
+        self._unheard = set(self.members)
         self._proof_at = proof_at
         self.proven = not self._unproven
 
@@ -468,6 +472,7 @@
         member.all_ends_listed = snapshot.complete
         if snapshot.complete:
             self._unproven.discard(member.name)
+            self._unheard.discard(member.name)
         for ending in snapshot.ended:
             if ending.number > member.last_end:
                 member.last_end = ending.number
@@ -847,6 +852,7 @@
             return
         log(Event.WORKER_GONE, worker=worker, running=len(member.runs))
         self._unproven.discard(worker)
+        self._unheard.discard(worker)
         self.interference.forget_worker(worker)
         for run in list(member.runs.values()):
             self._remove_run(run, now, EndReason.GONE)
@@ -864,6 +870,8 @@
         if self._unproven and now >= self._proof_at:
             log(Event.CELL_PROVEN, cell=self.cell, by="lapse", workers=len(self._unproven))
             self._unproven.clear()
+        if self._unheard and now >= self._proof_at + END_WAIT_S:
+            self._unheard.clear()
         for member in list(self.members.values()):
             self._tick_member(member, now, confirmed_at)
         self._remove_old_jobs(now)
@@ -924,8 +932,11 @@
         # A successor may have extended the leases after this holder was last confirmed.
         lapsed = member.silent_since is not None and confirmed_at > member.lapses_at()
         if lapsed and member.runs:
-            log(Event.WORKER_LAPSED, worker=member.name, runs=len(member.runs))
-            for run in list(member.runs.values()):
+            may_list_ends = member.may_list_ends(now)
+            over = [run for run in member.runs.values() if run.step.lasting or not may_list_ends]
+            if over:
+                log(Event.WORKER_LAPSED, worker=member.name, runs=len(over))
+            for run in over:
                 self._remove_run(run, now, EndReason.LAPSED)
         if member.missing_since is not None and lapsed and member.name not in self._unproven:
             self.interference.forget_worker(member.name)
@@ -1068,7 +1079,14 @@
 
     def _is_held(self, batch: Batch, now: float) -> bool:
         tracked = batch.tracked
-        return now < tracked.pause_until or not self._can_start(tracked)
+        if now < tracked.pause_until or not self._can_start(tracked):
+            return True
+        return tracked.prior and not batch.step.lasting and self._has_unheard_workers()
+
+    def _has_unheard_workers(self) -> bool:
+        """Return whether workers that are listed as up may list ends of a former holder's runs."""
+        unheard = [self.members[name] for name in self._unheard if name in self.members]
+        return any(member.missing_since is None for member in unheard)
 
     def _can_start(self, tracked: TrackedJob) -> bool:
         """Return whether the stored row names this epoch, so that no other holder starts its tasks.
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -12,6 +12,9 @@
 # A worker's clock may run up to 2 % slow (the platform's bound); the slack covers answer delay.
 CLOCK_DRIFT = 0.02
 LAPSE_SLACK_S = 0.2
+# A lapse shows that a worker's runs are over, but not how they ended. As long as the worker is
+# listed as up, its finite tasks start again only if it does not answer for this long after.
+END_WAIT_S = 6.0
 # A worker whose last answer is older than this gets no new task.
 STALE_ANSWER_S = 2.5
 # Pause after a worker refuses a start as unhealthy; currently unused.
@@ -244,6 +247,10 @@
         """Return the local time by which every lease ever sent has certainly lapsed."""
         return self.clock_reached_by(self.granted_ms) + LAPSE_SLACK_S
 
+    def may_list_ends(self, now: float) -> bool:
+        """Return whether a worker whose leases have lapsed may still answer and list ends."""
+        return self.missing_since is None and now < self.lapses_at() + END_WAIT_S
+
     def grant(self, now: float, hold_s: float) -> int | None:
         """Return the lease end to send, on the worker's clock; None before its first answer."""
         if not self.born:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -9,7 +9,7 @@
 from curranthall.intake import Verdict
 from curranthall.model import Size
 from tests import takeover
-from tests.cluster import SERVICE, Cluster, now
+from tests.cluster import CALM_S, SERVICE, Cluster, now
 from tests.virtual import run
 
 CELL = "a"
@@ -282,6 +282,35 @@
 
         self.play(scenario, prepare=unreached)
 
+    def test_ends_that_an_overloaded_holder_does_not_see_are_not_run_again(self) -> None:
+        async def scenario(split: SplitCell) -> None:
+            split.close_cells("b", "c")
+            await asyncio.sleep(CALM_S)
+            await split.submit("b-e1", make_job(1, make_step(8)))
+            await asyncio.sleep(0.5)
+            busy = next(name for name, at in split.cluster.runners.items() if at.running)
+            split.cluster.missed_holds = {(split.former, busy)}
+            await asyncio.sleep(8)
+            split.cluster.missed_holds = set()
+            await asyncio.sleep(8)
+
+        self.play(scenario)
+
+    def test_ends_that_an_overloaded_successor_does_not_see_are_not_run_again(self) -> None:
+        async def scenario(split: SplitCell) -> None:
+            split.close_cells("b", "c")
+            await asyncio.sleep(CALM_S)
+            await split.submit("b-e1", make_job(1, make_step(8)))
+            await asyncio.sleep(0.5)
+            busy = next(name for name, at in split.cluster.runners.items() if at.running)
+            split.cluster.missed_holds = {(name, busy) for name in split.cluster.entries}
+            await split.held(split.former)[CELL].release()
+            await asyncio.sleep(8)
+            split.cluster.missed_holds = set()
+            await asyncio.sleep(8)
+
+        self.play(scenario)
+
     def test_a_restarted_workers_ends_are_not_acknowledged_by_its_former_boots_numbers(
         self,
     ) -> None:
