--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -9,13 +9,14 @@
 from curranthall.intake import Verdict
 from curranthall.model import Size
 from tests import takeover
-from tests.cluster import SERVICE, Cluster, now
+from tests.cluster import CALM_S, SERVICE, Cluster, now
 from tests.virtual import run
 
 CELL = "a"
 POLL_S = 0.01
 # Seeds of random simulations that failed before.
 SEEDS = (1018, 1080)
+OVERLOAD_SEEDS = (411, 457)
 
 
 def make_job(number: int, step: Step) -> Job:
@@ -281,12 +282,69 @@
 
         self.play(scenario, prepare=unreached)
 
+    def test_ends_that_an_overloaded_holder_does_not_see_are_not_run_again(self) -> None:
+        async def scenario(split: SplitCell) -> None:
+            split.close_cells("b", "c")
+            await asyncio.sleep(CALM_S)
+            await split.submit("b-e1", make_job(1, make_step(8)))
+            await asyncio.sleep(0.5)
+            busy = next(name for name, at in split.cluster.runners.items() if at.running)
+            split.cluster.missed_holds = {(split.former, busy)}
+            await asyncio.sleep(8)
+            split.cluster.missed_holds = set()
+            await asyncio.sleep(8)
+
+        self.play(scenario)
+
+    def test_ends_that_an_overloaded_successor_does_not_see_are_not_run_again(self) -> None:
+        async def scenario(split: SplitCell) -> None:
+            split.close_cells("b", "c")
+            await asyncio.sleep(CALM_S)
+            await split.submit("b-e1", make_job(1, make_step(8)))
+            await asyncio.sleep(0.5)
+            busy = next(name for name, at in split.cluster.runners.items() if at.running)
+            split.cluster.missed_holds = {(name, busy) for name in split.cluster.entries}
+            await split.held(split.former)[CELL].release()
+            await asyncio.sleep(8)
+            split.cluster.missed_holds = set()
+            await asyncio.sleep(8)
+
+        self.play(scenario)
+
+    def test_a_restarted_workers_ends_are_not_acknowledged_by_its_former_boots_numbers(
+        self,
+    ) -> None:
+        async def scenario(split: SplitCell) -> None:
+            cluster, worker = split.cluster, "a-w0"
+            split.close_cells("b", "c")
+            await split.submit("b-e1", make_job(1, make_step(8)))
+            await asyncio.sleep(4)
+            member = split.held(split.former)[CELL].dispatcher.members[worker]
+            cluster.late_holds = 1.0
+            answered_at = member.answered_at
+            while member.answered_at == answered_at:
+                await asyncio.sleep(POLL_S)
+            await asyncio.sleep(0.1)
+            cluster.crash_worker(worker)
+            cluster.add_worker(worker, CELL)
+            await split.submit("b-e1", make_job(2, make_step(8)))
+            await asyncio.sleep(0.1)
+            self.assertTrue(cluster.runners[worker].running)
+            await asyncio.sleep(1.5)
+            cluster.late_holds = 0.0
+            await asyncio.sleep(8)
+
+        self.play(scenario)
+
 
 class RegressionSeeds(unittest.TestCase):
     def test_previously_failing_seeds_pass(self) -> None:
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 self.assertEqual(takeover.play(seed), [])
+        for seed in OVERLOAD_SEEDS:
+            with self.subTest(overload_seed=seed):
+                self.assertEqual(takeover.play(seed, takeover.Overload), [])
 
 
 if __name__ == "__main__":
