--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -895,6 +895,8 @@
             proven=self.proven,
             closed=self.closed,
             runs=sum(len(member.runs) for member in self.members.values()),
+            lasting=count_lasting(waiting, self.members.values())._asdict(),
+            lasting_waits=[list(row) for row in list_lasting_waits(waiting, ctx)],
             interference=self.interference.weights(),
             idle_cores=[round(member.idle_cores, 1) for member in self.members.values()],
             free_cores=[round(member.room.cores, 1) for member in self.members.values()],
@@ -905,8 +907,6 @@
             free_gb=[round(member.room.memory / 1000, 1) for member in self.members.values()],
             waiting_tasks=sum(len(batch.waiting) for batch in waiting),
             waits=[list(row) for row in self.waits],
-            lasting=count_lasting(waiting, self.members.values())._asdict(),
-            lasting_waits=[list(row) for row in list_lasting_waits(waiting, ctx)],
             waiting_first=[
                 [
                     batch.tracked.job.id,
