Count the missed renewals of a silent holder once

It now counts from the renewal alone. A second test holds that the wait for leases counts from when the row was seen, not from its earlier estimate; it passes before, too. The entry's own row forgets former probes.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -32,9 +32,9 @@
 # Delay of an entry with none of the cores that holding the cell takes; less in proportion to the
 # cores that it has. It exceeds the time in which all entries notice a released cell.
 TOO_FEW_CORES_S = 3.0
-# What a holder needs for each worker of its cell, as measured on busy cells.
+# What a holder needs for each worker of its cell.
 CORES_PER_WORKER = 0.015
-# Bounds on the pause between two probes of a cell whose workers are out of reach.
+# The least pause between two probes of a cell whose workers are out of reach.
 MIN_PROBE_PAUSE_S = 0.2
 UNREACHED = float("inf")
 # How long an entry that gave up a cell (e.g. its workers are out of reach) leaves it to others.
@@ -188,6 +188,7 @@
     def record(self, cell: str, owner: Owner, version: int, now: float) -> None:
         """Record a row that this entry wrote."""
         self.observations[cell] = OwnerObservation(owner, version, now, now)
+        self.reachable_since.pop(cell, None)
 
     def note_probe(
         self, cell: str, reached: bool, me: Claimant, held: Collection[str], now: float
@@ -250,16 +251,18 @@
         if owner is not None and not owner.fenced:
             # Its predecessor was deposed, at the latest, when this holder wrote its first row.
             proof_at = max(proof_at, silent_until)
+        is_released = owner is None or not owner.holder
+        vacant_at = seen.renewed_at + (0.0 if is_released else VACANT_S)
         delay_s = self._take_delay_s(cell, me, held)
-        takeable_at = max(seen.renewed_at + delay_s, self.abstain_until.get(cell, 0.0))
+        takeable_at = max(vacant_at + delay_s, self.abstain_until.get(cell, 0.0))
         reachable_since = self.reachable_since.get(cell, 0.0)
         if reachable_since < UNREACHED:
             takeable_at = max(takeable_at, reachable_since + delay_s)
-        if owner is None or not owner.holder:
+        if owner is None or is_released:
             probe_at = takeable_at
             if cell not in self.reachable_since:
                 # The holder may have released the cell because its workers are out of reach.
-                probe_at = max(seen.renewed_at, self.abstain_until.get(cell, 0.0))
+                probe_at = max(vacant_at, self.abstain_until.get(cell, 0.0))
             return Vacancy(cell, owner, version, takeable_at, proof_at, probe_at)
         if cell in held:
             return None
@@ -267,7 +270,6 @@
         if owner.address != me.address or own_process:
             # If `own_process`, the answer to this entry's take or release was lost.
             proof_at = max(proof_at, silent_until)
-            takeable_at += VACANT_S
             return Vacancy(cell, owner, version, takeable_at, proof_at, takeable_at)
         # The former process on this address has exited: this process is bound to its port.
         return Vacancy(cell, owner, version, now, proof_at, now)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -9,7 +9,10 @@
 from curranthall.cells.load import Load, Waiting
 from curranthall.cells.owner import (
     CELL_TABLE,
+    FEW_CORES_S,
     ORDER_LIMIT_S,
+    OTHER_DOMAIN_S,
+    RENEW_S,
     TOO_FEW_CORES_S,
     VACANT_S,
     Claimant,
@@ -197,6 +200,37 @@
         self.assertLess(waits["e1"], waits["e3"])
         self.assertLess(waits["e3"], waits["e4"])
 
+    def test_a_silent_holders_cell_is_taken_soon_after_its_workers_are_back_in_reach(self) -> None:
+        silent = OTHER._replace(workers=54)
+        for me in (self.strong, self.weak, self.far):
+            watch = self.watch_from(100.0, silent, 102.0)
+            at = self.takeable(watch, me, 102.8)
+            while at < 110.0:
+                self.assertFalse(watch.note_probe("north", False, me, (), at))
+                self.assertLessEqual(self.takeable(watch, me, at) - at, RENEW_S)
+                at = self.takeable(watch, me, at)
+            reached_at = at
+            if not watch.note_probe("north", True, me, (), at):
+                at = self.takeable(watch, me, at)
+                self.assertTrue(watch.note_probe("north", True, me, (), at))
+            # No more than the delay that leaves the cell to better suited entries.
+            limit_s = OTHER_DOMAIN_S + FEW_CORES_S + TOO_FEW_CORES_S
+            self.assertLessEqual(at - reached_at, limit_s)
+
+    def takeable(self, watch: OwnerWatch, me: Claimant, now: float) -> float:
+        """Return when an entry may take or probe the cell next."""
+        found = watch.vacancy(me, (), now)
+        assert found is not None
+        return found.takeable_at
+
+    def test_the_wait_for_leases_counts_from_when_the_row_was_seen(self) -> None:
+        for phase in range(8):
+            watch = self.watch_from(100 + phase / 10, OTHER, 102.0)
+            found = watch.vacancy(self.strong, (), 102.8)
+            assert found is not None
+            seen_at = watch.observations["north"].since
+            self.assertGreaterEqual(found.proof_at, seen_at + ORDER_LIMIT_S * SLOW_CLOCK)
+
 
 class Configurations(unittest.TestCase):
     def test_an_older_configuration_is_not_applied(self) -> None:
