--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -848,10 +848,12 @@
 
     def on_start_unsent(self, order: StartTask, now: float) -> None:
         """Remove the run of a start that was never sent."""
-        run = self.find(order)
-        if run is not None:
-            self.on_silence(order.worker, now)
-            self._remove_run(run, now, EndReason.UNSENT)
+        run, member = self.find(order), self.members.get(order.worker)
+        if run is None or member is None:
+            return
+        # Not a silence of the worker: the call may have waited for a connection of this process.
+        member.avoid_until = max(member.avoid_until, now + NO_ROOM_PAUSE_S)
+        self._remove_run(run, now, EndReason.UNSENT)
 
     def on_start_unanswered(self, order: StartTask, now: float) -> None:
         """Stop a run whose start was not answered: the worker may have started it or not."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -506,6 +506,15 @@
 
 
 class LostWorkers(unittest.TestCase):
+    def test_a_start_that_was_never_sent_does_not_make_its_worker_silent(self) -> None:
+        cell = Cell(host("w1"), host("w2"))
+        cell.add(job("0" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.dispatcher.on_start_unsent(order, cell.now)
+        self.assertIsNone(cell.member(order.worker).silent_since)
+        (again,) = cell.plan()
+        self.assertNotEqual(again.worker, order.worker)
+
     def test_a_missing_workers_tasks_wait_for_the_end_of_its_lease(self) -> None:
         cell = Cell(host("w1"), host("w2"))
         cell.add(job("0" * 16, step(1)))
