Bound the lookups of unknown jobs together, failed ones last

Six lookups and six of the feed could hold all six connections to the store that renewals use; four now share a limit. Failed lookups made the others wait for good where they were first in the list (by a reviewer, reading); now they come after them. The tests of the lookups pass with both.

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -75,8 +75,8 @@
 # slow store free for new jobs. The limit keeps the phases shown to callers fresh (3 s are allowed).
 RECORD_PAUSE_FACTOR = 3.0
 MAX_RECORD_PAUSE_S = 0.9
-# The most jobs that are looked up at once.
-LOOKUP_JOBS = 6
+# The most jobs that are looked up at once; renewals and records share the store's connections.
+LOOKUP_JOBS = 4
 # The most rows in one write.
 BATCH_ROWS = 45
 STORE_RETRY_S = 0.2
@@ -151,6 +151,7 @@
         # By part, the store version up to which its rows were read.
         self._read_versions: dict[str, int] = {}
         self._resolving = False
+        self._lookups = asyncio.Semaphore(LOOKUP_JOBS)
         self.loaded = False
 
     # Lifecycle
@@ -249,7 +250,7 @@
             except TimeoutError:
                 pass
             self._renew_now.clear()
-            # When the store is back, entries that can reach the workers may take the cell at once.
+            # Others may take the cell as soon as the store is back.
             pause_s = RENEW_S if await self._renew() else STORE_RETRY_S
 
     def _store_ms(self) -> int:
@@ -404,19 +405,25 @@
         try:
             while self.dispatcher.unknown_jobs and not self.loaded:
                 await asyncio.sleep(TICK_S)
-            while job_ids := self.dispatcher.list_unknown_jobs()[:LOOKUP_JOBS]:
-                # The read may fail for some of them only; these are looked up again.
+            failed: set[str] = set()
+            while unknown := self.dispatcher.list_unknown_jobs():
+                # Those whose read failed come again after the others.
+                job_ids = [job_id for job_id in unknown if job_id not in failed][:LOOKUP_JOBS]
+                if not job_ids:
+                    failed.clear()
+                    await asyncio.sleep(STORE_RETRY_S)
+                    continue
                 found = await asyncio.gather(*(self._resolve(job_id) for job_id in job_ids))
+                failed.update(each for each, ok in zip(job_ids, found, strict=True) if not ok)
                 self.wake()
-                if not all(found):
-                    await asyncio.sleep(STORE_RETRY_S)
         finally:
             self._resolving = False
 
     async def _resolve(self, job_id: str) -> bool:
         """Adopt a job, or stop its runs if it is not stored; return False if the store failed."""
         try:
-            stored = await read_job(self._store, job_id)
+            async with self._lookups:
+                stored = await read_job(self._store, job_id)
         except (PlatformDown, AnswerLost) as exc:
             log(Event.STORE_FAILED, what="unknown job", error=exc)
             return False
@@ -651,7 +658,7 @@
     async def _follow_feed(self) -> None:
         try:
             page = await self._store.feed(PROGRESS_TABLE, self._feed_from, FEED_WAIT_MS)
-            new = [row.key for row in page.rows if self._applies_to_new_job(row)]
+            new = [row.key for row in page.rows if self._refresh_or_select(row)]
             for at in range(0, len(new), LOOKUP_JOBS):
                 chunk = new[at : at + LOOKUP_JOBS]
                 await asyncio.gather(*(self._apply_stored(job_id) for job_id in chunk))
@@ -673,8 +680,8 @@
             self.dispatcher.note_rows_read()
             log(Event.CELL_PROVEN, cell=self.cell, by="rows")
 
-    def _applies_to_new_job(self, row: Row) -> bool:
-        """Refresh a tracked job; return whether the row is of another one with tasks here."""
+    def _refresh_or_select(self, row: Row) -> bool:
+        """Refresh a tracked job; return True for another unfinished one with tasks here."""
         if row.key in self.dispatcher.tracked:
             self.refresh(row.key, row)
             return False
@@ -684,7 +691,8 @@
         return has_tasks_in(progress, self.cell)
 
     async def _apply_stored(self, job_id: str) -> None:
-        stored = await read_job(self._store, job_id)
+        async with self._lookups:
+            stored = await read_job(self._store, job_id)
         if stored is not None:
             self._apply(stored, "feed")
 
