Keep ends that a worker listed before it restarted or went

The listed end was dropped with the worker's state, the job was adopted without it, and the task started again. Such ends are kept by job and count when the job is known. The test failed before, for a restart ([0, 1] started in place of [1]).

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -138,6 +138,8 @@
         self.urgent = False
         self.closed = False
         self.unknown_jobs: set[str] = set()
+        # By job that is not known yet, ends that workers listed before they restarted or went.
+        self._orphaned_ends: dict[str, list[tuple[Host, Ending]]] = {}
         self._queue_of = queue_of
         self._wall_ms = wall_ms
         self._ready: dict[tuple[str, int, int], Batch] = {}
@@ -257,6 +259,9 @@
             if self.proven:
                 self._claim(tracked)
             self._open_steps(tracked, now)
+        for host, ending in self._orphaned_ends.pop(job.id, ()):
+            # The end's number is of a boot that nothing can be acknowledged to any more.
+            self._on_end(Member(host), ending, now)
         for member in self.members.values():
             for ending in member.deferred_ends.pop(job.id, ()):
                 self._on_end(member, ending, now)
@@ -367,6 +372,14 @@
                 log(Event.RUN_UNKNOWN, task=entry.task, run=entry.run, worker=member.name)
                 self.orders.append(StopTask(member.name, entry.task, entry.run))
             member.deferred_ends.pop(job_id, None)
+        self._orphaned_ends.pop(job_id, None)
+
+    def _keep_deferred_ends(self, member: Member) -> None:
+        """Keep the listed ends of a boot that is over until their jobs are known."""
+        for job_id, ends in member.deferred_ends.items():
+            kept = self._orphaned_ends.setdefault(job_id, [])
+            kept.extend((member.host, ending) for ending in ends)
+        member.deferred_ends.clear()
 
     def _open_steps(self, tracked: TrackedJob, now: float) -> None:
         job, progress = tracked.job, tracked.progress
@@ -495,6 +508,7 @@
         """Process the runs and ends that a worker lists."""
         reborn = member.note_answer(snapshot, now, self.bounds.max_hold_s)
         if reborn:
+            self._keep_deferred_ends(member)
             member.confirmed = False
             self._resend_stops(member)
             log(Event.WORKER_REBORN, worker=member.name, born=snapshot.born)
@@ -892,6 +906,7 @@
         self._unproven.discard(worker)
         self._unheard.discard(worker)
         self.interference.forget_worker(worker)
+        self._keep_deferred_ends(member)
         for run in list(member.runs.values()):
             self._remove_run(run, now, EndReason.GONE)
 
@@ -980,6 +995,7 @@
                 self._remove_run(run, now, EndReason.LAPSED)
         if member.missing_since is not None and lapsed and member.name not in self._unproven:
             self.interference.forget_worker(member.name)
+            self._keep_deferred_ends(member)
             del self.members[member.name]
 
     def _remove_old_jobs(self, now: float) -> None:
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -274,7 +274,6 @@
         if has_restarted:
             self.last_end = self.acked_end = 0
             self.pending_acks.clear()
-            self.deferred_ends.clear()
             self.unknown_runs.clear()
         self.born = snapshot.born
         self.clock_ms, self.clock_at = snapshot.clock_ms, now
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -472,6 +472,20 @@
         cell.record()
         self.assertEqual([order.task.number for order in cell.plan()], [1])
 
+    def test_an_end_listed_before_its_worker_restarted_or_went_counts(self) -> None:
+        for is_gone in (False, True):
+            cell = self.successor("w1")
+            cell.answer("w1", [], [Ending(1, task(number=0), 3, EndKind.DONE, "")])
+            if is_gone:
+                cell.dispatcher.on_gone("w1", cell.now)
+                cell.dispatcher.update_host(host("w1"))
+            cell.answer("w1", born=BORN + 1)
+            cell.add(job(), prior=True)
+            cell.dispatcher.note_rows_read()
+            cell.record()
+            self.assertEqual([order.task.number for order in cell.plan()], [1])
+            self.assertEqual(cell.dispatcher.cursor(cell.member("w1")), 0)
+
     def test_a_run_of_a_later_step_implies_that_its_dependencies_are_done(self) -> None:
         cell = self.successor("w1")
         cell.add(job("0" * 16, step(2), step(1, after=(0,))), prior=True)
