--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager, suppress
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any, NamedTuple
-from weakref import WeakKeyDictionary
 
 import h11
 
@@ -19,15 +18,13 @@
     TooLarge,
 )
 from curranthall.events import Event, log
+from curranthall.timeouts import lag_tolerant_timeout
 
 READ_CHUNK_BYTES = 65_536
 MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 1_048_576
 REQUEST_READ_S = 5.0
 IDLE_TIMEOUT_S = 60.0
-# Calls get the time that their own loop lost on top of their timeout, up to this multiple of it.
-MAX_EXTENSION = 2.0
-LOST_TIME_TICK_S = 0.05
 JSON_TYPE = "application/json"
 
 
@@ -231,69 +228,6 @@
         await writer.drain()
 
 
-class _LostTime:
-    """Measures the time that a loop lost while calls are open: it was busy or got no processor."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self.seconds = 0.0
-        self._loop = loop
-        self._calls = 0
-        self._timer: asyncio.TimerHandle | None = None
-
-    def open(self) -> None:
-        """Note the begin of a call."""
-        self._calls += 1
-        if self._timer is None:
-            self._schedule()
-
-    def close(self) -> None:
-        """Note the end of a call."""
-        self._calls -= 1
-        if not self._calls and self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _schedule(self) -> None:
-        due = self._loop.time() + LOST_TIME_TICK_S
-        self._timer = self._loop.call_at(due, self._tick, due)
-
-    def _tick(self, due: float) -> None:
-        self.seconds += self._loop.time() - due
-        self._schedule()
-
-
-_lost_times: WeakKeyDictionary[asyncio.AbstractEventLoop, _LostTime] = WeakKeyDictionary()
-
-
-@asynccontextmanager
-async def _own_timeout(seconds: float) -> AsyncIterator[None]:
-    """Like asyncio.timeout, but don't count time that the loop lost: the answer may be waiting."""
-    loop = asyncio.get_running_loop()
-    if loop not in _lost_times:
-        _lost_times[loop] = _LostTime(loop)
-    lost = _lost_times[loop]
-    lost_before, extended_s = lost.seconds, 0.0
-    timer: asyncio.TimerHandle
-    async with asyncio.timeout(None) as limit:
-
-        def expire() -> None:
-            nonlocal extended_s, timer
-            owed_s = min(lost.seconds - lost_before, MAX_EXTENSION * seconds) - extended_s
-            if owed_s < LOST_TIME_TICK_S:
-                limit.reschedule(loop.time())
-                return
-            extended_s += owed_s
-            timer = loop.call_later(owed_s, expire)
-
-        timer = loop.call_later(seconds, expire)
-        lost.open()
-        try:
-            yield
-        finally:
-            timer.cancel()
-            lost.close()
-
-
 class _Connection(NamedTuple):
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
@@ -323,7 +257,7 @@
         """Send one request; raise ConnectFailed (nothing sent) or AnswerLost."""
         sent = False
         try:
-            async with _own_timeout(timeout), self._semaphore:
+            async with lag_tolerant_timeout(timeout), self._semaphore:
                 pooled = await self._get_connection()
                 sent = True
                 return await self._exchange(pooled, method, path, body, headers)
--- a/src/curranthall/link.py
+++ b/src/curranthall/link.py
@@ -9,6 +9,7 @@
 
 from curranthall.errors import AnswerLost, CurranthallError, NotRun, PeerUnreachable, Unknown
 from curranthall.events import Event, log
+from curranthall.timeouts import lag_tolerant_timeout
 
 MAX_FRAME_BYTES = 8 * 1_048_576
 HANDSHAKE_TIMEOUT_S = 3.0
@@ -170,7 +171,7 @@
         calls = self._calls[peer]
         number, fut = calls.add()
         try:
-            async with asyncio.timeout(timeout):
+            async with lag_tolerant_timeout(timeout):
                 await self._send(link, {"n": number, "v": verb, "b": body})
                 return await fut
         except TimeoutError as exc:
--- a/src/curranthall/platform/worker.py
+++ b/src/curranthall/platform/worker.py
@@ -20,6 +20,7 @@
 from curranthall.http import HttpClient, Response
 from curranthall.model import Host
 from curranthall.platform.store import JSON_HEADERS
+from curranthall.timeouts import lag_tolerant_timeout
 
 CONNECTIONS = 6
 START_TIMEOUT_S = 0.6
@@ -131,7 +132,7 @@
     """Return whether a worker's address accepts a TCP connection."""
     name, _, port = host.address.rpartition(":")
     try:
-        async with asyncio.timeout(REACH_TIMEOUT_S):
+        async with lag_tolerant_timeout(REACH_TIMEOUT_S):
             _, writer = await asyncio.open_connection(name, int(port))
     except (OSError, TimeoutError):
         return False
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,6 +1,7 @@
 """Links between entries: late answers, unresponsive links and shutdown."""
 
 import asyncio
+import time
 import unittest
 from typing import Any
 
@@ -37,6 +38,12 @@
             await self.near.call("far", "late", 1.0, 0.1)
         self.assertEqual(await other, "other")
 
+    async def test_the_time_in_which_the_caller_was_busy_does_not_count(self) -> None:
+        call = asyncio.ensure_future(self.near.call("far", "soon", 0.0, 0.3))
+        await asyncio.sleep(0)
+        time.sleep(0.6)
+        self.assertEqual(await call, "soon")
+
     async def test_an_unresponsive_link_is_dropped_and_reconnected(self) -> None:
         for _ in range(MAX_TIMEOUTS):
             with self.assertRaises(AnswerLost):
