tests: hold the wait for a lost worker to one takeover's while holders are lost in series

Callers saw lasting tasks without a run for 12.5 s and more with room for them. In virtual time, a worker is lost and then the cell's holder and its successors, each 0.8 s after it took the cell: killed, killed and restarted at their address, frozen, cut off from the store.

--- /dev/null
+++ b/tests/test_takeovers_in_series.py
@@ -0,0 +1,130 @@
+"""Holders of one cell that are lost one after another: how long the cell's tasks wait."""
+
+import asyncio
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from curranthall.cells.owner import LEASE_SLACK_S, ORDER_LIMIT_S, RENEW_S, Owner
+from tests.cluster import now
+from tests.test_takeover import CELL, POLL_S, SplitCell, make_job, make_step
+from tests.virtual import run
+
+# Leases that a holder granted last for at most this long after its last written row was read.
+LONGEST_LEASE_S = ORDER_LIMIT_S + LEASE_SLACK_S + RENEW_S
+# What a new holder needs to load, claim and start the tasks, once nothing may run them.
+START_S = 1.0
+
+Lose = Callable[[SplitCell, str], Coroutine[Any, Any, None]]
+
+
+async def kill(split: SplitCell, holder: str) -> None:
+    """Kill a holder and start it again."""
+    split.cluster.kill(holder)
+    await asyncio.sleep(1.0)
+    split.cluster.restart(holder)
+
+
+async def kill_for_long(split: SplitCell, holder: str) -> None:
+    """Kill a holder for longer than another entry needs to take the cell."""
+    split.cluster.kill(holder)
+    await asyncio.sleep(6.0)
+    split.cluster.restart(holder)
+
+
+async def freeze(split: SplitCell, holder: str) -> None:
+    """Suspend a holder for longer than another entry needs to take the cell."""
+    split.cluster.freeze(holder)
+    await asyncio.sleep(6.0)
+    split.cluster.thaw(holder)
+
+
+async def cut_off(split: SplitCell, holder: str) -> None:
+    """Cut a holder off from the store, but not from its workers."""
+    split.cut(holder, "store")
+    await asyncio.sleep(6.0)
+    split.cluster.cuts.discard(frozenset((holder, "store")))
+
+
+class TakeoversInSeries(unittest.TestCase):
+    """A cell of four workers whose holders are lost soon after they took it."""
+
+    TASKS = 14
+
+    async def start(self, seed: int, width: int = TASKS) -> SplitCell:
+        """Start a cell with a lasting job."""
+        split = SplitCell(seed)
+        for runner in split.cluster.runners.values():
+            runner.clock_rate = 0.98
+        await split.start()
+        split.close_cells("b", "c")
+        await split.submit("b-e1", make_job(1, make_step(width, lasting=True)))
+        await asyncio.sleep(1 + 0.3 * seed)
+        return split
+
+    def busy(self, split: SplitCell) -> list[str]:
+        """Return the cell's workers with runs."""
+        runners = split.cluster.runners.items()
+        return sorted(name for name, runner in runners if name[0] == CELL and runner.running)
+
+    async def next_owner(self, split: SplitCell, epoch: int) -> Owner:
+        """Wait until a holder after the given epoch has taken the cell and renewed its row."""
+        while (owner := await split.cluster.owner(CELL)) is None or owner.epoch <= epoch:
+            await asyncio.sleep(POLL_S)
+        await asyncio.sleep(RENEW_S)
+        return owner
+
+    async def lose_in_turn(self, split: SplitCell, losses: list[Lose]) -> None:
+        """Lose the cell's holder, then each of its successors."""
+        faults, epoch = [], 0
+        for lose in losses:
+            owner = await self.next_owner(split, epoch)
+            epoch = owner.epoch
+            faults.append(asyncio.ensure_future(lose(split, owner.holder)))
+        await asyncio.gather(*faults)
+
+    def play(self, losses: list[Lose], seed: int) -> tuple[float, list[str]]:
+        """Lose a busy worker, then holders in turn; return the tasks' wait and broken rules."""
+
+        async def main() -> tuple[float, list[str]]:
+            split = await self.start(seed)
+            lost, *_ = self.busy(split)
+            split.cluster.crash_worker(lost)
+            began = now()
+            faults = asyncio.ensure_future(self.lose_in_turn(split, losses))
+            while sum(len(each.running) for each in split.cluster.runners.values()) < self.TASKS:
+                if now() - began > 60.0:
+                    break
+                await asyncio.sleep(POLL_S)
+            waited_s = now() - began
+            await faults
+            await asyncio.sleep(15)
+            split.cluster.close()
+            return waited_s, split.cluster.judge.broken
+
+        found: tuple[float, list[str]] = run(main())
+        return found
+
+    def check(self, losses: list[Lose]) -> None:
+        """Check that the tasks of a lost worker wait no longer than for one takeover."""
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                waited_s, broken = self.play(losses, seed)
+                self.assertEqual(broken, [])
+                self.assertLess(waited_s, RENEW_S + LONGEST_LEASE_S + START_S)
+
+    def test_holders_killed_in_series_do_not_prolong_the_wait_for_a_lost_worker(self) -> None:
+        self.check([kill_for_long] * 3)
+
+    def test_holders_that_restart_in_series_do_not_prolong_the_wait_for_a_lost_worker(self) -> None:
+        self.check([kill] * 5)
+
+    def test_holders_frozen_in_series_do_not_prolong_the_wait_for_a_lost_worker(self) -> None:
+        self.check([freeze] * 3)
+
+    def test_holders_cut_off_in_series_do_not_prolong_the_wait_for_a_lost_worker(self) -> None:
+        self.check([cut_off] * 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
