Let no lease lapse in an outage of the store that begins with a take or after a short silence

What callers would have seen: all runs of a cell end 6 s after the store went away, if that happened between a take by a restarted holder, or of a released cell, and its first renewal, or after a worker had missed one answer; holders must go on for 12 s.

Cause: a stored lease end binds its writer until a renewal without the worker is confirmed, and the stored ends were as short as the wait: 6.7 s after a restart, less after a release.

Change: with the take, workers that are listed as up get the longest time that any lease lasts; the holder itself waits for the time that it was handed, and its first renewal stores that for those that do not answer. A silent worker is stored after 1 s, or when it is not listed as up.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -262,10 +262,9 @@
         """Return the boot of each worker that has answered, as of its last answer."""
         return {member.name: member.born for member in self.members.values() if member.born}
 
-    def unheard_members(self) -> list[Member]:
-        """Return the workers that have not answered this holder, or are silent."""
-        members = self.members.values()
-        return [each for each in members if not each.born or each.silent_since is not None]
+    def unheard_members(self, now: float) -> list[Member]:
+        """Return the workers that have not answered this holder, or are silent for long."""
+        return [each for each in self.members.values() if not each.born or each.is_lost(now)]
 
     def suspend(self, workers: Iterable[str]) -> None:
         """Start nothing on workers until a renewal is confirmed that was sent after an answer."""
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -18,6 +18,9 @@
 END_WAIT_S = 6.0
 # A worker whose last answer is older than this gets no new task.
 STALE_ANSWER_S = 2.5
+# A worker that is silent for longer counts as lost: its lease end is stored for a successor, and
+# its leases end then if the store is away when it answers again.
+LOST_AFTER_S = 1.0
 # Pause after a worker refuses a start as unhealthy; currently unused.
 UNHEALTHY_S = 2.0
 # A worker with FAILURES_TO_QUARANTINE failures among its last RECENT_ENDS ends is quarantined for
@@ -360,6 +363,12 @@
         """Return the local time by which every lease ever sent has certainly lapsed."""
         return self.clock_reached_by(self.granted_ms) + LAPSE_SLACK_S
 
+    def is_lost(self, now: float) -> bool:
+        """Return whether the worker is silent for long, or silent and not listed as up."""
+        if self.silent_since is None:
+            return False
+        return not self.is_listed_live or now - self.silent_since > LOST_AFTER_S
+
     def has_open_start(self, now: float) -> bool:
         """Return whether an unanswered start may still be carried out."""
         return any(run.absence_valid_after > now for run in self.runs.values())
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -216,6 +216,7 @@
     """When a cell may be taken; leases of former holders may last until `proof_at`.
 
     From `probe_at` on, a probe of the workers may show that the cell has to be left to others.
+    Another entry that finds the same row counts on leases until `silent_until` at the latest.
     """
 
     cell: str
@@ -224,6 +225,7 @@
     takeable_at: float
     proof_at: float
     probe_at: float
+    silent_until: float = 0.0
 
     def drop_foreign_ends(self, details: Details) -> Details:
         """Drop lease ends that the holder in the owner row did not write, or not with that row."""
@@ -370,16 +372,16 @@
             if cell not in self.reachable_since:
                 # The holder may have released the cell because its workers are out of reach.
                 probe_at = max(vacant_at, self.abstain_until.get(cell, 0.0))
-            return Vacancy(cell, owner, version, takeable_at, proof_at, probe_at)
+            return Vacancy(cell, owner, version, takeable_at, proof_at, probe_at, silent_until)
         if cell in held:
             return None
         own_process = owner.incarnation == me.incarnation
         if owner.address != me.address or own_process:
             # If `own_process`, the answer to this entry's take or release was lost.
             proof_at = max(proof_at, silent_until)
-            return Vacancy(cell, owner, version, takeable_at, proof_at, takeable_at)
+            return Vacancy(cell, owner, version, takeable_at, proof_at, takeable_at, silent_until)
         # The former process on this address has exited: this process is bound to its port.
-        return Vacancy(cell, owner, version, now, proof_at, now)
+        return Vacancy(cell, owner, version, now, proof_at, now, silent_until)
 
     def _take_delay_s(self, cell: str, me: Claimant, held: Collection[str]) -> float:
         other_domain = OTHER_DOMAIN_S if me.domain != cell else 0.0
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -240,7 +240,8 @@
             # Nothing was granted beyond the limit: converting the time back only makes it later.
             known = [self._lease_limits[member.name]] if member.name in self._lease_limits else []
             if self._store_offset_ms is not None:
-                known.append(math.ceil((end + HANDOVER_SLACK_S) * 1000 + self._store_offset_ms))
+                end_ms = math.ceil((end + HANDOVER_SLACK_S) * 1000 + self._store_offset_ms)
+                known.append(end_ms)
             if known:
                 found[member.name] = min(known)
         return found
@@ -331,7 +332,7 @@
             written_ms=self._store_ms(),
             workers=len(self.dispatcher.members),
         )
-        lease_ends = self._lease_ends(self.dispatcher.unheard_members())
+        lease_ends = self._lease_ends(self.dispatcher.unheard_members(now))
         self.dispatcher.suspend(lease_ends)
         details = self._details._replace(roster=self.dispatcher.roster(), lease_ends=lease_ends)
         boot_ids = self.dispatcher.boot_ids()
@@ -478,9 +479,6 @@
         try:
             snapshot = await self._ports[member.name].hold(dispatcher.epoch, cursor, lease, wait_ms)
         except (ConnectFailed, AnswerLost) as exc:
-            if member.silent_since is None:
-                # The sooner its lease end is stored, the less a successor has to wait for.
-                self._renew_now.set()
             dispatcher.on_silence(member.name, self._clock(), exc)
             return SILENT_PAUSE_S
         except OtherBoot:
@@ -488,7 +486,7 @@
             return 0.0
         born, was_silent = member.born, member.silent_since is not None
         dispatcher.on_snapshot(member, snapshot, asked_at, self._clock())
-        if member.born != born or was_silent:
+        if member.born != born or (was_silent and member.name in self._lease_limits):
             self._renew_now.set()
         if dispatcher.unknown_jobs and not self._resolving:
             self._resolving = True
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -158,7 +158,7 @@
             written_ms=written_ms,
             workers=workers,
         )
-        handed_over = len(details.lease_ends)
+        former_ends = details.lease_ends
         # A holder that is lost before its first renewal does not start the wait anew.
         lease_ends = self._lease_ends(vacancy, details)
         details = details._replace(lease_ends=lease_ends, epoch=epoch)
@@ -178,7 +178,7 @@
         match answer:
             case Committed(version, now_ms):
                 taken = TakenCell(owner, version, sent_at, now_ms, details)
-                runtime = self._start_runtime(vacancy, taken, handed_over)
+                runtime = self._start_runtime(vacancy, taken, former_ends)
                 if self._leaving:
                     # The shutdown began during the call and did not find this cell.
                     await runtime.release()
@@ -186,21 +186,31 @@
                 log(Event.CELL_CONTESTED, cell=vacancy.cell, epoch=epoch)
 
     def _lease_ends(self, vacancy: Vacancy, details: Details) -> dict[str, int]:
-        """Return when the last lease of each worker is over, as former holders stored it.
+        """Return until when leases of each worker may last if this holder is lost at once.
 
-        Of the others only the longest time that any lease lasts is known.
+        Workers that are listed as up keep the longest time, so that their leases outlast an outage
+        of the store which begins before the first renewal.
         """
-        proof_ms = self.watch.store_time_of(vacancy.proof_at)
-        if proof_ms is None:
-            return details.lease_ends
-        return {host.name: details.lease_ends.get(host.name, proof_ms) for host in details.roster}
+        former, hosts = details.lease_ends, self._env.hosts() or {}
+        longest_ms = self.watch.store_time_of(max(vacancy.proof_at, vacancy.silent_until))
+        if longest_ms is None:
+            return former
+        gone = {
+            name for name in former if name not in hosts or hosts[name].state is not HostState.LIVE
+        }
+        return {
+            host.name: former[host.name] if host.name in gone else longest_ms
+            for host in details.roster
+        }
 
-    def _start_runtime(self, vacancy: Vacancy, taken: TakenCell, handed_over: int) -> CellRuntime:
+    def _start_runtime(
+        self, vacancy: Vacancy, taken: TakenCell, former_ends: dict[str, int]
+    ) -> CellRuntime:
         env, owner, now = self._env, taken.owner, self._env.clock()
         roster = taken.details.roster
         lease_ends = {
             name: min(vacancy.proof_at, self.watch.local_time_of(end_ms))
-            for name, end_ms in taken.details.lease_ends.items()
+            for name, end_ms in former_ends.items()
         }
         ends = [lease_ends.get(host.name, vacancy.proof_at) for host in roster]
         log(
@@ -210,7 +220,7 @@
             former=vacancy.owner.holder if vacancy.owner else None,
             workers=len(roster),
             proof_in_s=round(max(0.0, max(ends, default=now) - now), 2),
-            handed_over=handed_over,
+            handed_over=len(former_ends),
         )
         dispatcher = Dispatcher(vacancy.cell, owner.epoch, self._bounds, env.queue_of, env.wall_ms)
         dispatcher.take_over(roster, vacancy.proof_at, lease_ends, now)
--- /dev/null
+++ b/tests/test_stored_lease_ends.py
@@ -0,0 +1,136 @@
+"""Stored lease ends don't limit the runs of workers that answer."""
+
+import asyncio
+import unittest
+
+from tests.cluster import now
+from tests.test_takeover import CELL, POLL_S, SplitCell, make_job, make_step
+from tests.virtual import run
+
+TASKS = 14
+# Holders go on for 12 s without the store.
+OUTAGE_S = 9.0
+
+
+async def start(seed: int = 1) -> SplitCell:
+    """Start a cell of four workers with a lasting job."""
+    split = SplitCell(seed)
+    for runner in split.cluster.runners.values():
+        runner.clock_rate = 0.98
+    await split.start()
+    split.close_cells("b", "c")
+    await split.submit("b-e1", make_job(1, make_step(TASKS, lasting=True)))
+    await asyncio.sleep(2)
+    return split
+
+
+def count_runs(split: SplitCell) -> int:
+    """Return the number of runs on all workers."""
+    return sum(len(each.running) for each in split.cluster.runners.values())
+
+
+def busy_worker(split: SplitCell) -> str:
+    """Return a worker of the cell that has runs."""
+    runners = split.cluster.runners.items()
+    return min(name for name, runner in runners if name[0] == CELL and runner.running)
+
+
+class HealthyRuns(unittest.TestCase):
+    """Runs on workers that answer do not lapse while the store is away for OUTAGE_S."""
+
+    async def outage(self, split: SplitCell) -> int:
+        """Let the store be away; return the least number of runs meanwhile."""
+        least, until = TASKS, now() + OUTAGE_S
+        split.cluster.store_down = True
+        while now() < until:
+            await asyncio.sleep(POLL_S)
+            least = min(least, count_runs(split))
+        split.cluster.store_down = False
+        return least
+
+    def test_an_outage_of_the_store_alone(self) -> None:
+        async def main() -> int:
+            split = await start()
+            least = await self.outage(split)
+            split.cluster.close()
+            return least
+
+        self.assertEqual(run(main()), TASKS)
+
+    def test_an_outage_of_the_store_right_after_a_take(self) -> None:
+        async def main() -> int:
+            split = await start()
+            split.cluster.kill(split.former)
+            while split.cluster.holder(CELL) is None:
+                await asyncio.sleep(0.001)
+            least = await self.outage(split)
+            split.cluster.close()
+            return least
+
+        self.assertEqual(run(main()), TASKS)
+
+    def test_an_outage_of_the_store_right_after_a_take_by_a_restarted_holder(self) -> None:
+        async def main() -> int:
+            split = await start()
+            split.cluster.kill(split.former)
+            split.cluster.restart(split.former)
+            while split.cluster.holder(CELL) is None:
+                await asyncio.sleep(0.001)
+            least = await self.outage(split)
+            split.cluster.close()
+            return least
+
+        self.assertEqual(run(main()), TASKS)
+
+    def test_an_outage_of_the_store_right_after_a_take_of_a_released_cell(self) -> None:
+        async def main() -> int:
+            split = await start()
+            await split.cluster.entries[split.former].succession.leave()
+            while split.cluster.holder(CELL) is None:
+                await asyncio.sleep(0.001)
+            least = await self.outage(split)
+            split.cluster.close()
+            return least
+
+        self.assertEqual(run(main()), TASKS)
+
+    def test_an_outage_of_the_store_right_after_a_worker_was_briefly_silent(self) -> None:
+        async def main() -> int:
+            split = await start()
+            missed = {(split.former, busy_worker(split))}
+            split.cluster.missed_holds |= missed
+            member = split.held(split.former)[CELL].dispatcher.members[busy_worker(split)]
+            while member.silent_since is None:
+                await asyncio.sleep(POLL_S)
+            await asyncio.sleep(0.1)
+            split.cluster.missed_holds -= missed
+            least = await self.outage(split)
+            split.cluster.close()
+            return least
+
+        self.assertEqual(run(main()), TASKS)
+
+    def test_a_worker_that_is_briefly_silent_during_an_outage_of_the_store(self) -> None:
+        async def main() -> int:
+            split = await start()
+            missed = {(split.former, busy_worker(split))}
+
+            async def miss() -> None:
+                await asyncio.sleep(1.0)
+                split.cluster.missed_holds |= missed
+                member = split.held(split.former)[CELL].dispatcher.members[busy_worker(split)]
+                while member.silent_since is None:
+                    await asyncio.sleep(POLL_S)
+                split.cluster.missed_holds -= missed
+
+            fault = asyncio.ensure_future(miss())
+            least = await self.outage(split)
+            await fault
+            split.cluster.close()
+            return least
+
+        self.assertEqual(run(main()), TASKS)
+
+
+if __name__ == "__main__":
+    unittest.main()
