Never store a lease end before the start of the store's clock

A worker that is listed after the take and has not answered yet has no lease; its end, local time 0, became a negative time of a store that was started after the entries' machines. The whole details row then counted as odd: the next holder guessed the roster and waited in full.

Evidence: tests.test_stored_lease_ends.StoredLeaseEnds failed before ('False is not true': details not readable).

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -241,7 +241,7 @@
             known = [self._lease_limits[member.name]] if member.name in self._lease_limits else []
             if self._store_offset_ms is not None:
                 end_ms = math.ceil((end + HANDOVER_SLACK_S) * 1000 + self._store_offset_ms)
-                known.append(end_ms)
+                known.append(max(0, end_ms))
             if known:
                 found[member.name] = min(known)
         return found
