Don't bind leases to the ends in a renewal that the store did not write

What callers would have seen: a worker that is silent for 1.5 s while the store is away loses its runs, though its holder goes on without the store.

Cause: the ends of a renewal limited leases and starts from before the write until a later one was confirmed, also when the store had refused it.

Change: a refused renewal binds to nothing; while renewals fail no further worker is added to them.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -266,10 +266,16 @@
         """Return the workers that have not answered this holder, or are silent for long."""
         return [each for each in self.members.values() if not each.born or each.is_lost(now)]
 
-    def suspend(self, workers: Iterable[str]) -> None:
-        """Start nothing on workers until a renewal is confirmed that was sent after an answer."""
-        for name in workers:
-            self.members[name].confirmed = False
+    def suspend(self, workers: Iterable[str]) -> dict[str, int]:
+        """Start nothing on workers until a renewal is confirmed that was sent after an answer.
+
+        Return the boots of those that were confirmed.
+        """
+        members = [self.members[name] for name in workers]
+        confirmed = {member.name: member.born for member in members if member.confirmed}
+        for member in members:
+            member.confirmed = False
+        return confirmed
 
     def confirm_roster(self, boot_ids: dict[str, int]) -> None:
         """Record that a renewal sent when `boot_ids` was taken was confirmed.
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -160,6 +160,7 @@
         self._details_stored = True
         # By worker, the lease ends of all rows that may be stored now: no lease goes beyond them.
         self._lease_limits = taken.details.lease_ends
+        self._renewal_failed = False
         self._exchanged_at = 0.0
         self._commits = 0
         self._ended = False
@@ -332,8 +333,8 @@
             written_ms=self._store_ms(),
             workers=len(self.dispatcher.members),
         )
-        lease_ends = self._lease_ends(self.dispatcher.unheard_members(now))
-        self.dispatcher.suspend(lease_ends)
+        limits, lease_ends = self._lease_limits, self._lease_ends(self._unheard_members(now))
+        suspended = self.dispatcher.suspend(lease_ends)
         details = self._details._replace(roster=self.dispatcher.roster(), lease_ends=lease_ends)
         boot_ids = self.dispatcher.boot_ids()
         for name in lease_ends:
@@ -351,9 +352,25 @@
                 self.end("deposed")
         except (PlatformDown, AnswerLost) as exc:
             log(Event.STORE_FAILED, what="renewal", error=exc)
+            self._renewal_failed = True
+            if isinstance(exc, PlatformDown):
+                # Nothing was written, so it binds to nothing.
+                self._lease_limits = limits
+                self.dispatcher.confirm_roster(suspended)
             return False
+        self._renewal_failed = False
         return True
 
+    def _unheard_members(self, now: float) -> list[Member]:
+        """Return the workers whose lease ends a renewal stores.
+
+        While renewals fail these are no more than before: the limits would outlast the outage.
+        """
+        found = self.dispatcher.unheard_members(now)
+        if self._renewal_failed:
+            found = [member for member in found if member.name in self._lease_limits]
+        return found
+
     async def _learn_from_others(self) -> None:
         """Merge the interference estimates of the other cells."""
         listing = await self._store.scan(DETAIL_TABLE, CELL_PART)
--- a/tests/test_stored_lease_ends.py
+++ b/tests/test_stored_lease_ends.py
@@ -141,6 +141,7 @@
                 member = split.held(split.former)[CELL].dispatcher.members[busy_worker(split)]
                 while member.silent_since is None:
                     await asyncio.sleep(POLL_S)
+                await asyncio.sleep(1.5)
                 split.cluster.missed_holds -= missed
 
             fault = asyncio.ensure_future(miss())
