Predict the load beside serving tasks once per worker, not once per filling image

A holder of 108 workers spent most of a renewal on the room for filling images: for each worker, image and serving run the shares of the filling tasks were summed and the load was predicted anew, although neither depends on the image.

The headroom of each worker's serving images and the weights of all pairs are now computed once. The figures are the same; the order of the sums is kept.

The test of the number of predictions failed before with "AssertionError: 110 not less than or equal to 9"; that of the figures passed before and after.

--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -95,10 +95,12 @@
 ) -> dict[str, Load]:
     """Return the load of the given usable workers, and the room on quarantined ones, by service."""
     loads: dict[str, Load] = {}
+    members = list(members)
+    images = known.filling_images()
+    weights = _tabulate_weights(members, images, known)
     for member in members:
         load = loads.get(member.host.service, Load(filling={}, serving={}))
-        for image in known.filling_images():
-            room = _filling_room(member, image, known)
+        for image, room in _filling_rooms(member, images, weights, known).items():
             load.filling[image] = round(load.filling.get(image, 0.0) + room, 1)
         for run in member.runs.values():
             if run.step.target_ms:
@@ -124,16 +126,35 @@
     return loads
 
 
-def _filling_room(member: Member, image: str, known: Interference) -> float:
-    """Return the cores of an image that fit without pushing a serving task over its target."""
-    room, shares = max(0.0, member.idle_cores), member.filling_shares()
-    for run in member.runs.values():
-        if run.step.target_ms:
-            serving, target = run.step.image, run.step.target_ms
-            left = known.limit(serving, target) - known.load(serving, shares)
-            weight = max(known.weight(serving, image), MIN_WEIGHT)
-            room = min(room, max(0.0, left) / weight * member.host.size.cores)
-    return room
+def _tabulate_weights(
+    members: Iterable[Member], images: Iterable[str], known: Interference
+) -> dict[str, dict[str, float]]:
+    """Return, by serving and filling image, the weight by which the room is divided."""
+    runs = (run for member in members for run in member.runs.values())
+    return {
+        serving: {image: max(known.weight(serving, image), MIN_WEIGHT) for image in images}
+        for serving in {run.step.image for run in runs if run.step.target_ms}
+    }
+
+
+def _filling_rooms(
+    member: Member,
+    images: Iterable[str],
+    weights: dict[str, dict[str, float]],
+    known: Interference,
+) -> dict[str, float]:
+    """Return by image the cores that fit without pushing a serving task over its target."""
+    rooms = dict.fromkeys(images, max(0.0, member.idle_cores))
+    steps = (run.step for run in member.runs.values())
+    targets = {(step.image, step.target_ms) for step in steps if step.target_ms}
+    if not rooms or not targets:
+        return rooms
+    shares, cores = member.filling_shares(), member.host.size.cores
+    for serving, target_ms in targets:
+        left = max(0.0, known.limit(serving, target_ms) - known.load(serving, shares))
+        for image, weight in weights[serving].items():
+            rooms[image] = min(rooms[image], left / weight * cores)
+    return rooms
 
 
 def widest_step(job: Job) -> Step:
--- /dev/null
+++ b/tests/test_cost.py
@@ -0,0 +1,101 @@
+"""Processor time of a holder: figures computed once instead of many times stay the same."""
+
+import random
+import unittest
+from unittest.mock import patch
+
+from curranthall.cells.fleet import Member, Run, RunState
+from curranthall.cells.interference import Interference, Observation
+from curranthall.cells.load import MIN_WEIGHT, measure
+from curranthall.dag import Step
+from tests.cell_fixtures import SERVICE, host, step, task
+
+SERVING = tuple(f"s{number}" for number in range(6))
+FILLING = tuple(f"f{number}" for number in range(10))
+SEEDS = range(40)
+
+
+def learned(rng: random.Random) -> Interference:
+    """Build estimates from random reports."""
+    known = Interference()
+    for _ in range(rng.choice((0, 5, 400))):
+        shares = {rng.choice(FILLING): rng.uniform(0, 0.4) for _ in range(2)}
+        target = rng.choice((15.0, 20.0))
+        tail = rng.uniform(3, 2 * target)
+        worker = f"w{rng.randrange(8)}"
+        known.observe(Observation(rng.choice(SERVING), tail, target, shares, worker))
+    return known
+
+
+def any_step(rng: random.Random) -> Step:
+    """Build a step of any kind."""
+    cores = rng.uniform(0.5, 6)
+    match rng.randrange(3):
+        case 0:
+            image, target_ms = rng.choice(SERVING), rng.choice((15, 20))
+            return step(cores=cores, lasting=True, image=image, target_ms=target_ms)
+        case 1:
+            return step(cores=cores, filling=True, image=rng.choice(FILLING))
+    return step(cores=cores)
+
+
+def busy_member(rng: random.Random, name: str) -> Member:
+    """Build a worker with random runs, sometimes more than fit."""
+    member = Member(host(name, cores=rng.choice((0, 8, 16, 32))))
+    for number in range(rng.randrange(10)):
+        run = Run(task(number=number), number, name, any_step(rng), RunState.RUNNING, 100.0)
+        run.pace = rng.choice((-1, 0, 50, 100, 100))
+        member.add(run)
+    return member
+
+
+def filling_room(member: Member, image: str, known: Interference) -> float:
+    """Return the room for one image by its definition: the least that any serving task leaves."""
+    room, shares = max(0.0, member.idle_cores), member.filling_shares()
+    for run in member.runs.values():
+        if run.step.target_ms:
+            serving, target = run.step.image, run.step.target_ms
+            left = known.limit(serving, target) - known.load(serving, shares)
+            weight = max(known.weight(serving, image), MIN_WEIGHT)
+            room = min(room, max(0.0, left) / weight * member.host.size.cores)
+    return room
+
+
+class MeasuredLoad(unittest.TestCase):
+    def test_the_room_of_each_image_is_the_least_that_any_serving_task_leaves(self) -> None:
+        for seed in SEEDS:
+            rng = random.Random(seed)
+            known = learned(rng)
+            members = [busy_member(rng, f"w{number}") for number in range(8)]
+            expected = dict.fromkeys(known.filling_images(), 0.0)
+            for member in members:
+                for image in expected:
+                    room = expected[image] + filling_room(member, image, known)
+                    expected[image] = round(room, 1)
+            found = measure(members, {}, known)[SERVICE].filling
+            with self.subTest(seed=seed):
+                self.assertEqual(found.keys(), expected.keys())
+                for image, room in expected.items():
+                    self.assertAlmostEqual(found[image], room, delta=1e-9)
+
+    def test_loads_beside_serving_tasks_are_not_predicted_for_each_filling_image(self) -> None:
+        rng = random.Random(1)
+        known = learned(random.Random(3))
+        while len(known.filling_images()) < len(FILLING):
+            known = learned(rng)
+        members = [busy_member(rng, f"w{number}") for number in range(8)]
+        kinds = [
+            {(run.step.image, run.step.target_ms) for run in member.runs.values()}
+            for member in members
+        ]
+        serving = sum(target > 0 for each in kinds for _, target in each)
+        self.assertGreater(serving, 4)
+        with patch.object(
+            Interference, "load", autospec=True, side_effect=Interference.load
+        ) as load:
+            measure(members, {}, known)
+        self.assertLessEqual(load.call_count, serving)
+
+
+if __name__ == "__main__":
+    unittest.main()
