Count only the cores of a service to tell whether it is busy

While a filling job finds no worker for 1.2 s, each planning pass asks whether its service is busy enough for the job to wait. For that it measured the whole load of the cell, with the room for each filling image on each worker, of which only the free and idle cores were read.

Now only these are summed; measure and measure_cores share how a worker's cores are counted. The test failed before with "AssertionError: Expected 'measure' to not have been called. Called 1 times."

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -20,7 +20,7 @@
     RunState,
 )
 from curranthall.cells.interference import Interference, Observation
-from curranthall.cells.load import Load, Waiting, count_slots, measure
+from curranthall.cells.load import Load, Waiting, count_slots, measure, measure_cores
 from curranthall.cells.pacing import FULL_PACE, adjust_pace, worst_tail_ratio
 from curranthall.cells.placement import (
     SHORT_SHARE,
@@ -1512,7 +1512,7 @@
     def _is_busy(self, service: str, now: float) -> bool:
         """Return whether a service is so busy, here and in all cells, that jobs may wait."""
         if service not in self._busy_by_service:
-            own = self.load(now).get(service, Load())
+            own = measure_cores(self._available_members(now), service)
             loads = [own, *self.other_cell_loads.get(service, ())]
             cores, unused = sum(load.cores for load in loads), max(
                 sum(load.free for load in loads), sum(load.idle for load in loads)
@@ -1641,7 +1641,12 @@
             needed = waiting.get(service, Waiting())
             waiting[service] = needed.plus(run.step.size.cores, run.step)
         open_members = [] if self.closed else list(self.members.values())
-        usable = [member for member in open_members if member.is_available(now)]
+        usable = self._available_members(now)
         quarantined = [member for member in open_members if member.is_last_resort(now)]
         kept_share = self._kept_share(now)
         return measure(usable, waiting, self.interference, kept_share, quarantined)
+
+    def _available_members(self, now: float) -> list[Member]:
+        """Return the workers that count in the published load; none if the cell is closed."""
+        members = [] if self.closed else self.members.values()
+        return [member for member in members if member.is_available(now)]
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -106,8 +106,7 @@
             if run.step.target_ms:
                 image = run.step.image
                 load.serving[image] = load.serving.get(image, 0.0) + run.step.size.cores
-        # A worker whose capacity shrank below what runs there must not hide the room of others.
-        free, cores = max(0.0, member.room.cores), member.host.size.cores
+        free, cores = _free_cores(member), member.host.size.cores
         lasting = max(0.0, min(free, (1 - kept_share) * cores - member.lasting.cores))
         loads[member.host.service] = load._replace(
             cores=load.cores + cores,
@@ -115,17 +114,36 @@
             lasting=load.lasting + lasting,
             largest=_two_largest(load.largest, free),
             largest_lasting=max(load.largest_lasting, lasting),
-            idle=load.idle + max(0.0, member.idle_cores),
+            idle=load.idle + _idle_cores(member),
         )
     for member in quarantined:
         load = loads.get(member.host.service, Load(filling={}, serving={}))
-        rooms = _two_largest(load.quarantined, max(0.0, member.room.cores))
+        rooms = _two_largest(load.quarantined, _free_cores(member))
         loads[member.host.service] = load._replace(quarantined=rooms)
     for service, cores_waiting in waiting.items():
         loads[service] = loads.get(service, Load())._replace(waiting=cores_waiting)
     return loads
 
 
+def measure_cores(members: Iterable[Member], service: str) -> Load:
+    """Return only the cores, free and idle ones, of a service's usable workers."""
+    found = [member for member in members if member.host.service == service]
+    return Load(
+        cores=sum(member.host.size.cores for member in found),
+        free=sum(_free_cores(member) for member in found),
+        idle=sum(_idle_cores(member) for member in found),
+    )
+
+
+def _free_cores(member: Member) -> float:
+    # A worker whose capacity shrank below what runs there must not hide the room of others.
+    return max(0.0, member.room.cores)
+
+
+def _idle_cores(member: Member) -> float:
+    return max(0.0, member.idle_cores)
+
+
 def _tabulate_weights(
     members: Iterable[Member], images: Iterable[str], known: Interference
 ) -> dict[str, dict[str, float]]:
@@ -144,7 +162,7 @@
     known: Interference,
 ) -> dict[str, float]:
     """Return by image the cores that fit without pushing a serving task over its target."""
-    rooms = dict.fromkeys(images, max(0.0, member.idle_cores))
+    rooms = dict.fromkeys(images, _idle_cores(member))
     steps = (run.step for run in member.runs.values())
     targets = {(step.image, step.target_ms) for step in steps if step.target_ms}
     if not rooms or not targets:
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -6,9 +6,9 @@
 
 from curranthall.cells.fleet import Member, Run, RunState
 from curranthall.cells.interference import Interference, Observation
-from curranthall.cells.load import MIN_WEIGHT, measure
+from curranthall.cells.load import MIN_WEIGHT, measure, measure_cores
 from curranthall.dag import Step
-from tests.cell_fixtures import SERVICE, host, step, task
+from tests.cell_fixtures import SERVICE, Cell, host, job, listed, step, task
 
 SERVING = tuple(f"s{number}" for number in range(6))
 FILLING = tuple(f"f{number}" for number in range(10))
@@ -96,6 +96,34 @@
             measure(members, {}, known)
         self.assertLessEqual(load.call_count, serving)
 
+    def test_the_cores_alone_are_those_of_the_whole_load(self) -> None:
+        for seed in SEEDS:
+            rng = random.Random(seed)
+            known = learned(rng)
+            members = [busy_member(rng, f"w{number}") for number in range(8)]
+            load, cores = measure(members, {}, known)[SERVICE], measure_cores(members, SERVICE)
+            with self.subTest(seed=seed):
+                self.assertEqual(cores[:3], load[:3])
+                self.assertEqual(measure_cores(members, "other")[:3], (0, 0, 0))
+
+
+class Planning(unittest.TestCase):
+    def test_a_job_that_stands_still_does_not_have_the_whole_load_measured(self) -> None:
+        cell = Cell(host("w1", cores=4))
+        cell.add(job("0" * 16, step(1, cores=3, lasting=True, image="s", target_ms=20)))
+        (order,) = cell.plan()
+        cell.started(order)
+        # The report of its neighbour leaves no room for the filling task.
+        cell.answer("w1", [listed(order, 100, gauge=40)])
+        cell.add(job("1" * 16, step(1, cores=3, filling=True, image="f")))
+        self.assertEqual(cell.plan(), [])
+        cell.now += 1.5
+        cell.answer("w1", [listed(order, 100, gauge=40)])
+        with patch("curranthall.cells.dispatcher.measure", wraps=measure) as whole:
+            cell.plan()
+        self.assertIn(SERVICE, cell.dispatcher._busy_by_service)
+        whole.assert_not_called()
+
 
 if __name__ == "__main__":
     unittest.main()
