Compare what a task reserves with a worker's room without building sizes

Planning and the log summary ask for each waiting task and worker whether the reservation fits; each time three sizes were built and compared by a generator.

has_room compares the three figures; the property test compares it with Size.fits on random workers, also at the limit.

--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -24,6 +24,8 @@
 SHORT_SHARE = 0.125
 # Load differences below this (of a limit of about 0.8) do not outweigh idle cores.
 INTERFERENCE_STEP = 0.02
+# Tolerance of sums of sizes, as in `Size.fits`.
+ROUNDING = 1e-9
 
 
 class PlacementRequest(NamedTuple):
@@ -97,13 +99,27 @@
         return False
     if req.needs_quiet and not member.is_quiet():
         return False
-    if not step.reserved.fits(member.room):
+    if not has_room(step, member):
         return False
     if step.lasting:
         return leaves_room_for_short(step, member, req.kept_share)
     return not step.filling or _can_fill(req, member)
 
 
+def has_room(step: Step, member: Member) -> bool:
+    """Return whether the worker has room for what a task of the step reserves.
+
+    Planning asks this for each task and worker, so the figures are compared one by one.
+    """
+    need, size, used = step.size, member.host.size, member.used
+    cores = 0.0 if step.filling else need.cores
+    return (
+        cores <= size.cores - used.cores + ROUNDING
+        and need.memory <= size.memory - used.memory + ROUNDING
+        and need.accelerators <= size.accelerators - used.accelerators + ROUNDING
+    )
+
+
 def leaves_room_for_short(step: Step, member: Member, kept_share: float) -> bool:
     """Return whether one more lasting task leaves a share of the worker free for short ones.
 
@@ -118,8 +134,8 @@
 
 
 def _can_fill(req: PlacementRequest, member: Member) -> bool:
-    step = req.step
-    if step.size.memory + req.kept_share * member.host.size.memory > member.room.memory:
+    step, memory = req.step, member.host.size.memory
+    if step.size.memory + req.kept_share * memory > memory - member.used.memory:
         return False
     if not req.ignore_idle_cores and member.idle_cores < step.size.cores * FILLING_SHARE:
         return False
--- a/src/curranthall/cells/waits.py
+++ b/src/curranthall/cells/waits.py
@@ -6,7 +6,7 @@
 
 from curranthall.cells.fleet import Member
 from curranthall.cells.interference import Interference
-from curranthall.cells.placement import FILLING_SHARE, PlacementRequest, fits
+from curranthall.cells.placement import FILLING_SHARE, PlacementRequest, fits, has_room
 from curranthall.cells.tracking import Batch
 from curranthall.model import Size
 
@@ -105,7 +105,7 @@
         now=now,
         kept_share=ctx.kept_share,
     )
-    with_room = [member for member, room in eligible if step.reserved.fits(room)]
+    with_room = [member for member, _ in eligible if has_room(step, member)]
     if any(fits(req, member) for member in with_room):
         return WaitReason.ORDER
     return (
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -2,16 +2,19 @@
 
 import random
 import unittest
+from collections import Counter
 from typing import Any
 from unittest.mock import patch
 
 from curranthall.cells.fleet import Member, Run, RunState
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import MIN_WEIGHT, measure, measure_cores
+from curranthall.cells.placement import has_room
 from curranthall.cells.poison import Crash, PoisonDetector, Suspect, _is_open
 from curranthall.cells.tracking import Queue, TrackedJob
 from curranthall.dag import Phase, Step, TaskId
 from curranthall.dag.progress import Doubt
+from curranthall.model import Size
 from tests.cell_fixtures import SERVICE, Cell, claimed_progress, host, job, listed, step, task
 
 SERVING = tuple(f"s{number}" for number in range(6))
@@ -129,6 +132,27 @@
         whole.assert_not_called()
 
 
+class Room(unittest.TestCase):
+    def test_room_for_a_task_is_what_its_reservation_fits_into(self) -> None:
+        found = Counter[bool]()
+        for seed in range(400):
+            rng = random.Random(seed)
+            member = busy_member(rng, "w0")
+            wanted = any_step(rng)
+            if seed % 4 == 0:
+                # Exactly what is left, but for rounding.
+                room = member.room
+                rounding = rng.choice((0.0, 5e-10, 2e-9))
+                wanted = wanted._replace(size=room._replace(cores=room.cores + rounding))
+            elif seed % 4 == 1:
+                memory, accelerators = member.room.memory + rng.uniform(-1, 1), rng.randrange(2)
+                wanted = wanted._replace(size=Size(wanted.size.cores, memory, accelerators))
+            with self.subTest(seed=seed):
+                self.assertEqual(has_room(wanted, member), wanted.reserved.fits(member.room))
+            found[has_room(wanted, member)] += 1
+        self.assertGreater(min(found[True], found[False]), 50)
+
+
 class PlainDetector(PoisonDetector):
     """Looks at all runs in doubt for each answer."""
 
