Build an estimate of a serving image only when there is none

Each look-up of a pair built an empty estimate as the default of setdefault. The test failed before with "AssertionError: 20 != 1".

--- a/src/curranthall/cells/interference.py
+++ b/src/curranthall/cells/interference.py
@@ -217,4 +217,7 @@
         return min(self._estimate(serving).unloaded_ms, target_ms * UNLOADED_SHARE)
 
     def _estimate(self, serving: str) -> _Estimate:
-        return self._estimates.setdefault(serving, _Estimate())
+        estimate = self._estimates.get(serving)
+        if estimate is None:
+            estimate = self._estimates[serving] = _Estimate()
+        return estimate
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -6,6 +6,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from curranthall.cells import interference
 from curranthall.cells.fleet import Member, Run, RunState
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import MIN_WEIGHT, measure, measure_cores
@@ -132,6 +133,16 @@
         whole.assert_not_called()
 
 
+class Estimates(unittest.TestCase):
+    def test_looking_up_a_pair_builds_an_estimate_only_for_a_new_image(self) -> None:
+        known = Interference()
+        with patch.object(interference, "_Estimate", wraps=interference._Estimate) as build:
+            for _ in range(10):
+                known.weight("s", "f")
+                known.limit("s", 20.0)
+        self.assertEqual(build.call_count, 1)
+
+
 class Room(unittest.TestCase):
     def test_room_for_a_task_is_what_its_reservation_fits_into(self) -> None:
         found = Counter[bool]()
