Look at a worker's idle cores first when a filling task is to be placed

On a loaded worker a filling task most often finds no idle cores, which one comparison shows; what it reserves was compared before. The conditions are the same; a property test evaluates all of them.

--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -99,11 +99,11 @@
         return False
     if req.needs_quiet and not member.is_quiet():
         return False
+    if step.filling:
+        return _can_fill(req, member)
     if not has_room(step, member):
         return False
-    if step.lasting:
-        return leaves_room_for_short(step, member, req.kept_share)
-    return not step.filling or _can_fill(req, member)
+    return not step.lasting or leaves_room_for_short(step, member, req.kept_share)
 
 
 def has_room(step: Step, member: Member) -> bool:
@@ -135,9 +135,12 @@
 
 def _can_fill(req: PlacementRequest, member: Member) -> bool:
     step, memory = req.step, member.host.size.memory
+    # Most workers that can't be used have no idle cores, so these come first.
+    if not req.ignore_idle_cores and member.idle_cores < step.size.cores * FILLING_SHARE:
+        return False
     if step.size.memory + req.kept_share * memory > memory - member.used.memory:
         return False
-    if not req.ignore_idle_cores and member.idle_cores < step.size.cores * FILLING_SHARE:
+    if not has_room(step, member):
         return False
     return not member.serving or not _would_overload(req, member)
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -10,7 +10,14 @@
 from curranthall.cells.fleet import Member, Run, RunState
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import MIN_WEIGHT, measure, measure_cores
-from curranthall.cells.placement import has_room
+from curranthall.cells.placement import (
+    FILLING_SHARE,
+    PlacementRequest,
+    _would_overload,
+    fits,
+    has_room,
+    leaves_room_for_short,
+)
 from curranthall.cells.poison import Crash, PoisonDetector, Suspect, _is_open
 from curranthall.cells.tracking import Queue, TrackedJob
 from curranthall.dag import Phase, Step, TaskId
@@ -163,6 +170,43 @@
             found[has_room(wanted, member)] += 1
         self.assertGreater(min(found[True], found[False]), 50)
 
+    def test_a_worker_fits_if_it_meets_all_conditions_in_any_order(self) -> None:
+        found = Counter[tuple[bool, bool]]()
+        estimates = [learned(random.Random(seed)) for seed in range(9)]
+        for seed in range(1_000):
+            rng = random.Random(seed)
+            member, wanted = busy_member(rng, "w0"), any_step(rng)
+            req = PlacementRequest(
+                SERVICE,
+                wanted._replace(size=wanted.size._replace(memory=rng.uniform(0, 40_000))),
+                {},
+                interference=rng.choice(estimates),
+                now=101.0,
+                kept_share=rng.choice((0.0, 0.125)),
+                ignore_idle_cores=rng.random() < 0.2,
+            )
+            with self.subTest(seed=seed):
+                self.assertEqual(fits(req, member), fits_plainly(req, member))
+            found[req.step.filling, fits(req, member)] += 1
+        self.assertGreater(min(found.values()), 40)
+        self.assertEqual(len(found), 4)
+
+
+def fits_plainly(req: PlacementRequest, member: Member) -> bool:
+    """Return whether a worker meets the conditions on room and load, all of them evaluated."""
+    step, kept = req.step, req.kept_share * member.host.size.memory
+    conditions = [step.reserved.fits(member.room)]
+    if step.lasting:
+        conditions.append(leaves_room_for_short(step, member, req.kept_share))
+    if step.filling:
+        needed = step.size.cores * FILLING_SHARE
+        conditions += [
+            req.ignore_idle_cores or member.idle_cores >= needed,
+            step.size.memory + kept <= member.room.memory,
+            not member.serving or not _would_overload(req, member),
+        ]
+    return all(conditions)
+
 
 class PlainDetector(PoisonDetector):
     """Looks at all runs in doubt for each answer."""
