--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -95,17 +95,18 @@
 ) -> dict[str, Load]:
     """Return the load of the given usable workers, and the room on quarantined ones, by service."""
     loads: dict[str, Load] = {}
+    members = list(members)
+    images = known.filling_images()
+    weights = _tabulate_weights(members, images, known)
     for member in members:
         load = loads.get(member.host.service, Load(filling={}, serving={}))
-        for image in known.filling_images():
-            room = _filling_room(member, image, known)
+        for image, room in _filling_rooms(member, images, weights, known).items():
             load.filling[image] = round(load.filling.get(image, 0.0) + room, 1)
         for run in member.runs.values():
             if run.step.target_ms:
                 image = run.step.image
                 load.serving[image] = load.serving.get(image, 0.0) + run.step.size.cores
-        # A worker whose capacity shrank below what runs there must not hide the room of others.
-        free, cores = max(0.0, member.room.cores), member.host.size.cores
+        free, cores = _free_cores(member), member.host.size.cores
         lasting = max(0.0, min(free, (1 - kept_share) * cores - member.lasting.cores))
         loads[member.host.service] = load._replace(
             cores=load.cores + cores,
@@ -113,27 +114,65 @@
             lasting=load.lasting + lasting,
             largest=_two_largest(load.largest, free),
             largest_lasting=max(load.largest_lasting, lasting),
-            idle=load.idle + max(0.0, member.idle_cores),
+            idle=load.idle + _idle_cores(member),
         )
     for member in quarantined:
         load = loads.get(member.host.service, Load(filling={}, serving={}))
-        rooms = _two_largest(load.quarantined, max(0.0, member.room.cores))
+        rooms = _two_largest(load.quarantined, _free_cores(member))
         loads[member.host.service] = load._replace(quarantined=rooms)
     for service, cores_waiting in waiting.items():
         loads[service] = loads.get(service, Load())._replace(waiting=cores_waiting)
     return loads
 
 
-def _filling_room(member: Member, image: str, known: Interference) -> float:
-    """Return the cores of an image that fit without pushing a serving task over its target."""
-    room, shares = max(0.0, member.idle_cores), member.filling_shares()
-    for run in member.runs.values():
-        if run.step.target_ms:
-            serving, target = run.step.image, run.step.target_ms
-            left = known.limit(serving, target) - known.load(serving, shares)
-            weight = max(known.weight(serving, image), MIN_WEIGHT)
-            room = min(room, max(0.0, left) / weight * member.host.size.cores)
-    return room
+def measure_cores(members: Iterable[Member], service: str) -> Load:
+    """Return only the cores, free and idle ones, of a service's usable workers."""
+    found = [member for member in members if member.host.service == service]
+    return Load(
+        cores=sum(member.host.size.cores for member in found),
+        free=sum(_free_cores(member) for member in found),
+        idle=sum(_idle_cores(member) for member in found),
+    )
+
+
+def _free_cores(member: Member) -> float:
+    # A worker whose capacity shrank below what runs there must not hide the room of others.
+    return max(0.0, member.room.cores)
+
+
+def _idle_cores(member: Member) -> float:
+    return max(0.0, member.idle_cores)
+
+
+def _tabulate_weights(
+    members: Iterable[Member], images: Iterable[str], known: Interference
+) -> dict[str, dict[str, float]]:
+    """Return, by serving and filling image, the weight by which the room is divided."""
+    runs = (run for member in members for run in member.runs.values())
+    return {
+        serving: {image: max(known.weight(serving, image), MIN_WEIGHT) for image in images}
+        for serving in {run.step.image for run in runs if run.step.target_ms}
+    }
+
+
+def _filling_rooms(
+    member: Member,
+    images: Iterable[str],
+    weights: dict[str, dict[str, float]],
+    known: Interference,
+) -> dict[str, float]:
+    """Return by image the cores that fit without pushing a serving task over its target."""
+    rooms = dict.fromkeys(images, _idle_cores(member))
+    steps = (run.step for run in member.runs.values())
+    targets = {(step.image, step.target_ms) for step in steps if step.target_ms}
+    if not rooms or not targets:
+        return rooms
+    shares, cores = member.filling_shares(), member.host.size.cores
+    for serving, target_ms in targets:
+        left = max(0.0, known.limit(serving, target_ms) - known.load(serving, shares))
+        for image, weight in weights[serving].items():
+            rooms[image] = min(rooms[image], left / weight * cores)
+    return rooms
 
 
 def widest_step(job: Job) -> Step:
