Copy stored lease ends with each take, but for healthy workers of a released cell

What callers would have seen: with a worker that is cut off, runs on and is listed as up, holders that are lost before their first renewal still start the wait anew each time.

Cause: gave workers that are listed as up the longest time with each take, for the sake of an outage of the store after it. Only a release lists workers that answer; the row of a lost holder lists those that it did not hear.

Change: the longest time is given after a release only, else the stored one is copied.

--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -188,18 +188,18 @@
     def _lease_ends(self, vacancy: Vacancy, details: Details) -> dict[str, int]:
         """Return until when leases of each worker may last if this holder is lost at once.
 
-        Workers that are listed as up keep the longest time, so that their leases outlast an outage
-        of the store which begins before the first renewal.
+        A released cell's workers that are listed as up keep the longest time, so that their leases
+        outlast an outage of the store which begins before the first renewal.
         """
         former, hosts = details.lease_ends, self._env.hosts() or {}
         longest_ms = self.watch.store_time_of(max(vacancy.proof_at, vacancy.silent_until))
         if longest_ms is None:
             return former
-        gone = {
-            name for name in former if name not in hosts or hosts[name].state is not HostState.LIVE
-        }
+        kept = set(former)
+        if vacancy.owner is not None and not vacancy.owner.holder:
+            kept -= {name for name, host in hosts.items() if host.state is HostState.LIVE}
         return {
-            host.name: former[host.name] if host.name in gone else longest_ms
+            host.name: former[host.name] if host.name in kept else longest_ms
             for host in details.roster
         }
 
--- a/tests/test_takeovers_in_series.py
+++ b/tests/test_takeovers_in_series.py
@@ -64,6 +64,10 @@
         await asyncio.sleep(1 + 0.3 * seed)
         return split
 
+    def count_runs(self, split: SplitCell) -> int:
+        """Return the number of runs on all workers."""
+        return sum(len(each.running) for each in split.cluster.runners.values())
+
     def busy(self, split: SplitCell) -> list[str]:
         """Return the cell's workers with runs."""
         runners = split.cluster.runners.items()
@@ -98,7 +102,7 @@
             split.cluster.crash_worker(lost)
             began = now()
             faults = asyncio.ensure_future(self.lose_in_turn(split, losses))
-            while sum(len(each.running) for each in split.cluster.runners.values()) < self.TASKS:
+            while self.count_runs(split) < self.TASKS:
                 if now() - began > 60.0:
                     break
                 await asyncio.sleep(POLL_S)
@@ -139,7 +143,7 @@
             began = now()
             await asyncio.sleep(3.0)
             split.cluster.kill(split.former)
-            while sum(len(each.running) for each in split.cluster.runners.values()) < self.TASKS:
+            while self.count_runs(split) < self.TASKS:
                 self.assertLess(now() - began, 60.0)
                 await asyncio.sleep(POLL_S)
             waited_s = now() - began
@@ -173,5 +177,56 @@
     LIFE_S = 0.0
 
 
+class CutOffWorker(unittest.TestCase):
+    """Holders lost in series while a worker is cut off, runs on and is listed as up."""
+
+    def check(self, losses: list[Lose], life_s: float) -> None:
+        """Check that the tasks of the worker wait no longer than for one takeover."""
+
+        async def main(seed: int) -> tuple[float, list[str]]:
+            played = TakeoversInSeries()
+            played.LIFE_S = life_s
+            split = await played.start(seed)
+            lost = played.busy(split)[0]
+            for name in split.cluster.entries:
+                split.cut(name, lost)
+            began = now()
+            faults = asyncio.ensure_future(played.lose_in_turn(split, losses))
+            # Its own runs lapse meanwhile.
+            await asyncio.sleep(6.5)
+            while played.count_runs(split) < played.TASKS and now() - began < 60.0:
+                await asyncio.sleep(POLL_S)
+            waited_s = now() - began
+            await faults
+            await asyncio.sleep(15)
+            split.cluster.close()
+            return waited_s, split.cluster.judge.broken
+
+        for seed in range(2):
+            with self.subTest(seed=seed):
+                waited_s, broken = run(main(seed))
+                self.assertEqual(broken, [])
+                self.assertLess(waited_s, RENEW_S + LONGEST_LEASE_S + START_S)
+
+    def test_holders_killed_in_series_do_not_prolong_the_wait(self) -> None:
+        self.check([kill_for_long] * 3, RENEW_S)
+
+    def test_holders_that_restart_in_series_do_not_prolong_the_wait(self) -> None:
+        self.check([kill] * 5, RENEW_S)
+
+    def test_holders_killed_before_their_first_renewal_do_not_prolong_the_wait(self) -> None:
+        self.check([kill_for_long] * 4, 0.0)
+
+    def test_holders_that_restart_before_their_first_renewal_do_not_prolong_the_wait(self) -> None:
+        self.check([kill] * 6, 0.0)
+
+    def test_holders_frozen_before_their_first_renewal_do_not_prolong_the_wait(self) -> None:
+        self.check([freeze] * 4, 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
+
+
 if __name__ == "__main__":
     unittest.main()
