--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -112,8 +112,7 @@
     now: float,
 ) -> None:
     # Move the whole job only if no task of it can be running, here or in a cell it was moved to.
-    not_started = not (tracked.active() or tracked.has_started or tracked.progress.moved_to)
-    whole = not_started and len(numbers) == batch.step.width
+    whole = not dispatcher.may_have_started(tracked) and len(numbers) == batch.step.width
     dispatcher.move(tracked, batch, None if whole else numbers, target.cell, now, target.epoch)
     log(
         Event.JOB_MOVED,
--- a/src/curranthall/cells/departure.py
+++ b/src/curranthall/cells/departure.py
@@ -74,7 +74,7 @@
     slots = sum(min(load.slots(step), max(0, int(load.room(step) / cores))) for load in loads)
     if not slots:
         return False
-    needed = sum(len(batch.waiting) * batch.step.size.cores for batch in waiting)
+    needed = sum(batch.count_waiting() * batch.step.size.cores for batch in waiting)
     needed += sum(
         run.step.size.cores
         for member in members
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
+from typing import NamedTuple
 
 from curranthall.cells.advice import Advice
 from curranthall.cells.departure import Departures, departing_runs, has_room_elsewhere
@@ -21,6 +22,7 @@
 )
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import Load, Waiting, count_slots, measure
+from curranthall.cells.owner import UNKNOWN_WORKER
 from curranthall.cells.pacing import FULL_PACE, adjust_pace, worst_tail_ratio
 from curranthall.cells.placement import (
     SHORT_SHARE,
@@ -63,6 +65,7 @@
     summarize,
 )
 from curranthall.dag import Job, Phase, Progress, Step, TaskId
+from curranthall.dag.progress import TaskKey
 from curranthall.events import Event, log
 from curranthall.model import Host, Size
 from curranthall.telemetry import completion_seconds, jobs_by_size
@@ -111,7 +114,7 @@
     for batch in batches:
         step = batch.step
         kind = "lasting" if step.lasting else "filling" if step.filling else "plain"
-        found[kind] += len(batch.waiting) * step.size.cores
+        found[kind] += batch.count_waiting() * step.size.cores
     return {kind: round(cores, 1) for kind, cores in found.items()}
 
 
@@ -130,6 +133,14 @@
     ]
 
 
+class _Unsent(NamedTuple):
+    """A run whose start is sent once the job's row contains the change that records it."""
+
+    run: Run
+    tracked: TrackedJob
+    change: int
+
+
 class Dispatcher:
     """Schedules the tasks of one cell under one epoch."""
 
@@ -162,6 +173,9 @@
         self._wall_ms = wall_ms
         self._ready: dict[tuple[str, int, int], Batch] = {}
         self._due_at: dict[tuple[str, int], float] = {}
+        self._unsent: list[_Unsent] = []
+        # Workers were proven or rows were read since the held tasks were last checked.
+        self._recheck_held = False
         self._fencing = Fencing()
         # Whether rows were read after all workers were fenced.
         self.proven = True
@@ -223,6 +237,38 @@
         self.proven = True
         for tracked in self.tracked.values():
             self._claim(tracked)
+        self._recheck_held = True
+
+    def _free_held(self, now: float) -> None:
+        """Let the held tasks start that no worker of a former holder can run any more."""
+        self._recheck_held = False
+        for tracked in self.tracked.values():
+            for batch in tracked.batches.values():
+                if batch.held:
+                    self._update_waiting(batch, now)
+
+    def _may_still_run(self, batch: Batch, key: TaskKey) -> bool:
+        """Return whether a worker of a former holder may run a task of a lasting step.
+
+        The job's row names the worker of the task's last start; rows without the record don't.
+        """
+        if not batch.tracked.prior or not batch.step.records_starts or self.proven:
+            return False
+        places, unproven = batch.tracked.progress.places, self._fencing.unproven
+        if places is None or UNKNOWN_WORKER in unproven:
+            return True
+        place = places.get(key)
+        return place is not None and place.worker in unproven
+
+    def _claim_if_safe(self, tracked: TrackedJob) -> None:
+        """Claim a job once its tasks may start; one with lasting steps even before all of them.
+
+        Once it is claimed, its row holds the last start of each lasting task for good: a former
+        holder sends a start only after it is recorded.
+        """
+        records_starts = any(step.records_starts for step in tracked.job.steps)
+        if self.proven or (records_starts and tracked.progress.places is not None):
+            self._claim(tracked)
 
     def _claim(self, tracked: TrackedJob) -> None:
         """Write this epoch into a row that names an earlier one, before any of its tasks starts.
@@ -293,8 +339,7 @@
             tracked.final_at = now
         else:
             tracked.has_started = progress.phase is Phase.RUNNING
-            if self.proven:
-                self._claim(tracked)
+            self._claim_if_safe(tracked)
             self._open_steps(tracked, now)
             for batch in tracked.batches.values():
                 batch.prior = tracked.prior
@@ -348,8 +393,7 @@
             self._close_job(tracked, now)
             log(Event.JOB_CLOSED, job=job_id, phase=tracked.progress.phase.name.lower())
         elif not tracked.progress.phase.is_final:
-            if self.proven:
-                self._claim(tracked)
+            self._claim_if_safe(tracked)
             self._open_steps(tracked, now)
             if tracked.progress.is_all_done(tracked.job):
                 tracked.progress.phase = Phase.COMPLETED
@@ -378,6 +422,13 @@
         ]
         return sorted(found, key=lambda batch: self._sort_key(batch, now))
 
+    def may_have_started(self, tracked: TrackedJob) -> bool:
+        """Return whether any task of a job may have been started, here or elsewhere."""
+        progress = tracked.progress
+        if tracked.active() or tracked.has_started or progress.moved_to or progress.places:
+            return True
+        return tracked.prior and (not self.proven or self._has_unheard_workers())
+
     def move(
         self,
         tracked: TrackedJob,
@@ -458,24 +509,31 @@
             key = batch.occurrence, batch.number, index
             is_own = progress.owner(key) == self.cell
             done = progress.is_done(*key) and not batch.step.lasting
+            batch.waiting.discard(index)
+            batch.held.discard(index)
             if is_own and not done and index not in batch.active:
-                batch.waiting.add(index)
-            else:
-                batch.waiting.discard(index)
+                held = self._may_still_run(batch, key)
+                (batch.held if held else batch.waiting).add(index)
             if done:
                 for run in list(batch.active.get(index, ())):
                     self._stop(run, now)
-        if batch.waiting:
+        if batch.step.gang and batch.held:
+            batch.held |= batch.waiting
+            batch.waiting.clear()
+        if not batch.waiting:
+            batch.unplaced_since = None
+        if batch.count_waiting():
             batch.waiting_since = now if batch.waiting_since is None else batch.waiting_since
             self._ready[batch.tracked.job.id, batch.occurrence, batch.number] = batch
         else:
-            batch.waiting_since = batch.unplaced_since = None
+            batch.waiting_since = None
 
     def _close_job(self, tracked: TrackedJob, now: float) -> None:
         """Stop all runs of a job in a final phase and drop its waiting tasks."""
         tracked.final_at = now
         for batch in tracked.batches.values():
             batch.waiting.clear()
+            batch.held.clear()
             self._ready.pop((tracked.job.id, batch.occurrence, batch.number), None)
             for runs in list(batch.active.values()):
                 for run in list(runs):
@@ -573,7 +631,7 @@
                 self._remove_run(run, now, EndReason.REBORN if reborn else EndReason.VANISHED)
         if snapshot.complete:
             # Only now: an answer whose processing failed above proves nothing.
-            self._fencing.remove(member.name)
+            self._note_fenced(member.name)
         self._settle_crashes(member, snapshot.born, now)
         self._end_probations(member, listed, now)
         self._stop_stalled(member, now)
@@ -588,6 +646,11 @@
                 tail_over_target=round(worst_tail_ratio(member), 2),
             )
 
+    def _note_fenced(self, worker: str) -> None:
+        """Record that a worker listed all its runs and ends, or is gone."""
+        self._recheck_held |= worker in self._fencing.unproven
+        self._fencing.remove(worker)
+
     def _end_probations(self, member: Member, listed: set[tuple[TaskId, int]], now: float) -> None:
         """Record which listed runs have outlasted their start."""
         for key, run in member.runs.items():
@@ -713,6 +776,9 @@
             return None
         self._infer_done(tracked, task, now)
         batch = self._get_batch(tracked, task)
+        for other in list(batch.active.get(task.number, ())):
+            if other.state is RunState.RECORDING:
+                self._stop(other, now)
         run = Run(task, entry.run, member.name, batch.step, RunState.RUNNING, now)
         if run.step.filling:
             # A former holder may have slowed or paused it.
@@ -766,6 +832,7 @@
     def _add_run(self, batch: Batch, run: Run, member: Member) -> None:
         batch.active.setdefault(run.task.number, []).append(run)
         batch.waiting.discard(run.task.number)
+        batch.held.discard(run.task.number)
         member.add(run)
 
     def _confirm_run(self, run: Run, known_at: float) -> None:
@@ -868,6 +935,16 @@
 
     def _remove_run(self, run: Run, now: float, why: EndReason, how: str = "") -> None:
         """Remove a run that is over; its task waits again unless it is done."""
+        batch = self._detach_run(run, why, how)
+        if batch is None:
+            return
+        if run.step.gang:
+            self._stop_gang(batch, now)
+        else:
+            self._update_waiting(batch, now, (run.task.number,))
+
+    def _detach_run(self, run: Run, why: EndReason, how: str = "") -> Batch | None:
+        """Remove a run that is over; return its batch if its job is tracked and not final."""
         if why in NO_END_LISTED:
             self._log_unlisted(run, why)
         member = self.members.get(run.worker)
@@ -877,7 +954,7 @@
             self.members[run.moving_to].release(run)
         tracked = self.tracked.get(run.task.job)
         if tracked is None:
-            return
+            return None
         batch = tracked.batches[run.task.occurrence, run.task.step]
         runs = batch.active.get(run.task.number, [])
         if run in runs:
@@ -887,14 +964,11 @@
         if run.checkpoint and run.step.checkpointing:
             tracked.checkpoints[run.task[1:]] = run.checkpoint
         if tracked.progress.phase.is_final:
-            return
+            return None
         if run.step.lasting or not tracked.progress.is_done(*run.task[1:]):
             text = f"{why.value} {how}".rstrip()
             tracked.former[run.task[1:]] = FormerRun(text, run.number, run.worker)
-        if run.step.gang:
-            self._stop_gang(batch, now)
-        else:
-            self._update_waiting(batch, now, (run.task.number,))
+        return batch
 
     def _log_unlisted(self, run: Run, why: EndReason) -> None:
         """Log a run that is considered over although no worker listed its end."""
@@ -913,7 +987,10 @@
         """Stop the remaining runs of a gang; it starts again once all of them are over."""
         for runs in list(batch.active.values()):
             for run in list(runs):
-                self._stop(run, now)
+                if run.state is RunState.RECORDING:
+                    self._detach_run(run, EndReason.UNSENT)
+                else:
+                    self._stop(run, now)
         if not batch.active:
             self._update_waiting(batch, now)
 
@@ -922,6 +999,9 @@
     def _stop(self, run: Run, now: float) -> None:
         if run.state is RunState.STOPPING:
             return
+        if run.state is RunState.RECORDING:
+            self._remove_run(run, now, EndReason.UNSENT)
+            return
         run.state, run.stop_sent_at = RunState.STOPPING, now
         self.orders.append(StopTask(run.worker, run.task, run.number))
 
@@ -1027,7 +1107,7 @@
         if member is None:
             return
         log(Event.WORKER_GONE, worker=worker, running=len(member.runs))
-        self._fencing.remove(worker)
+        self._note_fenced(worker)
         self.interference.forget_worker(worker)
         self._keep_deferred_ends(member)
         # The boot that has ended never received a rejected start.
@@ -1057,6 +1137,7 @@
                 workers=len(lapsed),
                 left=self.count_unproven(),
             )
+            self._recheck_held = True
         for member in list(self.members.values()):
             self._tick_member(member, now, confirmed_at)
             if member.born and member.silent_since is None:
@@ -1070,7 +1151,8 @@
 
     def _log_summary(self, now: float) -> None:
         """Log a summary of the cell."""
-        waiting, loads = [batch for batch in self._ready.values() if batch.waiting], self.load(now)
+        waiting = [batch for batch in self._ready.values() if batch.count_waiting()]
+        loads = self.load(now)
         ctx = self._wait_context(now)
         self.waits = summarize(waiting, ctx)
         self.lasting_waits = list_lasting_waits(waiting, ctx)
@@ -1095,13 +1177,13 @@
             filling_room={name: load.filling for name, load in loads.items()},
             filling_waits={name: load.waiting.filling for name, load in loads.items()},
             free_gb=[round(member.room.memory / 1000, 1) for member in self.members.values()],
-            waiting_tasks=sum(len(batch.waiting) for batch in waiting),
+            waiting_tasks=sum(batch.count_waiting() for batch in waiting),
             waits=[list(row) for row in self.waits],
             waiting_first=[
                 [
                     batch.tracked.job.id,
                     batch.number,
-                    len(batch.waiting),
+                    batch.count_waiting(),
                     batch.step.size.cores,
                     round(batch.step.size.memory / 1000, 1),
                     batch.step.filling,
@@ -1224,6 +1306,9 @@
 
     def plan(self, now: float) -> None:
         """Start all waiting tasks that can be placed."""
+        self.send_recorded(now)
+        if self._recheck_held:
+            self._free_held(now)
         if self.closed:
             if not self.releasing:
                 self._move_departing([], {}, now)
@@ -1249,9 +1334,9 @@
         now: float,
     ) -> None:
         for batch in batches:
-            if not batch.waiting:
+            if not batch.count_waiting():
                 del self._ready[batch.tracked.job.id, batch.occurrence, batch.number]
-            elif not self._is_held(batch, now):
+            elif batch.waiting and not self._is_held(batch, now):
                 self._place(batch, _without_reserved(batch.step, usable, reserved), refused, now)
                 self._place_at_last_resort(batch, reserved, now)
                 if batch.step.lasting and batch.waiting:
@@ -1398,7 +1483,9 @@
         tracked = batch.tracked
         if now < tracked.pause_until or not self._can_start(tracked):
             return True
-        return tracked.prior and not batch.step.lasting and self._has_unheard_workers()
+        if not tracked.prior or batch.step.records_starts:
+            return False
+        return not self.proven or (not batch.step.lasting and self._has_unheard_workers())
 
     def _has_unheard_workers(self) -> bool:
         """Return whether workers that are listed as up may list ends of a former holder's runs."""
@@ -1579,6 +1666,7 @@
         return self._last_run
 
     def _start(self, batch: Batch, index: int, member: Member, number: int, now: float) -> None:
+        """Start a task; a task of a lasting step once the row names its run and worker."""
         tracked, task = batch.tracked, batch.task(index)
         checkpoint = tracked.checkpoints.get(task[1:], "") if batch.step.checkpointing else ""
         run = Run(task, number, member.name, batch.step, RunState.STARTING, now, checkpoint)
@@ -1587,15 +1675,45 @@
         self._add_run(batch, run, member)
         if run.crashes >= ISOLATION_CRASHES:
             member.isolated = run
+        if not batch.step.records_starts:
+            self._send_start(batch, run, member, now)
+            return
+        run.state = RunState.RECORDING
+        tracked.progress.set_place(task[1:], number, member.name)
+        self._mark_dirty(tracked, urgent=True)
+        self._unsent.append(_Unsent(run, tracked, tracked.change))
+
+    def send_recorded(self, now: float) -> None:
+        """Send the starts that are recorded by now; drop those that must not be sent any more."""
+        unsent, self._unsent = self._unsent, []
+        for each in unsent:
+            run, tracked, change = each
+            member = self.members.get(run.worker)
+            is_present = member is not None and member.runs.get((run.task, run.number)) is run
+            if member is None or not is_present:
+                continue
+            may_send = self._can_start(tracked) and member.may_send(run, now)
+            if self.closed or not may_send:
+                self._remove_run(run, now, EndReason.UNSENT)
+            elif tracked.recorded < change:
+                self._unsent.append(each)
+            else:
+                run.state, run.sent_at = RunState.STARTING, now
+                run.probation_until = now + PROBATION_S
+                run.note_progress(now)
+                self._send_start(self._get_batch(tracked, run.task), run, member, now)
+
+    def _send_start(self, batch: Batch, run: Run, member: Member, now: float) -> None:
+        tracked, task = batch.tracked, run.task
         deadline_ms = member.clock_now(now) + int(START_WINDOW_S * 1000)
         member.granted_ms = max(member.granted_ms, deadline_ms)
         self.orders.append(
             StartTask(
                 member.name,
                 task,
-                number,
+                run.number,
                 tracked.job.spec,
-                checkpoint,
+                run.checkpoint,
                 deadline_ms,
                 batch.tickets.get_ticket(member.name),
             )
@@ -1603,7 +1721,7 @@
         log(
             Event.RUN_PLACED,
             task=task,
-            run=number,
+            run=run.number,
             worker=member.name,
             queue=tracked.queue.name,
             image=batch.step.image,
@@ -1634,7 +1752,7 @@
         waiting: dict[str, Waiting] = {}
         for batch in self._ready.values():
             service = batch.tracked.queue.service
-            cores = len(batch.waiting) * batch.step.size.cores
+            cores = batch.count_waiting() * batch.step.size.cores
             waiting[service] = waiting.get(service, Waiting()).plus(cores, batch.step)
         for run in departing_runs(self.members.values()):
             service = self.members[run.worker].host.service
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -36,6 +36,8 @@
 class RunState(Enum):
     """State of a run as known to the cell's holder."""
 
+    # Its start is being recorded and has not been sent.
+    RECORDING = "recording"
     STARTING = "starting"
     RUNNING = "running"
     STOPPING = "stopping"
@@ -251,14 +253,18 @@
         """Avoid this worker for QUARANTINE_S unless nothing else has room."""
         self.quarantined_until = max(self.quarantined_until, now + QUARANTINE_S)
 
-    def _accepts_starts(self, now: float) -> bool:
+    def may_send(self, run: Run, now: float) -> bool:
+        """Return whether a run that was placed here may still be sent."""
+        return self.confirmed and self._accepts_starts(now, run)
+
+    def _accepts_starts(self, now: float, run: Run | None = None) -> bool:
         return (
             self.all_ends_listed
             and self.is_listed_live
             and self.silent_since is None
             and now - self.answered_at < STALE_ANSWER_S
             and now >= self.paused_until
-            and self.isolated is None
+            and (self.isolated is None or self.isolated is run)
             and not self.unknown_runs
         )
 
@@ -361,7 +367,10 @@
 
     def has_open_start(self, now: float) -> bool:
         """Return whether an unanswered start may still be carried out."""
-        return any(run.absence_valid_after > now for run in self.runs.values())
+        return any(
+            run.absence_valid_after > now and run.state is not RunState.RECORDING
+            for run in self.runs.values()
+        )
 
     def may_list_ends(self, now: float) -> bool:
         """Return whether a worker whose leases have lapsed may still answer and list ends."""
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -75,7 +75,8 @@
         return dumps([*self[:4], encode_loads(self.load), *self[5:]])
 
 
-# Nothing listens there.
+# Stands for the workers of a roster that cannot be read; nothing listens at its address.
+UNKNOWN_WORKER = "unknown"
 UNKNOWN_ADDRESS = "0.0.0.0:1"
 # Shares of a worker's cores are computed.
 MIN_CORES = 0.001
@@ -165,7 +166,8 @@
 
     It never answers, so only the lapse of its leases proves the cell, also to later holders.
     """
-    unknown = Host("unknown", cell, "", UNKNOWN_ADDRESS, Size(MIN_CORES, 0.0), 0, 0, HostState.GONE)
+    size = Size(MIN_CORES, 0.0)
+    unknown = Host(UNKNOWN_WORKER, cell, "", UNKNOWN_ADDRESS, size, 0, 0, HostState.GONE)
     return [*(host for host in listed if host.domain == cell), unknown]
 
 
--- a/src/curranthall/cells/poison.py
+++ b/src/curranthall/cells/poison.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from curranthall.cells.fleet import Member, Run
+from curranthall.cells.fleet import Member, Run, RunState
 from curranthall.cells.tracking import Batch, TrackedJob
 from curranthall.dag import Progress, Step, TaskId
 from curranthall.dag.progress import Doubt, TaskKey
@@ -131,7 +131,9 @@
         changed = []
         for run in runs if member.host.state is not HostState.LEAVING else ():
             tracked = self._tracked.get(run.task.job)
-            if not run.probation_until or tracked is None or tracked.progress.phase.is_final:
+            if not run.probation_until or run.state is RunState.RECORDING:
+                continue
+            if tracked is None or tracked.progress.phase.is_final:
                 continue
             key, progress = crash_key(run.step, run.task), tracked.progress
             known = progress.doubts.get(key)
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -62,14 +62,20 @@
     number: int
     step: Step
     waiting: set[int] = field(default_factory=set)
+    # Tasks that wait until a worker of a former holder is proven not to run them.
+    held: set[int] = field(default_factory=set)
     active: dict[int, list[Run]] = field(default_factory=dict)
-    # When the oldest of the waiting tasks began to wait at the latest, held or not.
+    # When the oldest of the tasks without a run began to wait at the latest, held or not.
     waiting_since: float | None = None
     unplaced_since: float | None = None
     # The step had begun when this holder took the job over.
     prior: bool = False
     tickets: Tickets = field(default_factory=Tickets)
 
+    def count_waiting(self) -> int:
+        """Return how many tasks wait, held or not."""
+        return len(self.waiting) + len(self.held)
+
     def siblings(self) -> dict[str, int]:
         """Return the number of runs by worker; one that moves counts where it will start."""
         counts: dict[str, int] = {}
@@ -82,7 +88,7 @@
     def count_unavailable(self) -> int:
         """Return how many of the tasks in this cell are not at work."""
         at_work = [any(run.is_at_work for run in runs) for runs in self.active.values()]
-        return len(self.waiting) + len(at_work) - sum(at_work)
+        return self.count_waiting() + len(at_work) - sum(at_work)
 
     def task(self, index: int) -> TaskId:
         """Return the id of a task."""
--- a/src/curranthall/cells/waits.py
+++ b/src/curranthall/cells/waits.py
@@ -143,18 +143,29 @@
 
 def summarize(batches: list[Batch], ctx: WaitContext) -> list[WaitRow]:
     """Summarize the batches by queue, size of job and reason."""
-    found: dict[tuple[str, str, str], list[Batch]] = {}
+    found: dict[tuple[str, str, str], list[tuple[Batch, int]]] = {}
     for batch in batches[:: -(-len(batches) // MAX_SAMPLED_BATCHES) or 1]:
         tracked = batch.tracked
-        key = tracked.queue.name, tracked.size_class, find_reason(batch, ctx).value
-        found.setdefault(key, []).append(batch)
+        for why, tasks in _count_by_reason(batch, ctx).items():
+            key = tracked.queue.name, tracked.size_class, why.value
+            found.setdefault(key, []).append((batch, tasks))
     return [_build_row(*key, each) for key, each in sorted(found.items())]
 
 
-def _build_row(queue: str, size: str, why: str, batches: list[Batch]) -> WaitRow:
-    tasks = sum(len(batch.waiting) for batch in batches)
-    cores = sum(len(batch.waiting) * batch.step.size.cores for batch in batches)
-    jobs = {batch.tracked.job.id: batch.tracked for batch in batches}
+def _count_by_reason(batch: Batch, ctx: WaitContext) -> dict[WaitReason, int]:
+    """Count the waiting tasks of a batch by reason."""
+    held = WaitReason.CLOSED if ctx.closed else WaitReason.HELD
+    counts = {held: len(batch.held)} if batch.held else {}
+    if batch.waiting:
+        why = find_reason(batch, ctx)
+        counts[why] = counts.get(why, 0) + len(batch.waiting)
+    return counts
+
+
+def _build_row(queue: str, size: str, why: str, found: list[tuple[Batch, int]]) -> WaitRow:
+    tasks = sum(count for _, count in found)
+    cores = sum(count * batch.step.size.cores for batch, count in found)
+    jobs = {batch.tracked.job.id: batch.tracked for batch, _ in found}
     idle = sum(not tracked.active() for tracked in jobs.values())
     return WaitRow(queue, size, why, tasks, round(cores, 1), len(jobs), idle)
 
@@ -173,7 +184,7 @@
     at_work = [run for run, _ in runs if run.is_at_work]
     over = [member for run, member in runs if 0 < run.step.target_ms < run.gauge]
     return LastingState(
-        waiting=sum(len(batch.waiting) for batch in batches if batch.step.lasting),
+        waiting=sum(batch.count_waiting() for batch in batches if batch.step.lasting),
         runs=len(runs),
         at_work=len(at_work),
         over_target=len(over),
@@ -186,16 +197,18 @@
     found = [
         (batch.waiting_since, batch)
         for batch in batches
-        if batch.step.lasting and batch.waiting and batch.waiting_since is not None
+        if batch.step.lasting and batch.count_waiting() and batch.waiting_since is not None
     ]
+    found.sort(key=lambda row: row[0])
     return [
         LastingWait(
             batch.tracked.job.id,
             batch.number,
-            len(batch.waiting),
+            tasks,
             batch.step.size.cores,
             round(ctx.now - since, 2),
-            find_reason(batch, ctx).value,
+            why.value,
         )
-        for since, batch in sorted(found, key=lambda row: row[0])[:MAX_LASTING_WAITS]
-    ]
+        for since, batch in found[:MAX_LASTING_WAITS]
+        for why, tasks in _count_by_reason(batch, ctx).items()
+    ][:MAX_LASTING_WAITS]
--- a/src/curranthall/dag/model.py
+++ b/src/curranthall/dag/model.py
@@ -53,6 +53,11 @@
     filling: bool = False
     max_unavailable: int = 0
 
+    @property
+    def records_starts(self) -> bool:
+        """Return whether each start is recorded before it is sent, so that no task starts twice."""
+        return self.lasting and not self.copies
+
     @property
     def reserved(self) -> Size:
         """Return the size a task reserves on a worker; a filling task reserves no cores."""
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -38,6 +38,13 @@
     after_ms: int
 
 
+class Place(NamedTuple):
+    """The last start of a lasting task: its run and worker."""
+
+    run: int
+    worker: str
+
+
 @dataclass(slots=True)
 class Progress:
     """A job's mutable row; task keys are (occurrence, step, index)."""
@@ -59,6 +66,8 @@
     outages: dict[TaskKey, set[int]] = field(default_factory=dict)
     outlasted: dict[TaskKey, int] = field(default_factory=dict)
     doubts: dict[TaskKey, Doubt] = field(default_factory=dict)
+    # By lasting task that was ever started, its last start; None if starts were not recorded.
+    places: dict[TaskKey, Place] | None = field(default_factory=dict)
     # Local moves to other cells that no committed row contains yet; not stored.
     uncommitted_moves: dict[TaskKey, str] = field(default_factory=dict)
     uncommitted_job_move: str = ""
@@ -102,6 +111,20 @@
         outages = sum(run > last for run in self.outages.get(key, ()))
         return sum(run > last for run in self.crashes.get(key, ())) + max(outages - 1, 0)
 
+    def set_place(self, key: TaskKey, run: int, worker: str) -> None:
+        """Record the start of a lasting task before it is sent."""
+        if self.places is not None:
+            self.places[key] = Place(run, worker)
+
+    def _merge_places(self, other: dict[TaskKey, Place] | None) -> None:
+        """Keep each task's last start; a later holder's run has a greater number."""
+        if self.places is None or other is None:
+            self.places = None
+            return
+        for key, place in other.items():
+            if key not in self.places or place.run > self.places[key].run:
+                self.places[key] = place
+
     def is_step_done(self, job: Job, occurrence: int, step: int) -> bool:
         """Return whether all tasks of a step are done."""
         return self.done.get((occurrence, step), 0) == (1 << job.steps[step].width) - 1
@@ -175,10 +198,12 @@
         for key, doubt in other.doubts.items():
             if key not in self.doubts or doubt.run > self.doubts[key].run:
                 self.doubts[key] = doubt
+        self._merge_places(other.places)
         self.highest_run = max(self.highest_run, other.highest_run)
         self.moves = max(self.moves, other.moves)
         self.cell, self.moved_to = other.cell, dict(other.moved_to)
-        if self.uncommitted_job_move and other.cell == cell and not other.moved_to:
+        is_started = bool(other.moved_to or other.places)
+        if self.uncommitted_job_move and other.cell == cell and not is_started:
             self.cell = self.uncommitted_job_move
         else:
             self.uncommitted_job_move = ""
@@ -202,6 +227,11 @@
             value["o"] = [[*key, run] for key, run in self.outlasted.items()]
         if self.doubts:
             value["q"] = [[*key, *doubt] for key, doubt in self.doubts.items()]
+        if self.places is not None and not self.phase.is_final:
+            by_worker: dict[str, list[list[int]]] = {}
+            for key, place in self.places.items():
+                by_worker.setdefault(place.worker, []).append([*key, place.run])
+            value["l"] = [[worker, starts] for worker, starts in by_worker.items()]
         if self.moved_to:
             value["e"] = [[*key, cell] for key, cell in self.moved_to.items()]
         if self.claims:
@@ -231,6 +261,7 @@
             _task_key(k, step, index): checked(Doubt(*doubt))
             for k, step, index, *doubt in value.get("q", ())
         },
+        _places(value["l"]) if "l" in value else None,
     )
 
 
@@ -238,6 +269,14 @@
     return whole(occurrence), whole(step), whole(index)
 
 
+def _places(rows: Iterable[Any]) -> dict[TaskKey, Place]:
+    return {
+        _task_key(*key): Place(whole(run), text(worker))
+        for worker, starts in rows
+        for *key, run in items(starts)
+    }
+
+
 def _runs(rows: Iterable[Any]) -> dict[TaskKey, set[int]]:
     return {_task_key(*key): set(map(whole, items(runs))) for *key, runs in rows}
 
--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -1,7 +1,7 @@
 """Builders for tests of a cell: hosts, jobs, snapshots and a dispatcher with its own clock."""
 
 from curranthall.cells.dispatcher import Dispatcher
-from curranthall.cells.fleet import Member
+from curranthall.cells.fleet import Member, RunState
 from curranthall.cells.ports import (
     Ending,
     EndKind,
@@ -12,7 +12,7 @@
     StartTask,
     StopTask,
 )
-from curranthall.cells.tracking import Bounds, Queue
+from curranthall.cells.tracking import Bounds, Queue, TrackedJob
 from curranthall.dag import Job, Progress, Step, TaskId
 from curranthall.model import Host, HostState, Size
 
@@ -68,15 +68,30 @@
         return self.dispatcher.members[name]
 
     def plan(self) -> list[StartTask]:
-        """Plan and return the ordered starts."""
+        """Plan, commit the rows that starts wait for, and return the starts as they were placed."""
         self.dispatcher.plan(self.now)
-        return self.take(StartTask)
+        self.record_starts()
+        self.dispatcher.send_recorded(self.now)
+        return sorted(self.take(StartTask), key=lambda order: order.run)
+
+    def record_starts(self) -> None:
+        """Record the jobs whose starts wait for it as committed."""
+        for tracked in list(self.dispatcher.dirty.values()):
+            runs = [
+                run for batch in tracked.batches.values() for run in sum(batch.active.values(), [])
+            ]
+            if any(run.state is RunState.RECORDING for run in runs):
+                self.record_job(tracked)
 
     def record(self) -> None:
         """Record all changed jobs as committed."""
         for tracked in list(self.dispatcher.dirty.values()):
-            self.dispatcher.note_recorded(tracked, tracked.change, tracked.version + 1)
-        self.dispatcher.dirty.clear()
+            self.record_job(tracked)
+
+    def record_job(self, tracked: TrackedJob) -> None:
+        """Record a job as committed with all its changes."""
+        del self.dispatcher.dirty[tracked.job.id]
+        self.dispatcher.note_recorded(tracked, tracked.change, tracked.version + 1)
 
     def take(self, kind: type) -> list:  # type: ignore[type-arg]
         """Remove and return the queued orders of a kind."""
