--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -236,7 +236,13 @@
         """
         self.proven = True
         for tracked in self.tracked.values():
+            was_claimed = tracked.claim_change > 0
             self._claim(tracked)
+            only_records_starts = all(step.records_starts for step in tracked.job.steps)
+            if was_claimed and not (only_records_starts or tracked.progress.phase.is_final):
+                # As with a claim, a row with ends recorded since it was read makes this conflict.
+                self._mark_dirty(tracked, urgent=True)
+                tracked.proof_change = tracked.change
         self._recheck_held = True
 
     def _free_held(self, now: float) -> None:
@@ -1485,7 +1491,9 @@
             return True
         if not tracked.prior or batch.step.records_starts:
             return False
-        return not self.proven or (not batch.step.lasting and self._has_unheard_workers())
+        if not self.proven or tracked.recorded < tracked.proof_change:
+            return True
+        return not batch.step.lasting and self._has_unheard_workers()
 
     def _has_unheard_workers(self) -> bool:
         """Return whether workers that are listed as up may list ends of a former holder's runs."""
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -134,6 +134,9 @@
     recorded: int = 0
     # The change that claims the job from a former holder; 0 if none is needed.
     claim_change: int = 0
+    # The change whose record shows that the row read after all workers were fenced is the last one
+    # of a former holder, for a job that was claimed before; 0 if none is needed.
+    proof_change: int = 0
     pause_until: float = 0.0
     final_at: float | None = None
     size_class: str = "1"
--- a/src/curranthall/standin/store.py
+++ b/src/curranthall/standin/store.py
@@ -31,6 +31,10 @@
         """Apply a transaction."""
         return self.apply(part, checks, puts, drops)
 
+    def find(self, table: str, part: str, key: str) -> Row | None:
+        """Return a row without awaiting."""
+        return self._rows.get((table, part, key))
+
     def apply(
         self, part: str, checks: list[Check], puts: list[Put], drops: list[Drop]
     ) -> Committed | Stale:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -17,9 +17,10 @@
     StartTask,
     StopTask,
 )
+from curranthall.cells.records import PROGRESS_TABLE, decode_progress_row, part_of
 from curranthall.cells.succession import Environment, Succession
 from curranthall.cells.tracking import Bounds, Queue
-from curranthall.dag import Job, Phase, TaskId
+from curranthall.dag import Job, Phase, Progress, TaskId
 from curranthall.errors import (
     AnswerLost,
     ConnectFailed,
@@ -68,7 +69,10 @@
 class Judge:
     """Checks invariants at every start and end of a run on the workers."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, find_progress: Callable[[str], Progress | None] = lambda job_id: None
+    ) -> None:
+        self.find_progress = find_progress
         self.broken: list[str] = []
         self.at_work: dict[TaskId, set[tuple[str, int]]] = {}
         self.done: dict[tuple[TaskId, int], float] = {}
@@ -139,6 +143,11 @@
             for number in range(job.steps[before].width):
                 if TaskId(task.job, task.occurrence, before, number) not in ended:
                     self._report("started before its dependencies ended", task, before, worker)
+        progress = self.find_progress(task.job)
+        if job.steps[task.step].records_starts and progress is not None:
+            place = (progress.places or {}).get(task[1:])
+            if not progress.phase.is_final and (place is None or place.run < run):
+                self._report("started before its row told where", task, run, worker)
         if task.job in self.cancelled and now() > self.cancelled[task.job] + CANCEL_S:
             self._report("started after the cancel", task, self.cancelled[task.job], worker)
 
@@ -156,8 +165,8 @@
 
     def __init__(self, seed: int = 1, entries: int = 2, workers: int = 3) -> None:
         self.rng = random.Random(seed)
-        self.judge = Judge()
         self.store = MemoryStore(now)
+        self.judge = Judge(self._find_progress)
         self.store_down = False
         self.lose_answers = 0.0
         self.apply_late = 0.0
@@ -307,6 +316,11 @@
         listing = await self.store.scan(CELL_TABLE, CELL_PART, cell, cell + "\0")
         return next((decode_owner(row.value) for row in listing.rows if row.value), None)
 
+    def _find_progress(self, job_id: str) -> Progress | None:
+        """Return a job's progress as stored."""
+        row = self.store.find(PROGRESS_TABLE, part_of(job_id), job_id)
+        return decode_progress_row(row) if row is not None else None
+
     def close(self) -> None:
         """Stop the workers and kill all entries."""
         self._stepper.cancel()
