--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -402,6 +402,104 @@
 
         self.play(scenario)
 
+    def test_no_start_is_sent_before_its_row_however_the_store_answers(self) -> None:
+        """The judge reads the row at each start."""
+
+        async def scenario(split: SplitCell) -> None:
+            cluster = split.cluster
+            cluster.commit_delay_s = 0.4
+            await split.submit("b-e1", make_job(1, make_step(8, lasting=True)))
+            cluster.lose_answers = 0.3
+            await asyncio.sleep(3)
+            cluster.crash_worker(self.busy(split)[0])
+            await asyncio.sleep(8)
+            cluster.kill(split.former)
+            await asyncio.sleep(8)
+            cluster.commit_delay_s = cluster.lose_answers = 0.0
+            await self.until_running(split, 8, 20.0)
+            self.assertEqual(sum(len(at.running) for at in cluster.runners.values()), 8)
+
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                self.play(scenario, seed)
+
+    def freeze_before_start(self, frozen_s: float, is_split: bool) -> Callable[[SplitCell], Any]:
+        """Build a scenario: a holder is paused between its commit of a place and the start."""
+
+        async def scenario(split: SplitCell) -> None:
+            cluster = split.cluster
+            cluster.commit_delay_s = 0.3
+            new_job = make_job(1, make_step(7, lasting=True))
+            await split.submit("b-e1", new_job)
+            while not self.places(split, new_job.id):
+                await asyncio.sleep(POLL_S)
+            self.assertEqual(cluster.judge.starts, 0)
+            cluster.freeze(split.former)
+            cluster.commit_delay_s = 0.0
+            if is_split:
+                # The others don't reach the worker that the paused holder is about to start on.
+                split.partition(tuple(set(self.places(split, new_job.id).values())))
+            await asyncio.sleep(frozen_s)
+            cluster.thaw(split.former)
+            waited_s = await self.until_running(split, 7, 20.0)
+            self.assertLess(waited_s, 20.0)
+            await asyncio.sleep(10)
+
+        return scenario
+
+    def places(self, split: SplitCell, job_id: str) -> dict[Any, str]:
+        """Return the workers that a job's row names, by task."""
+        progress = split.cluster.judge.find_progress(job_id)
+        places = progress.places if progress is not None else None
+        return {key: place.worker for key, place in (places or {}).items()}
+
+    def test_a_holder_paused_between_its_write_and_the_start_starts_nothing_twice(self) -> None:
+        for frozen_s in (0.5, 2.0, 2.9, 3.5, 5.0, 8.0, 10.0, 11.5, 13.0):
+            for is_split in (False, True):
+                with self.subTest(frozen_s=frozen_s, is_split=is_split):
+                    self.play(self.freeze_before_start(frozen_s, is_split))
+
+    def test_a_former_holder_that_learns_of_an_end_first_does_not_start_the_task_again(
+        self,
+    ) -> None:
+        """The successor has claimed the job, so the former holder's write conflicts."""
+
+        async def scenario(split: SplitCell) -> None:
+            cluster = split.cluster
+            await split.submit("b-e1", make_job(1, make_step(7, lasting=True)))
+            await asyncio.sleep(2)
+            (busy,) = self.busy(split)
+            cluster.cell_rows_down = {split.former}
+            others = sorted(name for name in cluster.runners if name[0] == "a" and name != busy)
+            # The former holder keeps the busy worker and another one, the successor the rest.
+            split.partition((busy, others[0]))
+            await split.wait_for_successor()
+            cluster.crash_worker(busy)
+            cluster.add_worker(busy, SPLIT_CELL)
+            await self.until_running(split, 7, 20.0)
+            await asyncio.sleep(12)
+
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                self.play(scenario, seed)
+
+    def test_nothing_is_sent_after_a_release_began(self) -> None:
+        async def scenario(split: SplitCell) -> None:
+            cluster = split.cluster
+            cluster.commit_delay_s = 0.3
+            new_job = make_job(1, make_step(7, lasting=True))
+            await split.submit("b-e1", new_job)
+            while not self.places(split, new_job.id):
+                await asyncio.sleep(POLL_S)
+            released = asyncio.ensure_future(split.held(split.former)[SPLIT_CELL].release())
+            while not split.successor:
+                self.assertEqual(cluster.judge.starts, 0)
+                await asyncio.sleep(POLL_S)
+            await released
+            self.assertLess(await self.until_running(split, 7, 20.0), WAIT_S)
+
+        self.play(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
