--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -1,7 +1,7 @@
 """Random simulations of takeovers in which the former holder is unaware of its successor.
 
 `python -m tests.takeover [FIRST [COUNT [KIND]]]` simulates COUNT seeds and prints the broken rules;
-KIND is `takeover`, `restarts`, `overload` or `departure`.
+KIND is `takeover`, `restarts`, `overload`, `departure` or `lasting`.
 """
 
 import asyncio
@@ -62,10 +62,13 @@
         cluster.close()
         return cluster.judge.broken
 
+    def _random_steps(self) -> tuple[Step, ...]:
+        return random_steps(self.rng)
+
     async def _submit_later(self, number: int) -> None:
         rng, cluster = self.rng, self.cluster
         await asyncio.sleep(rng.uniform(0, 16))
-        job = Job(f"{number:016x}", "q", SERVICE, "spec", random_steps(rng), int(now() * 1000))
+        job = Job(f"{number:016x}", "q", SERVICE, "spec", self._random_steps(), int(now() * 1000))
         cluster.work[job.id] = rng.choice((0.5, 1.0, 1.0, 3.0, 8.0))
         alive = [name for name, entry in cluster.entries.items() if not entry.dead]
         if alive:
@@ -306,11 +309,38 @@
         cluster.restart(name)
 
 
+class Lasting(Restarts):
+    """A simulation with mostly lasting tasks, without orders to a boot that the next one executes.
+
+    Half of the seeds have no orderly restarts.
+    """
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.cluster.late_orders_outlive_boot = False
+
+    def _random_steps(self) -> tuple[Step, ...]:
+        rng, size = self.rng, Size(self.rng.choice((1, 2)), 1_000)
+        lasting = Step(rng.randint(1, 6), size, 1_000, lasting=True)
+        match rng.randrange(4):
+            case 0:
+                return (lasting, Step(rng.randint(1, 12), size, 1_000))
+            case 1:
+                return (Step(rng.randint(1, 4), size, 1_000), lasting._replace(after=(0,)))
+            case _:
+                return (lasting,)
+
+    async def _restart_in_turn(self) -> None:
+        if self.rng.random() < 0.5:
+            await super()._restart_in_turn()
+
+
 KINDS = {
     "takeover": Simulation,
     "restarts": Restarts,
     "overload": Overload,
     "departure": Departure,
+    "lasting": Lasting,
 }
 
 
