--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1693,23 +1693,31 @@
 
     def send_recorded(self, now: float) -> None:
         """Send the starts that are recorded by now; drop those that must not be sent any more."""
+        for run, tracked, _ in self._unsent:
+            member = self._find_member(run)
+            if member is not None and (
+                self.closed or not self._can_start(tracked) or not member.may_send(run, now)
+            ):
+                self._remove_run(run, now, EndReason.UNSENT)
         unsent, self._unsent = self._unsent, []
         for each in unsent:
             run, tracked, change = each
-            member = self.members.get(run.worker)
-            is_present = member is not None and member.runs.get((run.task, run.number)) is run
-            if member is None or not is_present:
+            member = self._find_member(run)
+            if member is None:
                 continue
-            may_send = self._can_start(tracked) and member.may_send(run, now)
-            if self.closed or not may_send:
-                self._remove_run(run, now, EndReason.UNSENT)
-            elif tracked.recorded < change:
+            if tracked.recorded < change:
                 self._unsent.append(each)
-            else:
-                run.state, run.sent_at = RunState.STARTING, now
-                run.probation_until = now + PROBATION_S
-                run.note_progress(now)
-                self._send_start(self._get_batch(tracked, run.task), run, member, now)
+                continue
+            run.state, run.sent_at = RunState.STARTING, now
+            run.probation_until = now + PROBATION_S
+            run.note_progress(now)
+            self._send_start(self._get_batch(tracked, run.task), run, member, now)
+
+    def _find_member(self, run: Run) -> Member | None:
+        """Return the worker of a run, or None once the run was removed."""
+        member = self.members.get(run.worker)
+        is_present = member is not None and member.runs.get((run.task, run.number)) is run
+        return member if is_present else None
 
     def _send_start(self, batch: Batch, run: Run, member: Member, now: float) -> None:
         tracked, task = batch.tracked, run.task
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -145,15 +145,16 @@
         self.assertEqual([each.number for each in self.cell.member("w2").runs.values()], [5])
 
     def test_a_gang_is_dropped_as_a_whole(self) -> None:
-        cell = Cell(*(host(f"w{at}") for at in range(3)))
-        cell.add(job(JOB, step(2, lasting=True, gang=True, max_per_worker=1)))
-        cell.dispatcher.plan(cell.now)
-        busy = [name for name in ("w0", "w1", "w2") if cell.member(name).runs]
-        cell.dispatcher.on_silence(busy[0], cell.now)
-        cell.record()
-        cell.dispatcher.plan(cell.now)
-        self.assertEqual((cell.take(StartTask), cell.stops()), ([], []))
-        self.assertEqual(len(cell.plan()), 2)
+        for silent in (0, 1):
+            cell = Cell(*(host(f"w{at}") for at in range(3)))
+            cell.add(job(JOB, step(2, lasting=True, gang=True, max_per_worker=1)))
+            cell.dispatcher.plan(cell.now)
+            busy = [name for name in ("w0", "w1", "w2") if cell.member(name).runs]
+            cell.dispatcher.on_silence(busy[silent], cell.now)
+            cell.record()
+            cell.dispatcher.plan(cell.now)
+            self.assertEqual((cell.take(StartTask), cell.stops()), ([], []))
+            self.assertEqual(len(cell.plan()), 2)
 
     def test_finite_tasks_start_without_a_write(self) -> None:
         cell = Cell(host("w1"))
