--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -12,6 +12,7 @@
 from curranthall.dag import Phase, Progress, Step
 from curranthall.dag.progress import Place, decode_progress
 from curranthall.model import HostState
+from tests import takeover
 from tests.cell_fixtures import (
     BORN,
     CELL,
@@ -38,6 +39,8 @@
 # A vacant cell is taken this soon, and the platform allows a lasting task to wait this long.
 TAKE_S = 3.0
 WAIT_S = 3.0
+# Random simulations that fail if places hold nothing up.
+SEEDS = (1, 3, 9)
 
 
 def stored(progress: Progress) -> Progress:
@@ -501,6 +504,11 @@
 
         self.play(scenario)
 
+    def test_no_lasting_task_runs_twice_in_random_takeovers(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(takeover.play(seed, takeover.Lasting), [])
+
 
 if __name__ == "__main__":
     unittest.main()
