Judge in random simulations how long lasting tasks wait while holders are lost in series

No random simulation judged a wait at all. The new kind `series` takes one cell from its holder two to six times (killed, frozen, cut off from the store or from workers, shut down) while its workers crash, leave, are cut off or start again and the store is disturbed.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -77,6 +77,9 @@
         self.listed: dict[TaskId, float] = {}
         self.fault_at = -CALM_S
         self.last_start: dict[TaskId, float] = {}
+        # By task, the worker to which a start was last sent and when, and when a run last ended.
+        self.sent: dict[TaskId, tuple[str, float]] = {}
+        self.run_ended_at: dict[TaskId, float] = {}
         self.cancelled: dict[str, float] = {}
         self.jobs: dict[str, Job] = {}
         self.starts = 0
@@ -99,9 +102,13 @@
                     )
             case "done":
                 self.done[task, run] = now()
-                at_work.discard((worker, run))
+                self._on_end(task, run, worker)
             case "failed" | "stopped" | "lapsed":
-                at_work.discard((worker, run))
+                self._on_end(task, run, worker)
+
+    def note_sent(self, task: TaskId, worker: str) -> None:
+        """Record that a holder sends a start, whether it arrives or not."""
+        self.sent[task] = (worker, now())
 
     def note_fault(self) -> None:
         """Record that a fault is active; listings near it don't count."""
@@ -145,7 +152,13 @@
     def note_crash(self, worker: str, runner: Runner) -> None:
         """Drop a crashed worker's runs; its unacknowledged ends are lost."""
         for task, run in runner.running.items():
-            self.at_work[task].discard((worker, run.order.run))
+            self._on_end(task, run.order.run, worker)
+
+    def _on_end(self, task: TaskId, run: int, worker: str) -> None:
+        at_work = self.at_work[task]
+        if (worker, run) in at_work:
+            at_work.discard((worker, run))
+            self.run_ended_at[task] = now()
 
     def _report(self, rule: str, task: TaskId, seen: object, worker: str) -> None:
         self.broken.append(f"{now():.3f} {rule}: {task} on {worker}, {seen}")
@@ -570,6 +583,7 @@
 
     async def start(self, epoch: int, order: StartTask) -> StartResult:
         """Start a run, at random late."""
+        self._cluster.judge.note_sent(order.task, self._name)
         runner = await self._reach()
         late = self._cluster.apply_late
         await self._maybe_late(late, lambda later_runner: later_runner.start(epoch, order))
--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -1,18 +1,21 @@
 """Random simulations of takeovers in which the former holder is unaware of its successor.
 
 `python -m tests.takeover [FIRST [COUNT [KIND]]]` simulates COUNT seeds and prints the broken rules;
-KIND is `takeover`, `restarts`, `overload` or `departure`.
+KIND is `takeover`, `restarts`, `overload`, `departure` or `series`.
 """
 
 import asyncio
 import random
 import sys
+from collections.abc import Callable
 
 from curranthall.dag import Job, Step
 from curranthall.errors import CurranthallError
+from curranthall.intake import Verdict
 from curranthall.model import Size
 from tests.cluster import SERVICE, Cluster, now
 from tests.virtual import run
+from tests.waits import WaitJudge
 
 JOBS = 24
 FAULTS = 6
@@ -306,11 +309,212 @@
         cluster.restart(name)
 
 
+class Series(Simulation):
+    """A simulation in which one cell loses holder after holder while its workers come and go."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        # The product draws the workers that it probes from the shared generator.
+        random.seed(seed)
+        self.cluster = Cluster(seed, entries=2, workers=5)
+        self.cluster.late_orders_outlive_boot = False
+        self.waits = WaitJudge(self.cluster)
+        self.cell = self.rng.choice(self.cluster.domains)
+        # Workers of the cell that may still become unreachable for good: most of them stay.
+        self.losable = 2
+        for runner in self.cluster.runners.values():
+            runner.clock_rate = self.rng.choice((0.98, 1.0, 1.02))
+        self.extra = 0
+        self._heals: list[asyncio.Task[None]] = []
+
+    async def run(self) -> list[str]:
+        """Run the simulation; return the broken rules."""
+        rng, cluster = self.rng, self.cluster
+        cluster.start()
+        await asyncio.sleep(3)
+        if rng.random() < 0.5:
+            cluster.evacuated = frozenset(set(cluster.domains) - {self.cell})
+        for number in range(1, rng.randint(4, 10)):
+            await self._submit(number)
+        await asyncio.sleep(rng.uniform(0.5, 2.0))
+        cluster.evacuated = frozenset()
+        later = [asyncio.ensure_future(self._submit_later(100 + number)) for number in range(4)]
+        lanes = [self._lose_holders(), self._lose_workers()]
+        if rng.random() < 0.5:
+            lanes.append(self._disturb_store())
+        await asyncio.gather(*lanes)
+        for heal in self._heals:
+            await heal
+        await asyncio.gather(*later)
+        await self.waits.settle()
+        for job in self.accepted:
+            self.waits.drop(job.id)
+            await self._cancel(job)
+        await asyncio.sleep(5)
+        self.waits.close()
+        cluster.close()
+        return cluster.judge.broken + self.waits.broken
+
+    async def _submit_later(self, number: int) -> None:
+        await asyncio.sleep(self.rng.uniform(0.0, 15.0))
+        await self._submit(number)
+
+    async def _submit(self, number: int) -> None:
+        """Submit a job, mostly a lasting one."""
+        rng, cluster = self.rng, self.cluster
+        steps = random_steps(rng)
+        if rng.random() < 0.7:
+            size = Size(rng.choice((1, 2)), 1_000)
+            steps = (Step(rng.randint(1, 4), size, 1_000, lasting=True),)
+        job = Job(f"{number:016x}", "q", SERVICE, "spec", steps, int(now() * 1000))
+        cluster.work[job.id] = rng.choice((0.5, 1.0, 3.0))
+        alive = [name for name in self._alive() if name not in cluster.frozen]
+        if alive and await cluster.submit(rng.choice(alive), job) is Verdict.ACCEPTED:
+            self.accepted.append(job)
+            self.waits.accept(job.id)
+
+    def _alive(self) -> list[str]:
+        return [name for name, entry in self.cluster.entries.items() if not entry.dead]
+
+    def _heal_later(self, seconds: float, heal: Callable[[], object]) -> None:
+        async def wait_and_heal() -> None:
+            await asyncio.sleep(seconds)
+            heal()
+
+        self._heals.append(asyncio.ensure_future(wait_and_heal()))
+
+    def _cut_for(self, cuts: set[frozenset[str]], seconds: float) -> None:
+        """Cut names apart; overlapping cuts are healed by the first that made them."""
+        new = cuts - self.cluster.cuts
+        self.cluster.cuts |= new
+        self._heal_later(seconds, lambda: self.cluster.cuts.difference_update(new))
+
+    async def _lose_holders(self) -> None:
+        """Take the cell from its holder again and again, mostly soon after it was taken."""
+        rng, cluster = self.rng, self.cluster
+        for _ in range(rng.randint(2, 6)):
+            holder = cluster.holder(self.cell)
+            if holder is not None:
+                await self._lose_holder(holder)
+            for _ in range(80):
+                await asyncio.sleep(0.1)
+                if cluster.holder(self.cell) not in (holder, None):
+                    break
+            await asyncio.sleep(rng.choice((0.05, rng.uniform(0.0, 1.5), rng.uniform(0.0, 6.0))))
+
+    async def _lose_holder(self, holder: str) -> None:
+        rng, cluster = self.rng, self.cluster
+        seconds = rng.uniform(1.0, 14.0)
+        if rng.random() < 0.4:
+            self._cut_for(self._random_cuts(self.cell, holder), seconds)
+        match rng.randrange(9):
+            case 0 | 1 | 2:
+                self._kill(holder, seconds)
+            case 3:
+                cluster.freeze(holder)
+                self._heal_later(seconds, lambda: cluster.thaw(holder))
+            case 4 | 5:
+                self._cut_for({frozenset((holder, "store"))}, seconds)
+            case 6:
+                away = rng.choice((cluster.read_only, cluster.cell_rows_down))
+                away.add(holder)
+                self._heal_later(seconds, lambda: away.discard(holder))
+            case 7:
+                workers = [name for name in sorted(cluster.runners) if name[0] == self.cell]
+                cut = rng.sample(workers, min(len(workers), rng.randint(2, 5)))
+                self._cut_for({frozenset((holder, name)) for name in cut}, seconds)
+            case 8:
+                if holder not in cluster.frozen:
+                    await cluster.entries[holder].succession.leave()
+                    self._kill(holder, seconds)
+
+    def _kill(self, name: str, seconds: float) -> None:
+        """Kill an entry's process; while others are left it may never start again."""
+        rng, cluster = self.rng, self.cluster
+        cluster.kill(name)
+        if len(self._alive()) > 3 and rng.random() < 0.4:
+            return
+
+        def restart() -> None:
+            if cluster.entries[name].dead:
+                cluster.restart(name)
+
+        self._heal_later(rng.choice((0.3, seconds)), restart)
+
+    async def _lose_workers(self) -> None:
+        for _ in range(self.rng.randint(2, 6)):
+            await asyncio.sleep(self.rng.uniform(0.1, 3.0))
+            names = [
+                name
+                for name in sorted(self.cluster.runners)
+                if name[0] == self.cell and name not in self.cluster.leaving
+            ]
+            if names:
+                self._lose_worker(self.rng.choice(names))
+
+    def _lose_worker(self, name: str) -> None:
+        """Crash a worker, let it leave, or cut it off, for a while or for good."""
+        rng, cluster = self.rng, self.cluster
+        seconds = rng.choice((rng.uniform(0.0, 1.0), rng.uniform(1.0, 12.0)))
+        for_good = self.losable > 0 and rng.random() < 0.4
+        self.losable -= for_good
+        isolated = {frozenset((entry, name)) for entry in cluster.entries}
+        match rng.randrange(5):
+            case 0:
+                cluster.crash_worker(name)
+                if not for_good:
+                    self._heal_later(seconds, lambda: cluster.reboot(name))
+            case 1:
+                cluster.crash_worker(name)
+                if not for_good:
+                    self._heal_later(seconds, lambda: cluster.add_worker(name, self.cell))
+            case 2:
+                cluster.announce(name, rng.uniform(1.0, 9.0))
+                self._heal_later(cluster.exits_at[name] - now(), lambda: self._exit(name))
+            case 3:
+                if for_good:
+                    cluster.cuts |= isolated
+                else:
+                    self._cut_for(isolated, seconds)
+            case 4:
+                count = rng.randint(1, len(isolated) - 1)
+                cuts = rng.sample(sorted(isolated, key=sorted), count)
+                self._cut_for(set(cuts), seconds)
+
+    def _exit(self, name: str) -> None:
+        """Let a worker exit; another one is added in its place."""
+        if name in self.cluster.runners:
+            self.cluster.crash_worker(name)
+        self.extra += 1
+        self.cluster.add_worker(f"{self.cell}-x{self.extra}", self.cell)
+
+    async def _disturb_store(self) -> None:
+        """Let the store be slow, away or lose answers, or orders be carried out late."""
+        rng, cluster = self.rng, self.cluster
+        for _ in range(rng.randint(1, 4)):
+            await asyncio.sleep(rng.uniform(0.1, 4.0))
+            seconds = rng.uniform(0.5, 6.0)
+            match rng.randrange(4):
+                case 0:
+                    cluster.commit_delay_s = rng.uniform(0.1, 0.5)
+                case 1:
+                    cluster.lose_answers = 0.3
+                case 2:
+                    cluster.apply_late = cluster.late_holds = 0.2
+                case 3:
+                    cluster.store_down = True
+            await asyncio.sleep(seconds)
+            cluster.commit_delay_s = cluster.lose_answers = 0.0
+            cluster.apply_late = cluster.late_holds = 0.0
+            cluster.store_down = False
+
+
 KINDS = {
     "takeover": Simulation,
     "restarts": Restarts,
     "overload": Overload,
     "departure": Departure,
+    "series": Series,
 }
 
 
