--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -22,6 +22,8 @@
 OVERLOAD_SEEDS = (411, 457)
 # Seeds in which workers leave while entries restart.
 DEPARTURE_SEEDS = (0, 1, 2)
+# Seeds in which tasks waited longer with each holder that was lost.
+SERIES_SEEDS = (2, 4, 8, 11)
 
 
 def make_job(number: int, step: Step) -> Job:
@@ -459,6 +461,11 @@
             with self.subTest(seed=seed):
                 self.assertEqual(takeover.play(seed, takeover.Departure), [])
 
+    def test_holders_lost_in_series_do_not_prolong_the_wait_of_lasting_tasks(self) -> None:
+        for seed in SERIES_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(takeover.play(seed, takeover.Series), [])
+
 
 if __name__ == "__main__":
     unittest.main()
