Compare the kind of a refused step before its size, without building tuples

While many tasks wait, each batch is compared with all steps that a planning pass has refused. Micro-benchmark (one pass, 108 workers, 250 waiting batches of many sizes): 14.6 and 14.1 ms before, 12.5 and 12.9 ms after. The property test passes with the old and the new code.

--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -59,16 +59,14 @@
     def covers(self, req: PlacementRequest) -> bool:
         """Return whether tasks of another step will find no worker either."""
         known, step = self.step, req.step
-        # Filling images interfere with different serving ones, so one may fit where another fails.
-        same_group = (step.filling, step.lasting, step.image if step.filling else "") == (
-            known.filling,
-            known.lasting,
-            known.image if known.filling else "",
-        )
         return (
-            req.service == self.service
+            step.filling == known.filling
+            and step.lasting == known.lasting
+            # Filling images interfere with different serving ones, so one may fit where another
+            # fails.
+            and (not step.filling or step.image == known.image)
+            and req.service == self.service
             and req.kept_share >= self.kept_share
-            and same_group
             and known.size.fits(step.size)
         )
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -13,6 +13,7 @@
 from curranthall.cells.placement import (
     FILLING_SHARE,
     PlacementRequest,
+    Refusal,
     _would_overload,
     fits,
     has_room,
@@ -192,6 +193,29 @@
         self.assertEqual(len(found), 4)
 
 
+class Refusals(unittest.TestCase):
+    def test_a_refusal_covers_larger_steps_of_its_kind_and_filling_image(self) -> None:
+        found = Counter[bool]()
+        for seed in range(3_000):
+            rng = random.Random(seed)
+            known, other = any_step(rng), any_step(rng)
+            if rng.random() < 0.5:
+                other = other._replace(image=known.image, filling=known.filling)
+            service, kept_share = rng.choice((SERVICE, SERVICE, "other")), rng.choice((0.0, 0.125))
+            req = PlacementRequest(service, other, {}, kept_share=kept_share)
+            refusal = Refusal(SERVICE, known, rng.choice((0.0, 0.125)))
+            groups = [
+                (each.filling, each.lasting, each.image if each.filling else "")
+                for each in (known, other)
+            ]
+            is_same_place = service == SERVICE and kept_share >= refusal.kept_share
+            expected = groups[0] == groups[1] and is_same_place and known.size.fits(other.size)
+            with self.subTest(seed=seed):
+                self.assertEqual(refusal.covers(req), expected)
+            found[expected] += 1
+        self.assertGreater(min(found[True], found[False]), 100)
+
+
 def fits_plainly(req: PlacementRequest, member: Member) -> bool:
     """Return whether a worker meets the conditions on room and load, all of them evaluated."""
     step, kept = req.step, req.kept_share * member.host.size.memory
