Rule workers without idle cores out before the other conditions of a filling task

While a cell is loaded, most workers have no idle cores for a filling task; they are left out by one comparison each. The condition has one definition, used by fits as well.

The property test, which also chooses the best of all workers that fit plainly, passes with the old and the new code.

--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -74,6 +74,10 @@
 def choose_worker(req: PlacementRequest, members: Iterable[Member]) -> Member | None:
     """Return the best of the usable members that fits, or None."""
     best, best_rank = None, None
+    if req.step.filling:
+        # Rules most workers of a loaded cell out before the other conditions are looked at.
+        least_idle = _least_idle_cores(req)
+        members = [member for member in members if member.idle_cores >= least_idle]
     for member in members:
         if not fits(req, member):
             continue
@@ -131,10 +135,14 @@
     return taken.plus(kept).fits(size)
 
 
+def _least_idle_cores(req: PlacementRequest) -> float:
+    """Return the idle cores that a worker needs to have for a filling task."""
+    return -float("inf") if req.ignore_idle_cores else req.step.size.cores * FILLING_SHARE
+
+
 def _can_fill(req: PlacementRequest, member: Member) -> bool:
     step, memory = req.step, member.host.size.memory
-    # Most workers that can't be used have no idle cores, so these come first.
-    if not req.ignore_idle_cores and member.idle_cores < step.size.cores * FILLING_SHARE:
+    if member.idle_cores < _least_idle_cores(req):
         return False
     if step.size.memory + req.kept_share * memory > memory - member.used.memory:
         return False
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -14,7 +14,9 @@
     FILLING_SHARE,
     PlacementRequest,
     Refusal,
+    _rank,
     _would_overload,
+    choose_worker,
     fits,
     has_room,
     leaves_room_for_short,
@@ -189,6 +191,10 @@
             with self.subTest(seed=seed):
                 self.assertEqual(fits(req, member), fits_plainly(req, member))
             found[req.step.filling, fits(req, member)] += 1
+            members = [member, *(busy_member(rng, f"w{number}") for number in range(1, 6))]
+            fitting = [each for each in members if fits_plainly(req, each)]
+            best = min(fitting, key=lambda each: _rank(req, each), default=None)
+            self.assertIs(choose_worker(req, members), best)
         self.assertGreater(min(found.values()), 40)
         self.assertEqual(len(found), 4)
 
