Leave a suspect that starts alone in doubt from its start

The run's doubt is written when it starts; its worker's next answer withdraws it.

The test failed before: False is not true. A holder that is killed before this write still loses one crash.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1614,6 +1614,8 @@
         self._add_run(batch, run, member)
         if run.crashes >= ISOLATION_CRASHES:
             member.isolated = run
+            # Now, as this holder may be lost before it notices that the worker is silent.
+            self._doubt(member, [run], now)
         deadline_ms = member.clock_now(now) + int(START_WINDOW_S * 1000)
         member.granted_ms = max(member.granted_ms, deadline_ms)
         self.orders.append(
--- a/tests/test_many_poison.py
+++ b/tests/test_many_poison.py
@@ -86,6 +86,16 @@
         cell.dispatcher.tick(cell.now, cell.now)
         self.assertTrue(self.progress(cell, POISON).has_crashed((0, 0, 0), order.run))
 
+    def test_a_killed_holder_leaves_an_isolated_run_in_doubt(self) -> None:
+        former = Cell(host("w1"))
+        former.add(job(POISON, step(1)))
+        for number in (1, 2):
+            self.progress(former, POISON).add_crash((0, 0, 0), number)
+        order = self.start(former)
+        cell = self.succeed(former, order.run)
+        cell.dispatcher.tick(cell.now, cell.now)
+        self.assertTrue(self.progress(cell, POISON).has_crashed((0, 0, 0), order.run))
+
     def test_a_run_in_doubt_at_a_release_counts_nothing_if_its_worker_answers(self) -> None:
         former = Cell(host("w1"))
         former.add(job(POISON, step(1)))
