--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -34,8 +34,10 @@
 from curranthall.cells.poison import (
     ISOLATION_CRASHES,
     PROBATION_S,
+    Crash,
     PoisonDetector,
     count_crashes,
+    count_for_placement,
     crash_key,
     is_given_up,
     needs_quiet,
@@ -699,14 +701,24 @@
     def _doubt(self, member: Member, runs: Iterable[Run], now: float) -> None:
         """Record in the rows which runs may be the cause if a silent worker has crashed."""
         for tracked in self._poison.doubt(member, runs, now):
-            self._mark_dirty(tracked)
+            self._mark_dirty(tracked, urgent=True)
+
+    def doubt_new_runs(self, now: float) -> None:
+        """Record all runs on probation in the rows: a successor can't know when they started."""
+        for member in self.members.values():
+            self._doubt(member, member.runs.values(), now)
 
     def _settle_crashes(self, member: Member, born: int, now: float) -> None:
-        """Count the crashes that an answer of a worker's boot shows; give up poison tasks."""
-        for crash in self._poison.settle(member, born, len(self.members), now):
-            for tracked, key, doubt, _ in crash.suspects:
-                crashes = tracked.progress.add_crash(key, doubt.run, crash.in_outage)
-                failed = is_given_up(crashes, crash.is_certain)
+        """Count the crashes that an answer of a worker's boot shows."""
+        self._count_crashes(self._poison.settle(member, born, len(self.members), now), now)
+
+    def _count_crashes(self, found: list[Crash], now: float) -> None:
+        """Count the crashes against the tasks in doubt; give up poison tasks."""
+        for crash in found:
+            for tracked, key, doubt, _, is_excused in crash.suspects:
+                crashes = tracked.progress.add_crash(key, doubt.run, is_excused)
+                all_crashes = tracked.progress.count_all_crashes(key)
+                failed = is_given_up(crashes, all_crashes, crash.is_certain)
                 if failed:
                     tracked.progress.phase = Phase.FAILED
                 self._mark_dirty(tracked, urgent=True)
@@ -716,7 +728,9 @@
                     run=doubt.run,
                     worker=doubt.worker,
                     crashes=crashes,
+                    all_crashes=all_crashes,
                     suspects=len(crash.suspects),
+                    excused=is_excused,
                     certain=crash.is_certain,
                     outage=crash.in_outage,
                     after_ms=doubt.after_ms,
@@ -1547,6 +1561,9 @@
         refused: list[Refusal],
         now: float,
     ) -> None:
+        self._count_crashes(self._poison.settle_lost(batch), now)
+        if batch.tracked.progress.phase.is_final:
+            return
         if batch.tracked.queue.advised:
             refused, usable = [], self._approved_workers(batch, usable, now)
             if not usable and batch.tickets.is_pending(now):
@@ -1565,7 +1582,7 @@
         racks = self._racks(siblings) if step.same_rack else frozenset()
         held_back: tuple[int, PlacementRequest] | None = None
         for index in indexes:
-            crashes = count_crashes(batch, index)
+            crashes = count_for_placement(batch, index)
             avoid = frozenset(tracked.failed_on.get((batch.occurrence, batch.number, index), ()))
             req = PlacementRequest(
                 service,
@@ -1641,7 +1658,7 @@
         chosen: list[Member] = []
         tentative: list[tuple[Member, Run]] = []
         siblings: dict[str, int] = {}
-        crashes = count_crashes(batch, 0)
+        crashes = count_for_placement(batch, 0)
         for index in range(step.width):
             racks = self._racks(siblings) if step.same_rack else frozenset()
             member = choose_worker(
@@ -1736,6 +1753,9 @@
 
     def _send_start(self, batch: Batch, run: Run, member: Member, now: float) -> None:
         tracked, task = batch.tracked, run.task
+        if run.crashes >= ISOLATION_CRASHES:
+            # Now, as this holder may be lost before it notices that the worker is silent.
+            self._doubt(member, [run], now)
         deadline_ms = member.clock_now(now) + int(START_WINDOW_S * 1000)
         member.granted_ms = max(member.granted_ms, deadline_ms)
         self.orders.append(
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -316,9 +316,9 @@
         seen: list[Any] = []
         for crash in self.detector.settle(member, member.born, len(self.members), self.now):
             found = []
-            for tracked, key, doubt, is_witnessed in crash.suspects:
-                tracked.progress.add_crash(key, doubt.run, crash.in_outage)
-                found.append((tracked.job.id, key, doubt, is_witnessed))
+            for tracked, key, doubt, is_witnessed, is_excused in crash.suspects:
+                tracked.progress.add_crash(key, doubt.run, is_excused)
+                found.append((tracked.job.id, key, doubt, is_witnessed, is_excused))
             seen.append((sorted(found), crash.in_outage, crash.is_certain))
         # Rows in doubt have no order.
         self.seen.append(sorted(seen))
