--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -74,8 +74,8 @@
 class LossyStore(MemoryStore):
     """Applies transactions, but loses the answers to the next `lose` of them."""
 
-    def __init__(self) -> None:
-        super().__init__(lambda: 0.0)
+    def __init__(self, clock: Callable[[], float] = lambda: 0.0) -> None:
+        super().__init__(clock)
         self.lose = 0
 
     async def commit(
--- a/tests/test_stored_lease_ends.py
+++ b/tests/test_stored_lease_ends.py
@@ -2,9 +2,16 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
+from curranthall.cells.fleet import LAPSE_SLACK_S, Member
+from curranthall.cells.ports import Snapshot
 from curranthall.cells.records import read_details
+from curranthall.errors import PlatformDown
+from tests.cell_fixtures import host
 from tests.cluster import now
+from tests.test_runtime import CELL as RUNTIME_CELL
+from tests.test_runtime import IdleWorker, LossyStore, make_runtime
 from tests.test_takeover import CELL, POLL_S, SplitCell, make_job, make_step
 from tests.virtual import run
 
@@ -153,5 +160,62 @@
         self.assertEqual(run(main()), TASKS)
 
 
+class Limits(unittest.TestCase):
+    def test_a_renewal_without_an_answer_binds_its_writer(self) -> None:
+        async def main() -> None:
+            store = LossyStore(now)
+            runtime = make_runtime(store, [], now, lambda host: IdleWorker(now))
+            await runtime._renew()
+            runtime.on_hosts({name: host(name) for name in ("w1", "w2", "w3")})
+            await asyncio.sleep(0.5)
+            await runtime._renew()
+            member = runtime.dispatcher.members["w1"]
+            self.assertTrue(member.is_usable(now()))
+            runtime._holds["w1"].cancel()
+            runtime.dispatcher.on_silence("w1", now())
+            await asyncio.sleep(1.5)
+            store.lose = 1
+            self.assertFalse(await runtime._renew())
+            end = (await read_details(store, RUNTIME_CELL)).lease_ends["w1"] / 1000
+            await runtime._hold(member)
+            self.assertIsNone(member.silent_since)
+            self.assertFalse(member.is_usable(now()))
+            await runtime._hold(member)
+            self.assertLess(member.lapses_at(), end)
+            await runtime._renew()
+            self.assertTrue(member.is_usable(now()))
+            runtime.end("test")
+
+        run(main())
+
+    def test_a_refused_renewal_suspends_no_starts(self) -> None:
+        async def main() -> None:
+            store = LossyStore(now)
+            runtime = make_runtime(store, [], now, lambda host: IdleWorker(now))
+            await runtime._renew()
+            runtime.on_hosts({name: host(name) for name in ("w1", "w2", "w3")})
+            await asyncio.sleep(0.5)
+            await runtime._renew()
+            member = runtime.dispatcher.members["w1"]
+            runtime.dispatcher.on_silence("w1", now())
+            member.silent_since = now() - 2.0
+            with patch.object(store, "commit", side_effect=PlatformDown(why="refused")):
+                self.assertFalse(await runtime._renew())
+            await asyncio.sleep(2.5)
+            self.assertTrue(member.is_usable(now()))
+            runtime.end("test")
+
+        run(main())
+
+    def test_a_limited_lease_is_over_by_its_limit_on_a_slow_clock(self) -> None:
+        for left_ms in range(300, 6_000, 7):
+            member = Member(host("w1"))
+            member.note_answer(Snapshot(0, 1, [], []), 100.0, 0.0)
+            limit = 100.0 + left_ms / 1000
+            lease_ms = member.grant(100.0, 6.0, limit)
+            assert lease_ms is not None
+            self.assertLessEqual(member.clock_reached_by(lease_ms) + LAPSE_SLACK_S, limit)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_takeovers_in_series.py
+++ b/tests/test_takeovers_in_series.py
@@ -248,8 +248,29 @@
         self.check([freeze] * 4, 0.0)
 
 
-if __name__ == "__main__":
-    unittest.main()
+class OutageAfterLoss(unittest.TestCase):
+    def test_an_outage_of_the_store_does_not_prolong_the_wait_for_a_holder_lost_before_it(
+        self,
+    ) -> None:
+        async def main(seed: int) -> tuple[float, list[str]]:
+            played = TakeoversInSeries()
+            split = await played.start(seed)
+            split.cluster.crash_worker(played.busy(split)[0])
+            split.cluster.kill(split.former)
+            began = now()
+            split.cluster.store_down = True
+            await asyncio.sleep(9.0)
+            split.cluster.store_down = False
+            while played.count_runs(split) < played.TASKS and now() - began < 60.0:
+                await asyncio.sleep(POLL_S)
+            split.cluster.close()
+            return now() - began, split.cluster.judge.broken
+
+        for seed in range(2):
+            with self.subTest(seed=seed):
+                waited_s, broken = run(main(seed))
+                self.assertEqual(broken, [])
+                self.assertLess(waited_s, RENEW_S + LONGEST_LEASE_S + START_S)
 
 
 if __name__ == "__main__":
