Log the size of waiting tasks, the largest room and the rooms that decide a job's cell

The log told that short tasks wait for `fragments`, but not how large they are, how much room the roomiest worker has, which rooms an entry saw when it chose a cell, nor whether a late job waited or had failed runs. `waits` rows now end with the cores of the largest waiting task and the most free cores on a usable worker; the new event CELL_CHOSEN has the rooms by cell; JOB_ENDED has `waited_ms` (the longest wait of one of its tasks for a worker) and `failed_runs`. No decision changes. The four tests fail without the lines (missing fields, no CELL_CHOSEN).

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -589,6 +589,8 @@
                 work=round(tracked.work, 1),
                 size=tracked.size_class,
                 outcome=outcome,
+                waited_ms=int(tracked.waited_s * 1000),
+                failed_runs=sum(map(len, tracked.progress.failures.values())),
             )
         tracked.recorded = max(tracked.recorded, change)
         tracked.version = max(tracked.version, version)
@@ -1708,6 +1710,8 @@
     def _start(self, batch: Batch, index: int, member: Member, number: int, now: float) -> None:
         """Start a task; a task of a lasting step once the row names its run and worker."""
         tracked, task = batch.tracked, batch.task(index)
+        if batch.unplaced_since is not None:
+            tracked.waited_s = max(tracked.waited_s, now - batch.unplaced_since)
         checkpoint = tracked.checkpoints.get(task[1:], "") if batch.step.checkpointing else ""
         run = Run(task, number, member.name, batch.step, RunState.STARTING, now, checkpoint)
         run.probation_until, run.crashes = now + PROBATION_S, count_crashes(batch, index)
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -142,6 +142,8 @@
     size_class: str = "1"
     # Already counted as past `expires_at`.
     expired: bool = False
+    # The longest time that one of its tasks waited in this cell for a worker.
+    waited_s: float = 0.0
     # From the caller's estimates: total core-seconds, and the critical path starting at each step.
     work: float = 0.0
     critical_paths_s: tuple[float, ...] = ()
--- a/src/curranthall/cells/waits.py
+++ b/src/curranthall/cells/waits.py
@@ -32,7 +32,11 @@
 
 
 class WaitRow(NamedTuple):
-    """Tasks that wait for one reason; `idle_jobs` counts their jobs without any run."""
+    """Tasks that wait for one reason; `idle_jobs` counts their jobs without any run.
+
+    `task_cores` is the most that one of them requests, `largest_room` the most free cores on a
+    usable worker.
+    """
 
     queue: str
     size: str
@@ -41,6 +45,8 @@
     cores: float
     jobs: int
     idle_jobs: int
+    task_cores: float
+    largest_room: float
 
 
 class LastingState(NamedTuple):
@@ -149,7 +155,8 @@
         for why, tasks in _count_by_reason(batch, ctx).items():
             key = tracked.queue.name, tracked.size_class, why.value
             found.setdefault(key, []).append((batch, tasks))
-    return [_build_row(*key, each) for key, each in sorted(found.items())]
+    largest_room = max((room.cores for _, room in ctx.usable), default=0.0)
+    return [_build_row(*key, each, largest_room) for key, each in sorted(found.items())]
 
 
 def _count_by_reason(batch: Batch, ctx: WaitContext) -> dict[WaitReason, int]:
@@ -162,12 +169,16 @@
     return counts
 
 
-def _build_row(queue: str, size: str, why: str, found: list[tuple[Batch, int]]) -> WaitRow:
+def _build_row(
+    queue: str, size: str, why: str, found: list[tuple[Batch, int]], largest_room: float
+) -> WaitRow:
     tasks = sum(count for _, count in found)
     cores = sum(count * batch.step.size.cores for batch, count in found)
     jobs = {batch.tracked.job.id: batch.tracked for batch, _ in found}
     idle = sum(not tracked.active() for tracked in jobs.values())
-    return WaitRow(queue, size, why, tasks, round(cores, 1), len(jobs), idle)
+    task_cores = max(batch.step.size.cores for batch, _ in found)
+    totals = tasks, round(cores, 1), len(jobs), idle
+    return WaitRow(queue, size, why, *totals, round(task_cores, 1), round(largest_room, 1))
 
 
 def idle_jobs(rows: Iterable[WaitRow]) -> dict[tuple[str, str], int]:
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -175,6 +175,7 @@
         now, evacuated, step = self._clock(), self._evacuated(), widest_step(job)
         home, cells = self._succession.me.domain, self._succession.watch.cells
         best, best_score = home, -float("inf")
+        rooms: dict[str, float] = {}
         self._submissions = [row for row in self._submissions if now - row[0] < SUBMISSION_TTL_S]
         for cell in cells:
             owner = self._succession.watch.live_holder(cell, now)
@@ -182,12 +183,15 @@
                 continue
             recent = sum(cores for _, target, cores in self._submissions if target == cell)
             load = owner.load.get(job.service, Load())
+            rooms[cell] = round(load.room(step) - recent, 1)
             score = rate_cell(load, step, cell, cells, recent) + (
                 HOME_BONUS if cell == home else 0.0
             )
             if score > best_score:
                 best, best_score = cell, score
-        self._submissions.append((now, best, step.width * step.size.cores))
+        cores = step.width * step.size.cores
+        self._submissions.append((now, best, cores))
+        log(Event.CELL_CHOSEN, job=job.id, cell=best, cores=round(cores, 1), rooms=rooms)
         return best
 
     # Status
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -99,6 +99,20 @@
         ]
         self.assertTrue(any(line["waiting_tasks"] > 0 for line in waiting_states))
 
+    def test_the_rooms_that_decided_the_cell_of_a_job(self) -> None:
+        async def scenario(cluster: Cluster) -> None:
+            cluster.evacuated = frozenset("c")
+            job = make_job(1, Step(2, Size(4, 1_000), 1_000))
+            await cluster.submit("a-e0", job)
+            self.job = job.id
+
+        self.run_scenario(scenario)
+        lines = {line["name"]: line for line in self.grep_logs("grep ID LOGS", ID=self.job)}
+        chosen = lines["CELL_CHOSEN"]
+        self.assertEqual((chosen["cell"], chosen["cores"]), (lines["JOB_STORED"]["cell"], 8))
+        self.assertEqual(set(chosen["rooms"]), {"a", "b"})
+        self.assertGreaterEqual(chosen["rooms"][chosen["cell"]], 8)
+
     def test_a_job_whose_worker_was_lost(self) -> None:
         async def scenario(cluster: Cluster) -> None:
             job = make_job(1, Step(1, Size(1, 1_000), 4_000))
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -186,6 +186,35 @@
         cell.add(job("1" * 16, step(2, cores=4)))
         self.assertEqual(self.waits(cell), {"fragments": 2})
 
+    def test_a_row_has_the_largest_task_and_the_largest_room(self) -> None:
+        cell = self.busy_cell(host("w1"), host("w2", cores=10))
+        cell.add(job("1" * 16, step(2, cores=6)))
+        cell.add(job("2" * 16, step(1, cores=7)))
+        self.waits(cell)
+        rows = [(row.size, row.task_cores, row.largest_room) for row in cell.dispatcher.waits]
+        self.assertEqual(rows, [("0.5", 7, 5), ("1", 6, 5)])
+
+    def test_the_end_of_a_job_tells_how_long_its_tasks_waited_for_a_worker(self) -> None:
+        cell = Cell(host("w1", cores=2), max_attempts=9)
+        cell.add(job("0" * 16, step(2, cores=2)))
+        for number in (1, 2):
+            (order,) = cell.plan()
+            cell.now += 1
+            cell.answer("w1", [], [ended(number, order, EndKind.DONE)])
+        cell.record()
+        (line,) = self.lines.named("JOB_ENDED")
+        self.assertEqual((line["waited_ms"], line["failed_runs"]), (1_000, 0))
+
+    def test_the_end_of_a_job_tells_its_failed_runs(self) -> None:
+        cell = Cell(host("w1", cores=2), max_attempts=9)
+        cell.add(job("0" * 16, step(1)))
+        for number, kind in enumerate((EndKind.FAILED, EndKind.FAILED, EndKind.DONE), 1):
+            (order,) = cell.plan()
+            cell.answer("w1", [], [ended(number, order, kind)])
+        cell.record()
+        (line,) = self.lines.named("JOB_ENDED")
+        self.assertEqual((line["waited_ms"], line["failed_runs"]), (0, 2))
+
     def test_filling_tasks_without_idle_cores_are_reported_as_full(self) -> None:
         cell = self.busy_cell(host("w1", cores=8), cores=7.5)
         cell.add(job("1" * 16, step(3, cores=2, filling=True, image="fill")))
