tests: reproduce short tasks that wait beside room in fragments

Callers of urgent jobs with large tasks wait until they give up while an eighth of the cores is free. A task as large as a worker never starts beside lasting ones, by cores or by memory, though two such workers' worth is left free.

--- a/tests/load.py
+++ b/tests/load.py
@@ -119,6 +119,16 @@
     limited_share=0.5,
 )
 PROFILES = (PROOFS, BATCHES, WATCHES)
+# Urgent tasks of 12 cores on average, up to 36, beside lasting ones on most cores of large cells.
+LARGE_PROOFS = PROOFS._replace(
+    rate=4.2,
+    width=Lognormal(9.4, 0.8, 56),
+    cores=Lognormal(12, 0.45, 36),
+    memory=Lognormal(24_000, 0.3, 48_000),
+)
+MANY_WATCHES = WATCHES._replace(
+    rate=0.175, width=Lognormal(24, 0.4, 48), images=16, initial_share=0.82
+)
 
 
 class Plan(NamedTuple):
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -2,13 +2,23 @@
 
 import unittest
 
-from tests.load import BATCHES, SIZES, WATCHES, Plan, Simulation, Tally
+from tests.load import (
+    BATCHES,
+    LARGE_PROOFS,
+    MANY_WATCHES,
+    SIZES,
+    WATCHES,
+    Plan,
+    Simulation,
+    Tally,
+)
 
 # Least share of a size's jobs that is served, relative to the share of the whole queue.
 LEAST_PART = 0.5
 SEEDS = (1, 2)
 OVERLOAD = Plan(seconds=30, bursts=(("batches", 2.0, 5, 30),), workers=4)
 LIGHT_LOAD = Plan(seconds=5)
+LARGE_CELLS = Plan(seconds=12, drain_s=8, workers=54)
 
 
 def served(plan: Plan) -> dict[str, Tally]:
@@ -41,6 +51,15 @@
         for size, tally in found.items():
             self.assertGreaterEqual(tally.share, LEAST_PART * whole.share, (size, found, whole))
 
+    def test_large_urgent_jobs_do_not_starve_beside_lasting_ones(self) -> None:
+        for seed in (1, 2, 3, 4):
+            play = Simulation(seed, LARGE_CELLS, (LARGE_PROOFS, MANY_WATCHES)).run()
+            whole = play.tally("proofs")
+            for size in SIZES:
+                tally = play.tally("proofs", size)
+                with self.subTest(seed=seed, size=size):
+                    self.assertGreaterEqual(tally.share, LEAST_PART * whole.share, (tally, whole))
+
 
 if __name__ == "__main__":
     unittest.main()
