Keep room for short tasks on the workers with the most of it, not an eighth of each

What callers saw: urgent jobs with tasks of 12 to 36 cores (proof-render on the large order-desk) came late or were given up while a tenth of the cores was free. Cause: lasting tasks left an eighth of each worker, 8 cores of 64, and never give back what they have, so the room kept for short tasks lay in pieces that few of them fit into. Class: a reserve counted in sums where a task needs one piece. Now the eighth of a service's cores is kept as all room of the workers with the most of it beside lasting tasks; a cell whose eighth is less than its largest worker keeps it on each as before. Any short task that fits a worker then finds a piece, also in cells that filled up before the first short task came. Lasting tasks still take such room after 1.5 s where they fit twice (LOST), the smallest piece first. Changed tests: test_cost draws headroom where it drew a share; as strict. `leaves_room_for_short` is `Headroom.allows`; its exception for two small tasks on one worker is gone: they wait 1.5 s for kept room like all others.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -20,16 +20,20 @@
     Run,
     RunState,
 )
+from curranthall.cells.headroom import (
+    FILLING_HEADROOM,
+    NO_HEADROOM,
+    Headroom,
+    keep_headroom,
+)
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import Load, Waiting, count_slots, measure, measure_cores
 from curranthall.cells.owner import UNKNOWN_WORKER
 from curranthall.cells.pacing import FULL_PACE, adjust_pace, worst_tail_ratio
 from curranthall.cells.placement import (
-    SHORT_SHARE,
     PlacementRequest,
     Refusal,
     choose_worker,
-    leaves_room_for_short,
 )
 from curranthall.cells.poison import (
     ISOLATION_CRASHES,
@@ -184,6 +188,8 @@
         self._last_run = epoch * RUNS_PER_EPOCH
         self._summary_at = 0.0
         self._short_seen_at: float | None = None
+        # Computed once a planning pass, when it is first needed.
+        self._headroom: Headroom | None = None
         self._busy_by_service: dict[str, bool] = {}
         # Moving average of a job's core-seconds, by queue.
         self._usual_work: dict[str, float] = {}
@@ -1245,8 +1251,8 @@
     def _wait_context(self, now: float) -> WaitContext:
         members = self.members.values()
         usable = [(member, member.room) for member in members if member.is_usable(now)]
-        kept_share = self._kept_share(now)
-        return WaitContext(usable, self.interference, now, kept_share, self.closed, self._is_held)
+        headroom = self._measure_headroom(now)
+        return WaitContext(usable, self.interference, now, headroom, self.closed, self._is_held)
 
     def _tick_member(self, member: Member, now: float, confirmed_at: float) -> None:
         for run in list(member.runs.values()):
@@ -1330,16 +1336,28 @@
         if members:
             self._place(batch, _without_reserved(batch.step, members, reserved), [], now)
 
-    def _kept_share_for(self, batch: Batch, now: float) -> float:
-        """Return the share of a worker that a batch leaves free for short tasks."""
-        return 0.0 if batch.step.lasting and self.must_start(batch, now) else self._kept_share(now)
+    def _takes_headroom(self, batch: Batch, now: float) -> bool:
+        """Return whether a batch may take the room kept free for short tasks."""
+        return batch.step.lasting and self.must_start(batch, now)
+
+    def _measure_headroom(self, now: float) -> Headroom:
+        """Return the room kept free for short tasks."""
+        return keep_headroom(self._available_members(now)) if self._keeps_room(now) else NO_HEADROOM
+
+    def _headroom_beside(self, step: Step, now: float) -> Headroom:
+        """Return what tasks of a step leave free for short ones, as of its first use in a pass."""
+        if not step.lasting:
+            return FILLING_HEADROOM if self._keeps_room(now) else NO_HEADROOM
+        if self._headroom is None:
+            self._headroom = self._measure_headroom(now)
+        return self._headroom
 
-    def _kept_share(self, now: float) -> float:
-        """Return the share of each worker that is kept free for short tasks."""
+    def _keeps_room(self, now: float) -> bool:
+        """Return whether room is kept free for short tasks."""
         if self._short_seen_at is None:
-            # No short task was seen yet: keep the share free for one window from now.
+            # No short task was seen yet: keep room free for one window from now.
             self._short_seen_at = now
-        return SHORT_SHARE if now - self._short_seen_at < SHORT_TASK_WINDOW_S else 0.0
+        return now - self._short_seen_at < SHORT_TASK_WINDOW_S
 
     def plan(self, now: float) -> None:
         """Start all waiting tasks that can be placed."""
@@ -1351,6 +1369,7 @@
                 self._move_departing([], {}, now)
             return
         usable = [member for member in self.members.values() if member.is_usable(now)]
+        self._headroom = None
         self._relieve_slowed(usable, now)
         refused: list[Refusal] = []
         reserved: dict[str, Size] = {}
@@ -1392,7 +1411,9 @@
             members = _without_reserved(batch.step, usable, reserved)
             if batch.tracked.queue.advised:
                 members = self._approved_workers(batch, members, now)
-            target = self._choose_worker(batch, members, now, self._kept_share_for(batch, now))
+            takes_headroom = self._takes_headroom(batch, now)
+            headroom = self._headroom_beside(batch.step, now)
+            target = self._choose_worker(batch, members, now, headroom, takes_headroom)
             if target is None and not self._has_room_elsewhere(batch):
                 unplaced.add(batch)
                 self._reserve_worker(batch, usable, reserved, now)
@@ -1465,7 +1486,12 @@
         return self._choose_worker(batch, free, now) is not None
 
     def _choose_worker(
-        self, batch: Batch, members: list[Member], now: float, kept_share: float = 0.0
+        self,
+        batch: Batch,
+        members: list[Member],
+        now: float,
+        headroom: Headroom = NO_HEADROOM,
+        takes_headroom: bool = False,
     ) -> Member | None:
         """Return the best worker for one more run of a batch, or None."""
         req = PlacementRequest(
@@ -1474,7 +1500,8 @@
             batch.siblings(),
             interference=self.interference,
             now=now,
-            kept_share=kept_share,
+            headroom=headroom,
+            takes_headroom=takes_headroom,
         )
         return choose_worker(req, members)
 
@@ -1486,7 +1513,8 @@
         Otherwise smaller tasks would take each core as it becomes free. Only workers on which the
         task would leave the share kept free for short tasks are considered.
         """
-        step, siblings, kept_share = batch.step, batch.siblings(), self._kept_share(now)
+        step, siblings = batch.step, batch.siblings()
+        headroom = self._headroom_beside(step, now)
         fitting = [
             member
             for member in usable
@@ -1495,7 +1523,7 @@
             and (not step.requires or step.requires in member.host.labels)
             and (not step.max_per_worker or siblings.get(member.name, 0) < step.max_per_worker)
             and step.size.fits(member.host.size.minus(member.lasting))
-            and leaves_room_for_short(step, member, kept_share)
+            and headroom.allows(step, member)
         ]
         if fitting:
             reserved[max(fitting, key=lambda member: member.room.cores).name] = step.size
@@ -1575,8 +1603,9 @@
             return
         tracked, step = batch.tracked, batch.step
         service = tracked.queue.service
-        siblings, kept_share = batch.siblings(), self._kept_share_for(batch, now)
-        req = PlacementRequest(service, step, siblings, kept_share=kept_share)
+        siblings, takes_headroom = batch.siblings(), self._takes_headroom(batch, now)
+        headroom = self._headroom_beside(step, now)
+        req = PlacementRequest(service, step, siblings, takes_headroom=takes_headroom)
         indexes = startable(batch)
         if indexes and any(refusal.covers(req) for refusal in refused):
             self._handle_unplaced(batch, indexes[0], req, usable, now)
@@ -1594,7 +1623,8 @@
                 racks,
                 self.interference,
                 now=now,
-                kept_share=kept_share,
+                headroom=headroom,
+                takes_headroom=takes_headroom,
                 crashes=crashes,
                 needs_quiet=needs_quiet(batch, crashes, now),
             )
@@ -1605,7 +1635,7 @@
             if member is None:
                 plain = not (step.requires or step.max_per_worker)
                 if plain:
-                    refused.append(Refusal(service, step, kept_share))
+                    refused.append(Refusal(service, step, takes_headroom))
                 self._handle_unplaced(batch, index, req, usable, now)
                 return
             self._start(batch, index, member, self._next_run(tracked), now)
@@ -1632,7 +1662,7 @@
             max_load_share=float("inf"),
             ignore_idle_cores=waited_s >= FORCE_START_S,
             now=now,
-            kept_share=0.0,
+            headroom=NO_HEADROOM,
         )
         member = choose_worker(forced, usable)
         if member is not None:
@@ -1816,8 +1846,8 @@
         open_members = [] if self.closed else list(self.members.values())
         usable = self._available_members(now)
         quarantined = [member for member in open_members if member.is_last_resort(now)]
-        kept_share = self._kept_share(now)
-        return measure(usable, waiting, self.interference, kept_share, quarantined)
+        headroom = self._measure_headroom(now)
+        return measure(usable, waiting, self.interference, headroom, quarantined)
 
     def _available_members(self, now: float) -> list[Member]:
         """Return the workers that count in the published load; none if the cell is closed."""
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from curranthall.cells.fleet import Member
+from curranthall.cells.headroom import NO_HEADROOM, Headroom
 from curranthall.cells.interference import Interference
 from curranthall.dag import Job, Step
 from curranthall.values import checked, fields, figures, finite, items, text
@@ -90,7 +91,7 @@
     members: Iterable[Member],
     waiting: dict[str, Waiting],
     known: Interference,
-    kept_share: float = 0.0,
+    headroom: Headroom = NO_HEADROOM,
     quarantined: Iterable[Member] = (),
 ) -> dict[str, Load]:
     """Return the load of the given usable workers, and the room on quarantined ones, by service."""
@@ -107,7 +108,8 @@
                 image = run.step.image
                 load.serving[image] = load.serving.get(image, 0.0) + run.step.size.cores
         free, cores = _free_cores(member), member.host.size.cores
-        lasting = max(0.0, min(free, (1 - kept_share) * cores - member.lasting.cores))
+        kept = headroom.kept_on(member).cores
+        lasting = max(0.0, min(free, cores - kept - member.lasting.cores))
         loads[member.host.service] = load._replace(
             cores=load.cores + cores,
             free=load.free + free,
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from curranthall.cells.fleet import Member, Run
+from curranthall.cells.headroom import NO_HEADROOM, Headroom
 from curranthall.cells.interference import Interference
 from curranthall.dag import Step
 from curranthall.model import Size
@@ -19,9 +20,6 @@
 LIGHT_MAX_LOAD_SHARE = 0.97
 # Reports cover the last half second, so they do not show runs started more recently than this.
 REPORT_SPAN_S = 0.6
-# Lasting tasks leave this share of a worker free for short tasks, filling tasks this share of its
-# memory. Lasting tasks keep their cores, so without it urgent short tasks find only fragments.
-SHORT_SHARE = 0.125
 # Load differences below this (of a limit of about 0.8) do not outweigh idle cores.
 INTERFERENCE_STEP = 0.02
 # Tolerance of sums of sizes, as in `Size.fits`.
@@ -41,8 +39,10 @@
     now: float = 0.0
     # Start a filling task even where no core is idle.
     ignore_idle_cores: bool = False
-    # Share of a worker that lasting and filling tasks leave free for short ones.
-    kept_share: float = 0.0
+    # What lasting and filling tasks leave free for short ones.
+    headroom: Headroom = NO_HEADROOM
+    # A lasting task may take it, as little as possible.
+    takes_headroom: bool = False
     # How often in a row a worker crashed with the task.
     crashes: int = 0
     # Only where no other run has just started.
@@ -54,7 +54,7 @@
 
     service: str
     step: Step
-    kept_share: float = 0.0
+    takes_headroom: bool = False
 
     def covers(self, req: PlacementRequest) -> bool:
         """Return whether tasks of another step will find no worker either."""
@@ -66,7 +66,7 @@
             # fails.
             and (not step.filling or step.image == known.image)
             and req.service == self.service
-            and req.kept_share >= self.kept_share
+            and self.takes_headroom >= req.takes_headroom
             and known.size.fits(step.size)
         )
 
@@ -105,7 +105,9 @@
         return _can_fill(req, member)
     if not has_room(step, member):
         return False
-    return not step.lasting or leaves_room_for_short(step, member, req.kept_share)
+    if not step.lasting or req.takes_headroom:
+        return True
+    return req.headroom.allows(step, member)
 
 
 def has_room(step: Step, member: Member) -> bool:
@@ -122,19 +124,6 @@
     )
 
 
-def leaves_room_for_short(step: Step, member: Member, kept_share: float) -> bool:
-    """Return whether one more lasting task leaves a share of the worker free for short ones.
-
-    Always true where two such tasks fit: the platform expects one to start there.
-    """
-    size, taken = member.host.size, member.lasting.plus(step.size)
-    kept = Size(
-        min(step.size.cores, kept_share * size.cores),
-        min(step.size.memory, kept_share * size.memory),
-    )
-    return taken.plus(kept).fits(size)
-
-
 def _least_idle_cores(req: PlacementRequest) -> float:
     """Return the idle cores that a worker needs to have for a filling task."""
     return -float("inf") if req.ignore_idle_cores else req.step.size.cores * FILLING_SHARE
@@ -144,7 +133,7 @@
     step, memory = req.step, member.host.size.memory
     if member.idle_cores < _least_idle_cores(req):
         return False
-    if step.size.memory + req.kept_share * memory > memory - member.used.memory:
+    if step.size.memory + req.headroom.memory_share * memory > memory - member.used.memory:
         return False
     if not has_room(step, member):
         return False
@@ -229,6 +218,9 @@
     elif step.filling:
         # Filling tasks go where they interfere least with serving ones.
         kind, room = float(round(_predict_interference(req, member) / INTERFERENCE_STEP)), -idle
+    elif req.takes_headroom and not req.headroom.allows(step, member):
+        # The largest pieces of the room kept for short tasks are taken last.
+        kind, room = float("inf"), host.size.cores - member.lasting.cores
     elif step.target_ms:
         # A filling image that interferes with one serving image of a worker is excluded from that
         # worker, so different serving images are kept apart as far as the room allows.
--- a/src/curranthall/cells/waits.py
+++ b/src/curranthall/cells/waits.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from curranthall.cells.fleet import Member
+from curranthall.cells.headroom import Headroom
 from curranthall.cells.interference import Interference
 from curranthall.cells.placement import FILLING_SHARE, PlacementRequest, fits, has_room
 from curranthall.cells.tracking import Batch
@@ -76,7 +77,7 @@
     usable: list[tuple[Member, Size]]
     interference: Interference
     now: float
-    kept_share: float
+    headroom: Headroom
     closed: bool
     is_held: Callable[[Batch, float], bool]
 
@@ -109,7 +110,7 @@
         siblings,
         interference=ctx.interference,
         now=now,
-        kept_share=ctx.kept_share,
+        headroom=ctx.headroom,
     )
     with_room = [member for member, _ in eligible if has_room(step, member)]
     if any(fits(req, member) for member in with_room):
@@ -133,7 +134,8 @@
     with_memory = [
         member
         for member in idle
-        if step.size.memory + req.kept_share * member.host.size.memory <= member.room.memory
+        if step.size.memory + req.headroom.memory_share * member.host.size.memory
+        <= member.room.memory
     ]
     return WaitReason.STRAIN if with_memory else WaitReason.KEPT
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -8,6 +8,7 @@
 
 from curranthall.cells import interference
 from curranthall.cells.fleet import Member, Run, RunState
+from curranthall.cells.headroom import NO_HEADROOM, Headroom
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import MIN_WEIGHT, measure, measure_cores
 from curranthall.cells.placement import (
@@ -19,7 +20,6 @@
     choose_worker,
     fits,
     has_room,
-    leaves_room_for_short,
 )
 from curranthall.cells.poison import Crash, PoisonDetector, Suspect, _is_open
 from curranthall.cells.tracking import Queue, TrackedJob
@@ -185,7 +185,8 @@
                 {},
                 interference=rng.choice(estimates),
                 now=101.0,
-                kept_share=rng.choice((0.0, 0.125)),
+                headroom=rng.choice((NO_HEADROOM, Headroom({"w0": 0.125, "w1": 1.0}, 0.125))),
+                takes_headroom=rng.random() < 0.2,
                 ignore_idle_cores=rng.random() < 0.2,
             )
             with self.subTest(seed=seed):
@@ -207,14 +208,15 @@
             known, other = any_step(rng), any_step(rng)
             if rng.random() < 0.5:
                 other = other._replace(image=known.image, filling=known.filling)
-            service, kept_share = rng.choice((SERVICE, SERVICE, "other")), rng.choice((0.0, 0.125))
-            req = PlacementRequest(service, other, {}, kept_share=kept_share)
-            refusal = Refusal(SERVICE, known, rng.choice((0.0, 0.125)))
+            service, takes_headroom = rng.choice((SERVICE, SERVICE, "other")), rng.random() < 0.5
+            req = PlacementRequest(service, other, {}, takes_headroom=takes_headroom)
+            refusal = Refusal(SERVICE, known, rng.random() < 0.5)
             groups = [
                 (each.filling, each.lasting, each.image if each.filling else "")
                 for each in (known, other)
             ]
-            is_same_place = service == SERVICE and kept_share >= refusal.kept_share
+            # A task that must leave more room free finds no worker either.
+            is_same_place = service == SERVICE and refusal.takes_headroom >= takes_headroom
             expected = groups[0] == groups[1] and is_same_place and known.size.fits(other.size)
             with self.subTest(seed=seed):
                 self.assertEqual(refusal.covers(req), expected)
@@ -224,10 +226,10 @@
 
 def fits_plainly(req: PlacementRequest, member: Member) -> bool:
     """Return whether a worker meets the conditions on room and load, all of them evaluated."""
-    step, kept = req.step, req.kept_share * member.host.size.memory
+    step, kept = req.step, req.headroom.memory_share * member.host.size.memory
     conditions = [step.reserved.fits(member.room)]
-    if step.lasting:
-        conditions.append(leaves_room_for_short(step, member, req.kept_share))
+    if step.lasting and not req.takes_headroom:
+        conditions.append(req.headroom.allows(step, member))
     if step.filling:
         needed = step.size.cores * FILLING_SHARE
         conditions += [
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from curranthall.cells.ports import StartTask
+from curranthall.cells.ports import ListedRun, StartTask
 from curranthall.dag import Step
 from curranthall.model import Host, Size
-from tests.cell_fixtures import Cell, host, job, step
+from tests.cell_fixtures import SERVICE, Cell, host, job, step
 
 WORKERS = 16
 CORES = 16
@@ -35,6 +35,52 @@
         large = Step(2, Size(1, CORES * 4_000), 1_000)
         self.assertEqual(len(self.place(full_cell(lasting=heavy), large)), 2)
 
+    def test_lasting_tasks_use_all_but_an_eighth_of_the_cores(self) -> None:
+        cell = full_cell(lasting=step(200, cores=4, lasting=True))
+        held = sum(member.lasting.cores for member in cell.dispatcher.members.values())
+        self.assertEqual(held, WORKERS * CORES * 7 / 8)
+
+    def test_small_cells_keep_an_eighth_of_each_worker(self) -> None:
+        cell = full_cell(*(host(f"w{number}", cores=CORES) for number in range(4)))
+        rooms = [member.room.cores for member in cell.dispatcher.members.values()]
+        self.assertGreaterEqual(min(rooms), CORES / 8)
+
+    def test_services_keep_room_on_their_own_workers(self) -> None:
+        others = [host(f"x{at}", cores=64, service="other") for at in range(9)]
+        cell = full_cell(*(host(f"w{at}", cores=CORES) for at in range(WORKERS)), *others)
+        self.assertEqual(len(self.place(cell, step(2, cores=CORES))), 2)
+
+
+class LastingTasks(unittest.TestCase):
+    """Lasting tasks that waited long although two like them would fit."""
+
+    def waited_cell(self, *more: Step, lasting: Step | None = None) -> Cell:
+        """Build a full cell whose waiting lasting tasks, of more jobs too, may take kept room."""
+        cell = full_cell(lasting=lasting)
+        for number, each in enumerate(more, 2):
+            cell.add(job(f"{number:016x}", each))
+        cell.plan()
+        cell.now += 1.6
+        for name, member in cell.dispatcher.members.items():
+            runs = [ListedRun(run.task, run.number, "", 100, 0) for run in member.runs.values()]
+            cell.answer(name, runs)
+        return cell
+
+    def test_they_take_the_room_kept_for_short_tasks(self) -> None:
+        self.assertEqual(len(self.waited_cell().plan()), 2 * CORES // 3)
+
+    def test_they_take_the_smallest_piece_first(self) -> None:
+        unreserved = (WORKERS - 2) * (CORES // 3)
+        serving = step(unreserved + 1, cores=3, lasting=True, image="a", target_ms=20)
+        cell = self.waited_cell(serving._replace(width=2, image="b"), lasting=serving)
+        self.assertEqual(len({order.worker for order in cell.plan()}), 1)
+
+    def test_room_that_they_may_not_take_is_published_as_none(self) -> None:
+        cell = full_cell()
+        load = cell.dispatcher.load(cell.now)[SERVICE]
+        self.assertEqual(load.room(step(1, cores=3, lasting=True)), 0)
+        self.assertEqual(load.slots(step(1, cores=CORES)), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
