Publish the room for short tasks in whole rooms of workers, not as a sum of cores

What callers saw: urgent jobs were given to a cell with many free cores and waited there for a worker with room, 0.4 s and a commit before they were moved, while another cell had whole workers free. Cause: once one task of a step fitted anywhere, all free cores of a cell counted as room for it. In entries saw 442 cores in luzon-a, where the largest room was 17.7 and no task of 25.6 cores fitted. A load lists 16 rooms in place of two, and the room for a step is what its tasks can use of them. The row of a cell grows by at most 28 numbers. Two of the three tests failed before; the third guards that small tasks still see all cores.

--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -17,6 +17,8 @@
 HOME_BONUS = 0.05
 # Cores counted for a task that requests fewer.
 MIN_CORES = 0.1
+# The rooms listed in a load; more would enlarge the rows that every entry reads.
+LISTED_ROOMS = 16
 # Lower bound of the weight by which the room for a filling image is divided.
 MIN_WEIGHT = 0.05
 
@@ -44,8 +46,8 @@
     `free` cores are not reserved; `idle` ones are estimated to be available to filling tasks.
     `filling` is the room by filling image, `serving` the cores of serving tasks by image.
     `lasting` is the part of the free cores available to lasting tasks, `largest_lasting` the most
-    of it on one worker; `largest` holds the free cores of the two workers with the most,
-    `quarantined` those of the two quarantined ones, which count nowhere else.
+    of it on one worker; `largest` holds the free cores of the LISTED_ROOMS workers with the most,
+    `quarantined` those of quarantined ones, which count nowhere else.
     """
 
     cores: float = 0.0
@@ -65,16 +67,25 @@
             fits = step.size.cores <= self.largest_lasting
             return self.lasting - self.waiting.lasting if fits else 0.0
         if not step.filling:
-            return self.free - self.waiting.plain if self.slots(step) else 0.0
+            return self._whole_room(step) - self.waiting.plain
         room = min(self.idle, self.filling.get(step.image, self.idle))
         return room - self.waiting.filling.get(step.image, 0.0)
 
+    def _whole_room(self, step: Step) -> float:
+        """Return the free cores that tasks of a step can use: each needs one worker's room."""
+        cores = max(step.size.cores, MIN_CORES)
+        room = count_slots(step, self.largest) * cores
+        if 2 * cores <= min(self.largest, default=0.0):
+            # Only the sum is known of the other workers; most of it is usable by small tasks.
+            room += self.free - sum(self.largest)
+        return min(room, self.free)
+
     def slots(self, step: Step) -> int:
-        """Return how many tasks of a step fit on the two workers with the most free cores."""
+        """Return how many tasks of a step fit on the workers with the most free cores."""
         return count_slots(step, self.largest)
 
     def slots_of_last_resort(self, step: Step) -> int:
-        """Return how many tasks of a step fit on the two quarantined workers with the most."""
+        """Return how many tasks of a step fit on the quarantined workers with the most."""
         return count_slots(step, self.quarantined)
 
 
@@ -83,8 +94,8 @@
     return sum(int(room / max(step.size.cores, MIN_CORES)) for room in rooms)
 
 
-def _two_largest(rooms: tuple[float, ...], room: float) -> tuple[float, ...]:
-    return tuple(sorted((*rooms, room), reverse=True)[:2])
+def _add_room(rooms: tuple[float, ...], room: float) -> tuple[float, ...]:
+    return tuple(sorted((*rooms, room), reverse=True)[:LISTED_ROOMS])
 
 
 def measure(
@@ -114,13 +125,13 @@
             cores=load.cores + cores,
             free=load.free + free,
             lasting=load.lasting + lasting,
-            largest=_two_largest(load.largest, free),
+            largest=_add_room(load.largest, free),
             largest_lasting=max(load.largest_lasting, lasting),
             idle=load.idle + _idle_cores(member),
         )
     for member in quarantined:
         load = loads.get(member.host.service, Load(filling={}, serving={}))
-        rooms = _two_largest(load.quarantined, _free_cores(member))
+        rooms = _add_room(load.quarantined, _free_cores(member))
         loads[member.host.service] = load._replace(quarantined=rooms)
     for service, cores_waiting in waiting.items():
         loads[service] = loads.get(service, Load())._replace(waiting=cores_waiting)
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from curranthall.cells.load import Load, rate_cell
 from curranthall.cells.ports import ListedRun, StartTask
 from curranthall.dag import Step
 from curranthall.model import Host, Size
@@ -82,5 +83,27 @@
         self.assertEqual(load.slots(step(1, cores=CORES)), 2)
 
 
+class PublishedRoom(unittest.TestCase):
+    def load(self, *cores: float) -> Load:
+        """Measure idle workers of the given sizes."""
+        cell = Cell(*(host(f"w{at:02}", cores=each) for at, each in enumerate(cores)))
+        return cell.dispatcher.load(cell.now)[SERVICE]
+
+    def test_fragments_beside_one_large_room_do_not_count_as_room_for_large_tasks(self) -> None:
+        load = self.load(20, *(6,) * 20)
+        self.assertEqual(load.room(step(9, cores=8)), 16)
+
+    def test_all_free_cores_are_room_for_small_tasks(self) -> None:
+        load = self.load(20, *(6,) * 20)
+        self.assertEqual(load.room(step(99, cores=1)), 140)
+
+    def test_a_cell_with_whole_rooms_is_rated_above_one_with_more_cores_in_fragments(self) -> None:
+        fragments, rooms, wide = self.load(16, *(6,) * 20), self.load(16, 16, 16), step(4, cores=8)
+        cells = ("north", "south")
+        self.assertGreater(
+            rate_cell(rooms, wide, "south", cells, 0), rate_cell(fragments, wide, "north", cells, 0)
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
