Let lasting tasks take room kept for short ones only once those have left it unused

Cause: a lasting task that has waited 1.5 s may take kept room where it fits twice, as the platform expects; plans place lasting tasks first, so it took each piece in the moment in which a short task freed it, before the short tasks that waited for it. Such room isn't free for the 3 s of the rule: another task uses it at once. Now a lasting task takes kept room of its cell only if a task like it would have fitted on one worker after every planning pass of the last 0.5 s. Room that nobody takes still goes to it 1.5 s after it began to wait (0.5 s after the room is free), within the 3 s that the platform allows. Both tests failed before.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -61,6 +61,7 @@
     WorkerOrder,
 )
 from curranthall.cells.records import has_tasks_in
+from curranthall.cells.spare import SpareRoom
 from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, TrackedJob, classify
 from curranthall.cells.waits import (
     LastingWait,
@@ -190,6 +191,7 @@
         self._short_seen_at: float | None = None
         # Computed once a planning pass, when it is first needed.
         self._headroom: Headroom | None = None
+        self._spare_room = SpareRoom()
         self._busy_by_service: dict[str, bool] = {}
         # Moving average of a job's core-seconds, by queue.
         self._usual_work: dict[str, float] = {}
@@ -1337,8 +1339,10 @@
             self._place(batch, _without_reserved(batch.step, members, reserved), [], now)
 
     def _takes_headroom(self, batch: Batch, now: float) -> bool:
-        """Return whether a batch may take the room kept free for short tasks."""
-        return batch.step.lasting and self.must_start(batch, now)
+        """Return whether a batch may take room kept free for short tasks that they don't use."""
+        if not batch.step.lasting or not self.must_start(batch, now):
+            return False
+        return self._spare_room.fits(batch.step, batch.tracked.queue.service, now)
 
     def _measure_headroom(self, now: float) -> Headroom:
         """Return the room kept free for short tasks."""
@@ -1380,6 +1384,8 @@
         self._move_departing(usable, reserved, now)
         finite = [batch for batch in ready if not batch.step.lasting]
         self._place_all(finite, usable, refused, reserved, now)
+        if any(batch.waiting for batch in lasting):
+            self._spare_room.note(self._available_members(now), now)
 
     def _place_all(
         self,
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -3,10 +3,10 @@
 import unittest
 
 from curranthall.cells.load import Load, rate_cell
-from curranthall.cells.ports import ListedRun, StartTask
+from curranthall.cells.ports import EndKind, ListedRun, StartTask
 from curranthall.dag import Step
 from curranthall.model import Host, Size
-from tests.cell_fixtures import SERVICE, Cell, host, job, step
+from tests.cell_fixtures import SERVICE, Cell, ended, host, job, step
 
 WORKERS = 16
 CORES = 16
@@ -83,6 +83,47 @@
         self.assertEqual(load.slots(step(1, cores=CORES)), 2)
 
 
+class SpareRoom(unittest.TestCase):
+    """Lasting tasks that wait while short ones use all room that is kept for them."""
+
+    def setUp(self) -> None:
+        self.cell = Cell(host("w1", cores=CORES))
+        self.cell.add(job(LASTING, step(20, cores=1, lasting=True)))
+        self.cell.started(*self.cell.plan())
+        self.cell.dispatcher.other_cell_loads = {SERVICE: [Load(largest=(2.0,))]}
+        self.cell.add(job(SHORT, step(9, cores=2)))
+        self.running = self.cell.plan()
+        self.cell.started(*self.running)
+        self.ends = 0
+
+    def end_short_task(self, after_s: float) -> list[str]:
+        """End a short task after a while; return the jobs of the tasks that are started then."""
+        self.cell.now += after_s
+        self.ends += 1
+        over = self.running.pop(0)
+        runs = self.cell.member("w1").runs.values()
+        left = [ListedRun(run.task, run.number, "", 50, 0) for run in runs if run.task != over.task]
+        self.cell.answer("w1", left, [ended(self.ends, over, EndKind.DONE)])
+        started = self.cell.plan()
+        self.cell.started(*started)
+        self.running += [order for order in started if order.task.job == SHORT]
+        return [order.task.job for order in started]
+
+    def test_room_freed_by_a_short_task_goes_to_the_short_task_that_waits_for_it(self) -> None:
+        self.assertEqual(len(self.running), 1)
+        started = [self.end_short_task(after_s=0.3) for _ in range(8)]
+        self.assertEqual(started, [[SHORT]] * 8)
+
+    def test_room_that_no_short_task_takes_goes_to_a_lasting_task_that_waited(self) -> None:
+        for _ in range(9):
+            started = self.end_short_task(after_s=0.3)
+        self.assertEqual(started, [])
+        self.cell.now += 0.4
+        self.assertEqual(self.cell.plan(), [])
+        self.cell.now += 0.2
+        self.assertEqual([order.task.job for order in self.cell.plan()], [LASTING] * 2)
+
+
 class PublishedRoom(unittest.TestCase):
     def load(self, *cores: float) -> Load:
         """Measure idle workers of the given sizes."""
