Let lasting tasks that were just moved between cells wait for kept room like others

Cause: how long a task waited in the cell that gave it away isn't stored, so a moved lasting task counted as one that had waited for 1.5 s and took the room kept for short tasks at once. When lasting jobs come in a burst, cells move the excess after 0.4 s by loads from before the burst, to cells that are full, too. Now a moved task counts as having waited only once its job is 1.5 s old, the longest that it can have waited. A task of an older job, whose run was lost, starts at once as before. Same class as a doubt that is settled in favour of whoever asks: the time that isn't known is bounded by what is. The new test failed before.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1314,9 +1314,12 @@
         since = batch.waiting_since if self.closed else batch.unplaced_since
         if since is None:
             return False
-        if now - since >= LASTING_WAIT_S or batch.has_moved_in(self.cell):
+        if now - since >= LASTING_WAIT_S:
             return True
-        return batch.has_waited_before(now - LASTING_WAIT_S)
+        if now - batch.tracked.due < LASTING_WAIT_S:
+            return False
+        # How long it waited elsewhere is not known: for all the job's time at most.
+        return batch.has_moved_in(self.cell) or batch.has_waited_before(now - LASTING_WAIT_S)
 
     def _place_at_last_resort(self, batch: Batch, reserved: dict[str, Size], now: float) -> None:
         """Start lasting tasks that found no other worker for long on quarantined workers.
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -6,7 +6,7 @@
 from curranthall.cells.ports import EndKind, ListedRun, StartTask
 from curranthall.dag import Step
 from curranthall.model import Host, Size
-from tests.cell_fixtures import SERVICE, Cell, ended, host, job, step
+from tests.cell_fixtures import CELL, SERVICE, Cell, ended, host, job, step
 
 WORKERS = 16
 CORES = 16
@@ -76,6 +76,14 @@
         cell = self.waited_cell(serving._replace(width=2, image="b"), lasting=serving)
         self.assertEqual(len({order.worker for order in cell.plan()}), 1)
 
+    def test_a_new_task_that_was_moved_here_leaves_the_room_kept_for_short_tasks(self) -> None:
+        cell = full_cell(lasting=step((WORKERS - 2) * (CORES // 3), cores=3, lasting=True))
+        cell.add(job(SHORT, step(2, cores=3, lasting=True)))
+        progress = cell.dispatcher.tracked[SHORT].progress
+        progress.moved_to[0, 0, 0] = progress.moved_to[0, 0, 1] = CELL
+        cell.plan()
+        self.assertEqual(cell.plan(), [])
+
     def test_room_that_they_may_not_take_is_published_as_none(self) -> None:
         cell = full_cell()
         load = cell.dispatcher.load(cell.now)[SERVICE]
