--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -2,10 +2,11 @@
 
 import unittest
 
+from curranthall.cells.fleet import Run
 from curranthall.cells.load import Load, rate_cell
 from curranthall.cells.ports import EndKind, ListedRun, StartTask
 from curranthall.dag import Step
-from curranthall.model import Host, Size
+from curranthall.model import Host, HostState, Size
 from tests.cell_fixtures import CELL, SERVICE, Cell, ended, host, job, step
 
 WORKERS = 16
@@ -55,6 +56,10 @@
 class LastingTasks(unittest.TestCase):
     """Lasting tasks that waited long although two like them would fit."""
 
+    def runs(self, cell: Cell) -> list[Run]:
+        """Return all runs of a cell."""
+        return [run for each in cell.dispatcher.members.values() for run in each.runs.values()]
+
     def waited_cell(self, *more: Step, lasting: Step | None = None) -> Cell:
         """Build a full cell whose waiting lasting tasks, of more jobs too, may take kept room."""
         cell = full_cell(lasting=lasting)
@@ -84,6 +89,20 @@
         cell.plan()
         self.assertEqual(cell.plan(), [])
 
+    def test_one_that_leaves_a_departing_worker_starts_where_room_is_reserved_for_it(self) -> None:
+        lasting = step((WORKERS - 3) * (CORES // 3), cores=3, lasting=True)
+        cell = full_cell(lasting=lasting)
+        (name,) = {run.worker for run in self.runs(cell)[:1]}
+        leaving = cell.member(name).host._replace(state=HostState.LEAVING, remaining_ms=1_000)
+        cell.dispatcher.update_host(leaving)
+        cell.plan()
+        stops = cell.stops()
+        self.assertEqual(len(stops), CORES // 3)
+        orders = [StartTask(name, stop.task, stop.run, "", "", 0) for stop in stops]
+        ends = [ended(at, order, EndKind.STOPPED) for at, order in enumerate(orders, 1)]
+        cell.answer(name, [], ends)
+        self.assertEqual(len(cell.plan()), CORES // 3)
+
     def test_room_that_they_may_not_take_is_published_as_none(self) -> None:
         cell = full_cell()
         load = cell.dispatcher.load(cell.now)[SERVICE]
