Count a lasting task's wait from the end of its last run, not from its first start

Cause: the time since when a step has waiting tasks was only cleared when a task ended, not when the last waiting one started, so a later restart counted from the first wait. Now it is cleared when the last waiting task gets a run. The test failed before (10.0 s in place of 1.0 s).

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -878,6 +878,8 @@
         batch.active.setdefault(run.task.number, []).append(run)
         batch.waiting.discard(run.task.number)
         batch.held.discard(run.task.number)
+        if not batch.count_waiting():
+            batch.waiting_since = None
         member.add(run)
 
     def _confirm_run(self, run: Run, known_at: float) -> None:
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -160,6 +160,20 @@
         self.assertEqual(line["lasting"], {**counted, "over_beside_filling": 0})
         self.assertEqual(line["lasting_waits"], [["1" * 16, 0, 1, 3, 1.0, "kept"]])
 
+    def test_the_wait_of_a_lasting_task_that_ran_begins_with_the_end_of_its_run(self) -> None:
+        cell = Cell(host("w1", cores=10))
+        cell.add(job("0" * 16, step(1, cores=3, lasting=True)))
+        (order,) = cell.plan()
+        cell.plan()
+        cell.now += 9
+        cell.answer("w1", [], [ended(1, order, EndKind.FAILED)])
+        cell.member("w1").pause(cell.now + 9)
+        cell.now += 1
+        self.waits(cell)
+        (line,) = self.lines.named("CELL_STATE")
+        (row,) = line["lasting_waits"]
+        self.assertEqual((row[0], row[4]), ("0" * 16, 1.0))
+
     def test_held_lasting_tasks_and_the_workers_that_hold_them_up_are_listed(self) -> None:
         cell = Cell(settled=False)
         leaving = host("w1", state=HostState.LEAVING)
