--- a/src/curranthall/cells/headroom.py
+++ b/src/curranthall/cells/headroom.py
@@ -15,6 +15,8 @@
 # Lasting tasks leave this share of a service's cores free for short tasks, filling tasks this share
 # of each worker's memory.
 SHORT_SHARE = 0.125
+# Whole workers are kept free only if there are this many, so that the loss of one leaves some room.
+MIN_WHOLE_WORKERS = 2
 
 
 class Headroom(NamedTuple):
@@ -57,7 +59,7 @@
 def _share_out(members: list[Member]) -> dict[str, float]:
     """Return the share of each worker to keep: all room of the roomiest, if there are enough."""
     missing = SHORT_SHARE * sum(member.host.size.cores for member in members)
-    if missing < max(member.host.size.cores for member in members):
+    if missing < MIN_WHOLE_WORKERS * max(member.host.size.cores for member in members):
         return {member.name: SHORT_SHARE for member in members}
     shares: dict[str, float] = {}
     rooms = sorted((-_room_beside_lasting(member), member.name, member) for member in members)
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -43,9 +43,11 @@
         self.assertEqual(held, WORKERS * CORES * 7 / 8)
 
     def test_small_cells_keep_an_eighth_of_each_worker(self) -> None:
-        cell = full_cell(*(host(f"w{number}", cores=CORES) for number in range(4)))
-        rooms = [member.room.cores for member in cell.dispatcher.members.values()]
-        self.assertGreaterEqual(min(rooms), CORES / 8)
+        for workers in (1, 4, 8, WORKERS - 1):
+            cell = full_cell(*(host(f"w{number}", cores=CORES) for number in range(workers)))
+            rooms = [member.room.cores for member in cell.dispatcher.members.values()]
+            with self.subTest(workers=workers):
+                self.assertGreaterEqual(min(rooms), CORES / 8)
 
     def test_services_keep_room_on_their_own_workers(self) -> None:
         others = [host(f"x{at}", cores=64, service="other") for at in range(9)]
