--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1353,7 +1353,7 @@
         """Return the room kept free for short tasks."""
         return keep_headroom(self._available_members(now)) if self._keeps_room(now) else NO_HEADROOM
 
-    def _headroom_beside(self, step: Step, now: float) -> Headroom:
+    def _headroom_for(self, step: Step, now: float) -> Headroom:
         """Return what tasks of a step leave free for short ones, as of its first use in a pass."""
         if not step.lasting:
             return FILLING_HEADROOM if self._keeps_room(now) else NO_HEADROOM
@@ -1423,7 +1423,7 @@
             if batch.tracked.queue.advised:
                 members = self._approved_workers(batch, members, now)
             takes_headroom = self._takes_headroom(batch, now)
-            headroom = self._headroom_beside(batch.step, now)
+            headroom = self._headroom_for(batch.step, now)
             target = self._choose_worker(batch, members, now, headroom, takes_headroom)
             if target is None and not self._has_room_elsewhere(batch):
                 unplaced.add(batch)
@@ -1525,7 +1525,7 @@
         task would leave the share kept free for short tasks are considered.
         """
         step, siblings = batch.step, batch.siblings()
-        headroom = self._headroom_beside(step, now)
+        headroom = self._headroom_for(step, now)
         fitting = [
             member
             for member in usable
@@ -1615,7 +1615,7 @@
         tracked, step = batch.tracked, batch.step
         service = tracked.queue.service
         siblings, takes_headroom = batch.siblings(), self._takes_headroom(batch, now)
-        headroom = self._headroom_beside(step, now)
+        headroom = self._headroom_for(step, now)
         req = PlacementRequest(service, step, siblings, takes_headroom=takes_headroom)
         indexes = startable(batch)
         if indexes and any(refusal.covers(req) for refusal in refused):
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -41,7 +41,7 @@
     ignore_idle_cores: bool = False
     # What lasting and filling tasks leave free for short ones.
     headroom: Headroom = NO_HEADROOM
-    # A lasting task may take it, as little as possible.
+    # Whether a lasting task may take that room.
     takes_headroom: bool = False
     # How often in a row a worker crashed with the task.
     crashes: int = 0
