Move lasting tasks that must start to the cell with whole rooms for them

A lasting task that waited long while two like it would fit is moved to the cell with the most free cores in all, fragments included, so it may go to a cell without room for it and from there to the next. Class: a sum of cores where a task needs one piece. Now the room of a cell for such a task is what it holds in the rooms that the cell publishes. The test failed before: both tasks went to the cell with fragments.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -65,9 +65,10 @@
             must_start = dispatcher.must_start(batch, now)
             if must_start and _is_last_resort(target, batch):
                 return sum(load.quarantined) - moved
-            # Lasting tasks start before all others that wait there, so they may use all the room.
-            forced = must_start and load.slots(batch.step)
-            return (load.free if forced else load.room(batch.step)) - moved
+            if must_start and (slots := load.slots(batch.step)):
+                # They start before all others that wait there, so they may use each whole room.
+                return slots * max(batch.step.size.cores, MIN_CORES) - moved
+            return load.room(batch.step) - moved
         return load.room(batch.step) * ROOM_SHARE - moved
 
     def _move_batch(
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from curranthall.cells.balance import Balancer, CellLoads
 from curranthall.cells.fleet import Run
 from curranthall.cells.load import Load, rate_cell
 from curranthall.cells.ports import EndKind, ListedRun, StartTask
@@ -153,6 +154,21 @@
         self.assertEqual([order.task.job for order in self.cell.plan()], [LASTING] * 2)
 
 
+class MustStart(unittest.TestCase):
+    def test_a_lasting_task_is_moved_to_the_cell_with_whole_rooms_for_it(self) -> None:
+        fragments = Load(cores=640, free=300, largest=(10.0, *(8.0,) * 15))
+        rooms = Load(cores=640, free=40, largest=(20.0, 20.0))
+        cell, balancer = Cell(host("w1", cores=4)), Balancer()
+        cell.add(job(LASTING, step(2, cores=10, lasting=True)))
+        others = [CellLoads("east", {SERVICE: fragments}), CellLoads("west", {SERVICE: rooms})]
+        cell.plan()
+        cell.now += 1.6
+        balancer.move_stranded(cell.dispatcher, others, cell.now)
+        balancer.move_stranded(cell.dispatcher, others, cell.now)
+        progress = cell.dispatcher.tracked[LASTING].progress
+        self.assertEqual({progress.owner((0, 0, index)) for index in range(2)}, {"west"})
+
+
 class PublishedRoom(unittest.TestCase):
     def load(self, *cores: float) -> Load:
         """Measure idle workers of the given sizes."""
