Let a lasting task take the room that it was moved to another cell for

Since a lasting task takes kept room only if no task took it for 0.5 s. One that was moved because a cell had room for it then waited there, and was moved on after 0.4 s, so it could go round the cells while two like it would fit, beyond the 3 s that the platform allows. Now a task that was moved to a cell takes such room there at once, as before; its job has to be 1.5 s old. Tasks of the cell itself still leave room to the short tasks that wait for it. The test failed before (the short task started, the moved ones didn't).

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1347,7 +1347,10 @@
         """Return whether a batch may take room kept free for short tasks that they don't use."""
         if not batch.step.lasting or not self.must_start(batch, now):
             return False
-        return self._spare_room.fits(batch.step, batch.tracked.queue.service, now)
+        # A moved task takes the room that it was moved for.
+        return batch.has_moved_in(self.cell) or self._spare_room.fits(
+            batch.step, batch.tracked.queue.service, now
+        )
 
     def _measure_headroom(self, now: float) -> Headroom:
         """Return the room kept free for short tasks."""
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -153,6 +153,12 @@
         self.cell.now += 0.2
         self.assertEqual([order.task.job for order in self.cell.plan()], [LASTING] * 2)
 
+    def test_a_task_that_was_moved_here_takes_room_that_was_just_freed(self) -> None:
+        progress = self.cell.dispatcher.tracked[LASTING].progress
+        progress.moved_to.update({(0, 0, index): CELL for index in range(20)})
+        self.cell.now += 1.6
+        self.assertEqual(self.end_short_task(after_s=0.0), [LASTING] * 2)
+
 
 class MustStart(unittest.TestCase):
     def test_a_lasting_task_is_moved_to_the_cell_with_whole_rooms_for_it(self) -> None:
