Log why lasting tasks may not take kept room, and what a round of moves without a target saw

A lasting task that waits beside room may be refused for several reasons, and the log told none: it named the moves that were made, not those that found no room, and 8 waiting batches at the most.

- CELL_STATE: kept_room_access, by waiting lasting step granted, recent, few_rooms or in_use; spare_cores, the largest room that short tasks have left unused; 32 batches in place of 8.
- JOB_NOT_MOVED: slots published by the other cells, cores that this cell sent there a moment ago, and what the round counted as room, at most every two seconds a batch.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -13,6 +13,8 @@
 MOVED_S = 1.8
 # At most this share of the room that another cell published is used.
 ROOM_SHARE = 0.7
+# Interval between log lines about one batch that no cell has room for.
+REFUSAL_LOG_INTERVAL_S = 2.0
 
 
 class CellLoads(NamedTuple):
@@ -34,13 +36,20 @@
 
     def __init__(self) -> None:
         self._moves: list[_Move] = []
+        # By lasting batch that no cell has room for, when that was last logged.
+        self._logged_at: dict[Batch, float] = {}
 
     def move_stranded(self, dispatcher: Dispatcher, others: list[CellLoads], now: float) -> None:
         """Move tasks that found no worker to the cells with the most room for them."""
         self._moves = [row for row in self._moves if now - row.at < MOVED_S]
         dispatcher.other_cell_loads = self._loads_by_service(others)
-        for batch in dispatcher.stranded(0.0 if dispatcher.closed else STRANDED_S, now):
-            self._move_batch(dispatcher, batch, others, now)
+        stranded = dispatcher.stranded(0.0 if dispatcher.closed else STRANDED_S, now)
+        self._logged_at = {
+            batch: self._logged_at[batch] for batch in stranded if batch in self._logged_at
+        }
+        for batch in stranded:
+            if not self._move_batch(dispatcher, batch, others, now) and batch.step.lasting:
+                self._log_refusal(dispatcher, batch, others, now)
             dispatcher.other_cell_loads = self._loads_by_service(others)
 
     def _moved_to(self, cell: str) -> float:
@@ -73,21 +82,46 @@
 
     def _move_batch(
         self, dispatcher: Dispatcher, batch: Batch, others: list[CellLoads], now: float
-    ) -> None:
+    ) -> bool:
+        """Move the tasks of a batch that one other cell has room for; return whether it has any."""
         cores = max(batch.step.size.cores, MIN_CORES)
         sound = [other for other in others if not _is_last_resort(other, batch)]
         target = self._roomiest(dispatcher, batch, sound, now)
         if target is None or self._room(dispatcher, target, batch, now) < cores:
             target = self._roomiest(dispatcher, batch, others, now)
         if target is None:
-            return
+            return False
         waiting = sorted(batch.waiting)
         count = min(int(self._room(dispatcher, target, batch, now) / cores), len(waiting))
         if count < (len(waiting) if batch.step.gang else 1):
-            return
+            return False
         numbers = waiting[:count]
         self._moves.append(_Move(now, target.cell, cores * count))
         _move_tasks(dispatcher, batch.tracked, batch, numbers, target, now)
+        return True
+
+    def _log_refusal(
+        self, dispatcher: Dispatcher, batch: Batch, others: list[CellLoads], now: float
+    ) -> None:
+        """Log the rooms that a lasting batch was refused by, at most once in a while."""
+        if now - self._logged_at.get(batch, -float("inf")) < REFUSAL_LOG_INTERVAL_S:
+            return
+        self._logged_at[batch] = now
+        service = batch.tracked.queue.service
+        loads = {other.cell: other.loads.get(service, Load()) for other in others}
+        log(
+            Event.JOB_NOT_MOVED,
+            job=batch.tracked.job.id,
+            step=batch.number,
+            tasks=len(batch.waiting),
+            cores=batch.step.size.cores,
+            must_start=dispatcher.must_start(batch, now),
+            slots={cell: load.slots(batch.step) for cell, load in loads.items()},
+            moved={cell: round(self._moved_to(cell), 1) for cell in loads},
+            rooms={
+                other.cell: round(self._room(dispatcher, other, batch, now), 1) for other in others
+            },
+        )
 
     def _roomiest(
         self, dispatcher: Dispatcher, batch: Batch, targets: list[CellLoads], now: float
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -61,13 +61,14 @@
     WorkerOrder,
 )
 from curranthall.cells.records import has_tasks_in
-from curranthall.cells.spare import SpareRoom
+from curranthall.cells.spare import KeptRoomAccess, SpareRoom
 from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, TrackedJob, classify
 from curranthall.cells.waits import (
     LastingWait,
     WaitContext,
     WaitRow,
     count_lasting,
+    find_longest_waits,
     list_lasting_waits,
     summarize,
 )
@@ -1202,7 +1203,8 @@
         loads = self.load(now)
         ctx = self._wait_context(now)
         self.waits = summarize(waiting, ctx)
-        self.lasting_waits = list_lasting_waits(waiting, ctx)
+        longest = find_longest_waits(waiting)
+        self.lasting_waits = list_lasting_waits(longest, ctx)
         log(
             Event.CELL_STATE,
             cell=self.cell,
@@ -1216,6 +1218,11 @@
             runs=sum(len(member.runs) for member in self.members.values()),
             lasting=count_lasting(waiting, self.members.values())._asdict(),
             lasting_waits=[list(row) for row in self.lasting_waits],
+            kept_room_access=[
+                [batch.tracked.job.id, batch.number, self._kept_room_access(batch, now).value]
+                for _, batch in longest
+            ],
+            spare_cores={name: round(self._spare_room.least(name, now), 1) for name in loads},
             interference=self.interference.weights(),
             idle_cores=[round(member.idle_cores, 1) for member in self.members.values()],
             free_cores=[round(member.room.cores, 1) for member in self.members.values()],
@@ -1345,12 +1352,21 @@
 
     def _takes_headroom(self, batch: Batch, now: float) -> bool:
         """Return whether a batch may take room kept free for short tasks that they don't use."""
-        if not batch.step.lasting or not self.must_start(batch, now):
+        if not batch.step.lasting:
             return False
+        return self._kept_room_access(batch, now) is KeptRoomAccess.GRANTED
+
+    def _kept_room_access(self, batch: Batch, now: float) -> KeptRoomAccess:
+        """Return whether a lasting batch may take room kept free for short tasks, or why not."""
+        if not self._has_waited_long(batch, now):
+            return KeptRoomAccess.RECENT
+        if not self.must_start(batch, now):
+            return KeptRoomAccess.FEW_ROOMS
         # A moved task takes the room that it was moved for.
-        return batch.has_moved_in(self.cell) or self._spare_room.fits(
+        is_spare = batch.has_moved_in(self.cell) or self._spare_room.fits(
             batch.step, batch.tracked.queue.service, now
         )
+        return KeptRoomAccess.GRANTED if is_spare else KeptRoomAccess.IN_USE
 
     def _measure_headroom(self, now: float) -> Headroom:
         """Return the room kept free for short tasks."""
--- a/src/curranthall/cells/spare.py
+++ b/src/curranthall/cells/spare.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Iterable
+from enum import Enum
 
 from curranthall.cells.fleet import Member
 from curranthall.cells.load import count_slots
@@ -13,6 +14,15 @@
 NOTE_INTERVAL_S = 0.1
 
 
+class KeptRoomAccess(Enum):
+    """Whether a lasting task may take room kept free for short ones, or why not."""
+
+    GRANTED = "granted"
+    RECENT = "recent"  # it has not waited long
+    FEW_ROOMS = "few_rooms"  # two tasks like it don't fit on the workers of all cells
+    IN_USE = "in_use"  # the room was in use by short tasks a moment ago
+
+
 class SpareRoom:
     """The largest room of a worker that no task has taken for a while, by service."""
 
@@ -35,7 +45,11 @@
 
     def fits(self, step: Step, service: str, now: float) -> bool:
         """Return whether a task of a step would have fit all the while, as far as was noted."""
+        return not self._noted or count_slots(step, [self.least(service, now)]) > 0
+
+    def least(self, service: str, now: float) -> float:
+        """Return the least of the noted rooms, in cores; 0 if none was noted."""
         # A note stands until the next one.
         while len(self._noted) > 1 and now - self._noted[1][0] >= SPARE_AFTER_S:
             self._noted.popleft()
-        return all(count_slots(step, [rooms.get(service, 0.0)]) for _, rooms in self._noted)
+        return min((rooms.get(service, 0.0) for _, rooms in self._noted), default=0.0)
--- a/src/curranthall/cells/waits.py
+++ b/src/curranthall/cells/waits.py
@@ -14,7 +14,7 @@
 # Most batches that one summary looks at; a larger number is sampled evenly.
 MAX_SAMPLED_BATCHES = 40
 # The most lasting batches that one summary lists, those that waited longest.
-MAX_LASTING_WAITS = 8
+MAX_LASTING_WAITS = 32
 
 
 class WaitReason(Enum):
@@ -205,14 +205,19 @@
     )
 
 
-def list_lasting_waits(batches: Iterable[Batch], ctx: WaitContext) -> list[LastingWait]:
-    """Return the lasting steps with tasks that have waited longest."""
+def find_longest_waits(batches: Iterable[Batch]) -> list[tuple[float, Batch]]:
+    """Return the lasting batches with tasks that have waited longest, and since when."""
     found = [
         (batch.waiting_since, batch)
         for batch in batches
         if batch.step.lasting and batch.count_waiting() and batch.waiting_since is not None
     ]
     found.sort(key=lambda row: row[0])
+    return found[:MAX_LASTING_WAITS]
+
+
+def list_lasting_waits(found: Iterable[tuple[float, Batch]], ctx: WaitContext) -> list[LastingWait]:
+    """Return the lasting tasks that have waited longest, by batch and reason."""
     return [
         LastingWait(
             batch.tracked.job.id,
@@ -222,6 +227,6 @@
             round(ctx.now - since, 2),
             why.value,
         )
-        for since, batch in found[:MAX_LASTING_WAITS]
+        for since, batch in found
         for why, tasks in _count_by_reason(batch, ctx).items()
     ][:MAX_LASTING_WAITS]
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -5,6 +5,8 @@
 from types import SimpleNamespace
 
 from curranthall import telemetry
+from curranthall.cells.balance import Balancer, CellLoads
+from curranthall.cells.load import Load
 from curranthall.cells.ports import EndKind, ListedRun
 from curranthall.cells.tracking import classify
 from curranthall.cells.waits import MAX_SAMPLED_BATCHES, WaitReason, idle_jobs
@@ -12,7 +14,7 @@
 from curranthall.dag import Progress, Step
 from curranthall.model import Host, HostState
 from curranthall.telemetry import LabeledCounter, Telemetry
-from tests.cell_fixtures import Cell, ended, host, job, step
+from tests.cell_fixtures import SERVICE, Cell, ended, host, job, step
 from tests.test_events import CATALOGUE
 from tests.test_traces import LogTestCase
 
@@ -159,6 +161,34 @@
         counted = {"waiting": 1, "runs": 2, "at_work": 2, "over_target": 1}
         self.assertEqual(line["lasting"], {**counted, "over_beside_filling": 0})
         self.assertEqual(line["lasting_waits"], [["1" * 16, 0, 1, 3, 1.0, "kept"]])
+        self.assertEqual(line["kept_room_access"], [["1" * 16, 0, "recent"]])
+
+    def test_why_a_lasting_task_may_not_take_room_kept_for_short_ones_is_logged(self) -> None:
+        cell = Cell(host("w1", cores=10))
+        cell.add(job("0" * 16, step(3, cores=3, lasting=True)))
+        cell.add(job("1" * 16, step(1, cores=4)))
+        cell.started(*cell.plan())
+        access = []
+        for largest in ((), (3.0, 3.0)):
+            cell.dispatcher.other_cell_loads = {SERVICE: [Load(largest=largest)]}
+            cell.now += 2
+            cell.plan()
+            cell.dispatcher.tick(cell.now, cell.now)
+            line = self.lines.named("CELL_STATE")[-1]
+            access += [row[2] for row in line["kept_room_access"]]
+        self.assertEqual(access, ["few_rooms", "in_use"])
+
+    def test_a_lasting_task_that_no_cell_has_room_for_is_logged_with_the_rooms(self) -> None:
+        cell, balancer = Cell(host("w1", cores=2)), Balancer()
+        cell.add(job("0" * 16, step(1, cores=3, lasting=True)))
+        cell.plan()
+        south = CellLoads("south", {SERVICE: Load(cores=9, free=2, largest=(2.0,))})
+        for _ in range(3):
+            cell.now += 0.5
+            balancer.move_stranded(cell.dispatcher, [south], cell.now)
+        (line,) = self.lines.named("JOB_NOT_MOVED")
+        found = line["tasks"], line["slots"], line["moved"], line["rooms"]
+        self.assertEqual(found, (1, {"south": 0}, {"south": 0}, {"south": 0}))
 
     def test_the_wait_of_a_lasting_task_that_ran_begins_with_the_end_of_its_run(self) -> None:
         cell = Cell(host("w1", cores=10))
