Take moved tasks from the rooms that they use in another cell, not from all room there

Cause: the balancer summed the cores of every move of the last 1.8 s, of any kind and service, and took the sum from the whole rooms of lasting tasks. Filling tasks use idle cores and reserve none, but a cell that sends them away all the time saw no room for lasting tasks anywhere. What was moved to one room was also taken from the others.

Now moves are subtracted by piece and kind (Load.less): a lasting or short task takes the smallest room that fits it, a filling one only idle cores. Lasting tasks that must start are looked at first in each round. Whether two would fit, which decides that they must start, is still asked of the rooms as published.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -1,18 +1,22 @@
 """Move waiting tasks to cells with free cores when this cell has none or is evacuated."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.load import MIN_CORES, Load
 from curranthall.cells.tracking import Batch, TrackedJob
+from curranthall.dag import Step
 from curranthall.events import Event, log
 
 # A task is moved after it has found no worker for this long; a closed cell moves tasks at once.
 STRANDED_S = 0.4
-# Published loads are up to two renewals old, so moved cores are subtracted for this long.
+# Published loads are up to two renewals old, so moved tasks are subtracted for this long.
 MOVED_S = 1.8
 # At most this share of the room that another cell published is used.
 ROOM_SHARE = 0.7
+# Tolerance of quotients of cores.
+ROUNDING = 1e-9
 # Interval between log lines about one batch that no cell has room for.
 REFUSAL_LOG_INTERVAL_S = 2.0
 
@@ -28,7 +32,49 @@
 class _Move(NamedTuple):
     at: float
     cell: str
-    cores: float
+    service: str
+    step: Step
+    tasks: int
+
+
+class _Target:
+    """Another cell and the room that recent moves have left of what it published."""
+
+    def __init__(self, published: CellLoads, moves: Iterable[_Move]) -> None:
+        self.cell, self.epoch = published.cell, published.epoch
+        self.published = published.loads
+        self.left = dict(published.loads)
+        for move in moves:
+            self.subtract(move)
+
+    def subtract(self, move: _Move) -> None:
+        """Subtract a move if it went to this cell."""
+        load = self.left.get(move.service)
+        if load is not None and move.cell == self.cell:
+            self.left[move.service] = load.less(move.step, move.tasks)
+
+    def room(self, batch: Batch, must_start: bool) -> float:
+        """Return the cores that tasks of a batch may use here."""
+        service, step = batch.tracked.queue.service, batch.step
+        load = self.left.get(service)
+        if load is None:
+            return 0.0
+        if not step.lasting:
+            unused = (1 - ROOM_SHARE) * max(0.0, self.published[service].room(step))
+            return load.room(step) - unused
+        cores = max(step.size.cores, MIN_CORES)
+        slots = load.slots(step)
+        if not must_start:
+            return min(load.room(step), slots * cores)
+        # They start before all others that wait there, so they may use each whole room.
+        return (slots or load.slots_of_last_resort(step)) * cores
+
+    def is_last_resort(self, batch: Batch) -> bool:
+        """Return whether a task of a lasting step only fits on quarantined workers."""
+        load = self.left.get(batch.tracked.queue.service)
+        if load is None or not batch.step.lasting or load.slots(batch.step):
+            return False
+        return load.slots_of_last_resort(batch.step) > 0
 
 
 class Balancer:
@@ -42,100 +88,81 @@
     def move_stranded(self, dispatcher: Dispatcher, others: list[CellLoads], now: float) -> None:
         """Move tasks that found no worker to the cells with the most room for them."""
         self._moves = [row for row in self._moves if now - row.at < MOVED_S]
-        dispatcher.other_cell_loads = self._loads_by_service(others)
+        targets = [_Target(other, self._moves) for other in others]
+        dispatcher.other_cell_loads = _by_service(target.published for target in targets)
+        dispatcher.other_cell_rooms = _by_service(target.left for target in targets)
         stranded = dispatcher.stranded(0.0 if dispatcher.closed else STRANDED_S, now)
+        must_start = {batch for batch in stranded if dispatcher.must_start(batch, now)}
+        stranded.sort(key=lambda batch: batch not in must_start)
         self._logged_at = {
             batch: self._logged_at[batch] for batch in stranded if batch in self._logged_at
         }
         for batch in stranded:
-            if not self._move_batch(dispatcher, batch, others, now) and batch.step.lasting:
-                self._log_refusal(dispatcher, batch, others, now)
-            dispatcher.other_cell_loads = self._loads_by_service(others)
-
-    def _moved_to(self, cell: str) -> float:
-        return sum(row.cores for row in self._moves if row.cell == cell)
-
-    def _loads_by_service(self, others: list[CellLoads]) -> dict[str, list[Load]]:
-        """Return the published loads, less the room for lasting tasks that moves may take."""
-        found: dict[str, list[Load]] = {}
-        for target in others:
-            moved = self._moved_to(target.cell)
-            for service, load in target.loads.items():
-                left = load._replace(lasting=load.lasting - moved)
-                found.setdefault(service, []).append(left)
-        return found
-
-    def _room(self, dispatcher: Dispatcher, target: CellLoads, batch: Batch, now: float) -> float:
-        load = target.loads.get(batch.tracked.queue.service)
-        if load is None:
-            return 0.0
-        moved = self._moved_to(target.cell)
-        if batch.step.lasting:
-            must_start = dispatcher.must_start(batch, now)
-            if must_start and _is_last_resort(target, batch):
-                return sum(load.quarantined) - moved
-            if must_start and (slots := load.slots(batch.step)):
-                # They start before all others that wait there, so they may use each whole room.
-                return slots * max(batch.step.size.cores, MIN_CORES) - moved
-            return load.room(batch.step) - moved
-        return load.room(batch.step) * ROOM_SHARE - moved
+            if self._move_batch(dispatcher, batch, targets, batch in must_start, now):
+                dispatcher.other_cell_rooms = _by_service(target.left for target in targets)
+            elif batch.step.lasting:
+                self._log_refusal(batch, targets, batch in must_start, now)
 
     def _move_batch(
-        self, dispatcher: Dispatcher, batch: Batch, others: list[CellLoads], now: float
+        self,
+        dispatcher: Dispatcher,
+        batch: Batch,
+        targets: list[_Target],
+        must_start: bool,
+        now: float,
     ) -> bool:
         """Move the tasks of a batch that one other cell has room for; return whether it has any."""
         cores = max(batch.step.size.cores, MIN_CORES)
-        sound = [other for other in others if not _is_last_resort(other, batch)]
-        target = self._roomiest(dispatcher, batch, sound, now)
-        if target is None or self._room(dispatcher, target, batch, now) < cores:
-            target = self._roomiest(dispatcher, batch, others, now)
+        sound = [target for target in targets if not target.is_last_resort(batch)]
+        target = _roomiest(sound, batch, must_start)
+        if target is None or target.room(batch, must_start) < cores:
+            target = _roomiest(targets, batch, must_start)
         if target is None:
             return False
         waiting = sorted(batch.waiting)
-        count = min(int(self._room(dispatcher, target, batch, now) / cores), len(waiting))
+        count = min(int(target.room(batch, must_start) / cores + ROUNDING), len(waiting))
         if count < (len(waiting) if batch.step.gang else 1):
             return False
         numbers = waiting[:count]
-        self._moves.append(_Move(now, target.cell, cores * count))
+        move = _Move(now, target.cell, batch.tracked.queue.service, batch.step, count)
+        self._moves.append(move)
+        target.subtract(move)
         _move_tasks(dispatcher, batch.tracked, batch, numbers, target, now)
         return True
 
     def _log_refusal(
-        self, dispatcher: Dispatcher, batch: Batch, others: list[CellLoads], now: float
+        self, batch: Batch, targets: list[_Target], must_start: bool, now: float
     ) -> None:
         """Log the rooms that a lasting batch was refused by, at most once in a while."""
         if now - self._logged_at.get(batch, -float("inf")) < REFUSAL_LOG_INTERVAL_S:
             return
         self._logged_at[batch] = now
-        service = batch.tracked.queue.service
-        loads = {other.cell: other.loads.get(service, Load()) for other in others}
+        service, step = batch.tracked.queue.service, batch.step
+        none = Load()
         log(
             Event.JOB_NOT_MOVED,
             job=batch.tracked.job.id,
             step=batch.number,
             tasks=len(batch.waiting),
-            cores=batch.step.size.cores,
-            must_start=dispatcher.must_start(batch, now),
-            slots={cell: load.slots(batch.step) for cell, load in loads.items()},
-            moved={cell: round(self._moved_to(cell), 1) for cell in loads},
-            rooms={
-                other.cell: round(self._room(dispatcher, other, batch, now), 1) for other in others
-            },
+            cores=step.size.cores,
+            must_start=must_start,
+            slots={each.cell: each.published.get(service, none).slots(step) for each in targets},
+            left={each.cell: each.left.get(service, none).slots(step) for each in targets},
+            rooms={each.cell: round(each.room(batch, must_start), 1) for each in targets},
         )
 
-    def _roomiest(
-        self, dispatcher: Dispatcher, batch: Batch, targets: list[CellLoads], now: float
-    ) -> CellLoads | None:
-        rooms = [self._room(dispatcher, target, batch, now) for target in targets]
-        return targets[rooms.index(max(rooms))] if rooms else None
+
+def _by_service(cells: Iterable[dict[str, Load]]) -> dict[str, list[Load]]:
+    found: dict[str, list[Load]] = {}
+    for loads in cells:
+        for service, load in loads.items():
+            found.setdefault(service, []).append(load)
+    return found
 
 
-def _is_last_resort(target: CellLoads, batch: Batch) -> bool:
-    """Return whether a task of a lasting step only fits on quarantined workers of a cell."""
-    load = target.loads.get(batch.tracked.queue.service)
-    if load is None or not batch.step.lasting or load.slots(batch.step):
-        return False
-    return load.slots_of_last_resort(batch.step) > 0
+def _roomiest(targets: list[_Target], batch: Batch, must_start: bool) -> _Target | None:
+    """Return the cell with the most room for tasks of a batch."""
+    return max(targets, key=lambda target: target.room(batch, must_start), default=None)
 
 
 def _move_tasks(
@@ -143,7 +170,7 @@
     tracked: TrackedJob,
     batch: Batch,
     numbers: list[int],
-    target: CellLoads,
+    target: _Target,
     now: float,
 ) -> None:
     # Move the whole job only if no task of it can be running, here or in a cell it was moved to.
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -199,8 +199,10 @@
         # Wait reasons as of the last summary.
         self.waits: list[WaitRow] = []
         self.lasting_waits: list[LastingWait] = []
-        # By service, the loads that other cells last published.
+        # By service, the loads that other cells last published, and what is left of them beside
+        # the tasks that were moved there since.
         self.other_cell_loads: dict[str, list[Load]] = {}
+        self.other_cell_rooms: dict[str, list[Load]] = {}
 
     # Workers
 
@@ -1300,7 +1302,7 @@
 
     def must_start(self, batch: Batch, now: float) -> bool:
         """Return whether a lasting task waited too long although the cells have room for two."""
-        if not self._has_waited_long(batch, now):
+        if not batch.step.lasting or not self._has_waited_long(batch, now):
             return False
         service, size = batch.tracked.queue.service, batch.step.size
         free_cores = [
@@ -1479,7 +1481,7 @@
             for other in self._ready.values()
             if other.step.lasting and other.tracked.queue.service == queue.service
         ]
-        loads = self.other_cell_loads.get(queue.service, ())
+        loads = self.other_cell_rooms.get(queue.service, ())
         return has_room_elsewhere(step, loads, self.members.values(), waiting)
 
     def _relieve_slowed(self, usable: list[Member], now: float) -> None:
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -19,6 +19,8 @@
 MIN_CORES = 0.1
 # The rooms listed in a load; more would enlarge the rows that every entry reads.
 LISTED_ROOMS = 16
+# Decimal places of a room after a subtraction, so that rounding errors hide no whole room.
+ROOM_DIGITS = 6
 # Lower bound of the weight by which the room for a filling image is divided.
 MIN_WEIGHT = 0.05
 
@@ -88,12 +90,49 @@
         """Return how many tasks of a step fit on the quarantined workers with the most."""
         return count_slots(step, self.quarantined)
 
+    def less(self, step: Step, count: int) -> "Load":
+        """Return the load once `count` more tasks of a step have the room that they use.
+
+        Filling tasks reserve no cores; each other one takes a room that fits it.
+        """
+        cores = max(step.size.cores, MIN_CORES)
+        if step.filling:
+            return self._less_idle(cores * count)
+        largest, quarantined = list(self.largest), list(self.quarantined)
+        taken = 0.0
+        for _ in range(count):
+            # Lasting tasks start on quarantined workers where no other has room.
+            is_last_resort = not _take_room(largest, cores) and step.lasting
+            if not is_last_resort or not _take_room(quarantined, cores):
+                taken += cores
+        return self._less_idle(taken)._replace(
+            free=self.free - taken,
+            lasting=self.lasting - taken,
+            largest=tuple(sorted(largest, reverse=True)),
+            quarantined=tuple(sorted(quarantined, reverse=True)),
+        )
+
+    def _less_idle(self, cores: float) -> "Load":
+        filling = {image: room - cores for image, room in self.filling.items()}
+        return self._replace(idle=self.idle - cores, filling=filling)
+
 
 def count_slots(step: Step, rooms: Iterable[float]) -> int:
     """Return how many tasks of a step fit into rooms of the given free cores."""
     return sum(int(room / max(step.size.cores, MIN_CORES)) for room in rooms)
 
 
+def _take_room(rooms: list[float], cores: float) -> bool:
+    """Take cores from the smallest of the rooms that fit; return whether any does."""
+    fitting = [room for room in rooms if room >= cores]
+    if not fitting:
+        return False
+    smallest = min(fitting)
+    rooms.remove(smallest)
+    rooms.append(round(smallest - cores, ROOM_DIGITS))
+    return True
+
+
 def _add_room(rooms: tuple[float, ...], room: float) -> tuple[float, ...]:
     return tuple(sorted((*rooms, room), reverse=True)[:LISTED_ROOMS])
 
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,127 @@
+"""Moves of waiting tasks to other cells, and the room that earlier moves leave there."""
+
+import unittest
+
+from curranthall.cells.balance import Balancer, CellLoads
+from curranthall.cells.load import Load
+from curranthall.dag import Step
+from tests.cell_fixtures import CELL, SERVICE, Cell, host, job, step
+
+LASTING = "0" * 16
+# The platform's bound on the wait of a lasting task that has room.
+LASTING_LIMIT_S = 3.0
+TICK_S = 0.1
+WAITED_S = 1.6
+
+
+def rooms(*largest: float, **fields: object) -> Load:
+    """Build a load with no room for lasting tasks but that kept for short ones."""
+    load = Load(cores=64, free=sum(largest), idle=64, largest=largest)
+    return load._replace(**fields)  # type: ignore[arg-type]
+
+
+class Moves(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cell, self.balancer = Cell(host("w1", cores=1)), Balancer()
+        self.added = 0
+
+    def add(self, *steps: Step) -> str:
+        """Add a job that finds no room here; return its id."""
+        job_id = f"{self.added:016x}"
+        self.added += 1
+        self.cell.add(job(job_id, *steps))
+        self.cell.plan()
+        return job_id
+
+    def move(self, *others: CellLoads) -> None:
+        """Run one round of moves."""
+        self.balancer.move_stranded(self.cell.dispatcher, list(others), self.cell.now)
+
+    def owner(self, job_id: str, number: int = 0) -> str:
+        """Return the cell of a job's task."""
+        return self.cell.dispatcher.tracked[job_id].progress.owner((0, 0, number))
+
+    def test_filling_tasks_that_are_moved_all_the_time_hide_no_room_from_lasting_ones(self) -> None:
+        lasting, south = self.add(step(1, cores=5, lasting=True)), rooms(6.0, 6.0)
+        waited_s = 0.0
+        while self.owner(lasting) == CELL and waited_s < 2 * LASTING_LIMIT_S:
+            self.add(step(1, cores=2, filling=True, image="fill"))
+            self.move(CellLoads("south", {SERVICE: south}))
+            self.cell.now += TICK_S
+            waited_s += TICK_S
+        self.assertLess(waited_s, LASTING_LIMIT_S)
+
+    def test_two_lasting_tasks_are_not_sent_to_one_room(self) -> None:
+        jobs = [self.add(step(1, cores=6, lasting=True)) for _ in range(3)]
+        self.cell.now += WAITED_S
+        for _ in range(3):
+            self.move(CellLoads("south", {SERVICE: rooms(11.0, 6.0)}))
+            self.cell.now += TICK_S
+        self.assertEqual([self.owner(each) for each in jobs], ["south", "south", CELL])
+
+    def test_a_short_task_is_not_sent_to_the_room_of_a_lasting_one(self) -> None:
+        self.add(step(1, cores=8, lasting=True))
+        short = self.add(step(1, cores=8))
+        self.cell.now += WAITED_S
+        south, west = rooms(10.0, 7.0, 7.0, 7.0), rooms(8.0)
+        self.move(CellLoads("south", {SERVICE: south}), CellLoads("west", {SERVICE: west}))
+        self.assertEqual([self.owner(LASTING), self.owner(short)], ["south", CELL])
+
+    def test_moves_to_the_workers_of_one_service_leave_the_room_of_others(self) -> None:
+        other = self.add(step(1, cores=9))
+        self.cell.now += WAITED_S
+        self.cell.dispatcher.tracked[other].queue = self.cell.queue._replace(service="other")
+        loads = {SERVICE: rooms(20.0), "other": rooms(20.0)}
+        self.move(CellLoads("south", loads))
+        self.assertEqual(self.owner(other), "south")
+        mine = self.add(step(1, cores=9))
+        self.cell.now += 0.5
+        self.move(CellLoads("south", loads))
+        self.assertEqual(self.owner(mine), "south")
+
+    def test_lasting_tasks_that_must_start_are_moved_before_those_of_older_jobs(self) -> None:
+        older = job("f" * 16, step(3, cores=4, lasting=True), accepted_ms=-60_000)
+        late = self.add(step(1, cores=6, lasting=True))
+        self.cell.now += WAITED_S - 0.5
+        self.cell.add(older)
+        self.cell.plan()
+        self.cell.now += 0.5
+        south = rooms(6.0, 6.0, lasting=12.0, largest_lasting=6.0)
+        self.move(CellLoads("south", {SERVICE: south}))
+        self.assertEqual(self.owner(late), "south")
+
+
+class LeftRoom(unittest.TestCase):
+    LOAD = Load(
+        cores=64,
+        free=21,
+        idle=30,
+        filling={"fill": 12.0},
+        lasting=14,
+        largest_lasting=9,
+        largest=(9.0, 7.0, 5.0),
+        quarantined=(20.0,),
+    )
+
+    def test_a_task_takes_the_smallest_room_that_fits_it(self) -> None:
+        left = self.LOAD.less(step(1, cores=6, lasting=True), 1)
+        self.assertEqual((left.largest, left.free, left.lasting), ((9.0, 5.0, 1.0), 15, 8))
+        self.assertEqual((left.idle, left.filling), (24, {"fill": 6.0}))
+
+    def test_filling_tasks_take_only_idle_cores(self) -> None:
+        left = self.LOAD.less(step(1, cores=6, filling=True, image="fill"), 2)
+        self.assertEqual((left.idle, left.filling), (18, {"fill": 0.0}))
+        self.assertEqual(left._replace(idle=30, filling={"fill": 12.0}), self.LOAD)
+
+    def test_lasting_tasks_without_other_room_take_that_of_quarantined_workers(self) -> None:
+        left = self.LOAD.less(step(1, cores=12, lasting=True), 1)
+        self.assertEqual(left, self.LOAD._replace(quarantined=(8.0,)))
+
+    def test_a_room_is_used_up_by_as_many_tasks_as_fit(self) -> None:
+        room = Load(cores=64, free=33.9, largest=(33.9,))
+        task = step(1, cores=16.95, lasting=True)
+        self.assertEqual([room.less(task, count).slots(task) for count in range(3)], [2, 1, 0])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -187,7 +187,7 @@
             cell.now += 0.5
             balancer.move_stranded(cell.dispatcher, [south], cell.now)
         (line,) = self.lines.named("JOB_NOT_MOVED")
-        found = line["tasks"], line["slots"], line["moved"], line["rooms"]
+        found = line["tasks"], line["slots"], line["left"], line["rooms"]
         self.assertEqual(found, (1, {"south": 0}, {"south": 0}, {"south": 0}))
 
     def test_the_wait_of_a_lasting_task_that_ran_begins_with_the_end_of_its_run(self) -> None:
