Bound the wait of lasting tasks for room that short ones leave unused

Cause: a lasting task that must start takes room kept for short ones once the largest room of its cell fitted it after every planning pass of 0.5 s. Where short tasks come and go, some pass in each 0.5 s leaves less, so the wait had no bound, while the platform looks at the room of all cells now and then and allows 3 s.

Now the time for which a task should have started is summed up over its wait (it has waited 1.5 s, and two would fit in all cells). After 0.8 s of it the task takes kept room as it is freed. Room that short tasks leave only for moments still goes to them.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -61,7 +61,7 @@
     WorkerOrder,
 )
 from curranthall.cells.records import has_tasks_in
-from curranthall.cells.spare import KeptRoomAccess, SpareRoom
+from curranthall.cells.spare import MAX_OVERDUE_S, KeptRoomAccess, SpareRoom
 from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, TrackedJob, classify
 from curranthall.cells.waits import (
     LastingWait,
@@ -108,6 +108,8 @@
 USUAL_WORK_GAIN = 0.05
 # Lower bound, in core-seconds, of the remaining work that a job's value is divided by.
 MIN_WORK = 0.1
+# The most time that one tick accounts for: the process may have been suspended before it.
+MAX_TICK_S = 0.5
 # Interval between logged summaries of the cell.
 SUMMARY_INTERVAL_S = 2.0
 # The most workers that one summary lists as not proven.
@@ -189,6 +191,7 @@
         self.proven = True
         self._last_run = epoch * RUNS_PER_EPOCH
         self._summary_at = 0.0
+        self._ticked_at = 0.0
         self._short_seen_at: float | None = None
         # Computed once a planning pass, when it is first needed.
         self._headroom: Headroom | None = None
@@ -555,7 +558,7 @@
             batch.held |= batch.waiting
             batch.waiting.clear()
         if not batch.waiting:
-            batch.unplaced_since = None
+            batch.note_placed()
         if batch.count_waiting():
             batch.waiting_since = now if batch.waiting_since is None else batch.waiting_since
             self._ready[batch.tracked.job.id, batch.occurrence, batch.number] = batch
@@ -1194,6 +1197,7 @@
                 # Rows that were read since its last answer may have runs in doubt.
                 self._settle_crashes(member, member.born, now)
         self._remove_old_jobs(now)
+        self._count_overdue(now)
         if now - self._summary_at >= SUMMARY_INTERVAL_S:
             self._summary_at = now
             self._count_expired(now)
@@ -1365,10 +1369,20 @@
         if not self.must_start(batch, now):
             return KeptRoomAccess.FEW_ROOMS
         # A moved task takes the room that it was moved for.
-        is_spare = batch.has_moved_in(self.cell) or self._spare_room.fits(
-            batch.step, batch.tracked.queue.service, now
+        is_granted = (
+            batch.has_moved_in(self.cell)
+            or batch.overdue_s >= MAX_OVERDUE_S
+            or self._spare_room.fits(batch.step, batch.tracked.queue.service, now)
         )
-        return KeptRoomAccess.GRANTED if is_spare else KeptRoomAccess.IN_USE
+        return KeptRoomAccess.GRANTED if is_granted else KeptRoomAccess.IN_USE
+
+    def _count_overdue(self, now: float) -> None:
+        """Count since the last tick for the waiting tasks that must start."""
+        elapsed_s = min(now - self._ticked_at, MAX_TICK_S)
+        self._ticked_at = now
+        for batch in self._ready.values():
+            if batch.waiting and self.must_start(batch, now):
+                batch.overdue_s += elapsed_s
 
     def _measure_headroom(self, now: float) -> Headroom:
         """Return the room kept free for short tasks."""
@@ -1677,7 +1691,7 @@
         if held_back is not None:
             self._handle_unplaced(batch, *held_back, usable, now)
         else:
-            batch.unplaced_since = None
+            batch.note_placed()
 
     def _handle_unplaced(
         self, batch: Batch, index: int, req: PlacementRequest, usable: list[Member], now: float
@@ -1759,7 +1773,7 @@
             tracked.checkpoints[key] = checkpoint
         for index, member in enumerate(chosen):
             self._start(batch, index, member, number, now)
-        batch.unplaced_since = None
+        batch.note_placed()
 
     def _racks(self, siblings: dict[str, int]) -> frozenset[str]:
         names = [name for name in siblings if name in self.members]
--- a/src/curranthall/cells/spare.py
+++ b/src/curranthall/cells/spare.py
@@ -10,6 +10,8 @@
 
 # Room that no task has taken for this long is spare.
 SPARE_AFTER_S = 0.5
+# A task that should have started for this long, summed up, takes room that short tasks still use.
+MAX_OVERDUE_S = 0.8
 # Planning passes within this time are noted as one, with the least room that any of them left.
 NOTE_INTERVAL_S = 0.1
 
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -1,6 +1,7 @@
 """Room for short tasks beside lasting ones, which never end."""
 
 import unittest
+from collections import Counter
 
 from curranthall.cells.balance import Balancer, CellLoads
 from curranthall.cells.fleet import Run
@@ -160,6 +161,58 @@
         self.assertEqual(self.end_short_task(after_s=0.0), [LASTING] * 2)
 
 
+class Churn(unittest.TestCase):
+    """Lasting tasks beside room that short ones take again and again for a moment."""
+
+    # The platform's bound on the wait of a lasting task that has room.
+    LIMIT_S = 3.0
+    TICK_S = 0.1
+    WIDTH = 2
+
+    def setUp(self) -> None:
+        self.cell = Cell(host("w1", cores=CORES), host("w2", cores=CORES))
+        self.cell.add(job(LASTING, step(20, cores=2, lasting=True)))
+        self.cell.started(*self.cell.plan())
+        self.short: list[StartTask] = []
+        self.ends: Counter[str] = Counter()
+
+    def tick(self) -> list[StartTask]:
+        """End the short tasks and advance the time; return the starts of lasting tasks."""
+        cell, over = self.cell, self.short
+        cell.now += self.TICK_S
+        for name, member in cell.dispatcher.members.items():
+            ends = []
+            for order in (each for each in over if each.worker == name):
+                self.ends[name] += 1
+                ends.append(ended(self.ends[name], order, EndKind.DONE))
+            gone = {ending.task for ending in ends}
+            runs = [run for run in member.runs.values() if run.task not in gone]
+            cell.answer(name, [ListedRun(run.task, run.number, "", 50, 0) for run in runs], ends)
+        cell.record()
+        started = cell.plan()
+        cell.started(*started)
+        cell.dispatcher.tick(cell.now, cell.now)
+        self.short = [order for order in started if order.task.job != LASTING]
+        return [order for order in started if order.task.job == LASTING]
+
+    def wait(self, short_every: int, seconds: float) -> float | None:
+        """Return how long a lasting task waits if short ones come in every so many ticks."""
+        for number in range(1, round(seconds / self.TICK_S) + 1):
+            if number % short_every == 0:
+                self.cell.add(job(f"{number:016x}", step(self.WIDTH, cores=2)))
+            if self.tick():
+                return number * self.TICK_S
+        return None
+
+    def test_lasting_tasks_start_in_time_though_short_ones_use_the_room_now_and_then(self) -> None:
+        waited_s = self.wait(short_every=4, seconds=9)
+        self.assertIsNotNone(waited_s)
+        self.assertLess(waited_s or 0.0, self.LIMIT_S)
+
+    def test_lasting_tasks_wait_for_room_that_short_ones_leave_only_for_moments(self) -> None:
+        self.assertIsNone(self.wait(short_every=1, seconds=9))
+
+
 class MustStart(unittest.TestCase):
     def test_a_lasting_task_is_moved_to_the_cell_with_whole_rooms_for_it(self) -> None:
         fragments = Load(cores=640, free=300, largest=(10.0, *(8.0,) * 15))
