Count a lost holder's orders from when its row was composed, by the store's clock

Callers saw lasting tasks of a lost worker wait for 22.7 s, where 15.1 s are allowed: a holder was lost just as the store went away, or its last row was applied late.

Cause: a successor counted the wait from when it first read the row's version. An outage of the store, or a renewal that the store carries out seconds late, came on top.

Change: the owner row names until when its holder's orders, and those of earlier ones, may have effect, by the store's clock: 12.6 s after the row was composed, the moment from which the holder's own order limit counts. The time binds its writer by the clock in the answer to the commit. Who reads the row compares it with the clock in the same answer; without either, or with a clock that began anew, the wait is as before, and it is never longer. Why nothing lasts beyond it: docs/design/platform.md, "Lease ends handed over". It relies on a store's clock that is steady, as lease ends do. written_ms stays untrusted, so the test that the wait counts from when a row without the new field was seen is unchanged.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -37,6 +37,8 @@
 ORDER_LIMIT_S = 12.0
 # Margin for workers' clocks, which may be 2 % slow, and for old readings of them.
 LEASE_SLACK_S = 0.5
+# Margin of times handed over for the drift of the store's and the entries' clocks.
+HANDOVER_SLACK_S = 0.1
 # After a longer gap between two reads, an unchanged row does not show a missed renewal.
 GAP_S = 1.6
 # Delays before a vacant cell is taken: better suited entries try first, so that few compete.
@@ -70,6 +72,9 @@
     written_ms: int = 0
     # The number of workers in the roster.
     workers: int = 0
+    # Until when orders of this holder and of earlier ones may have effect, by the store's clock; 0
+    # if unknown. It counts from when the row was composed, and binds its writer.
+    orders_until_ms: int = 0
 
     def encode(self) -> bytes:
         """Encode the row's value."""
@@ -89,7 +94,7 @@
     """Decode a row's value; raise one of DECODE_ERRORS when it is invalid."""
     holder, address, incarnation, epoch, load, waiting, *more = items(loads(data))
     # Rows written by earlier versions lack these fields.
-    fenced, written_ms, workers = (*more, *(False, 0, 0)[len(more) :])[:3]
+    fenced, written_ms, workers, until_ms = (*more, *(False, 0, 0, 0)[len(more) :])[:4]
     return Owner(
         text(holder),
         text(address),
@@ -100,6 +105,7 @@
         fenced is True,
         whole(written_ms),
         whole(workers),
+        whole(until_ms),
     )
 
 
@@ -206,7 +212,8 @@
 
     `first_seen` is when its version was first read: the row was written before. `since` and
     `renewed_at`, when it was written as far as the holder could tell, start again after an outage
-    of the store; all entries agree on the latter, whenever they read the row.
+    of the store; all entries agree on the latter, whenever they read the row. `orders_over_at` is
+    when orders of its holder and of earlier ones have no effect any more.
     """
 
     owner: Owner | None
@@ -214,6 +221,7 @@
     since: float
     renewed_at: float
     first_seen: float
+    orders_over_at: float
 
 
 class Vacancy(NamedTuple):
@@ -292,7 +300,14 @@
                 if owner and owner.written_ms and listing.now_ms and not missed_reads:
                     age_s = (listing.now_ms - owner.written_ms) / 1000
                     renewed_at = min(now, max(read_at, now - age_s))
-                self.observations[cell] = OwnerObservation(owner, version, now, renewed_at, now)
+                over_at = now + ORDER_LIMIT_S + LEASE_SLACK_S
+                if owner and owner.orders_until_ms and listing.now_ms:
+                    # The store read its clock before now, so the time is not too early.
+                    left_s = (owner.orders_until_ms - listing.now_ms) / 1000
+                    over_at = min(over_at, now + left_s)
+                self.observations[cell] = OwnerObservation(
+                    owner, version, now, renewed_at, now, over_at
+                )
                 self.reachable_since.pop(cell, None)
             elif missed_reads:
                 # The holder could not renew either if the store was down: restart its timeout.
@@ -300,7 +315,8 @@
 
     def record(self, cell: str, owner: Owner, version: int, now: float) -> None:
         """Record a row that this entry wrote."""
-        self.observations[cell] = OwnerObservation(owner, version, now, now, now)
+        over_at = now + ORDER_LIMIT_S + LEASE_SLACK_S
+        self.observations[cell] = OwnerObservation(owner, version, now, now, now, over_at)
         self.reachable_since.pop(cell, None)
 
     def note_probe(
@@ -362,7 +378,7 @@
         # The holder in the row, and its predecessor if that was not fenced, sent nothing that lasts
         # longer: neither renewed its row after this version was first read.
         silent_until = seen.first_seen + ORDER_LIMIT_S + LEASE_SLACK_S
-        proof_at = silent_until
+        proof_at = seen.orders_over_at
         if owner is None or owner.fenced:
             # If the holder has ended, nothing that it sent lasts longer.
             ended_proof_at = min(proof_at, now + self.max_hold_s * 1.03 + LEASE_SLACK_S)
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -14,6 +14,8 @@
     CELL_PART,
     CELL_TABLE,
     DETAIL_TABLE,
+    HANDOVER_SLACK_S,
+    LEASE_SLACK_S,
     ORDER_LIMIT_S,
     RENEW_S,
     Details,
@@ -93,8 +95,6 @@
 FEED_PAUSE_S = 0.4
 # Cells publish their interference estimates, and merge those of others, at this interval.
 EXCHANGE_S = 3.0
-# Margin of handed-over lease ends for the drift of the store's and the entries' clocks.
-HANDOVER_SLACK_S = 0.1
 # With more than half of the workers silent for this long, this entry counts as cut off.
 CUT_OFF_S = 1.0
 
@@ -142,6 +142,7 @@
         # The store's clock minus the local one, at most the delay of a call too large, if known.
         self._store_offset_ms: float | None = None
         self._note_store_clock(taken.now_ms, taken.taken_at)
+        self._orders_end = self._bound_orders(taken.owner)
         self._store = store
         self._connect = connect
         self._clock = clock
@@ -215,6 +216,7 @@
             fenced=self.dispatcher.is_fully_fenced,
             written_ms=self._store_ms(),
             workers=len(self.dispatcher.members),
+            orders_until_ms=self._orders_until_ms(),
         )
         lease_ends = self._lease_ends(self.dispatcher.members.values())
         details = self._details._replace(roster=self.dispatcher.roster(), lease_ends=lease_ends)
@@ -265,7 +267,23 @@
         """Return for how many seconds orders may still be sent and leases may last."""
         if self._releasing:
             return 0.0
-        return self.confirmed_at + ORDER_LIMIT_S - self._clock()
+        return min(self.confirmed_at + ORDER_LIMIT_S, self._orders_end) - self._clock()
+
+    def _orders_until_ms(self) -> int:
+        """Return until when orders may have effect if the cell is confirmed now; 0 if unknown."""
+        if self._store_offset_ms is None:
+            return 0
+        over_at = self._clock() + ORDER_LIMIT_S + LEASE_SLACK_S + HANDOVER_SLACK_S
+        return max(0, math.ceil(over_at * 1000 + self._store_offset_ms))
+
+    def _bound_orders(self, owner: Owner) -> float:
+        """Return the local time by which the last order is sent, as a stored row tells others."""
+        if not owner.orders_until_ms:
+            return math.inf
+        if self._store_offset_ms is None:
+            return -math.inf
+        over_at = (owner.orders_until_ms - self._store_offset_ms) / 1000
+        return over_at - LEASE_SLACK_S - HANDOVER_SLACK_S
 
     def waiting_jobs(self) -> dict[str, int]:
         """Return the number of jobs that have not begun, by queue."""
@@ -333,6 +351,7 @@
             fenced=self.dispatcher.is_fully_fenced,
             written_ms=self._store_ms(),
             workers=len(self.dispatcher.members),
+            orders_until_ms=self._orders_until_ms(),
         )
         limits, lease_ends = self._lease_limits, self._lease_ends(self._unheard_members(now))
         suspended = self.dispatcher.suspend(lease_ends)
@@ -394,6 +413,7 @@
             ):
                 case Committed(version, now_ms):
                     self._note_store_clock(now_ms, sent_at)
+                    self._orders_end = self._bound_orders(owner)
                     self.owner, self._version = owner, version
                     self._details, self._details_stored = details, True
                     self._lease_limits = details.lease_ends
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -13,6 +13,9 @@
     CELL_PART,
     CELL_TABLE,
     DETAIL_TABLE,
+    HANDOVER_SLACK_S,
+    LEASE_SLACK_S,
+    ORDER_LIMIT_S,
     RENEW_S,
     Claimant,
     Details,
@@ -147,6 +150,7 @@
         workers = len(details.roster)
         sent_at = env.clock()
         written_ms = self.watch.store_ms(sent_at)
+        orders_over_at = sent_at + ORDER_LIMIT_S + LEASE_SLACK_S + HANDOVER_SLACK_S
         owner = Owner(
             me.name,
             me.address,
@@ -157,6 +161,7 @@
             fenced=not workers,
             written_ms=written_ms,
             workers=workers,
+            orders_until_ms=self.watch.store_time_of(orders_over_at) or 0,
         )
         former_ends = details.lease_ends
         # A holder that is lost before its first renewal does not start the wait anew.
--- a/src/curranthall/standin/runner.py
+++ b/src/curranthall/standin/runner.py
@@ -72,6 +72,10 @@
         """Return the worker's own clock, which starts at 0 at its boot."""
         return int((self._clock() - self._booted_at) * self.clock_rate * 1000)
 
+    def lease_left_s(self) -> float:
+        """Return the real time until the lease is over; 0 or less once it is."""
+        return (self._lease_ms - self.clock_ms) / 1000 / self.clock_rate
+
     async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
         """Acknowledge ends up to `cursor`, extend the lease, wait for an end, list all runs."""
         self._check_epoch(epoch)
--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -17,6 +17,7 @@
 from curranthall.intake import Verdict
 from curranthall.model import Size
 from tests.cluster import SERVICE, Cluster, now
+from tests.lease_judge import LeaseJudge
 from tests.virtual import run
 from tests.waits import WaitJudge
 
@@ -351,6 +352,7 @@
         self.cluster = Cluster(seed, entries=2, workers=5)
         self.cluster.late_orders_outlive_boot = False
         self.waits = WaitJudge(self.cluster)
+        self.leases = LeaseJudge(self.cluster)
         self.cell = self.rng.choice(self.cluster.domains)
         # Workers of the cell that may still become unreachable for good: most of them stay.
         self.losable = 2
@@ -384,8 +386,9 @@
             await self._cancel(job)
         await asyncio.sleep(5)
         self.waits.close()
+        self.leases.close()
         cluster.close()
-        return cluster.judge.broken + self.waits.broken
+        return cluster.judge.broken + self.leases.broken + self.waits.broken
 
     async def _submit_later(self, number: int) -> None:
         await asyncio.sleep(self.rng.uniform(0.0, 15.0))
