Let ticks go on while the rows of a taken cell are read again

Callers saw nothing start again on time for up to 2.5 s after a takeover beside a slow store: timers (due jobs, lapses of silent workers, stops sent again) and moves of waiting tasks to other cells stood still.

Cause: once all workers of a taken cell were fenced, the tick loop itself awaited the read of all rows.

Now the read goes on beside the ticks, one at a time. It still begins only when all workers are fenced, and nothing takes that back, so what it reads is proof as before.

Evidence: tests.test_runtime.Proving, 0.3 s a read, virtual time. The two other tests of the class guard the read (once, one at a time, tried again) and passed before. tests.test_runtime, test_cells, test_takeover: 96 passed.

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -169,6 +169,7 @@
         # By part, the store version up to which its rows were read.
         self._read_versions: dict[str, int] = {}
         self._resolving = False
+        self._proving = False
         self._lookups = asyncio.Semaphore(LOOKUP_JOBS)
         self.loaded = False
 
@@ -620,12 +621,18 @@
             await asyncio.sleep(TICK_S)
             now = self._clock()
             self.dispatcher.tick(now, self.confirmed_at)
-            if self.loaded and self.dispatcher.is_fully_fenced and not self.dispatcher.proven:
-                await self._prove()
+            if not self._proving and self._awaits_proof():
+                self._proving = True
+                # Timers and moves go on while rows are read.
+                self._spawn(self._prove(), is_loop=True)
             if self.can_order() and self.loaded:
                 self._balancer.move_stranded(self.dispatcher, self._others.loads(self.cell), now)
             self.wake()
 
+    def _awaits_proof(self) -> bool:
+        """Return whether all workers are fenced, and rows have to be read again after that."""
+        return self.loaded and self.dispatcher.is_fully_fenced and not self.dispatcher.proven
+
     # Progress rows
 
     async def _record_loop(self, part: str) -> None:
@@ -787,9 +794,13 @@
 
     async def _prove(self) -> None:
         """Reload the rows once all workers are fenced: no former holder can add to them unseen."""
-        if await self._reload():
-            self.dispatcher.note_rows_read()
-            log(Event.CELL_PROVEN, cell=self.cell, by="rows")
+        try:
+            if await self._reload():
+                self.dispatcher.note_rows_read()
+                log(Event.CELL_PROVEN, cell=self.cell, by="rows")
+                self.wake()
+        finally:
+            self._proving = False
 
     def _refresh_or_select(self, row: Row) -> bool:
         """Refresh a tracked job; return True for another unfinished one with tasks here."""
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -1,12 +1,14 @@
 """The runtime of a held cell: renewals, holds, records and messages to other cells."""
 
 import asyncio
+import itertools
 import random
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest.mock import patch
 
+from curranthall.cells.balance import CellLoads
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.fleet import LOST_AFTER_S
 from curranthall.cells.owner import (
@@ -31,6 +33,7 @@
 )
 from curranthall.cells.records import (
     JOB_TABLE,
+    PARTS,
     PROGRESS_TABLE,
     StoredJob,
     create_job,
@@ -41,6 +44,7 @@
 from curranthall.cells.runtime import (
     CUT_OFF_S,
     LOOKUP_JOBS,
+    TICK_S,
     CellRuntime,
     OtherCells,
     TakenCell,
@@ -908,6 +912,85 @@
         self.assertIn(StopTask("w1", task("0" * 16), 4), runtime.dispatcher.orders)
 
 
+class SlowReads(MemoryStore):
+    """Each scan of progress takes `READ_S`; counts them by part, and how many are open at once."""
+
+    READ_S = 0.3
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        super().__init__(clock)
+        self.reads: dict[str, int] = {}
+        self.open = self.most_open = 0
+        self.fail = 0
+
+    async def scan(self, table: str, part: str, start: str = "", end: str = "") -> Listing:
+        if table != PROGRESS_TABLE:
+            return await super().scan(table, part, start, end)
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        listing = await super().scan(table, part, start, end)
+        await asyncio.sleep(self.READ_S)
+        self.open -= 1
+        if self.fail:
+            self.fail -= 1
+            raise PlatformDown(why="test")
+        self.reads[part] = self.reads.get(part, 0) + 1
+        return listing
+
+
+class Proving(unittest.TestCase):
+    """A new holder whose only worker is out of reach; its last lease is over after `PROOF_S`."""
+
+    PROOF_S = 4.0
+
+    def take(
+        self, scene: Callable[[SlowReads, CellRuntime], Awaitable[None]] | None = None
+    ) -> tuple[SlowReads, CellRuntime, list[float]]:
+        """Run the loops for 10 s beside a scene; return also the times at which tasks may move."""
+        rounds: list[float] = []
+
+        async def main() -> tuple[SlowReads, CellRuntime]:
+            clock = asyncio.get_running_loop().time
+            store = SlowReads(clock)
+            runtime = make_runtime(store, [], clock)
+            runtime.confirmed_at = clock()
+            runtime.dispatcher.take_over([host("w1")], clock() + self.PROOF_S)
+
+            def loads(cell: str) -> list[CellLoads]:
+                rounds.append(clock())
+                return []
+
+            runtime._others = runtime._others._replace(loads=loads)
+            for loop in (runtime._tick_loop, runtime._load_jobs):
+                runtime._spawn(loop(), is_loop=True)
+            if scene is not None:
+                await scene(store, runtime)
+            await asyncio.sleep(10.0)
+            runtime.end("test")
+            return store, runtime
+
+        return *run(main()), rounds
+
+    def test_ticks_go_on_while_rows_are_read_again(self) -> None:
+        _, runtime, rounds = self.take()
+        self.assertTrue(runtime.dispatcher.proven)
+        pauses = [later - earlier for earlier, later in itertools.pairwise(rounds)]
+        self.assertLess(max(pauses), 3 * TICK_S)
+
+    def test_rows_are_read_for_the_proof_once_and_one_at_a_time(self) -> None:
+        store, _, _ = self.take()
+        self.assertEqual(store.reads, dict.fromkeys(PARTS, 2))
+        self.assertEqual(store.most_open, 1)
+
+    def test_a_proof_whose_read_failed_is_tried_again(self) -> None:
+        async def scene(store: SlowReads, runtime: CellRuntime) -> None:
+            await asyncio.sleep(self.PROOF_S + 0.2)
+            store.fail = 2
+            self.assertFalse(runtime.dispatcher.proven)
+
+        self.assertTrue(self.take(scene)[1].dispatcher.proven)
+
+
 class TakingOver(unittest.IsolatedAsyncioTestCase):
     async def test_a_former_holders_late_write_conflicts_after_a_takeover(self) -> None:
         """Otherwise it moves tasks that the successor has started but not yet recorded."""
