Ask a former holder's address whether it still holds the cell, and wait no longer once it doesn't

What callers see: tasks of a worker that was lost together with its cell's holder start 12.5 s after the holder's last row, also if the holder's machine is back after 3 s and all is calm from then on: beyond the platform's bound (LOST).

Cause: a process that takes its own former process's cell waits only for the longest lease, as that process has exited; another entry that took the cell first can't know that.

Now a holder that still waits for leases asks the former one's address whether it holds the cell. `False` comes from a process that lost the cell, or from another process there, so the one before has exited: it sends nothing any more, and the wait ends a longest lease later at the most. This is the reasoning of an entry that takes its own cell again, and it applies under the same condition (no earlier holder is waited for). A living holder is not ended.

--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -158,6 +158,7 @@
             lambda: self._hosts,
             lambda: self.operations.evacuated,
             self.cast,
+            self.call,
             is_reachable,
             lambda: self._host_watch.skip_pause(),
             advise,
@@ -261,15 +262,12 @@
                 await asyncio.sleep(STORE_RETRY_S)
 
     async def _dial(self) -> None:
-        """Keep links to the holders of cells only."""
+        """Keep links to the holders of cells, and to former ones that are waited for."""
         while True:
             await asyncio.sleep(DIAL_INTERVAL_S)
             if self._mesh is None:
                 continue
-            watch = self.succession.watch
-            owners = [watch.holder(cell) for cell in watch.cells]
-            wanted = {owner.address for owner in owners if owner is not None and owner.address}
-            self._mesh.retain(wanted - {self.deployment.mesh})
+            self._mesh.retain(self.succession.peers() - {self.deployment.mesh})
 
     # Changes of operations and workers
 
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -92,6 +92,11 @@
         return answer
 
 
+async def always_held(address: str, cell: str) -> bool:
+    """Answer that the former holder still holds the cell."""
+    return True
+
+
 def make_runtime(
     store: MemoryStore,
     sent: list[StoredJob],
@@ -111,7 +116,7 @@
         clock,
         lambda runtime, why: None,
         lambda cell, owner, version: None,
-        OtherCells(lambda cell: [], lambda cell, stored: sent.append(stored)),
+        OtherCells(lambda cell: [], lambda cell, stored: sent.append(stored), always_held),
         no_advice,
     )
 
