Take a vacant cell whose workers are all gone

What callers saw: after all workers of a cell were gone and its holder was shut down, killed or gave the cell up (more than half of its workers are silent), no entry took the cell. Its lasting tasks, and all jobs that waited there, had no run for good, with room in other cells.

Cause: a vacant cell is only taken by an entry that reaches one of its workers. If the platform lists none, those of the stored roster are probed, which have exited, and the roster is never written again.

Now a cell of which the platform lists no worker (but some of other cells) is taken without a probe: a released one at once, a silent holder's once its orders and leases are over, as it may go on with them in a domain that is cut off from the platform. The proof of former runs is unchanged: leases are waited for.

--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -127,6 +127,10 @@
         """
         listed = (self._env.hosts() or {}).values()
         hosts = [host for host in listed if host.domain == vacancy.cell]
+        is_released = vacancy.owner is None or not vacancy.owner.holder
+        if listed and not hosts and (is_released or self._env.clock() >= vacancy.silent_until):
+            # They are gone, or cut off from the platform without a holder that may go on.
+            return True
         hosts = hosts or [host for host in roster if host.state is not HostState.GONE]
         if not hosts:
             return True
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -201,6 +201,9 @@
         # Workers that have announced their shutdown, and when those that told it will exit.
         self.leaving: set[str] = set()
         self.exits_at: dict[str, float] = {}
+        # How long the platform lists a crashed worker, and when each crashed.
+        self.listed_after_crash_s = 0.0
+        self.ghosts: dict[str, tuple[float, Host]] = {}
         # Workers that run, but are missing from the platform's list.
         self.unlisted: set[str] = set()
         # Paused entries: they send nothing, and answers to them wait.
@@ -238,6 +241,7 @@
         """Crash a worker; its address then times out, or answers as another boot."""
         self.judge.note_fault()
         runner = self.runners.pop(name)
+        self.ghosts[name] = now(), self._list(runner.host)
         self.leaving.discard(name)
         self.crashed[name].set()
         self.judge.note_crash(name, runner)
@@ -271,12 +275,20 @@
 
     def hosts(self) -> dict[str, Host]:
         """Return the workers by name."""
-        return {
-            name: self._leave(runner.host) if name in self.leaving else runner.host
+        ghosts = {
+            name: host
+            for name, (at, host) in self.ghosts.items()
+            if now() - at < self.listed_after_crash_s
+        }
+        return ghosts | {
+            name: self._list(runner.host)
             for name, runner in self.runners.items()
             if name not in self.unlisted
         }
 
+    def _list(self, host: Host) -> Host:
+        return self._leave(host) if host.name in self.leaving else host
+
     def _leave(self, host: Host) -> Host:
         left_ms = int(1000 * max(0.0, self.exits_at.get(host.name, 0.0) - now()))
         return host._replace(state=HostState.LEAVING, remaining_ms=left_ms)
