Count the wait of tasks of a lost worker from when the platform expects them

What callers saw: a lasting task of a lost worker may be without a run for more than the 3 s that the platform allows from 6 s after its last run, although two like it would fit.

Cause: the 1.5 s and the 0.8 s after which a lasting task takes room kept for short ones counted from when its run's lapse was noticed. That is up to 0.8 s after the 6 s: the lease is extended until the worker falls silent, clocks may be slow, and the lapse has to be confirmed by a renewal (every 0.8 s).

Now the wait of such a task counts from 6 s after its worker fell silent. A start still needs the proof that the run has lapsed.

tests.test_headroom, Churn: one of three workers is lost, short tasks of 0.1 s use the kept room of the others every 0.4 s.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -101,6 +101,8 @@
 # A lasting task that waited this long, although two like it would fit, may use the room kept free
 # for short tasks: the platform allows 3 s, of which moving the task to another cell takes 0.4 s.
 LASTING_WAIT_S = 1.5
+# The platform counts that time from this long after the end of the task's last run.
+RERUN_S = 6.0
 # A job may go without a run while this share of its service is in use. The platform requires half
 # and does not define whether reserved or used cores count, so both must reach this share.
 BUSY_SHARE = 0.6
@@ -1285,12 +1287,24 @@
                 log(Event.WORKER_LAPSED, worker=member.name, runs=len(over))
             for run in over:
                 self._remove_run(run, now, EndReason.LAPSED)
+                self._note_lapsed(run, member)
         unproven = member.name in self._fencing.unproven
         if member.missing_since is not None and lapsed and not unproven:
             self.interference.forget_worker(member.name)
             self._keep_deferred_ends(member)
             del self.members[member.name]
 
+    def _note_lapsed(self, run: Run, member: Member) -> None:
+        """Record when the platform began to expect a new run of a task.
+
+        The worker may have been lost, with its runs, as soon as it fell silent.
+        """
+        tracked = self.tracked.get(run.task.job)
+        if tracked is None or member.silent_since is None:
+            return
+        batch, expected_at = self._get_batch(tracked, run.task), member.silent_since + RERUN_S
+        batch.expected_since = min(batch.expected_since or expected_at, expected_at)
+
     def _remove_old_jobs(self, now: float) -> None:
         keep_s = self.bounds.status_s
         old = [
@@ -1329,7 +1343,7 @@
         since = batch.waiting_since if self.closed else batch.unplaced_since
         if since is None:
             return False
-        if now - since >= LASTING_WAIT_S:
+        if now - min(since, batch.expected_since or since) >= LASTING_WAIT_S:
             return True
         if now - batch.tracked.due < LASTING_WAIT_S:
             return False
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -68,6 +68,8 @@
     # When the oldest of the tasks without a run began to wait at the latest, held or not.
     waiting_since: float | None = None
     unplaced_since: float | None = None
+    # Since when the platform has expected a run of a task whose last one lapsed.
+    expected_since: float | None = None
     # Seconds, summed up over that time, for which the platform expected the tasks to start.
     overdue_s: float = 0.0
     # The step had begun when this holder took the job over.
@@ -80,7 +82,7 @@
 
     def note_placed(self) -> None:
         """Record that none of the tasks waits for a worker."""
-        self.unplaced_since, self.overdue_s = None, 0.0
+        self.unplaced_since, self.expected_since, self.overdue_s = None, None, 0.0
 
     def siblings(self) -> dict[str, int]:
         """Return the number of runs by worker; one that moves counts where it will start."""
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -4,8 +4,10 @@
 from collections import Counter
 
 from curranthall.cells.balance import Balancer, CellLoads
+from curranthall.cells.dispatcher import RERUN_S
 from curranthall.cells.fleet import Run
 from curranthall.cells.load import Load, rate_cell
+from curranthall.cells.owner import RENEW_S
 from curranthall.cells.ports import EndKind, ListedRun, StartTask
 from curranthall.dag import Step
 from curranthall.model import Host, HostState, Size
@@ -181,6 +183,8 @@
         cell, over = self.cell, self.short
         cell.now += self.TICK_S
         for name, member in cell.dispatcher.members.items():
+            if member.silent_since is not None:
+                continue
             ends = []
             for order in (each for each in over if each.worker == name):
                 self.ends[name] += 1
@@ -191,7 +195,7 @@
         cell.record()
         started = cell.plan()
         cell.started(*started)
-        cell.dispatcher.tick(cell.now, cell.now)
+        cell.dispatcher.tick(cell.now, cell.now - cell.now % RENEW_S)
         self.short = [order for order in started if order.task.job != LASTING]
         return [order for order in started if order.task.job == LASTING]
 
@@ -209,6 +213,17 @@
         self.assertIsNotNone(waited_s)
         self.assertLess(waited_s or 0.0, self.LIMIT_S)
 
+    def test_tasks_of_a_lost_worker_start_in_time_though_short_ones_use_the_room(self) -> None:
+        cell = self.cell
+        cell.dispatcher.update_host(host("w3", cores=CORES))
+        cell.answer("w3")
+        cell.started(*cell.plan())
+        cell.member("w3").grant(cell.now, RERUN_S)
+        cell.dispatcher.on_silence("w3", cell.now)
+        waited_s = self.wait(short_every=4, seconds=RERUN_S + 2 * self.LIMIT_S)
+        self.assertGreater(waited_s or 0.0, RERUN_S)
+        self.assertLess(waited_s or 0.0, RERUN_S + self.LIMIT_S)
+
     def test_lasting_tasks_wait_for_room_that_short_ones_leave_only_for_moments(self) -> None:
         self.assertIsNone(self.wait(short_every=1, seconds=9))
 
