Count the jobs given to a cell whose holder is out of touch

Cause: entries add up the counts in the cells' rows. Jobs that are given to a cell after its holder lost touch are stored, but are in no count until that holder, or the next one, has read them and renewed its row.

tests.test_cells, Pending: a domain is cut off with its holder for 9 s, six jobs are given to its cell meanwhile.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -37,6 +37,9 @@
 ORDER_LIMIT_S = 12.0
 # Margin for workers' clocks, which may be 2 % slow, and for old readings of them.
 LEASE_SLACK_S = 0.5
+# A holder that was out of touch has read the jobs that it was given meanwhile, and renewed its row
+# with their number, this long after its first renewal.
+CATCH_UP_S = 4.0
 # After a longer gap between two reads, an unchanged row does not show a missed renewal.
 GAP_S = 1.6
 # Delays before a vacant cell is taken: better suited entries try first, so that few compete.
@@ -251,6 +254,8 @@
     abstain_until: dict[str, float] = field(default_factory=dict)
     # When a vacant cell's workers were found in reach, or UNREACHED after a failed probe.
     reachable_since: dict[str, float] = field(default_factory=dict)
+    # When a cell's row was first renewed after its holder had been silent.
+    resumed_at: dict[str, float] = field(default_factory=dict)
     # The store's clock minus the local one, if known: at least and at most.
     _store_offset_ms: float | None = None
     _max_store_offset_ms: float | None = None
@@ -292,6 +297,8 @@
                 if owner and owner.written_ms and listing.now_ms and not missed_reads:
                     age_s = (listing.now_ms - owner.written_ms) / 1000
                     renewed_at = min(now, max(read_at, now - age_s))
+                if known is not None and now - known.since >= VACANT_S:
+                    self.resumed_at[cell] = now
                 self.observations[cell] = OwnerObservation(owner, version, now, renewed_at, now)
                 self.reachable_since.pop(cell, None)
             elif missed_reads:
@@ -330,6 +337,14 @@
             return None
         return seen.owner
 
+    def may_miss_jobs(self, cell: str, now: float) -> bool:
+        """Return whether a cell may have been given jobs that its row does not count."""
+        seen = self.observations.get(cell)
+        if seen is None:
+            return False
+        is_silent = now - seen.since >= VACANT_S
+        return is_silent or now - self.resumed_at.get(cell, -float("inf")) < CATCH_UP_S
+
     def waiting(self, cell: str) -> dict[str, int]:
         """Return a cell's waiting jobs by queue from its row, whether it is held or not."""
         seen = self.observations.get(cell)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -514,6 +514,9 @@
     """Jobs that fit no worker wait; every entry counts them while holders are replaced."""
 
     COUNT = 6
+    # The platform counts a job that waits from this long after it was accepted.
+    PENDING_S = 5.0
+    CUT_S = 9.0
 
     def least_shown(self, replace: Callable[[Cluster, str], Awaitable[None]]) -> int:
         """Return the least count that a live entry shows while all holders are replaced."""
@@ -534,13 +537,38 @@
             for _ in range(100):
                 await asyncio.sleep(0.1)
                 alive = [each for each in cluster.entries.values() if not each.dead]
-                shown += [each.intake.count_pending("q") for each in alive]
+                shown += [await each.intake.count_pending("q") for each in alive]
             self.assertEqual({cell for cell in cluster.domains if cluster.holder(cell)}, {*"abc"})
             cluster.close()
             return min(shown)
 
         return run(main())
 
+    def test_jobs_given_to_a_cell_whose_holder_is_cut_off_are_counted(self) -> None:
+        async def main() -> int:
+            cluster = Cluster()
+            cluster.evacuated = frozenset("bc")
+            cluster.start()
+            await asyncio.sleep(3)
+            others = {"b", "c", "store"}
+            cluster.cuts = {frozenset(("a", other)) for other in others}
+            cut_at = now()
+            for number in range(1, self.COUNT + 1):
+                job = make_job(number, Step(1, Size(100, 1_000), 1_000))
+                self.assertIs(await cluster.submit("b-e0", job), Verdict.ACCEPTED)
+            accepted_at, shown = now(), []
+            while now() < accepted_at + 15:
+                await asyncio.sleep(0.1)
+                if now() > cut_at + self.CUT_S:
+                    cluster.cuts = set()
+                if now() > accepted_at + self.PENDING_S:
+                    entries = [each for each in cluster.entries.values() if each.name[0] != "a"]
+                    shown += [await each.intake.count_pending("q") for each in entries]
+            cluster.close()
+            return min(shown)
+
+        self.assertEqual(run(main()), self.COUNT)
+
     def test_waiting_jobs_are_counted_while_a_killed_holder_is_replaced(self) -> None:
         async def kill(cluster: Cluster, holder: str) -> None:
             cluster.kill(holder)
