Let lasting tasks that must start use room reserved for larger ones

What callers saw: a lasting task has no run although two workers of its cell have room for it, as long as finite tasks run there.

Cause: each lasting step that finds no room reserves a worker on which it will fit once the finite tasks there have ended. Later lasting steps were refused by that worker, also if they fit at once and had waited longer than a task may that has room for two like it. In small cells a few large steps reserve all workers.

Now a lasting task that must start (it has waited 1.5 s and two like it fit) uses reserved workers, too. Others still leave them to the task that waits first.

tests.test_headroom, MustStart: two steps of 12 cores reserve both workers of 16, where 9 are used by finite tasks of 10 s; a step of 4 cores waits.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1453,7 +1453,12 @@
             if not batch.count_waiting():
                 del self._ready[batch.tracked.job.id, batch.occurrence, batch.number]
             elif batch.waiting and not self._is_held(batch, now):
-                self._place(batch, _without_reserved(batch.step, usable, reserved), refused, now)
+                if reserved and self.must_start(batch, now):
+                    # Room in which the tasks that it is reserved for do not fit yet is free for it.
+                    self._place(batch, usable, [], now)
+                else:
+                    members = _without_reserved(batch.step, usable, reserved)
+                    self._place(batch, members, refused, now)
                 self._place_at_last_resort(batch, reserved, now)
                 if batch.step.lasting and batch.waiting:
                     self._reserve_worker(batch, usable, reserved, now)
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -11,7 +11,7 @@
 from curranthall.cells.ports import EndKind, ListedRun, StartTask
 from curranthall.dag import Step
 from curranthall.model import Host, HostState, Size
-from tests.cell_fixtures import CELL, SERVICE, Cell, ended, host, job, step
+from tests.cell_fixtures import CELL, SERVICE, Cell, ended, host, job, listed, step
 
 WORKERS = 16
 CORES = 16
@@ -242,6 +242,26 @@
         progress = cell.dispatcher.tracked[LASTING].progress
         self.assertEqual({progress.owner((0, 0, index)) for index in range(2)}, {"west"})
 
+    def test_rooms_reserved_for_larger_lasting_tasks_keep_no_smaller_one_waiting(self) -> None:
+        cell = Cell(host("w1", cores=CORES), host("w2", cores=CORES))
+        cell.add(job(SHORT, step(2, cores=9)))
+        running = cell.plan()
+        cell.started(*running)
+        for job_id in ("2" * 16, "3" * 16):
+            cell.add(job(job_id, step(1, cores=12, lasting=True)))
+        cell.plan()
+        cell.add(job(LASTING, step(1, cores=4, lasting=True)))
+        waited_s, started = 0.0, cell.plan()
+        while not started and waited_s < 2 * Churn.LIMIT_S:
+            cell.now += Churn.TICK_S
+            waited_s += Churn.TICK_S
+            for order in running:
+                cell.answer(order.worker, [listed(order, 10 * waited_s)])
+            cell.dispatcher.tick(cell.now, cell.now)
+            started = cell.plan()
+        self.assertLess(waited_s, Churn.LIMIT_S)
+        self.assertEqual([order.task.job for order in started], [LASTING])
+
 
 class PublishedRoom(unittest.TestCase):
     def load(self, *cores: float) -> Load:
