Guard that moved short tasks hide no room from lasting ones

No change of logic: the share of a cell's published room that moves leave unused keeps whole rooms. tests.test_balance, a short task of 2 cores moved every 0.1 s: the lasting one is moved within 3 s, also on.

--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -51,6 +51,16 @@
             waited_s += TICK_S
         self.assertLess(waited_s, LASTING_LIMIT_S)
 
+    def test_short_tasks_that_are_moved_all_the_time_hide_no_room_from_lasting_ones(self) -> None:
+        lasting, south = self.add(step(1, cores=5, lasting=True)), rooms(6.0, 6.0)
+        waited_s = 0.0
+        while self.owner(lasting) == CELL and waited_s < 2 * LASTING_LIMIT_S:
+            self.add(step(1, cores=2))
+            self.move(CellLoads("south", {SERVICE: south}))
+            self.cell.now += TICK_S
+            waited_s += TICK_S
+        self.assertLess(waited_s, LASTING_LIMIT_S)
+
     def test_two_lasting_tasks_are_not_sent_to_one_room(self) -> None:
         jobs = [self.add(step(1, cores=6, lasting=True)) for _ in range(3)]
         self.cell.now += WAITED_S
