--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -4,12 +4,14 @@
 from collections import Counter
 
 from curranthall.cells.balance import Balancer, CellLoads
+from curranthall.cells.dispatcher import RERUN_S
 from curranthall.cells.fleet import Run
 from curranthall.cells.load import Load, rate_cell
+from curranthall.cells.owner import RENEW_S
 from curranthall.cells.ports import EndKind, ListedRun, StartTask
 from curranthall.dag import Step
 from curranthall.model import Host, HostState, Size
-from tests.cell_fixtures import CELL, SERVICE, Cell, ended, host, job, step
+from tests.cell_fixtures import CELL, SERVICE, Cell, ended, host, job, listed, step
 
 WORKERS = 16
 CORES = 16
@@ -181,6 +183,8 @@
         cell, over = self.cell, self.short
         cell.now += self.TICK_S
         for name, member in cell.dispatcher.members.items():
+            if member.silent_since is not None:
+                continue
             ends = []
             for order in (each for each in over if each.worker == name):
                 self.ends[name] += 1
@@ -191,7 +195,7 @@
         cell.record()
         started = cell.plan()
         cell.started(*started)
-        cell.dispatcher.tick(cell.now, cell.now)
+        cell.dispatcher.tick(cell.now, cell.now - cell.now % RENEW_S)
         self.short = [order for order in started if order.task.job != LASTING]
         return [order for order in started if order.task.job == LASTING]
 
@@ -209,6 +213,17 @@
         self.assertIsNotNone(waited_s)
         self.assertLess(waited_s or 0.0, self.LIMIT_S)
 
+    def test_tasks_of_a_lost_worker_start_in_time_though_short_ones_use_the_room(self) -> None:
+        cell = self.cell
+        cell.dispatcher.update_host(host("w3", cores=CORES))
+        cell.answer("w3")
+        cell.started(*cell.plan())
+        cell.member("w3").grant(cell.now, RERUN_S)
+        cell.dispatcher.on_silence("w3", cell.now)
+        waited_s = self.wait(short_every=4, seconds=RERUN_S + 2 * self.LIMIT_S)
+        self.assertGreater(waited_s or 0.0, RERUN_S)
+        self.assertLess(waited_s or 0.0, RERUN_S + self.LIMIT_S)
+
     def test_lasting_tasks_wait_for_room_that_short_ones_leave_only_for_moments(self) -> None:
         self.assertIsNone(self.wait(short_every=1, seconds=9))
 
@@ -227,6 +242,26 @@
         progress = cell.dispatcher.tracked[LASTING].progress
         self.assertEqual({progress.owner((0, 0, index)) for index in range(2)}, {"west"})
 
+    def test_rooms_reserved_for_larger_lasting_tasks_keep_no_smaller_one_waiting(self) -> None:
+        cell = Cell(host("w1", cores=CORES), host("w2", cores=CORES))
+        cell.add(job(SHORT, step(2, cores=9)))
+        running = cell.plan()
+        cell.started(*running)
+        for job_id in ("2" * 16, "3" * 16):
+            cell.add(job(job_id, step(1, cores=12, lasting=True)))
+        cell.plan()
+        cell.add(job(LASTING, step(1, cores=4, lasting=True)))
+        waited_s, started = 0.0, cell.plan()
+        while not started and waited_s < 2 * Churn.LIMIT_S:
+            cell.now += Churn.TICK_S
+            waited_s += Churn.TICK_S
+            for order in running:
+                cell.answer(order.worker, [listed(order, 10 * waited_s)])
+            cell.dispatcher.tick(cell.now, cell.now)
+            started = cell.plan()
+        self.assertLess(waited_s, Churn.LIMIT_S)
+        self.assertEqual([order.task.job for order in started], [LASTING])
+
 
 class PublishedRoom(unittest.TestCase):
     def load(self, *cores: float) -> Load:
