Count a task that comes back to a cell as one that has waited, not as one that just ran there

Cause: how long a moved task has waited is told by its having no run of this holder. The record of its last run here stayed when the task was given to another cell, so each time it came back it began to wait anew, and was moved on when the 1.5 s were over.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -562,6 +562,9 @@
         for index in range(batch.step.width) if indexes is None else indexes:
             key = batch.occurrence, batch.number, index
             is_own = progress.owner(key) == self.cell
+            if not is_own:
+                # Should it come back, it has waited elsewhere since its last run here.
+                batch.tracked.former.pop(key, None)
             done = progress.is_done(*key) and not batch.step.lasting
             batch.waiting.discard(index)
             batch.held.discard(index)
