Let the time for which a lasting task should have started fade while there is no room for two

What callers would see, found by a reviewer: beside short tasks that use all kept room for nine tenths of the time, lasting tasks take it after 10 s of waiting, and after 4 to 6 s where it is in use for three to four fifths. The platform asks for 3 s on end, and short tasks lose the room that is kept for them on sites where lasting tasks wait for long.

A quarter of the other time is taken off now: below a fifth of free time the sum stays at zero.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -61,7 +61,12 @@
     WorkerOrder,
 )
 from curranthall.cells.records import has_tasks_in
-from curranthall.cells.spare import MAX_OVERDUE_S, KeptRoomAccess, SpareRoom
+from curranthall.cells.spare import (
+    MAX_OVERDUE_S,
+    OVERDUE_DECAY,
+    KeptRoomAccess,
+    SpareRoom,
+)
 from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, TrackedJob, classify
 from curranthall.cells.waits import (
     LastingWait,
@@ -1415,6 +1420,8 @@
         for batch in self._ready.values():
             if batch.waiting and self.must_start(batch, now):
                 batch.overdue_s += elapsed_s
+            else:
+                batch.overdue_s = max(0.0, batch.overdue_s - OVERDUE_DECAY * elapsed_s)
 
     def _measure_headroom(self, now: float) -> Headroom:
         """Return the room kept free for short tasks."""
--- a/src/curranthall/cells/spare.py
+++ b/src/curranthall/cells/spare.py
@@ -12,6 +12,8 @@
 SPARE_AFTER_S = 0.5
 # A task that should have started for this long, summed up, takes room that short tasks still use.
 MAX_OVERDUE_S = 0.8
+# The share of other time that is taken off that sum: room that is there for moments never adds up.
+OVERDUE_DECAY = 0.25
 # Planning passes within this time are noted as one, with the least room that any of them left.
 NOTE_INTERVAL_S = 0.1
 
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -70,7 +70,8 @@
     unplaced_since: float | None = None
     # Since when the platform has expected a run of a task whose last one lapsed.
     expected_since: float | None = None
-    # Seconds, summed up over that time, for which the platform expected the tasks to start.
+    # Seconds, summed up over that time, for which the platform expected the tasks to start, less a
+    # share of the other ones.
     overdue_s: float = 0.0
     # The step had begun when this holder took the job over.
     prior: bool = False
