--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from curranthall.cells.dispatcher import Dispatcher
-from curranthall.cells.load import MIN_CORES, Load
+from curranthall.cells.load import MIN_CORES, ROUNDING, Load
 from curranthall.cells.tracking import Batch, TrackedJob
 from curranthall.dag import Step
 from curranthall.events import Event, log
@@ -15,8 +15,6 @@
 MOVED_S = 1.8
 # At most this share of the room that another cell published is used.
 ROOM_SHARE = 0.7
-# Tolerance of quotients of cores.
-ROUNDING = 1e-9
 # Interval between log lines about one batch that no cell has room for.
 REFUSAL_LOG_INTERVAL_S = 2.0
 
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -19,8 +19,8 @@
 MIN_CORES = 0.1
 # The rooms listed in a load; more would enlarge the rows that every entry reads.
 LISTED_ROOMS = 16
-# Decimal places of a room after a subtraction, so that rounding errors hide no whole room.
-ROOM_DIGITS = 6
+# Tolerance of sums and quotients of cores, so that rounding errors hide no room.
+ROUNDING = 1e-9
 # Lower bound of the weight by which the room for a filling image is divided.
 MIN_WEIGHT = 0.05
 
@@ -119,17 +119,18 @@
 
 def count_slots(step: Step, rooms: Iterable[float]) -> int:
     """Return how many tasks of a step fit into rooms of the given free cores."""
-    return sum(int(room / max(step.size.cores, MIN_CORES)) for room in rooms)
+    cores = max(step.size.cores, MIN_CORES)
+    return sum(int(room / cores + ROUNDING) for room in rooms)
 
 
 def _take_room(rooms: list[float], cores: float) -> bool:
     """Take cores from the smallest of the rooms that fit; return whether any does."""
-    fitting = [room for room in rooms if room >= cores]
+    fitting = [room for room in rooms if room >= cores - ROUNDING]
     if not fitting:
         return False
     smallest = min(fitting)
     rooms.remove(smallest)
-    rooms.append(round(smallest - cores, ROOM_DIGITS))
+    rooms.append(max(0.0, smallest - cores))
     return True
 
 
