Let tasks that must start see the rooms that short ones were moved to

What callers would see, found by a reviewer: a cell that moves one short task of 1 core in each tick sees no room for a lasting task of 7 cores in a cell that publishes 8 and 8; it is not moved in 10 s.

Cause: a short task's move hides a piece of a room for 1.8 s, though it may have ended by then or is in the published load already. Lasting tasks that must start are placed before short ones, so these take nothing from them; only moves of lasting tasks do.

Two lasting tasks are still never sent to one room, nor a short one to that of a lasting one (test_balance).

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -42,14 +42,17 @@
         self.cell, self.epoch = published.cell, published.epoch
         self.published = published.loads
         self.left = dict(published.loads)
+        # What tasks that must start may use: they start before short ones that were moved there.
+        self.left_by_lasting = dict(published.loads)
         for move in moves:
             self.subtract(move)
 
     def subtract(self, move: _Move) -> None:
         """Subtract a move if it went to this cell."""
-        load = self.left.get(move.service)
-        if load is not None and move.cell == self.cell:
-            self.left[move.service] = load.less(move.step, move.tasks)
+        if move.service not in self.published or move.cell != self.cell:
+            return
+        for loads in (self.left, self.left_by_lasting) if move.step.lasting else (self.left,):
+            loads[move.service] = loads[move.service].less(move.step, move.tasks)
 
     def room(self, batch: Batch, must_start: bool) -> float:
         """Return the cores that tasks of a batch may use here."""
@@ -61,15 +64,15 @@
             unused = (1 - ROOM_SHARE) * max(0.0, self.published[service].room(step))
             return load.room(step) - unused
         cores = max(step.size.cores, MIN_CORES)
-        slots = load.slots(step)
         if not must_start:
-            return min(load.room(step), slots * cores)
+            return min(load.room(step), load.slots(step) * cores)
         # They start before all others that wait there, so they may use each whole room.
-        return (slots or load.slots_of_last_resort(step)) * cores
+        load = self.left_by_lasting[service]
+        return (load.slots(step) or load.slots_of_last_resort(step)) * cores
 
     def is_last_resort(self, batch: Batch) -> bool:
         """Return whether a task of a lasting step only fits on quarantined workers."""
-        load = self.left.get(batch.tracked.queue.service)
+        load = self.left_by_lasting.get(batch.tracked.queue.service)
         if load is None or not batch.step.lasting or load.slots(batch.step):
             return False
         return load.slots_of_last_resort(batch.step) > 0
@@ -145,7 +148,9 @@
             cores=step.size.cores,
             must_start=must_start,
             slots={each.cell: each.published.get(service, none).slots(step) for each in targets},
-            left={each.cell: each.left.get(service, none).slots(step) for each in targets},
+            left={
+                each.cell: each.left_by_lasting.get(service, none).slots(step) for each in targets
+            },
             rooms={each.cell: round(each.room(batch, must_start), 1) for each in targets},
         )
 
