Go on with the wait of a task whose start had no effect, and try another worker first

Cause: placing ends the wait, whether the start has an effect or not, and nothing remembers the refusal beyond a pause of 0.5 s. Now a run keeps how long its task had waited, a start that was refused or never sent gives it back, and workers that refused a task are avoided where another fits.

tests.test_beside_room Refusals: failed on, passes now. test_dispatcher, headroom, departure, waits, quarantine, poison and balance: OK, 222 run with it.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -12,6 +12,7 @@
 from curranthall.cells.departure import Departures, departing_runs, has_room_elsewhere
 from curranthall.cells.fencing import Fencing
 from curranthall.cells.fleet import (
+    NO_EFFECT,
     NO_END_LISTED,
     EndReason,
     FormerRun,
@@ -1020,6 +1021,8 @@
             self._stop_gang(batch, now)
         else:
             self._update_waiting(batch, now, (run.task.number,))
+            if why in NO_EFFECT and run.task.number in batch.waiting:
+                batch.resume(run.wait)
 
     def _detach_run(self, run: Run, why: EndReason, how: str = "") -> Batch | None:
         """Remove a run that is over; return its batch if its job is tracked and not final."""
@@ -1105,9 +1108,12 @@
             why=result.value,
         )
         match result:
-            case StartResult.NO_ROOM:
+            case StartResult.NO_ROOM | StartResult.UNHEALTHY:
                 member.pause(now + NO_ROOM_PAUSE_S)
-            case StartResult.UNHEALTHY | StartResult.TOO_LATE:
+                # The task goes elsewhere first, or the worker would be chosen after each pause.
+                tracked = self.tracked[run.task.job]
+                tracked.refused_on.setdefault(run.task[1:], set()).add(run.worker)
+            case StartResult.TOO_LATE:
                 member.pause(now + NO_ROOM_PAUSE_S)
             case StartResult.NO_TICKET:
                 self._get_batch(self.tracked[run.task.job], run.task).tickets.drop(member.name, now)
@@ -1704,7 +1710,7 @@
         held_back: tuple[int, PlacementRequest] | None = None
         for index in indexes:
             crashes = count_for_placement(batch, index)
-            avoid = frozenset(tracked.failed_on.get((batch.occurrence, batch.number, index), ()))
+            avoid = tracked.avoided_workers((batch.occurrence, batch.number, index))
             req = PlacementRequest(
                 service,
                 step,
@@ -1835,6 +1841,7 @@
         checkpoint = tracked.checkpoints.get(task[1:], "") if batch.step.checkpointing else ""
         run = Run(task, number, member.name, batch.step, RunState.STARTING, now, checkpoint)
         run.probation_until, run.crashes = now + PROBATION_S, count_crashes(batch, index)
+        run.wait = batch.wait()
         run.note_progress(now)
         self._add_run(batch, run, member)
         if run.crashes >= ISOLATION_CRASHES:
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -64,6 +64,9 @@
     {EndReason.UNSENT, EndReason.LAPSED, EndReason.VANISHED, EndReason.REBORN, EndReason.GONE}
 )
 
+# Reasons that tell that the run never started.
+NO_EFFECT = frozenset({EndReason.REFUSED, EndReason.UNSENT})
+
 
 class FormerRun(NamedTuple):
     """The last run of a task that has to start again, and why it is over."""
@@ -73,6 +76,14 @@
     worker: str
 
 
+class Wait(NamedTuple):
+    """How long tasks of a batch had found no worker when one of them was placed."""
+
+    unplaced_since: float | None = None
+    expected_since: float | None = None
+    overdue_s: float = 0.0
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One start of a task on one worker."""
@@ -96,6 +107,8 @@
     pace: int = 100
     # The worker with room reserved for the task's next run, while this one is being stopped.
     moving_to: str = ""
+    # What the task waited for this start.
+    wait: Wait = Wait()
     # How often in a row a worker crashed with the task, as of this start.
     crashes: int = 0
     # Until an answer from after this time lists the run, a crash may be its doing; 0 once it can't.
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from curranthall.cells.advice import Tickets
-from curranthall.cells.fleet import FormerRun, Run
+from curranthall.cells.fleet import FormerRun, Run, Wait
 from curranthall.dag import Job, Phase, Progress, Step, TaskId
 from curranthall.dag.progress import TaskKey
 
@@ -31,6 +31,11 @@
     return f"{2.0 ** min(max(power, MIN_CLASS_POWER), MAX_CLASS_POWER):g}"
 
 
+def _earliest(*times: float | None) -> float | None:
+    """Return the earliest of the known times."""
+    return min((each for each in times if each is not None), default=None)
+
+
 class Queue(NamedTuple):
     """Configuration of a queue; times in milliseconds."""
 
@@ -85,6 +90,16 @@
         """Record that none of the tasks waits for a worker."""
         self.unplaced_since, self.expected_since, self.overdue_s = None, None, 0.0
 
+    def wait(self) -> Wait:
+        """Return how long tasks have found no worker."""
+        return Wait(self.unplaced_since, self.expected_since, self.overdue_s)
+
+    def resume(self, wait: Wait) -> None:
+        """Go on with a wait that a start without effect has interrupted."""
+        self.unplaced_since = _earliest(self.unplaced_since, wait.unplaced_since)
+        self.expected_since = _earliest(self.expected_since, wait.expected_since)
+        self.overdue_s = max(self.overdue_s, wait.overdue_s)
+
     def siblings(self) -> dict[str, int]:
         """Return the number of runs by worker; one that moves counts where it will start."""
         counts: dict[str, int] = {}
@@ -137,6 +152,7 @@
     batches: dict[tuple[int, int], Batch] = field(default_factory=dict)
     checkpoints: dict[TaskKey, str] = field(default_factory=dict)
     failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
+    refused_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     former: dict[TaskKey, FormerRun] = field(default_factory=dict)
     # Number of the last local change, and of the last one that the row contains.
     change: int = 0
@@ -173,6 +189,10 @@
             return Phase.RUNNING
         return Phase.RUNNING if phase is Phase.QUEUED and self.has_started else phase
 
+    def avoided_workers(self, key: TaskKey) -> frozenset[str]:
+        """Return the workers on which a task failed or that refused it."""
+        return frozenset(self.failed_on.get(key, set()) | self.refused_on.get(key, set()))
+
     def active(self) -> bool:
         """Return whether this cell knows any run of the job."""
         return any(batch.active for batch in self.batches.values())
