Let a job of which nothing runs use reserved workers while its service is not busy

What callers would see, found by a reviewer by reading: two waiting lasting tasks of 50 cores reserve both workers, of which 24 of 64 cores are in use; a short job of 8 cores has nothing running for as long as they wait, with room for it and under half of the service in use, which the platform allows for 3 s (LOST).

tests.test_beside_room Reservations: its second test put both running tasks on one worker, so the short job started at once and the test failed for that reason; with one on each worker it fails without this change and passes with it. test_dispatcher, headroom, waits, quarantine, poison, balance, capacity and the sizes of urgent jobs: OK.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1484,7 +1484,7 @@
             if not batch.count_waiting():
                 del self._ready[batch.tracked.job.id, batch.occurrence, batch.number]
             elif batch.waiting and not self._is_held(batch, now):
-                if reserved and self.must_start(batch, now):
+                if reserved and self._may_use_reserved(batch, now):
                     # Room in which the tasks that it is reserved for do not fit yet is free for it.
                     self._place(batch, usable, [], now)
                 else:
@@ -1494,6 +1494,15 @@
                 if batch.step.lasting and batch.waiting:
                     self._reserve_worker(batch, usable, reserved, now)
 
+    def _may_use_reserved(self, batch: Batch, now: float) -> bool:
+        """Return whether the platform expects tasks to start, whatever lasting ones wait for."""
+        if batch.step.lasting:
+            return self.must_start(batch, now)
+        since = batch.unplaced_since
+        if batch.step.filling or since is None or now - since < STANDSTILL_S:
+            return False
+        return not batch.tracked.active() and not self._is_busy(batch.tracked.queue.service, now)
+
     def _move_departing(self, usable: list[Member], reserved: dict[str, Size], now: float) -> None:
         """Stop lasting runs on departing workers if their tasks can start elsewhere.
 
--- a/tests/test_beside_room.py
+++ b/tests/test_beside_room.py
@@ -63,7 +63,7 @@
         self.assertIsNotNone(waits(self.cell, f"{4:016x}", RESTART_S + LIMIT_S))
 
     def test_short_tasks_start_on_workers_reserved_for_lasting_ones(self) -> None:
-        self.assertEqual(len(self.add(1, step(2, cores=24))), 2)
+        self.assertEqual(len(self.add(1, step(2, cores=24, max_per_worker=1))), 2)
         self.add(2, step(1, cores=50, lasting=True))
         self.add(3, step(1, cores=50, lasting=True))
         self.add(4, step(1, cores=8))
