Collect the rooms for lasting tasks once a time, not for each waiting batch

The rooms are collected once for a time and the last run placed now.

No change of what is decided; test_cost, test_headroom, test_balance, test_dispatcher and others pass.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -204,6 +204,9 @@
         # Computed once a planning pass, when it is first needed.
         self._headroom: Headroom | None = None
         self._spare_room = SpareRoom()
+        # Valid as of a time, the last run placed and whether the cell is closed.
+        self._rooms: dict[str, list[Size]] = {}
+        self._rooms_as_of: tuple[float, int, bool] | None = None
         self._busy_by_service: dict[str, bool] = {}
         # Moving average of a job's core-seconds, by queue.
         self._usual_work: dict[str, float] = {}
@@ -1352,20 +1355,21 @@
         if not batch.step.lasting or not self._has_waited_long(batch, now):
             return False
         service, size = batch.tracked.queue.service, batch.step.size
-        free_cores = [
-            member.room.cores
-            for member in self.members.values()
-            if member.host.service == service
-            and member.confirmed
-            and (member.is_available(now) or member.is_last_resort(now))
-            and not self.closed
-            and size.fits(member.room)
-        ]
-        slots = count_slots(batch.step, free_cores)
+        own = self._rooms_by_service(now).get(service, ())
+        slots = count_slots(batch.step, [room.cores for room in own if size.fits(room)])
         for load in self.other_cell_loads.get(service, ()):
             slots += load.slots(batch.step) + load.slots_of_last_resort(batch.step)
         return slots >= 2
 
+    def _rooms_by_service(self, now: float) -> dict[str, list[Size]]:
+        """Return the rooms in which lasting tasks may start, quarantined workers included."""
+        if self._rooms_as_of != (now, self._last_run, self.closed):
+            self._rooms, self._rooms_as_of = {}, (now, self._last_run, self.closed)
+            for member in () if self.closed else self.members.values():
+                if member.confirmed and (member.is_available(now) or member.is_last_resort(now)):
+                    self._rooms.setdefault(member.host.service, []).append(member.room)
+        return self._rooms
+
     def _has_waited_long(self, batch: Batch, now: float) -> bool:
         """Return whether a task waited for LASTING_WAIT_S, also in another cell or before."""
         # A closed cell places nothing, so its tasks wait from the start.
