Take up the jobs of a cell part by part

Callers saw no job of a taken cell run while one part of the store was away for its new holder, or reads failed now and then, and all jobs wait for all parts where the store is slow: rows were read of all parts or none, from part 0 again after each failure, at the take and again for the proof.

Now one loop reads the parts that are due, one at a time; a part that fails comes again after the others. A part's rows are applied when they are read, and its jobs are claimed and proven on their own: a job's row is in one part, and a former holder acknowledges an end only after it is in that row. Why nothing starts too early: - A read counts as proof only if all workers were fenced when it began; one that was under way is repeated. - Claims and proof writes check the row's version as before, so a row that changed since its read conflicts. - A worker that lists a run of a job that isn't known yet gets no start, and the run stays, also while its part is away. - Messages about jobs of a part that was not read yet are ignored: the read finds them. The version up to which the feed was read no longer falls back when rows are read again, so an old message about a job that was moved on stays old. - The feed is followed again from the version of the rows just read: what it showed of jobs not known then may be newer.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -60,7 +60,7 @@
     StopTask,
     WorkerOrder,
 )
-from curranthall.cells.records import has_tasks_in
+from curranthall.cells.records import PARTS, has_tasks_in, part_of
 from curranthall.cells.spare import MAX_OVERDUE_S, KeptRoomAccess, SpareRoom
 from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, TrackedJob, classify
 from curranthall.cells.waits import (
@@ -187,8 +187,9 @@
         # Workers were proven or rows were read since the held tasks were last checked.
         self._recheck_held = False
         self._fencing = Fencing()
-        # Whether rows were read after all workers were fenced.
+        # Whether the rows of all parts, and of which, were read after all workers were fenced.
         self.proven = True
+        self._proven_parts: set[str] = set()
         self._last_run = epoch * RUNS_PER_EPOCH
         self._summary_at = 0.0
         self._ticked_at = 0.0
@@ -244,14 +245,21 @@
         """Return the number of workers that may still accept orders of a former holder."""
         return len(self._fencing.unproven)
 
-    def note_rows_read(self) -> None:
-        """Record that rows were read after all workers were fenced.
+    def needs_proof(self, part: str) -> bool:
+        """Return whether a part's rows were not read since all workers were fenced."""
+        return not self.proven and part not in self._proven_parts
+
+    def note_rows_read(self, parts: Iterable[str] = PARTS) -> None:
+        """Record that the rows of parts were read after all workers were fenced.
 
         A former holder acknowledges an end only after its row is committed, so the rows contain
-        every end that the workers no longer list.
+        every end that the workers no longer list. A job's row is in one part.
         """
-        self.proven = True
+        self._proven_parts.update(parts)
+        self.proven = self._proven_parts.issuperset(PARTS)
         for tracked in self.tracked.values():
+            if part_of(tracked.job.id) not in parts:
+                continue
             was_claimed = tracked.claim_change > 0
             self._claim(tracked)
             only_records_starts = all(step.records_starts for step in tracked.job.steps)
@@ -261,6 +269,10 @@
                 tracked.proof_change = tracked.change
         self._recheck_held = True
 
+    def _is_proven(self, tracked: TrackedJob) -> bool:
+        """Return whether a job's part was read after all workers were fenced."""
+        return not self.needs_proof(part_of(tracked.job.id))
+
     def _free_held(self, now: float) -> None:
         """Let the held tasks start that no worker of a former holder can run any more."""
         self._recheck_held = False
@@ -274,7 +286,9 @@
 
         The job's row names the worker of the task's last start; rows without the record don't.
         """
-        if not batch.tracked.prior or not batch.step.records_starts or self.proven:
+        if not batch.tracked.prior or not batch.step.records_starts:
+            return False
+        if self._is_proven(batch.tracked):
             return False
         places, unproven = batch.tracked.progress.places, self._fencing.unproven
         if places is None or UNKNOWN_WORKER in unproven:
@@ -289,7 +303,7 @@
         holder sends a start only after it is recorded.
         """
         records_starts = any(step.records_starts for step in tracked.job.steps)
-        if self.proven or (records_starts and tracked.progress.places is not None):
+        if self._is_proven(tracked) or (records_starts and tracked.progress.places is not None):
             self._claim(tracked)
 
     def _claim(self, tracked: TrackedJob) -> None:
@@ -464,7 +478,7 @@
         progress = tracked.progress
         if tracked.active() or tracked.has_started or progress.moved_to or progress.places:
             return True
-        return tracked.prior and (not self.proven or self._has_unheard_workers())
+        return tracked.prior and (not self._is_proven(tracked) or self._has_unheard_workers())
 
     def move(
         self,
@@ -1596,7 +1610,7 @@
             return True
         if not tracked.prior or batch.step.records_starts:
             return False
-        if not self.proven or tracked.recorded < tracked.proof_change:
+        if not self._is_proven(tracked) or tracked.recorded < tracked.proof_change:
             return True
         return not batch.step.lasting and self._has_unheard_workers()
 
--- a/src/curranthall/cells/records.py
+++ b/src/curranthall/cells/records.py
@@ -1,6 +1,6 @@
 """Job rows in the store: the immutable job and its progress, kept in the same part."""
 
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
 from curranthall.cells.owner import CELL_PART, DETAIL_TABLE, Details, decode_details_row
@@ -81,31 +81,23 @@
     return None
 
 
-async def read_all(
-    store: Store, cell: str, known: Collection[str]
-) -> tuple[list[StoredJob], dict[str, int]]:
-    """Return the cell's unfinished jobs and those in `known`, and the version read per part.
-
-    `known` may grow during the call.
-    """
-    found: list[StoredJob] = []
-    versions: dict[str, int] = {}
-    for part in PARTS:
-        listing = await store.scan(PROGRESS_TABLE, part)
-        versions[part] = listing.version
-        rows = {row.key: (decode_progress_row(row), row.version) for row in listing.rows}
-        wanted = {
-            key: (progress, version)
-            for key, (progress, version) in rows.items()
-            if progress is not None
-            and (key in known or (has_tasks_in(progress, cell) and not progress.phase.is_final))
-        }
-        if wanted:
-            jobs = await store.scan(JOB_TABLE, part, min(wanted), max(wanted) + "\0")
-            for job in _decode_jobs(jobs.rows):
-                if job.id in wanted:
-                    found.append(StoredJob(job, *wanted[job.id]))
-    return found, versions
+async def read_part(
+    store: Store, cell: str, part: str, is_known: Callable[[str], bool]
+) -> tuple[list[StoredJob], int]:
+    """Return the cell's unfinished jobs of a part and the known ones, and the version read."""
+    listing = await store.scan(PROGRESS_TABLE, part)
+    rows = {row.key: (decode_progress_row(row), row.version) for row in listing.rows}
+    wanted = {
+        key: (progress, version)
+        for key, (progress, version) in rows.items()
+        if progress is not None
+        and (is_known(key) or (has_tasks_in(progress, cell) and not progress.phase.is_final))
+    }
+    if not wanted:
+        return [], listing.version
+    jobs = await store.scan(JOB_TABLE, part, min(wanted), max(wanted) + "\0")
+    found = [StoredJob(job, *wanted[job.id]) for job in _decode_jobs(jobs.rows) if job.id in wanted]
+    return found, listing.version
 
 
 async def read_details(store: Store, cell: str) -> Details:
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -37,8 +37,8 @@
     has_tasks_in,
     other_cells,
     part_of,
-    read_all,
     read_job,
+    read_part,
 )
 from curranthall.cells.tracking import TrackedJob
 from curranthall.dag import Job, Progress
@@ -165,11 +165,17 @@
         self._commits = 0
         self._ended = False
         self._releasing = False
-        self._feed_from = 0
+        # The version after which the feed has to be read; None while that is not known.
+        self._feed_from: int | None = None
+        # The version up to which the feed was read.
+        self._fed_to = 0
         # By part, the store version up to which its rows were read.
         self._read_versions: dict[str, int] = {}
+        # The parts whose rows have to be read, in this order; a part leaves it as its read begins.
+        self._due_parts = dict.fromkeys(PARTS)
+        self._parts_due = asyncio.Event()
+        self._proof_requested = False
         self._resolving = False
-        self._proving = False
         self._lookups = asyncio.Semaphore(LOOKUP_JOBS)
         self.loaded = False
 
@@ -515,15 +521,14 @@
     async def _resolve_unknown(self) -> None:
         """Look up the jobs of listed runs and ends that this holder does not track."""
         try:
-            while self.dispatcher.unknown_jobs and not self.loaded:
-                await asyncio.sleep(TICK_S)
             failed: set[str] = set()
             while unknown := self.dispatcher.list_unknown_jobs():
                 # Those whose read failed come again after the others.
-                job_ids = [job_id for job_id in unknown if job_id not in failed][:LOOKUP_JOBS]
+                wanted = [each for each in unknown if self._is_read(each) and each not in failed]
+                job_ids = wanted[:LOOKUP_JOBS]
                 if not job_ids:
+                    await asyncio.sleep(STORE_RETRY_S if failed else TICK_S)
                     failed.clear()
-                    await asyncio.sleep(STORE_RETRY_S)
                     continue
                 found = await asyncio.gather(*(self._resolve(job_id) for job_id in job_ids))
                 failed.update(each for each, ok in zip(job_ids, found, strict=True) if not ok)
@@ -621,18 +626,13 @@
             await asyncio.sleep(TICK_S)
             now = self._clock()
             self.dispatcher.tick(now, self.confirmed_at)
-            if not self._proving and self._awaits_proof():
-                self._proving = True
-                # Timers and moves go on while rows are read.
-                self._spawn(self._prove(), is_loop=True)
-            if self.can_order() and self.loaded:
+            if self.dispatcher.is_fully_fenced and not self._proof_requested:
+                self._proof_requested = True
+                self._request_rows(part for part in PARTS if self.dispatcher.needs_proof(part))
+            if self.can_order() and self._read_versions:
                 self._balancer.move_stranded(self.dispatcher, self._others.loads(self.cell), now)
             self.wake()
 
-    def _awaits_proof(self) -> bool:
-        """Return whether all workers are fenced, and rows have to be read again after that."""
-        return self.loaded and self.dispatcher.is_fully_fenced and not self.dispatcher.proven
-
     # Progress rows
 
     async def _record_loop(self, part: str) -> None:
@@ -711,13 +711,20 @@
         """
         if stored.job.id in self.dispatcher.tracked:
             self._apply(stored, "message")
-        elif not self.loaded or stored.version <= self._read_version(stored.job.id):
+        elif self._is_stale(stored):
             log(Event.JOB_OFFER_STALE, job=stored.job.id, version=stored.version, cell=self.cell)
         else:
             self._apply(stored, "message")
 
-    def _read_version(self, job_id: str) -> int:
-        return max(self._feed_from, self._read_versions.get(part_of(job_id), 0))
+    def _is_stale(self, stored: StoredJob) -> bool:
+        """Return whether rows that were read, or will be, are newer than a message."""
+        job_id = stored.job.id
+        read = max(self._fed_to, self._read_versions.get(part_of(job_id), 0))
+        return not self._is_read(job_id) or stored.version <= read
+
+    def _is_read(self, job_id: str) -> bool:
+        """Return whether the rows of a job's part were read."""
+        return self.loaded or part_of(job_id) in self._read_versions
 
     def _apply(self, stored: StoredJob, by: str) -> None:
         """Refresh a job if it is tracked, or adopt it if this cell owns tasks of it."""
@@ -753,55 +760,98 @@
             self.wake()
 
     async def _load_jobs(self) -> None:
-        """Load the cell's jobs, then follow the feed of progress rows."""
-        while not self.loaded:
+        """Read the rows of the parts that are due, one at a time, and follow their feed."""
+        failures, is_followed = 0, False
+        while True:
+            while not self._due_parts:
+                self._parts_due.clear()
+                await self._parts_due.wait()
+            part = next(iter(self._due_parts))
+            del self._due_parts[part]
             try:
-                # Finished jobs whose runs or ends the workers list are loaded, too.
-                known = self.dispatcher.unknown_jobs
-                stored, self._read_versions = await read_all(self._store, self.cell, known)
+                await self._read_rows(part)
+                failures = 0
             except (PlatformDown, AnswerLost) as exc:
-                log(Event.STORE_FAILED, what="load", error=exc)
-                await asyncio.sleep(STORE_RETRY_S)
-                continue
-            self._feed_from = min(self._read_versions.values())
-            for found in stored:
+                log(Event.STORE_FAILED, what="rows", part=part, error=exc)
+                # It comes again after the others, which it must not hold up.
+                self._request_rows([part])
+                failures += 1
+                if failures >= len(self._due_parts):
+                    await asyncio.sleep(STORE_RETRY_S)
+            if not is_followed and (self.loaded or failures):
+                # A part that can't be read does not hold up the feed of the others.
+                is_followed = True
+                self._spawn(self._feed_loop(), is_loop=True)
+
+    def _request_rows(self, parts: Iterable[str]) -> None:
+        """Read the rows of parts, again if a read of them is under way."""
+        for part in parts:
+            self._due_parts.setdefault(part)
+        self._parts_due.set()
+
+    async def _read_rows(self, part: str) -> None:
+        """Read and apply the rows of a part; they are proof if all workers were fenced before."""
+        dispatcher, is_fenced = self.dispatcher, self.dispatcher.is_fully_fenced
+        stored, version = await read_part(self._store, self.cell, part, self._is_known)
+        self._read_versions[part] = max(version, self._read_versions.get(part, 0))
+        # What the feed showed of jobs that were not known before may be newer than their rows.
+        self._feed_after(version)
+        for found in stored:
+            if found.job.id in dispatcher.unknown_jobs:
                 self._adopt(found, by="rows")
+            else:
+                self._apply(found, "rows")
+        if is_fenced and dispatcher.needs_proof(part):
+            dispatcher.note_rows_read((part,))
+            if dispatcher.proven:
+                log(Event.CELL_PROVEN, cell=self.cell, by="rows")
+        if not self.loaded and len(self._read_versions) == len(PARTS):
             self.loaded = True
-            log(Event.CELL_LOADED, cell=self.cell, jobs=len(stored))
+            log(Event.CELL_LOADED, cell=self.cell, jobs=len(dispatcher.tracked))
             self._renew_now.set()
-            self.wake()
+        self.wake()
+
+    def _is_known(self, job_id: str) -> bool:
+        """Return whether a job is read though it may be finished or without tasks here."""
+        tracked = self.dispatcher.tracked.get(job_id)
+        if tracked is None:
+            return job_id in self.dispatcher.unknown_jobs
+        return not tracked.progress.phase.is_final
+
+    def _feed_after(self, version: int) -> None:
+        """Read the feed from a version on, or an earlier one that is due."""
+        self._feed_from = version if self._feed_from is None else min(self._feed_from, version)
+
+    async def _feed_loop(self) -> None:
         while True:
-            await self._follow_feed()
+            if self._feed_from is None:
+                await asyncio.sleep(TICK_S)
+            else:
+                await self._follow_feed(self._feed_from)
 
-    async def _follow_feed(self) -> None:
+    async def _follow_feed(self, after: int) -> None:
+        # Rows that are applied from here on set it.
+        self._feed_from = None
         try:
-            page = await self._store.feed(PROGRESS_TABLE, self._feed_from, FEED_WAIT_MS)
+            page = await self._store.feed(PROGRESS_TABLE, after, FEED_WAIT_MS)
             new = [row.key for row in page.rows if self._refresh_or_select(row)]
             for at in range(0, len(new), LOOKUP_JOBS):
                 chunk = new[at : at + LOOKUP_JOBS]
                 await asyncio.gather(*(self._apply_stored(job_id) for job_id in chunk))
         except HistoryLost:
-            log(Event.FEED_RESTARTED, table=PROGRESS_TABLE, after=self._feed_from)
-            await self._reload()
+            log(Event.FEED_RESTARTED, table=PROGRESS_TABLE, after=after)
+            self._request_rows(PARTS)
             return
         except (PlatformDown, AnswerLost) as exc:
-            # `_feed_from` is unchanged: the page is read again, so no row is missed.
+            # The page is read again, so no row is missed.
+            self._feed_after(after)
             log(Event.STORE_FAILED, what="feed", error=exc)
             await asyncio.sleep(STORE_RETRY_S)
             return
-        self._feed_from = max(self._feed_from, page.version)
+        self._fed_to = max(self._fed_to, page.version)
+        self._feed_after(max(after, page.version))
         await asyncio.sleep(FEED_PAUSE_S)
 
-    async def _prove(self) -> None:
-        """Reload the rows once all workers are fenced: no former holder can add to them unseen."""
-        try:
-            if await self._reload():
-                self.dispatcher.note_rows_read()
-                log(Event.CELL_PROVEN, cell=self.cell, by="rows")
-                self.wake()
-        finally:
-            self._proving = False
-
     def _refresh_or_select(self, row: Row) -> bool:
         """Refresh a tracked job; return True for another unfinished one with tasks here."""
         if row.key in self.dispatcher.tracked:
@@ -817,21 +867,3 @@
             stored = await read_job(self._store, job_id)
         if stored is not None:
             self._apply(stored, "feed")
-
-    async def _reload(self) -> bool:
-        """Reload the cell's rows; return False when the store failed."""
-        try:
-            stored, self._read_versions = await read_all(self._store, self.cell, self._unfinished())
-        except (PlatformDown, AnswerLost) as exc:
-            log(Event.STORE_FAILED, what="reload", error=exc)
-            await asyncio.sleep(STORE_RETRY_S)
-            return False
-        self._feed_from = min(self._read_versions.values())
-        for found in stored:
-            self._apply(found, "rows")
-        return True
-
-    def _unfinished(self) -> frozenset[str]:
-        """Return the ids of the tracked jobs that are not final."""
-        tracked = self.dispatcher.tracked.items()
-        return frozenset(job for job, each in tracked if not each.progress.phase.is_final)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -191,6 +191,8 @@
         self.read_only: set[str] = set()
         # Entries for which the store part with the owner rows is down.
         self.cell_rows_down: set[str] = set()
+        # Pairs of an entry and a part of the store that is away for it.
+        self.parts_away: set[tuple[str, str]] = set()
         # Extra delay of messages to other entries, by sender.
         self.send_delay_s: dict[str, float] = {}
         # Extra duration of each commit.
@@ -344,7 +346,7 @@
         """Return whether a fault of the platform or a process is active."""
         shares = self.lose_answers + self.apply_late + self.late_holds + self.commit_delay_s
         places = self.cuts or self.read_only or self.cell_rows_down or self.send_delay_s
-        return bool(self.store_down or shares or places or self.frozen)
+        return bool(self.store_down or self.parts_away or shares or places or self.frozen)
 
     async def _step_workers(self) -> None:
         while True:
@@ -474,6 +476,12 @@
             raise PlatformDown(why="away")
         self.failing = False
 
+    async def _reach_part(self, part: str) -> None:
+        await self._reach()
+        if (self._entry.name, part) in self._cluster.parts_away:
+            await asyncio.sleep(TIMEOUT_S)
+            raise PlatformDown(why="part away")
+
     def _is_down(self, part: str) -> bool:
         return part == CELL_PART and self._entry.name in self._cluster.cell_rows_down
 
@@ -481,7 +489,7 @@
         self, part: str, checks: list[Check], puts: list[Put], drops: list[Drop]
     ) -> Committed | Stale:
         """Commit; at random, lose the answer or apply the transaction late."""
-        await self._reach()
+        await self._reach_part(part)
         cluster = self._cluster
         if self._entry.name in cluster.read_only or self._is_down(part):
             raise PlatformDown(why="refused")
@@ -501,7 +509,7 @@
 
     async def scan(self, table: str, part: str, start: str = "", end: str = "") -> Listing:
         """List rows, unless the store or the part is down."""
-        await self._reach()
+        await self._reach_part(part)
         if self._is_down(part):
             raise PlatformDown(why="refused")
         listing = await self._cluster.store.scan(table, part, start, end)
--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -1,17 +1,16 @@
 """Random simulations of takeovers in which the former holder is unaware of its successor.
 
 `python -m tests.takeover [FIRST [COUNT [KIND]]]` simulates COUNT seeds and prints the broken rules;
-KIND is `takeover`, `restarts`, `overload`, `departure`, `lasting` or `series`.
-
-
-KIND is `takeover`, `restarts`, `overload`, `departure`, `lasting` or `series`.
+KIND is `takeover`, `restarts`, `overload`, `departure`, `lasting`, `series` or `parts`.
 """
 
 import asyncio
+import functools
 import random
 import sys
 from collections.abc import Callable
 
+from curranthall.cells.records import PARTS
 from curranthall.dag import Job, Step
 from curranthall.errors import CurranthallError
 from curranthall.intake import Verdict
@@ -344,6 +343,9 @@
 class Series(Simulation):
     """A simulation in which one cell loses holder after holder while its workers come and go."""
 
+    # The share of seeds in which the store is disturbed.
+    store_share = 0.5
+
     def __init__(self, seed: int) -> None:
         super().__init__(seed)
         # The product draws the workers that it probes from the shared generator.
@@ -372,7 +374,7 @@
         cluster.evacuated = frozenset()
         later = [asyncio.ensure_future(self._submit_later(100 + number)) for number in range(4)]
         lanes = [self._lose_holders(), self._lose_workers()]
-        if rng.random() < 0.5:
+        if rng.random() < self.store_share:
             lanes.append(self._disturb_store())
         await asyncio.gather(*lanes)
         for heal in self._heals:
@@ -541,6 +543,24 @@
             cluster.store_down = False
 
 
+class Parts(Series):
+    """A series of takeovers while parts of the store are away, for all entries or some."""
+
+    store_share = 1.0
+
+    async def _disturb_store(self) -> None:
+        rng, cluster = self.rng, self.cluster
+        for _ in range(rng.randint(2, 6)):
+            await asyncio.sleep(rng.uniform(0.1, 3.0))
+            names = sorted(cluster.entries)
+            names = names if rng.random() < 0.5 else rng.sample(names, 3)
+            parts = rng.sample(PARTS, rng.choice((1, 1, 3, 7)))
+            away = {(name, part) for name in names for part in parts} - cluster.parts_away
+            cluster.parts_away |= away
+            seconds = rng.choice((rng.uniform(0.1, 1.5), rng.uniform(1.0, 15.0)))
+            self._heal_later(seconds, functools.partial(cluster.parts_away.difference_update, away))
+
+
 KINDS = {
     "takeover": Simulation,
     "restarts": Restarts,
@@ -548,6 +568,7 @@
     "departure": Departure,
     "lasting": Lasting,
     "series": Series,
+    "parts": Parts,
 }
 
 
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -838,6 +838,19 @@
 
         self.assertEqual(self.play(scene).dispatcher.tracked, {})
 
+    def test_a_message_older_than_a_move_that_the_feed_showed_is_ignored(self) -> None:
+        async def scene(store: MemoryStore, runtime: CellRuntime) -> None:
+            loop = asyncio.create_task(runtime._load_jobs())
+            await asyncio.sleep(0.5)
+            sent = await self.store_job(store, Progress(CELL))
+            moved = Put(PROGRESS_TABLE, sent.job.id, Progress("south", moves=1).encode())
+            await store.commit(part_of(sent.job.id), [], [moved], [])
+            await asyncio.sleep(3.0)
+            runtime.offer(sent)
+            loop.cancel()
+
+        self.assertEqual(self.play(scene).dispatcher.tracked, {})
+
     def test_a_message_about_a_new_job_is_applied_at_once(self) -> None:
         async def scene(store: MemoryStore, runtime: CellRuntime) -> None:
             await self.follow(runtime, 1.0)
@@ -920,8 +933,10 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         super().__init__(clock)
         self.reads: dict[str, int] = {}
-        self.open = self.most_open = 0
+        self.open = self.most_open = self.scans = 0
         self.fail = 0
+        # Each scan of progress whose number is divisible by this fails, if it is not 0.
+        self.fail_each = 0
 
     async def scan(self, table: str, part: str, start: str = "", end: str = "") -> Listing:
         if table != PROGRESS_TABLE:
@@ -931,8 +946,10 @@
         listing = await super().scan(table, part, start, end)
         await asyncio.sleep(self.READ_S)
         self.open -= 1
-        if self.fail:
-            self.fail -= 1
+        self.scans += 1
+        is_unlucky = self.fail_each and self.scans % self.fail_each == 0
+        if self.fail or is_unlucky:
+            self.fail = max(0, self.fail - 1)
             raise PlatformDown(why="test")
         self.reads[part] = self.reads.get(part, 0) + 1
         return listing
@@ -982,6 +999,16 @@
         self.assertEqual(store.reads, dict.fromkeys(PARTS, 2))
         self.assertEqual(store.most_open, 1)
 
+    def test_a_failed_read_of_a_part_does_not_start_the_others_anew(self) -> None:
+        """While a third of the reads failed, no eight in a row succeeded."""
+
+        async def scene(store: SlowReads, runtime: CellRuntime) -> None:
+            store.fail_each = 3
+            await asyncio.sleep(5.0)
+            self.assertTrue(runtime.loaded)
+
+        self.assertTrue(self.take(scene)[1].dispatcher.proven)
+
     def test_a_proof_whose_read_failed_is_tried_again(self) -> None:
         async def scene(store: SlowReads, runtime: CellRuntime) -> None:
             await asyncio.sleep(self.PROOF_S + 0.2)
@@ -991,6 +1018,181 @@
         self.assertTrue(self.take(scene)[1].dispatcher.proven)
 
 
+class StoreOfParts(MemoryStore):
+    """Scans of the parts in `away` time out; those of `slow` tables and parts take `slow_s`."""
+
+    AWAY_S = 0.6
+    SLOW_S = 3.0
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        super().__init__(clock)
+        self.away: set[str] = set()
+        self.slow: set[tuple[str, str]] = set()
+        self.slow_s = self.SLOW_S
+
+    async def scan(self, table: str, part: str, start: str = "", end: str = "") -> Listing:
+        if part in self.away:
+            await asyncio.sleep(self.AWAY_S)
+            raise PlatformDown(why="away")
+        listing = await super().scan(table, part, start, end)
+        if (table, part) in self.slow:
+            await asyncio.sleep(self.slow_s)
+        return listing
+
+
+class StartSpy(IdleWorker):
+    """Lists `running`; records the jobs whose starts and stops it gets, and refuses the starts."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        super().__init__(clock)
+        self.running: list[ListedRun] = []
+        self.started: set[str] = set()
+        self.stopped: set[str] = set()
+
+    async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
+        return (await super().hold(epoch, cursor, lease_ms, wait_ms))._replace(running=self.running)
+
+    async def start(self, epoch: int, order: StartTask) -> StartResult:
+        self.started.add(order.task.job)
+        return await super().start(epoch, order)
+
+    async def stop(self, epoch: int, order: StopTask) -> None:
+        self.stopped.add(order.task.job)
+
+
+class PartAway(unittest.TestCase):
+    """A cell is taken while a part of the store is away; each part has a job from before."""
+
+    JOBS = tuple(f"{number:016x}" for number in range(len(PARTS)))
+    AWAY = JOBS[3]
+
+    def play(
+        self,
+        scene: Callable[["PartAway"], Awaitable[None]],
+        prepare: Callable[["PartAway"], None] = lambda played: None,
+        epoch: int = 6,
+        **fields: object,
+    ) -> None:
+        """Run the holder of a cell beside a scene; the job rows name an epoch."""
+
+        async def main() -> None:
+            clock = asyncio.get_running_loop().time
+            self.store = StoreOfParts(clock)
+            self.store.away = {part_of(self.AWAY)}
+            self.workers = {name: StartSpy(clock) for name in ("w1", "w2")}
+            for job_id in self.JOBS:
+                await create_job(self.store, job(job_id), claimed_progress(epoch, **fields))
+            self.runtime = make_runtime(
+                self.store, [], clock, lambda host: self.workers[host.name], now_ms=1
+            )
+            self.runtime.confirmed_at = clock()
+            hosts = {name: host(name, cores=64) for name in self.workers}
+            self.runtime.dispatcher.take_over(hosts.values(), clock() + 7.0)
+            prepare(self)
+            self.runtime.start()
+            self.runtime.on_hosts(hosts)
+            await scene(self)
+            self.runtime.end("test")
+
+        run(main())
+
+    def started(self) -> set[str]:
+        """Return the jobs for which a worker got a start."""
+        return set().union(*(worker.started for worker in self.workers.values()))
+
+    def test_it_holds_up_no_job_of_another_part(self) -> None:
+        async def scene(played: PartAway) -> None:
+            await asyncio.sleep(3.0)
+            self.assertEqual(played.started(), {*self.JOBS} - {self.AWAY})
+            played.store.away = set()
+            await asyncio.sleep(3.0)
+            self.assertEqual(played.started(), {*self.JOBS})
+
+        self.play(scene)
+
+    def test_a_slow_store_holds_up_a_job_only_until_its_own_part_was_read(self) -> None:
+        def prepare(played: PartAway) -> None:
+            played.store.away = set()
+            played.store.slow = {
+                (table, part) for table in (JOB_TABLE, PROGRESS_TABLE) for part in PARTS
+            }
+            played.store.slow_s = 0.3
+
+        async def scene(played: PartAway) -> None:
+            await asyncio.sleep(2.0)
+            self.assertGreater(len(played.started()), 0)
+            await asyncio.sleep(5.0)
+            self.assertEqual(played.started(), {*self.JOBS})
+
+        self.play(scene, prepare)
+
+    def test_it_holds_up_no_new_job_of_another_part(self) -> None:
+        async def scene(played: PartAway) -> None:
+            await asyncio.sleep(3.0)
+            for job_id in ("1" + each[1:] for each in self.JOBS):
+                progress = claimed_progress(7)
+                answer = await create_job(played.store, job(job_id), progress)
+                assert isinstance(answer, Committed)
+                # The other jobs have to be found in the feed.
+                if part_of(job_id) in ("0", "1"):
+                    played.runtime.offer(StoredJob(job(job_id), progress, answer.version))
+            await asyncio.sleep(4.0)
+            new = {job_id for job_id in played.started() if job_id[0] == "1"}
+            self.assertEqual(new, {"1" + each[1:] for each in self.JOBS if each != self.AWAY})
+
+        self.play(scene)
+
+    def test_a_worker_with_a_run_of_an_unknown_job_gets_no_start(self) -> None:
+        def prepare(played: PartAway) -> None:
+            played.workers["w1"].running = [ListedRun(task(self.AWAY), 4, "", 0, 0)]
+
+        async def scene(played: PartAway) -> None:
+            await asyncio.sleep(3.0)
+            self.assertEqual(played.workers["w1"].started, set())
+            self.assertEqual(played.workers["w1"].stopped, set())
+            self.assertEqual(played.workers["w2"].started, {*self.JOBS} - {self.AWAY})
+
+        self.play(scene, prepare)
+
+    def test_a_read_that_began_before_all_workers_were_fenced_proves_nothing(self) -> None:
+        def prepare(played: PartAway) -> None:
+            played.store.away = set()
+            played.store.slow = {(PROGRESS_TABLE, part_of(self.JOBS[0]))}
+
+        async def scene(played: PartAway) -> None:
+            dispatcher = played.runtime.dispatcher
+            await asyncio.sleep(StoreOfParts.SLOW_S + 0.2)
+            self.assertTrue(dispatcher.is_fully_fenced)
+            self.assertTrue(dispatcher.needs_proof("0"))
+            self.assertFalse(dispatcher.needs_proof("1"))
+            self.assertEqual(played.started(), {*self.JOBS[1:]})
+            await asyncio.sleep(StoreOfParts.SLOW_S + 1.0)
+            self.assertTrue(dispatcher.proven)
+            self.assertEqual(played.started(), {*self.JOBS})
+
+        self.play(scene, prepare)
+
+    def test_a_job_cancelled_while_its_part_is_read_is_not_taken_up_for_good(self) -> None:
+        """The feed has passed the cancel when the older rows are applied."""
+
+        def prepare(played: PartAway) -> None:
+            played.store.slow = {(JOB_TABLE, part_of(self.AWAY))}
+
+        async def scene(played: PartAway) -> None:
+            await asyncio.sleep(3.0)
+            played.store.away = set()
+            await asyncio.sleep(1.0)
+            cancelled = Put(
+                PROGRESS_TABLE, self.AWAY, claimed_progress(7, phase=Phase.CANCELLED).encode()
+            )
+            await played.store.commit(part_of(self.AWAY), [], [cancelled], [])
+            await asyncio.sleep(StoreOfParts.SLOW_S + 2.0)
+            tracked = played.runtime.dispatcher.tracked[self.AWAY]
+            self.assertIs(tracked.progress.phase, Phase.CANCELLED)
+
+        self.play(scene, prepare, epoch=7)
+
+
 class TakingOver(unittest.IsolatedAsyncioTestCase):
     async def test_a_former_holders_late_write_conflicts_after_a_takeover(self) -> None:
         """Otherwise it moves tasks that the successor has started but not yet recorded."""
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -24,6 +24,8 @@
 DEPARTURE_SEEDS = (0, 1, 2)
 # Seeds in which tasks waited longer with each holder that was lost.
 SERIES_SEEDS = (2, 4, 8, 11)
+# Seeds in which parts of the store are away while a cell loses its holders.
+PARTS_SEEDS = (0, 1, 2)
 
 
 def make_job(number: int, step: Step) -> Job:
@@ -461,6 +463,11 @@
             with self.subTest(seed=seed):
                 self.assertEqual(takeover.play(seed, takeover.Departure), [])
 
+    def test_no_task_runs_twice_while_parts_of_the_store_are_away(self) -> None:
+        for seed in PARTS_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(takeover.play(seed, takeover.Parts), [])
+
     def test_holders_lost_in_series_do_not_prolong_the_wait_of_lasting_tasks(self) -> None:
         for seed in SERIES_SEEDS:
             with self.subTest(seed=seed):
--- a/tests/waits.py
+++ b/tests/waits.py
@@ -137,9 +137,10 @@
         cluster = self._cluster
         shares = cluster.lose_answers + cluster.apply_late + cluster.late_holds
         places = cluster.read_only or cluster.cell_rows_down or cluster.send_delay_s
-        slow = cluster.commit_delay_s or cluster.store_down or cluster.missed_holds
+        slow = cluster.commit_delay_s or cluster.store_down or cluster.parts_away
         ends = {*cluster.entries, "store", *cluster.domains}
         split = any(cut <= ends for cut in cluster.cuts)
+        slow = slow or cluster.missed_holds
         return bool(shares or places or slow or split or cluster.frozen or cluster.evacuated)
 
     def _runs(self, task: TaskId) -> bool:
