Move a finite job without a run to the last room for one of its tasks

What callers saw: a finite job whose cell has no room for it (its worker is lost) has nothing running for good, though two other cells have room for one of its tasks each and two thirds of the service are idle. The platform allows 3 s while under half is in use.

Cause: at most 0.7 of the room that another cell published is used for finite tasks, as several cells may send tasks there. Of a room for one task, or one gang, that is none.

Now a finite job that has no run and could not start in its own cell for 2.2 s uses such a room, if the service is not busy, and no lasting task waits for room elsewhere. A filling one only if its cell has no worker: otherwise one of its tasks was started there.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -54,15 +54,16 @@
             self.left[move.service] = load.less(move.step, move.tasks)
 
     def room(self, batch: Batch, must_start: bool) -> float:
-        """Return the cores that tasks of a batch may use here."""
+        """Return the cores that tasks of a batch may use here, all of them if it must start."""
         service, step = batch.tracked.queue.service, batch.step
-        load = self.left.get(service)
+        load, cores = self.left.get(service), max(step.size.cores, MIN_CORES)
         if load is None:
             return 0.0
         if not step.lasting:
-            unused = (1 - ROOM_SHARE) * max(0.0, self.published[service].room(step))
-            return load.room(step) - unused
-        cores = max(step.size.cores, MIN_CORES)
+            room = load.room(step)
+            shared = room - (1 - ROOM_SHARE) * max(0.0, self.published[service].room(step))
+            least = cores * (step.width if step.gang else 1)
+            return least if must_start and shared < least <= room else shared
         slots = load.slots(step)
         if not must_start:
             return min(load.room(step), slots * cores)
@@ -94,6 +95,9 @@
         stranded = dispatcher.stranded(0.0 if dispatcher.closed else STRANDED_S, now)
         must_start = {batch for batch in stranded if dispatcher.must_start(batch, now)}
         stranded.sort(key=lambda batch: batch not in must_start)
+        if not any(batch.step.lasting for batch in stranded):
+            # The last rooms are for lasting tasks first.
+            must_start.update(batch for batch in stranded if dispatcher.stands_still(batch, now))
         self._logged_at = {
             batch: self._logged_at[batch] for batch in stranded if batch in self._logged_at
         }
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -92,9 +92,11 @@
 RELIEF_PACE = 50
 RELIEF_AFTER_S = 0.5
 # A filling job with no run for this long gets one task started regardless of interference, and
-# after FORCE_START_S even where no core is idle: the platform allows 3 s.
+# after FORCE_START_S even where no core is idle: the platform allows 3 s. A finite job that could
+# not start here by LAST_ROOM_S may use the last room for one of its tasks in another cell.
 STANDSTILL_S = 1.2
 FORCE_START_S = 2.0
+LAST_ROOM_S = 2.2
 # A share of each worker is kept free for short tasks (neither lasting nor filling) for this long
 # after the last job with such tasks arrived.
 SHORT_TASK_WINDOW_S = 20.0
@@ -1337,6 +1339,19 @@
             slots += load.slots(batch.step) + load.slots_of_last_resort(batch.step)
         return slots >= 2
 
+    def stands_still(self, batch: Batch, now: float) -> bool:
+        """Return whether a finite job has had no run for long although its service is not busy."""
+        since = batch.waiting_since if self.closed else batch.unplaced_since
+        if since is None or now - since < LAST_ROOM_S:
+            return False
+        if batch.step.lasting or batch.tracked.active():
+            return False
+        service = batch.tracked.queue.service
+        if batch.step.filling and measure_cores(self._available_members(now), service).cores:
+            # One of its tasks was started here, if there is any worker for it.
+            return False
+        return not self._is_busy(service, now)
+
     def _has_waited_long(self, batch: Batch, now: float) -> bool:
         """Return whether a task waited for LASTING_WAIT_S, also in another cell or before."""
         # A closed cell places nothing, so its tasks wait from the start.
@@ -1422,6 +1437,7 @@
         self.send_recorded(now)
         if self._recheck_held:
             self._free_held(now)
+        self._busy_by_service.clear()
         if self.closed:
             if not self.releasing:
                 self._move_departing([], {}, now)
@@ -1431,7 +1447,6 @@
         self._relieve_slowed(usable, now)
         refused: list[Refusal] = []
         reserved: dict[str, Size] = {}
-        self._busy_by_service.clear()
         ready = sorted(self._ready.values(), key=lambda batch: self._sort_key(batch, now))
         lasting = [batch for batch in ready if batch.step.lasting]
         self._place_all(lasting, usable, refused, reserved, now)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -101,6 +101,49 @@
         self.assertEqual(self.owner(late), "south")
 
 
+class LastRooms(unittest.TestCase):
+    """A finite job with no run, and one room for it in each of two other cells."""
+
+    def wait(self, cell: Cell, *steps: Step, idle: float = 64) -> float:
+        """Return how long all tasks of the first step stay here."""
+        others = [CellLoads(name, {SERVICE: rooms(8.0, idle=idle)}) for name in ("south", "west")]
+        for number, each in enumerate(steps):
+            cell.add(job(f"{number:016x}", each))
+        balancer, waited_s = Balancer(), 0.0
+        progress = cell.dispatcher.tracked[f"{0:016x}"].progress
+        keys = [(0, 0, index) for index in range(steps[0].width)]
+        while {progress.owner(key) for key in keys} == {CELL} and waited_s < 2 * LASTING_LIMIT_S:
+            cell.plan()
+            balancer.move_stranded(cell.dispatcher, others, cell.now)
+            cell.now += TICK_S
+            waited_s += TICK_S
+        return waited_s
+
+    def test_a_finite_task_with_room_only_elsewhere_does_not_wait_for_good(self) -> None:
+        cases = {
+            "plain": step(1, cores=6),
+            "filling": step(1, cores=50, filling=True, image="fill"),
+            "gang": step(2, cores=3, gang=True),
+        }
+        for name, each in cases.items():
+            with self.subTest(name):
+                self.assertLess(self.wait(Cell(), each), LASTING_LIMIT_S)
+
+    def test_no_finite_job_takes_the_last_room_while_the_service_is_busy(self) -> None:
+        cell = Cell(host("w1", cores=1))
+        cell.add(job("f" * 16, step(1, cores=1)))
+        cell.plan()
+        self.assertGreater(self.wait(cell, step(1, cores=6), idle=8.0), LASTING_LIMIT_S)
+
+    def test_no_finite_job_takes_the_last_room_beside_a_lasting_task_that_needs_it(self) -> None:
+        lasting = step(1, cores=9, lasting=True)
+        self.assertGreater(self.wait(Cell(), step(1, cores=6), lasting), LASTING_LIMIT_S)
+
+    def test_no_job_with_a_run_takes_the_last_room(self) -> None:
+        cell = Cell(host("w1", cores=6))
+        self.assertGreater(self.wait(cell, step(2, cores=6)), LASTING_LIMIT_S)
+
+
 class LeftRoom(unittest.TestCase):
     LOAD = Load(
         cores=64,
