--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -98,9 +98,11 @@
 RELIEF_PACE = 50
 RELIEF_AFTER_S = 0.5
 # A filling job with no run for this long gets one task started regardless of interference, and
-# after FORCE_START_S even where no core is idle: the platform allows 3 s.
+# after FORCE_START_S even where no core is idle: the platform allows 3 s. A finite job that could
+# not start here by LAST_ROOM_S may use the last room for one of its tasks in another cell.
 STANDSTILL_S = 1.2
 FORCE_START_S = 2.0
+LAST_ROOM_S = 2.2
 # A share of each worker is kept free for short tasks (neither lasting nor filling) for this long
 # after the last job with such tasks arrived.
 SHORT_TASK_WINDOW_S = 20.0
@@ -1384,6 +1386,21 @@
                     self._rooms.setdefault(member.host.service, []).append(member.room)
         return self._rooms
 
+    def stands_still(self, batch: Batch, now: float) -> bool:
+        """Return whether a finite job needs the last room for one of its tasks in another cell."""
+        service = batch.tracked.queue.service
+        if batch.step.filling and measure_cores(self._available_members(now), service).cores:
+            # One of its tasks was started here, if there is any worker for it.
+            return False
+        return self._had_no_run(batch, LAST_ROOM_S, now)
+
+    def _had_no_run(self, batch: Batch, for_s: float, now: float) -> bool:
+        """Return whether a finite job had no run for a time although its service is not busy."""
+        since = batch.waiting_since if self.closed else batch.unplaced_since
+        if batch.step.lasting or since is None or now - since < for_s or batch.tracked.active():
+            return False
+        return not self._is_busy(batch.tracked.queue.service, now)
+
     def _has_waited_long(self, batch: Batch, now: float) -> bool:
         """Return whether a task waited for LASTING_WAIT_S, also in another cell or before."""
         # A closed cell places nothing, so its tasks wait from the start.
@@ -1471,6 +1488,7 @@
         self.send_recorded(now)
         if self._recheck_held:
             self._free_held(now)
+        self._busy_by_service.clear()
         if self.closed:
             if not self.releasing:
                 self._move_departing([], {}, now)
@@ -1480,7 +1498,6 @@
         self._relieve_slowed(usable, now)
         refused: list[Refusal] = []
         reserved: dict[str, Size] = {}
-        self._busy_by_service.clear()
         ready = sorted(self._ready.values(), key=lambda batch: self._sort_key(batch, now))
         lasting = [batch for batch in ready if batch.step.lasting]
         self._place_all(lasting, usable, refused, reserved, now)
@@ -1516,10 +1533,7 @@
         """Return whether the platform expects tasks to start, whatever lasting ones wait for."""
         if batch.step.lasting:
             return self.must_start(batch, now)
-        since = batch.unplaced_since
-        if batch.step.filling or since is None or now - since < STANDSTILL_S:
-            return False
-        return not batch.tracked.active() and not self._is_busy(batch.tracked.queue.service, now)
+        return not batch.step.filling and self._had_no_run(batch, STANDSTILL_S, now)
 
     def _move_departing(self, usable: list[Member], reserved: dict[str, Size], now: float) -> None:
         """Stop lasting runs on departing workers if their tasks can start elsewhere.
