Let a job that can't be read hold up no other job of the feed

Callers saw new jobs without a message wait while a part of the store was away for their cell's holder: five new jobs of that part in the feed held up all later ones, as a page of the feed was read again whole until each of its jobs could be read.

Now a job whose read fails lets its part be read in its place, which finds it, and the feed goes on.

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -863,7 +863,16 @@
         return has_tasks_in(progress, self.cell)
 
     async def _apply_stored(self, job_id: str) -> None:
-        async with self._lookups:
-            stored = await read_job(self._store, job_id)
+        """Read and apply a job that the feed shows; if that fails, its part is read in its place.
+
+        So the feed goes on with the jobs of other parts.
+        """
+        try:
+            async with self._lookups:
+                stored = await read_job(self._store, job_id)
+        except (PlatformDown, AnswerLost) as exc:
+            log(Event.STORE_FAILED, what="new job", job=job_id, error=exc)
+            self._request_rows([part_of(job_id)])
+            return
         if stored is not None:
             self._apply(stored, "feed")
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -1142,6 +1142,20 @@
 
         self.play(scene)
 
+    def test_new_jobs_of_its_own_in_the_feed_hold_up_no_new_job_of_another_part(self) -> None:
+        async def scene(played: PartAway) -> None:
+            await asyncio.sleep(3.0)
+            away = [f"{number}{self.AWAY[1:]}" for number in range(1, LOOKUP_JOBS + 2)]
+            for job_id in (*away, "1" + self.JOBS[7][1:]):
+                await create_job(played.store, job(job_id), claimed_progress(7))
+            await asyncio.sleep(4.0)
+            self.assertEqual(played.started() - {*self.JOBS}, {"1" + self.JOBS[7][1:]})
+            played.store.away = set()
+            await asyncio.sleep(4.0)
+            self.assertLessEqual({*away}, played.started())
+
+        self.play(scene)
+
     def test_a_worker_with_a_run_of_an_unknown_job_gets_no_start(self) -> None:
         def prepare(played: PartAway) -> None:
             played.workers["w1"].running = [ListedRun(task(self.AWAY), 4, "", 0, 0)]
