Take a killed holder's cell without workers once their stored lease ends are over

What callers saw: after a worker, the last of its cell, is lost and then the cell's holder is killed, its lasting tasks have no run for 15.4 s, beside room in other cells (9 s are allowed).

Cause: such a cell is taken 12.5 s after its holder's last row, the longest that a holder may go on, although that row tells when the leases of all its workers are over.

Now it is taken once these are over, if the row names all workers: a holder that still hears one of them does not name it.

tests.test_lasting_rooms, VanishedCells: a cell of two workers loses both, its holder is killed 2 s later. Before 15.4 s without a run, now within 9 s.

--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -115,23 +115,23 @@
         if not details.readable:
             listed = (self._env.hosts() or {}).values()
             details = details._replace(roster=guess_roster(vacancy.cell, listed))
-        reached = await self._can_reach_workers(vacancy, details.roster)
+        details = vacancy.drop_foreign_ends(details)
+        reached = await self._can_reach_workers(vacancy, details)
         now = self._env.clock()
         if self.watch.note_probe(vacancy.cell, reached, self.me, self.held.keys(), now):
-            await self._take(vacancy, vacancy.drop_foreign_ends(details))
+            await self._take(vacancy, details)
 
-    async def _can_reach_workers(self, vacancy: Vacancy, roster: list[Host]) -> bool:
+    async def _can_reach_workers(self, vacancy: Vacancy, details: Details) -> bool:
         """Return whether this entry reaches any of the cell's workers (a few are probed).
 
         If not, the domain may be partitioned together with its holder, which then keeps the cell.
         """
         listed = (self._env.hosts() or {}).values()
         hosts = [host for host in listed if host.domain == vacancy.cell]
-        is_released = vacancy.owner is None or not vacancy.owner.holder
-        if listed and not hosts and (is_released or self._env.clock() >= vacancy.silent_until):
+        if listed and not hosts and self._is_over(vacancy, details):
             # They are gone, or cut off from the platform without a holder that may go on.
             return True
-        hosts = hosts or [host for host in roster if host.state is not HostState.GONE]
+        hosts = hosts or [host for host in details.roster if host.state is not HostState.GONE]
         if not hosts:
             return True
         asked = random.sample(hosts, min(REACH_SAMPLE, len(hosts)))
@@ -140,6 +140,14 @@
             log(Event.CELL_OUT_OF_REACH, cell=vacancy.cell, asked=len(asked))
         return any(found)
 
+    def _is_over(self, vacancy: Vacancy, details: Details) -> bool:
+        """Return whether a vacant cell has no holder, or all leases of its last one are over."""
+        if vacancy.owner is None or not vacancy.owner.holder:
+            return True
+        known = {name: self.watch.local_time_of(end) for name, end in details.lease_ends.items()}
+        ends = [known.get(host.name, vacancy.silent_until) for host in details.roster]
+        return self._env.clock() >= min(vacancy.silent_until, max(ends, default=0.0))
+
     async def _take(self, vacancy: Vacancy, details: Details) -> None:
         env = self._env
         # The store's version never decreases, so the epoch is greater than any before.
--- a/tests/test_lasting_rooms.py
+++ b/tests/test_lasting_rooms.py
@@ -364,6 +364,11 @@
         assert holder is not None
         cluster.kill(holder)
 
+    async def kill_later(self, cluster: Cluster) -> None:
+        """Kill the cell's holder once it has stored the lease ends of its lost workers."""
+        await asyncio.sleep(2.0)
+        await self.kill(cluster)
+
     async def wait(self, cluster: Cluster) -> None:
         """Leave the cell's holder alone."""
 
@@ -373,6 +378,9 @@
     def test_a_cell_without_workers_whose_holder_is_killed_is_taken(self) -> None:
         self.assertLess(self.play(self.kill), ORDER_LIMIT_S + LEASE_SLACK_S + RENEW_S + START_S)
 
+    def test_a_cell_without_workers_is_taken_once_their_stored_lease_ends_are_over(self) -> None:
+        self.assertLess(self.play(self.kill_later), LAPSE_S + LIMIT_S)
+
     def test_a_cell_whose_workers_are_lost_together_is_taken_once_they_are_not_listed(self) -> None:
         self.assertLess(self.play(self.wait, listed_s=4.0), LAPSE_S + LIMIT_S)
 
