Count rooms that a lasting task fits exactly in spite of rounding errors

What callers saw: a lasting task has no run for good though a worker in each of two cells has exactly its size left (2.0 cores of 8, of which an eighth and more is kept for short tasks).

So there were too few rooms for the task to start in kept room (`few_rooms`), and no move saw any.

Now counting and taking rooms has the tolerance of placement.

tests.test_headroom, PublishedRoom: a worker of 8 with tasks of 0.5, 2.7, 1.6 and 1.2 cores; before, no task of 2 cores fits its room, now one does.

--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -21,6 +21,8 @@
 LISTED_ROOMS = 16
 # Decimal places of a room after a subtraction, so that rounding errors hide no whole room.
 ROOM_DIGITS = 6
+# Tolerance of sums of sizes, as in `Size.fits`.
+ROUNDING = 1e-9
 # Lower bound of the weight by which the room for a filling image is divided.
 MIN_WEIGHT = 0.05
 
@@ -66,7 +68,7 @@
     def room(self, step: Step) -> float:
         """Return the cores available to tasks of a step, less those requested by waiting tasks."""
         if step.lasting:
-            fits = step.size.cores <= self.largest_lasting
+            fits = step.size.cores <= self.largest_lasting + ROUNDING
             return self.lasting - self.waiting.lasting if fits else 0.0
         if not step.filling:
             return self._whole_room(step) - self.waiting.plain
@@ -119,12 +121,12 @@
 
 def count_slots(step: Step, rooms: Iterable[float]) -> int:
     """Return how many tasks of a step fit into rooms of the given free cores."""
-    return sum(int(room / max(step.size.cores, MIN_CORES)) for room in rooms)
+    return sum(int(room / max(step.size.cores, MIN_CORES) + ROUNDING) for room in rooms)
 
 
 def _take_room(rooms: list[float], cores: float) -> bool:
     """Take cores from the smallest of the rooms that fit; return whether any does."""
-    fitting = [room for room in rooms if room >= cores]
+    fitting = [room for room in rooms if room + ROUNDING >= cores]
     if not fitting:
         return False
     smallest = min(fitting)
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -264,6 +264,16 @@
 
 
 class PublishedRoom(unittest.TestCase):
+    def test_rounding_errors_of_sums_hide_no_room_that_fits_exactly(self) -> None:
+        cell = Cell(host("w1", cores=8))
+        sizes = (0.5, 2.7, 1.6, 1.2)
+        cell.add(job(SHORT, *(step(1, cores=cores) for cores in sizes)))
+        cell.plan()
+        load = cell.dispatcher.load(cell.now)[SERVICE]
+        self.assertLess(load.largest[0], 2.0)
+        exact = step(1, cores=2.0, lasting=True)
+        self.assertEqual((load.slots(exact), load.less(exact, 1).slots(exact)), (1, 0))
+
     def load(self, *cores: float) -> Load:
         """Measure idle workers of the given sizes."""
         cell = Cell(*(host(f"w{at:02}", cores=each) for at, each in enumerate(cores)))
