--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -66,7 +66,7 @@
     def room(self, step: Step) -> float:
         """Return the cores available to tasks of a step, less those requested by waiting tasks."""
         if step.lasting:
-            fits = step.size.cores <= self.largest_lasting
+            fits = step.size.cores <= self.largest_lasting + ROUNDING
             return self.lasting - self.waiting.lasting if fits else 0.0
         if not step.filling:
             return self._whole_room(step) - self.waiting.plain
