Count the stored jobs of an unreachable holder's cell half as often

The platform asks an entry for jobs that were accepted 5 s before; counted from 2.4 s after the last renewal, a count that is up to 1.6 s old is fresh enough.

--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -21,7 +21,7 @@
 # Lifetime of a cached phase that is not final, if the holder does not answer.
 PHASE_CACHE_S = 0.3
 # Lifetime of a count of a cell's stored jobs, and the time limit for it.
-WAITING_CACHE_S = 0.8
+WAITING_CACHE_S = 1.6
 COUNT_TIMEOUT_S = 0.6
 # Wait for callers that set no deadline.
 DEFAULT_WAIT_S = 2.5
