--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -37,6 +37,8 @@
 ORDER_LIMIT_S = 12.0
 # Margin for workers' clocks, which may be 2 % slow, and for old readings of them.
 LEASE_SLACK_S = 0.5
+# The longest that a worker's slow clock makes a lease, relative to its length.
+LEASE_STRETCH = 1.03
 # Margin of times handed over for the drift of the store's and the entries' clocks.
 HANDOVER_SLACK_S = 0.1
 # A holder that was out of touch has read the jobs that it was given meanwhile, and renewed its row
@@ -60,6 +62,11 @@
 ABSTAIN_S = 6.0
 
 
+def longest_lease_s(max_hold_s: float) -> float:
+    """Return for how many seconds a lease lasts at most after it was sent, with a margin."""
+    return max_hold_s * LEASE_STRETCH + LEASE_SLACK_S
+
+
 class Owner(NamedTuple):
     """A cell's owner row; `holder` is empty once the cell is released."""
 
@@ -399,7 +406,7 @@
         proof_at = seen.orders_over_at
         if owner is None or owner.fenced:
             # If the holder has ended, nothing that it sent lasts longer.
-            ended_proof_at = min(proof_at, now + self.max_hold_s * 1.03 + LEASE_SLACK_S)
+            ended_proof_at = min(proof_at, now + longest_lease_s(self.max_hold_s))
         else:
             ended_proof_at = proof_at
         is_released = owner is None or not owner.holder
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -22,6 +22,7 @@
     Owner,
     decode_details_row,
     decode_owner_row,
+    longest_lease_s,
 )
 from curranthall.cells.ports import (
     AskAdvice,
@@ -437,7 +438,7 @@
 
         It may exit right after this holder is lost, where a successor can't tell that from a cut.
         """
-        longest_s = RENEW_S + self.dispatcher.bounds.max_hold_s * 1.03 + LEASE_SLACK_S
+        longest_s = RENEW_S + longest_lease_s(self.dispatcher.bounds.max_hold_s)
         found: dict[str, int] = {}
         for member in self.dispatcher.departing_members():
             end = self.dispatcher.lease_end(member, now)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -20,7 +20,9 @@
     return load._replace(**fields)  # type: ignore[arg-type]
 
 
-class Moves(unittest.TestCase):
+class MovesTestCase(unittest.TestCase):
+    """A cell with one small worker, whose jobs find no room there."""
+
     def setUp(self) -> None:
         self.cell, self.balancer = Cell(host("w1", cores=1)), Balancer()
         self.added = 0
@@ -33,6 +35,8 @@
         self.cell.plan()
         return job_id
 
+
+class Moves(MovesTestCase):
     def move(self, *others: CellLoads) -> None:
         """Run one round of moves."""
         self.balancer.move_stranded(self.cell.dispatcher, list(others), self.cell.now)
--- a/tests/test_beside_room.py
+++ b/tests/test_beside_room.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from curranthall.cells.balance import Balancer, CellLoads
+from curranthall.cells.balance import CellLoads
 from curranthall.cells.load import Load, Waiting
 from curranthall.cells.ports import ListedRun, StartResult, StartTask
 from curranthall.dag import Progress, Step, TaskId
@@ -10,6 +10,7 @@
 from tests import test_headroom
 from tests.cell_fixtures import CELL, SERVICE, Cell, host, job, step
 from tests.load import WATCHES, Plan, SimJob, Simulation
+from tests.test_balance import MovesTestCase, rooms
 
 # The platform's bound on the wait of a task that has room.
 LIMIT_S = 3.0
@@ -19,12 +20,6 @@
 CORES = 64
 
 
-def rooms(*largest: float, **fields: object) -> Load:
-    """Build the load of a cell whose lasting tasks leave only the room kept for short ones."""
-    load = Load(cores=64, free=sum(largest), idle=64, largest=largest)
-    return load._replace(**fields)  # type: ignore[arg-type]
-
-
 def waits(cell: Cell, job_id: str, seconds: float) -> float | None:
     """Return how long no task of a job starts while all runs go on; None if none starts."""
     began = cell.now
@@ -113,19 +108,7 @@
         self.assertIsNotNone(waits(cell, "2" * 16, RESTART_S + LIMIT_S))
 
 
-class Moves(unittest.TestCase):
-    def setUp(self) -> None:
-        self.cell, self.balancer = Cell(host("w1", cores=1)), Balancer()
-        self.added = 0
-
-    def add(self, *steps: Step) -> str:
-        """Add a job that finds no room here; return its id."""
-        job_id = f"{self.added:016x}"
-        self.added += 1
-        self.cell.add(job(job_id, *steps))
-        self.cell.plan()
-        return job_id
-
+class Moves(MovesTestCase):
     def wait(self, job_id: str, south: Load, short: Step | None, seconds: float) -> float:
         """Return how long a job stays while short ones are moved; `seconds` if it isn't moved."""
         waited_s = 0.0
