--- a/tests/test_proofs_after_changes.py
+++ b/tests/test_proofs_after_changes.py
@@ -6,12 +6,15 @@
 from typing import Any
 
 from curranthall.cells.dispatcher import Dispatcher
-from curranthall.cells.fleet import Member
+from curranthall.cells.fleet import Member, Run, RunState
 from curranthall.cells.owner import VACANT_S
 from curranthall.cells.ports import Snapshot
 from curranthall.cells.tracking import Bounds, Queue
-from tests.cell_fixtures import host
+from curranthall.model import HostState
+from curranthall.standin.store import MemoryStore
+from tests.cell_fixtures import host, task
 from tests.cluster import now
+from tests.test_runtime import make_runtime
 from tests.test_takeover import CELL, POLL_S, SplitCell, make_job, make_step
 from tests.virtual import run
 
@@ -157,6 +160,22 @@
         self.assertEqual(broken, [])
         self.assertGreater(starts, FULL)
 
+    def test_no_lease_end_is_stored_while_a_start_on_it_has_no_answer(self) -> None:
+        async def main() -> None:
+            leaving = host("w1", state=HostState.LEAVING)
+            runtime = make_runtime(MemoryStore(now), [], now, now_ms=1)
+            runtime.dispatcher.update_host(leaving)
+            member = runtime.dispatcher.members["w1"]
+            runtime.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), now(), now())
+            started = Run(task(), 1, "w1", make_step(1), RunState.RUNNING, now())
+            started.absence_valid_after = now()
+            member.add(started)
+            self.assertEqual(set(runtime._departing_lease_ends(now())), {"w1"})
+            member.add(Run(task(number=1), 2, "w1", make_step(1), RunState.STARTING, now()))
+            self.assertEqual(runtime._departing_lease_ends(now()), {})
+
+        run(main())
+
 
 class VanishedCells(unittest.TestCase):
     def test_a_cell_that_is_cut_off_with_its_holder_is_left_to_it_though_no_worker_is_listed(
