Take back the question to a former holder's address: it ends a wait that late holds need

A reviewer who had not seen the work found two runs of one task at once (TWICE) with it: a hold that a worker's former boot left without an answer is carried out 6 s late by its next boot, on whose new clock its lease lasts 6 s from then on. The full wait of 12.5 s covers that; a longest lease from the former holder's end does not.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -29,7 +29,7 @@
 )
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import Load, Waiting, count_slots, measure, measure_cores
-from curranthall.cells.owner import UNKNOWN_WORKER, longest_lease_s
+from curranthall.cells.owner import UNKNOWN_WORKER
 from curranthall.cells.pacing import FULL_PACE, adjust_pace, worst_tail_ratio
 from curranthall.cells.placement import (
     PlacementRequest,
@@ -239,10 +239,6 @@
         self._fencing.take_over(self.members, proof_at, lease_ends, now)
         self.proven = self.is_fully_fenced
 
-    def note_former_ended(self, now: float) -> None:
-        """Record that the former holder sends nothing any more: no lease or start lasts longer."""
-        self._fencing.shorten(now + longest_lease_s(self.bounds.max_hold_s), now)
-
     def lease_end(self, member: Member, now: float) -> float | None:
         """Return the local time by which a worker's runs are over if it gets no more orders.
 
--- a/src/curranthall/cells/fencing.py
+++ b/src/curranthall/cells/fencing.py
@@ -31,14 +31,6 @@
             self._lease_ends[name] = end
             self._ends_awaited_until[name] = max(end + END_WAIT_S, now + FIRST_ANSWER_S)
 
-    def shorten(self, proof_at: float, now: float) -> None:
-        """Wait until `proof_at` at most: the former holder has ended."""
-        for name, end in self._lease_ends.items():
-            self._lease_ends[name] = min(end, proof_at)
-            awaited_until = max(self._lease_ends[name] + END_WAIT_S, now + FIRST_ANSWER_S)
-            if name in self._ends_awaited_until:
-                self._ends_awaited_until[name] = min(self._ends_awaited_until[name], awaited_until)
-
     def remove(self, worker: str) -> None:
         """Record that a worker listed all its runs and ends, or is gone."""
         self.unproven.discard(worker)
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -96,8 +96,6 @@
 FEED_PAUSE_S = 0.4
 # Cells publish their interference estimates, and merge those of others, at this interval.
 EXCHANGE_S = 3.0
-# The pause between two questions to a former holder.
-ASK_INTERVAL_S = 0.4
 # With more than half of the workers silent for this long, this entry counts as cut off.
 CUT_OFF_S = 1.0
 
@@ -113,17 +111,13 @@
     taken_at: float
     now_ms: int
     details: Details
-    # The row that was replaced.
-    former: Owner | None = None
 
 
 class OtherCells(NamedTuple):
-    """Access to the other cells and entries: loads, a way to send jobs, and who holds a cell."""
+    """Access to the other cells: their loads, and a way to send them jobs."""
 
     loads: Callable[[str], list[CellLoads]]
     send: Callable[[str, StoredJob], None]
-    # Ask the entry at an address whether it holds a cell.
-    holds: Callable[[str, str], Awaitable[bool]]
 
 
 class CellRuntime:
@@ -157,7 +151,6 @@
         self._on_renewed = on_renewed
         self._others = others
         self._advise = advise
-        self._former = taken.former
         self._balancer = Balancer()
         self._ports: dict[str, WorkerPort] = {}
         self._holds: dict[str, asyncio.Task[None]] = {}
@@ -196,22 +189,9 @@
             self._spawn(loop(), is_loop=True)
         for part in PARTS:
             self._spawn(self._record_loop(part), is_loop=True)
-        if self.former_address:
-            self._spawn(self._ask_former())
         for member in list(self.dispatcher.members.values()):
             self._start_holds(member)
 
-    @property
-    def former_address(self) -> str:
-        """Return the address of the former holder if this one waits for its leases, else ``""``.
-
-        If that one did not reach all workers, an earlier one's leases may last as long.
-        """
-        former = self._former
-        if former is None or not former.fenced or self.dispatcher.is_fully_fenced:
-            return ""
-        return former.address if former.holder else ""
-
     def end(self, why: str) -> None:
         """Stop all loops; running tasks continue until another entry takes the cell."""
         if self._ended:
@@ -343,23 +323,6 @@
             self.end("defect")
             raise
 
-    async def _ask_former(self) -> None:
-        """Ask the former holder's address until it answers that it holds the cell no more.
-
-        Its process then knows that it lost the cell, or another one there shows that it exited.
-        """
-        while self.former_address:
-            try:
-                holds = await self._others.holds(self.former_address, self.cell)
-            except CurranthallError:
-                holds = True
-            if holds:
-                await asyncio.sleep(ASK_INTERVAL_S)
-                continue
-            self._former = None
-            self.dispatcher.note_former_ended(self._clock())
-            log(Event.FORMER_ENDED, cell=self.cell, left=self.dispatcher.count_unproven())
-
     # Owner row
 
     async def _renew_loop(self) -> None:
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -37,8 +37,6 @@
 
 # The pause between two reads of the owner rows while a cell is about to be taken.
 MIN_PAUSE_S = 0.05
-# Timeout of a question to another entry.
-ASK_TIMEOUT_S = 0.8
 # How many workers are probed before a cell is taken.
 REACH_SAMPLE = 3
 
@@ -54,7 +52,6 @@
     hosts: Callable[[], dict[str, Host] | None]
     evacuated: Callable[[], frozenset[str]]
     cast: Callable[[str, str, Any], None]
-    call: Callable[[str, str, Any, float], Awaitable[Any]]
     can_reach: Callable[[Host], Awaitable[bool]]
     refresh_hosts: Callable[[], None]
     advise: Callable[[AskAdvice], Awaitable[Advice]]
@@ -197,11 +194,7 @@
             return
         match answer:
             case Committed(version, now_ms):
-                predecessor = vacancy.owner
-                if predecessor is not None and predecessor.address == me.address:
-                    # A former process of this entry, which has ended.
-                    predecessor = None
-                taken = TakenCell(owner, version, sent_at, now_ms, details, predecessor)
+                taken = TakenCell(owner, version, sent_at, now_ms, details)
                 runtime = self._start_runtime(vacancy, taken, former_ends)
                 if self._leaving:
                     # The shutdown began during the call and did not find this cell.
@@ -260,7 +253,7 @@
             env.clock,
             self._on_end,
             self._on_renewed,
-            OtherCells(self._other_loads, self.send_to_holder, self._ask_whether_held),
+            OtherCells(self._other_loads, self.send_to_holder),
             env.advise,
         )
         self.held[vacancy.cell] = runtime
@@ -292,16 +285,6 @@
         elif owner is not None:
             self._env.cast(owner.address, "job", stored.encode())
 
-    def peers(self) -> set[str]:
-        """Return the addresses of the entries that this one talks to."""
-        owners = [self.watch.holder(cell) for cell in self.watch.cells]
-        formers = {runtime.former_address for runtime in self.held.values()}
-        return {owner.address for owner in owners if owner is not None} | formers - {""}
-
-    async def _ask_whether_held(self, address: str, cell: str) -> bool:
-        """Ask another entry whether it holds a cell; raise a CurranthallError without an answer."""
-        return await self._env.call(address, "holds", cell, ASK_TIMEOUT_S) is not False
-
     def _on_renewed(self, cell: str, owner: Owner, version: int) -> None:
         self.watch.record(cell, owner, version, self._env.clock())
 
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -158,7 +158,6 @@
             lambda: self._hosts,
             lambda: self.operations.evacuated,
             self.cast,
-            self.call,
             is_reachable,
             lambda: self._host_watch.skip_pause(),
             advise,
@@ -262,12 +261,15 @@
                 await asyncio.sleep(STORE_RETRY_S)
 
     async def _dial(self) -> None:
-        """Keep links to the holders of cells, and to former ones that are waited for."""
+        """Keep links to the holders of cells only."""
         while True:
             await asyncio.sleep(DIAL_INTERVAL_S)
             if self._mesh is None:
                 continue
-            self._mesh.retain(self.succession.peers() - {self.deployment.mesh})
+            watch = self.succession.watch
+            owners = [watch.holder(cell) for cell in watch.cells]
+            wanted = {owner.address for owner in owners if owner is not None and owner.address}
+            self._mesh.retain(wanted - {self.deployment.mesh})
 
     # Changes of operations and workers
 
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -360,8 +360,6 @@
                 return (await self._store_for_peer(body)).value
             case "cancel":
                 return await self._cancel(text(body))
-            case "holds":
-                return text(body) in self._succession.held
             case "job":
                 stored = decode_stored_job(body)
                 for runtime in list(self._succession.held.values()):
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -415,7 +415,6 @@
             cluster.hosts,
             lambda: cluster.evacuated,
             self.cast,
-            self.call,
             self._reaches,
             lambda: None,
             no_advice,
--- a/tests/test_proofs_after_changes.py
+++ b/tests/test_proofs_after_changes.py
@@ -5,11 +5,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from curranthall.cells.dispatcher import Dispatcher
-from curranthall.cells.fleet import Member, Run, RunState
+from curranthall.cells.fleet import Run, RunState
 from curranthall.cells.owner import VACANT_S
 from curranthall.cells.ports import Snapshot
-from curranthall.cells.tracking import Bounds, Queue
 from curranthall.model import HostState
 from curranthall.standin.store import MemoryStore
 from tests.cell_fixtures import host, task
@@ -69,7 +67,7 @@
     return split.successor
 
 
-class FormerHolderEnded(unittest.TestCase):
+class FormerHolder(unittest.TestCase):
     def check(self, scene: Scene) -> None:
         """Check that tasks of the worker start elsewhere, and none while it may run."""
         starts, broken = play(scene)
@@ -96,7 +94,6 @@
             await asyncio.sleep(0.5)
             successor = split.held(taker)[CELL]
             self.assertFalse(successor.dispatcher.is_fully_fenced)
-            self.assertEqual(successor.former_address, "")
 
         self.check(scene)
 
@@ -119,26 +116,13 @@
             split.cut(split.former, "store")
             second = await wait_for_taker(split)
             cluster.kill(second)
-            # It answers the next holder's first question, and doesn't take the cell again itself.
+            # It doesn't take the cell again itself.
             split.cut(second, "store")
             cluster.restart(second)
             self.assertNotEqual(await wait_for_taker(split), second)
 
         self.check(scene)
 
-    def test_a_lease_granted_at_the_end_is_waited_for_on_a_slow_clock(self) -> None:
-        ended_at, member = 100.0, Member(host("w1"))
-        member.note_answer(Snapshot(0, 1, [], []), ended_at, 0.0)
-        bounds = Bounds()
-        member.grant(ended_at, bounds.max_hold_s)
-        dispatcher = Dispatcher(CELL, 7, bounds, lambda job: Queue("q", "s"), lambda: 0.0)
-        dispatcher.take_over([host("w1")], 112.0)
-        dispatcher.note_former_ended(ended_at)
-        waited_until = dispatcher.lease_end(dispatcher.members["w1"], ended_at)
-        assert waited_until is not None
-        self.assertGreaterEqual(waited_until, member.lapses_at())
-        self.assertLess(waited_until, 112.0)
-
 
 class DepartingWorkers(unittest.TestCase):
     def test_a_departing_worker_that_stays_has_no_run_when_its_tasks_start_elsewhere(self) -> None:
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -92,11 +92,6 @@
         return answer
 
 
-async def always_held(address: str, cell: str) -> bool:
-    """Answer that the former holder still holds the cell."""
-    return True
-
-
 def make_runtime(
     store: MemoryStore,
     sent: list[StoredJob],
@@ -116,7 +111,7 @@
         clock,
         lambda runtime, why: None,
         lambda cell, owner, version: None,
-        OtherCells(lambda cell: [], lambda cell, stored: sent.append(stored), always_held),
+        OtherCells(lambda cell: [], lambda cell, stored: sent.append(stored)),
         no_advice,
     )
 
