Take back the count of an unreachable holder's jobs: too many calls on the large site

A cost that grows with the entries is no design for that size, and the store's rate is limited.

The fault is back (an entry tells that no job waits while jobs were given to a cell whose holder is out of touch), with its test as known red. A cheaper way: entries that give a job to such a cell could tell the others, or a small row by cell could count them.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -41,9 +41,6 @@
 LEASE_STRETCH = 1.03
 # Margin of times handed over for the drift of the store's and the entries' clocks.
 HANDOVER_SLACK_S = 0.1
-# A holder that was out of touch has read the jobs that it was given meanwhile, and renewed its row
-# with their number, this long after its first renewal.
-CATCH_UP_S = 4.0
 # After a longer gap between two reads, an unchanged row does not show a missed renewal.
 GAP_S = 1.6
 # Delays before a vacant cell is taken: better suited entries try first, so that few compete.
@@ -272,8 +269,6 @@
     abstain_until: dict[str, float] = field(default_factory=dict)
     # When a vacant cell's workers were found in reach, or UNREACHED after a failed probe.
     reachable_since: dict[str, float] = field(default_factory=dict)
-    # When a cell's row was first renewed after its holder had been silent.
-    resumed_at: dict[str, float] = field(default_factory=dict)
     # The store's clock minus the local one, if known: at least and at most.
     _store_offset_ms: float | None = None
     _max_store_offset_ms: float | None = None
@@ -315,8 +310,6 @@
                 if owner and owner.written_ms and listing.now_ms and not missed_reads:
                     age_s = (listing.now_ms - owner.written_ms) / 1000
                     renewed_at = min(now, max(read_at, now - age_s))
-                if known is not None and now - known.since >= VACANT_S:
-                    self.resumed_at[cell] = now
                 over_at = now + ORDER_LIMIT_S + LEASE_SLACK_S
                 if owner and owner.orders_until_ms and listing.now_ms:
                     # The store read its clock before now, so the time is not too early.
@@ -363,14 +356,6 @@
             return None
         return seen.owner
 
-    def may_miss_jobs(self, cell: str, now: float) -> bool:
-        """Return whether a cell may have been given jobs that its row does not count."""
-        seen = self.observations.get(cell)
-        if seen is None:
-            return False
-        is_silent = now - seen.since >= VACANT_S
-        return is_silent or now - self.resumed_at.get(cell, -float("inf")) < CATCH_UP_S
-
     def waiting(self, cell: str) -> dict[str, int]:
         """Return a cell's waiting jobs by queue from its row, whether it is held or not."""
         seen = self.observations.get(cell)
--- a/src/curranthall/cells/records.py
+++ b/src/curranthall/cells/records.py
@@ -1,11 +1,10 @@
 """Job rows in the store: the immutable job and its progress, kept in the same part."""
 
-from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
 from curranthall.cells.owner import CELL_PART, DETAIL_TABLE, Details, decode_details_row
-from curranthall.dag import Job, Phase, Progress
+from curranthall.dag import Job, Progress
 from curranthall.dag.model import decode_job
 from curranthall.dag.progress import decode_progress
 from curranthall.events import Event, log
@@ -101,21 +100,6 @@
     return found, listing.version
 
 
-async def count_waiting(store: Store, cell: str) -> dict[str, int]:
-    """Count the cell's stored jobs that have not begun, by queue."""
-    counts: Counter[str] = Counter()
-    for part in PARTS:
-        stored, _ = await read_part(store, cell, part, lambda job_id: False)
-        counts.update(
-            found.job.queue
-            for found in stored
-            if found.progress.cell == cell
-            and found.progress.phase is Phase.QUEUED
-            and not found.job.is_timed
-        )
-    return counts
-
-
 async def read_details(store: Store, cell: str) -> Details:
     """Return the details stored by a cell's earlier holders, empty when there are none."""
     listing = await store.scan(DETAIL_TABLE, CELL_PART, cell, cell + "\0")
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -20,9 +20,6 @@
 HOLDER_TIMEOUT_S = 0.25
 # Lifetime of a cached phase that is not final, if the holder does not answer.
 PHASE_CACHE_S = 0.3
-# Lifetime of a count of a cell's stored jobs, and the time limit for it.
-WAITING_CACHE_S = 1.6
-COUNT_TIMEOUT_S = 0.6
 # Wait for callers that set no deadline.
 DEFAULT_WAIT_S = 2.5
 # Part of the caller's deadline reserved for the response's transit.
@@ -67,14 +64,6 @@
     cached_at: float
 
 
-class _CountedJobs(NamedTuple):
-    jobs: dict[str, int]
-    counted_at: float
-
-
-_NOTHING_COUNTED = _CountedJobs({}, -float("inf"))
-
-
 class Intake:
     """Handles jobs for the callers of one entry."""
 
@@ -93,9 +82,6 @@
         self._evacuated = evacuated
         self._phases: dict[str, _CachedPhase] = {}
         self._submissions: list[tuple[float, str, float]] = []
-        # By cell whose holder is or was out of touch, its jobs as last counted in the store.
-        self._waiting: dict[str, _CountedJobs] = {}
-        self._counting = asyncio.Lock()
 
     # Submission
 
@@ -256,41 +242,15 @@
         self._phases[job_id] = _CachedPhase(progress.cell, progress.phase, self._clock())
         return JobStatus(progress.phase)
 
-    async def count_pending(self, queue: str) -> int:
+    def count_pending(self, queue: str) -> int:
         """Count the accepted jobs of a queue that have not started."""
         watch, held = self._succession.watch, self._succession.held
-        counts = []
-        for cell in watch.cells:
-            if cell in held:
-                counts.append(held[cell].waiting_jobs())
-            elif watch.may_miss_jobs(cell, self._clock()):
-                counts.append(await self._read_waiting(cell))
-            else:
-                counts.append(watch.waiting(cell))
+        counts = [
+            held[cell].waiting_jobs() if cell in held else watch.waiting(cell)
+            for cell in watch.cells
+        ]
         return sum(count.get(queue, 0) for count in counts)
 
-    async def _read_waiting(self, cell: str) -> dict[str, int]:
-        """Count the waiting jobs of a cell whose holder may not know all of them, by queue."""
-        known = self._succession.watch.waiting(cell)
-        async with self._counting:
-            counted = self._waiting.get(cell, _NOTHING_COUNTED)
-            is_due = self._clock() - counted.counted_at >= WAITING_CACHE_S
-            if is_due and not self._store.failing:
-                counted = await self._count_waiting(cell, counted)
-                self._waiting[cell] = counted
-        queues = known.keys() | counted.jobs.keys()
-        return {each: max(known.get(each, 0), counted.jobs.get(each, 0)) for each in queues}
-
-    async def _count_waiting(self, cell: str, last: _CountedJobs) -> _CountedJobs:
-        """Count a cell's waiting jobs in the store; return the last count if that fails."""
-        try:
-            async with asyncio.timeout(COUNT_TIMEOUT_S):
-                jobs = await records.count_waiting(self._store, cell)
-        except (TimeoutError, PlatformDown, AnswerLost) as exc:
-            log(Event.STORE_FAILED, what="waiting", cell=cell, error=exc)
-            jobs = last.jobs
-        return _CountedJobs(jobs, self._clock())
-
     # Cancellation
 
     async def cancel(self, job_id: str, wait_s: float) -> bool:
--- a/src/curranthall/platform/front.py
+++ b/src/curranthall/platform/front.py
@@ -42,8 +42,7 @@
             return json_response({"error": "no such queue"}, 404)
         job_path = req.path[len(route.prefix) :]
         if job_path == "" and req.method == "GET":
-            pending = await self._daemon.intake.count_pending(route.queue.name)
-            return json_response({"pending": pending})
+            return json_response({"pending": self._daemon.intake.count_pending(route.queue.name)})
         if not JOB_ID.match(job_path):
             return json_response({"error": "no such path"}, 404)
         match req.method:
