--- a/review/1/play.py
+++ b/review/1/play.py
@@ -42,7 +42,7 @@
     job = {"spec": "report", "steps": [first, second]}
     if not await site.submit(site.entries[0], "/reports/", JOB, job):
         return None
-    await asyncio.sleep(1.0)
+    await asyncio.sleep(2.0)
     hosts = [each for each in site.workers if any(JOB in task for task in each.runs)]
     if not hosts:
         return None
