Open the steps that a listed run of a later step implies

Cause: a successor that finds a run of a step listed marks the steps before it as done and tracks the listed runs, but never makes the step's other tasks waiting ones; only the last end of an earlier step or a newer row did. If a worker crashes with such an end, neither comes. Steps beside the listed one stayed closed as well.

Two of the three new tests in tests.test_dispatcher.Takeover failed before (nothing started); the third holds on both: a cancelled job opens nothing. Ruled out: gangs (they wait again once no member runs), occurrences not due yet (opened when due), moved tasks (opened by the row).

Why it works: the steps are opened at the moment the inference changes the row, as `_on_done` does for an end. Tasks of a former holder's job still wait for the proof, so nothing starts earlier than before.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -866,7 +866,9 @@
         if not tracked.job.has_task(task):
             self.orders.append(StopTask(member.name, task, entry.run))
             return None
-        self._infer_done(tracked, task, now)
+        if self._infer_done(tracked, task, now) and not tracked.progress.phase.is_final:
+            # The tasks of these steps that have no listed run start here.
+            self._open_steps(tracked, now)
         batch = self._get_batch(tracked, task)
         for other in list(batch.active.get(task.number, ())):
             if other.state is RunState.RECORDING:
@@ -902,18 +904,24 @@
             others=[[other.number, other.worker] for other in others if other is not run],
         )
 
-    def _infer_done(self, tracked: TrackedJob, task: TaskId, now: float) -> None:
-        """Mark a running step's dependencies as done: it was started only after they ended."""
+    def _infer_done(self, tracked: TrackedJob, task: TaskId, now: float) -> bool:
+        """Mark a running step's dependencies as done: it was started only after they ended.
+
+        Return whether any was not; further steps may start then.
+        """
+        has_changed = False
         for dependency in tracked.job.steps[task.step].after:
             full = (1 << tracked.job.steps[dependency].width) - 1
             if tracked.progress.done.get((task.occurrence, dependency), 0) != full:
                 tracked.progress.done[task.occurrence, dependency] = full
+                has_changed = True
                 self._mark_dirty(tracked)
                 first_task = TaskId(task.job, task.occurrence, dependency, 0)
                 self._infer_done(tracked, first_task, now)
                 batch = tracked.batches.get((task.occurrence, dependency))
                 if batch is not None:
                     self._update_waiting(batch, now)
+        return has_changed
 
     def _get_batch(self, tracked: TrackedJob, task: TaskId) -> Batch:
         key = task.occurrence, task.step
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -609,6 +609,41 @@
         self.assertEqual(cell.plan(), [])
         self.assertTrue(cell.dispatcher.tracked["0" * 16].progress.is_step_done(job(), 0, 0))
 
+    def test_all_tasks_of_an_inferred_step_start_after_a_takeover(self) -> None:
+        """A successor used to start no other task of a step that it knew only from a listed run."""
+        steps = step(2), step(3, after=(0,)), step(1, after=(0,)), step(1, after=(1,))
+        cell = self.successor("w1", "w2")
+        cell.add(job("0" * 16, *steps), prior=True)
+        # The ends of the first step are lost with the worker that listed them.
+        cell.answer("w1", [ListedRun(task(at=1, number=1), 3, "", 40, 0)])
+        cell.dispatcher.on_gone("w2", cell.now)
+        cell.dispatcher.note_rows_read()
+        cell.record()
+        started = {order.task[2:] for order in cell.plan()}
+        self.assertEqual(started, {(1, 0), (1, 2), (2, 0)})
+
+    def test_all_steps_are_inferred_from_a_run_two_steps_later(self) -> None:
+        """A successor used to start no other task of a step that it knew only from a listed run."""
+        steps = step(2), step(2, after=(0,)), step(2, after=(1,)), step(1, after=(0,))
+        cell = self.successor("w1", "w2")
+        cell.add(job("0" * 16, *steps), prior=True)
+        cell.answer("w1", [ListedRun(task(at=2), 3, "", 40, 0)])
+        cell.answer("w2")
+        cell.dispatcher.note_rows_read()
+        cell.record()
+        self.assertEqual({order.task[2:] for order in cell.plan()}, {(2, 1), (3, 0)})
+
+    def test_a_run_of_a_cancelled_job_opens_no_step(self) -> None:
+        cell = self.successor("w1")
+        cell.add(job("0" * 16, step(1), step(2, after=(0,))), prior=True)
+        row = Progress(CELL, Phase.CANCELLED)
+        cell.dispatcher.refresh("0" * 16, row, 2, cell.now)
+        cell.answer("w1", [ListedRun(task(at=1), 3, "", 40, 0)])
+        cell.dispatcher.note_rows_read()
+        cell.record()
+        self.assertEqual(cell.plan(), [])
+        self.assertEqual([stop.run for stop in cell.stops()], [3])
+
     def test_run_numbers_rise_with_the_epoch(self) -> None:
         cell = self.successor("w1")
         cell.answer("w1")
