Keep a job's queue as last configured in its row

Cause: the settings of a removed queue were known only to the processes that had read the version with it. One that started later, or that held a cell before it had read any configuration, used the defaults of `Queue`: one attempt, no advisor, the lowest stretch.

The advisor, a changed service and an entry without configuration are related paths of the same cause.

Change: the accepting entry writes the queue with the job, its holder writes it again when the settings differ. The queue of the newer configuration version counts, so that an entry that lags behind doesn't undo a change. Rows without it are read as before. `Operations.queue_of` returns None in place of a guess; the test of a removed queue in tests.test_owner expects the version in addition.

--- a/src/curranthall/catalogue.py
+++ b/src/curranthall/catalogue.py
@@ -2,8 +2,7 @@
 
 from typing import NamedTuple
 
-from curranthall.cells.tracking import Queue
-from curranthall.dag import Job
+from curranthall.dag import Job, Queue
 
 
 class Route(NamedTuple):
@@ -58,9 +57,10 @@
         if self.catalogue is not None and catalogue.version <= self.catalogue.version:
             return False
         self.catalogue = catalogue
-        self._queues.update({route.queue.name: route.queue for route in catalogue.routes})
+        for route in catalogue.routes:
+            self._queues[route.queue.name] = route.queue._replace(version=catalogue.version)
         return True
 
-    def queue_of(self, job: Job) -> Queue:
-        """Return a job's queue as last configured, also if the queue has been removed."""
-        return self._queues.get(job.queue, Queue(job.queue, job.service))
+    def queue_of(self, job: Job) -> Queue | None:
+        """Return a job's queue as last read here, also if it was removed; None if it never was."""
+        return self._queues.get(job.queue)
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -68,7 +68,7 @@
     KeptRoomAccess,
     SpareRoom,
 )
-from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, Queue, TrackedJob, classify
+from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, TrackedJob, classify
 from curranthall.cells.waits import (
     LastingWait,
     WaitContext,
@@ -78,8 +78,8 @@
     list_lasting_waits,
     summarize,
 )
-from curranthall.dag import Job, Phase, Progress, Step, TaskId
-from curranthall.dag.progress import TaskKey
+from curranthall.dag import Job, Phase, Progress, Queue, Step, TaskId
+from curranthall.dag.progress import TaskKey, newest_queue
 from curranthall.events import Event, log
 from curranthall.model import Host, HostState, Size
 from curranthall.telemetry import completion_seconds, jobs_by_size
@@ -169,7 +169,7 @@
         cell: str,
         epoch: int,
         bounds: Bounds,
-        queue_of: Callable[[Job], Queue],
+        queue_of: Callable[[Job], Queue | None],
         wall_ms: Callable[[], float],
     ) -> None:
         self.cell = cell
@@ -400,9 +400,10 @@
         if job.id in self.tracked:
             return
         due = now - (self._wall_ms() - job.accepted_ms) / 1000
-        tracked = TrackedJob(job, progress, version, self._queue_of(job), due)
+        tracked = TrackedJob(job, progress, version, Queue(job.queue, job.service), due)
         tracked.prior = progress.claims.get(self.cell, 0) != self.epoch
         self.tracked[job.id] = tracked
+        self._update_queue(tracked)
         self._poison.note_row(tracked)
         usual = self._usual_work.setdefault(job.queue, tracked.work)
         self._usual_work[job.queue] = usual + USUAL_WORK_GAIN * (tracked.work - usual)
@@ -464,6 +465,7 @@
         self._poison.note_row(tracked)
         if has_unrecorded:
             self.dirty[job_id] = tracked
+        self._update_queue(tracked)
         if tracked.progress.phase.is_final and not was_final:
             self._close_job(tracked, now)
             log(Event.JOB_CLOSED, job=job_id, phase=tracked.progress.phase.name.lower())
@@ -478,7 +480,24 @@
     def reconfigure(self) -> None:
         """Apply a new configuration of the queues."""
         for tracked in self.tracked.values():
-            tracked.queue = self._queue_of(tracked.job)
+            self._update_queue(tracked)
+
+    def _update_queue(self, tracked: TrackedJob) -> None:
+        """Use the newer of a job's configured and recorded queue, and record a change of it.
+
+        A successor may have started after the queue was removed from the configuration.
+        """
+        progress = tracked.progress
+        queue = newest_queue(self._queue_of(tracked.job), progress.queue)
+        if queue is None:
+            return
+        tracked.queue, recorded = queue, progress.queue
+        if recorded is not None and queue.has_settings_of(recorded):
+            return
+        progress.queue = queue
+        is_claimed = progress.claims.get(self.cell, 0) == self.epoch
+        if recorded is not None and is_claimed and not progress.phase.is_final:
+            self._mark_dirty(tracked)
 
     def stranded(self, after_s: float, now: float) -> list[Batch]:
         """Return the batches that found no worker here for `after_s`, in scheduling order.
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -27,8 +27,8 @@
 from curranthall.cells.ports import AskAdvice, WorkerPort
 from curranthall.cells.records import StoredJob, read_details
 from curranthall.cells.runtime import CellRuntime, OtherCells, TakenCell
-from curranthall.cells.tracking import Bounds, Queue
-from curranthall.dag import Job
+from curranthall.cells.tracking import Bounds
+from curranthall.dag import Job, Queue
 from curranthall.dag.progress import decode_progress
 from curranthall.errors import AnswerLost, PlatformDown
 from curranthall.events import Event, log
@@ -48,7 +48,7 @@
     connect: Callable[[Host], WorkerPort]
     clock: Callable[[], float]
     wall_ms: Callable[[], float]
-    queue_of: Callable[[Job], Queue]
+    queue_of: Callable[[Job], Queue | None]
     hosts: Callable[[], dict[str, Host] | None]
     evacuated: Callable[[], frozenset[str]]
     cast: Callable[[str, str, Any], None]
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -6,7 +6,7 @@
 
 from curranthall.cells.advice import Tickets
 from curranthall.cells.fleet import FormerRun, Run, Wait
-from curranthall.dag import Job, Phase, Progress, Step, TaskId
+from curranthall.dag import Job, Phase, Progress, Queue, Step, TaskId
 from curranthall.dag.progress import TaskKey
 
 # A job is worth nothing once it takes this multiple of its objective; it is then placed last.
@@ -36,19 +36,6 @@
     return min((each for each in times if each is not None), default=None)
 
 
-class Queue(NamedTuple):
-    """Configuration of a queue; times in milliseconds."""
-
-    name: str
-    service: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    objective_ms: int = 0
-    # Workers need an advisor's approval.
-    advised: bool = False
-
-
 class Bounds(NamedTuple):
     """Platform limits that placement decisions depend on, in seconds."""
 
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -164,7 +164,12 @@
         )
         self.succession = Succession(me, deployment.domains, deployment.bounds, environment)
         self.intake = Intake(
-            self.succession, store, self, boot_clock, lambda: self.operations.evacuated
+            self.succession,
+            store,
+            self,
+            boot_clock,
+            lambda: self.operations.evacuated,
+            self.operations.queue_of,
         )
 
     @property
--- a/src/curranthall/dag/model.py
+++ b/src/curranthall/dag/model.py
@@ -26,6 +26,25 @@
         return cls(job, int(occurrence), int(step), int(index))
 
 
+class Queue(NamedTuple):
+    """Configuration of a queue; times in milliseconds."""
+
+    name: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    objective_ms: int = 0
+    # Workers need an advisor's approval.
+    advised: bool = False
+    # The version of the configuration in which it was last read.
+    version: int = 0
+
+    def has_settings_of(self, other: "Queue") -> bool:
+        """Return whether both are configured alike, in whatever version."""
+        return self._replace(version=other.version) == other
+
+
 class Step(NamedTuple):
     """Identical tasks and constraints on where they run; times in milliseconds."""
 
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -7,7 +7,7 @@
 
 from cbor2 import dumps, loads
 
-from curranthall.dag.model import Job
+from curranthall.dag.model import Job, Queue
 from curranthall.values import checked, fields, integer, items, text, whole
 
 TaskKey = tuple[int, int, int]
@@ -45,6 +45,12 @@
     worker: str
 
 
+def newest_queue(*known: Queue | None) -> Queue | None:
+    """Return the queue that was read in the newest configuration, the first of equals."""
+    found = [queue for queue in known if queue is not None]
+    return max(found, key=lambda queue: queue.version, default=None)
+
+
 @dataclass(slots=True)
 class Progress:
     """A job's mutable row; task keys are (occurrence, step, index)."""
@@ -68,6 +74,8 @@
     doubts: dict[TaskKey, Doubt] = field(default_factory=dict)
     # By lasting task that was ever started, its last start; None if starts were not recorded.
     places: dict[TaskKey, Place] | None = field(default_factory=dict)
+    # The job's queue as last configured; None if no row has had it yet.
+    queue: Queue | None = None
     # Local moves to other cells that no committed row contains yet; not stored.
     uncommitted_moves: dict[TaskKey, str] = field(default_factory=dict)
     uncommitted_job_move: str = ""
@@ -205,6 +213,7 @@
             if key not in self.doubts or doubt.run > self.doubts[key].run:
                 self.doubts[key] = doubt
         self._merge_places(other.places)
+        self.queue = newest_queue(self.queue, other.queue)
         self.highest_run = max(self.highest_run, other.highest_run)
         self.moves = max(self.moves, other.moves)
         self.cell, self.moved_to = other.cell, dict(other.moved_to)
@@ -238,6 +247,8 @@
             for key, place in self.places.items():
                 by_worker.setdefault(place.worker, []).append([*key, place.run])
             value["l"] = [[worker, starts] for worker, starts in by_worker.items()]
+        if self.queue is not None and not self.phase.is_final:
+            value["s"] = list(self.queue)
         if self.moved_to:
             value["e"] = [[*key, cell] for key, cell in self.moved_to.items()]
         if self.claims:
@@ -268,6 +279,7 @@
             for k, step, index, *doubt in value.get("q", ())
         },
         _places(value["l"]) if "l" in value else None,
+        _queue(value["s"]) if "s" in value else None,
     )
 
 
@@ -283,6 +295,10 @@
     }
 
 
+def _queue(row: object) -> Queue:
+    return checked(Queue(*items(row)[: len(Queue._fields)]))
+
+
 def _runs(rows: Iterable[Any]) -> dict[TaskKey, set[int]]:
     return {_task_key(*key): set(map(whole, items(runs))) for *key, runs in rows}
 
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -9,7 +9,7 @@
 from curranthall.cells.load import HOME_BONUS, Load, rate_cell, widest_step
 from curranthall.cells.records import PROGRESS_TABLE, StoredJob, decode_stored_job
 from curranthall.cells.succession import Succession
-from curranthall.dag import Job, Phase, Progress
+from curranthall.dag import Job, Phase, Progress, Queue
 from curranthall.errors import AnswerLost, CurranthallError, PeerUnreachable, PlatformDown
 from curranthall.events import Event, log
 from curranthall.store import Check, Committed, Put, Row, Stale, Store
@@ -74,12 +74,14 @@
         peers: PeerLinks,
         clock: Callable[[], float],
         evacuated: Callable[[], frozenset[str]],
+        queue_of: Callable[[Job], Queue | None],
     ) -> None:
         self._succession = succession
         self._store = store
         self._peers = peers
         self._clock = clock
         self._evacuated = evacuated
+        self._queue_of = queue_of
         self._phases: dict[str, _CachedPhase] = {}
         self._submissions: list[tuple[float, str, float]] = []
 
@@ -91,7 +93,8 @@
         until = started_at + min(wait_s - ANSWER_MARGIN_S, wait_s * UNSURE_SHARE)
         cell = self.choose_cell(job)
         claims = {cell: self._succession.watch.epoch(cell)}
-        progress = Progress(cell, writer=self._succession.me.name, claims=claims)
+        queue = self._queue_of(job)
+        progress = Progress(cell, writer=self._succession.me.name, claims=claims, queue=queue)
         store_job = self._relay if self._store.failing else self._create
         verdict = await store_job(job, progress, until)
         acceptance_seconds.observe(self._clock() - started_at, verdict=verdict.value)
--- a/src/curranthall/platform/decode.py
+++ b/src/curranthall/platform/decode.py
@@ -5,8 +5,7 @@
 import orjson
 
 from curranthall.catalogue import Catalogue, Evacuation, MaintenanceWave, Operation, Route
-from curranthall.cells.tracking import Queue
-from curranthall.dag import Job, Step
+from curranthall.dag import Job, Queue, Step
 from curranthall.errors import BadInput
 from curranthall.events import Event, log
 from curranthall.model import Host, HostState, Size
--- a/src/curranthall/platform/front.py
+++ b/src/curranthall/platform/front.py
@@ -2,9 +2,8 @@
 
 import re
 
-from curranthall.cells.tracking import Queue
 from curranthall.daemon import Daemon, wall_ms
-from curranthall.dag import Phase
+from curranthall.dag import Phase, Queue
 from curranthall.errors import AnswerLost, BadInput, PlatformDown
 from curranthall.http import Request, Response, json_response
 from curranthall.intake import Verdict
--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -1,5 +1,7 @@
 """Builders for tests of a cell: hosts, jobs, snapshots and a dispatcher with its own clock."""
 
+from collections.abc import Callable
+
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.fleet import Member, RunState
 from curranthall.cells.ports import (
@@ -12,8 +14,8 @@
     StartTask,
     StopTask,
 )
-from curranthall.cells.tracking import Bounds, Queue, TrackedJob
-from curranthall.dag import Job, Progress, Step, TaskId
+from curranthall.cells.tracking import Bounds, TrackedJob
+from curranthall.dag import Job, Progress, Queue, Step, TaskId
 from curranthall.model import Host, HostState, Size
 
 CELL = "north"
@@ -48,10 +50,17 @@
 class Cell:
     """A dispatcher under test with its own clock; workers answer only by calls of `answer`."""
 
-    def __init__(self, *hosts: Host, max_attempts: int = 2, settled: bool = True) -> None:
+    def __init__(
+        self,
+        *hosts: Host,
+        max_attempts: int = 2,
+        settled: bool = True,
+        queue_of: Callable[[Job], Queue | None] | None = None,
+    ) -> None:
         self.now = 100.0
         self.queue = Queue("q", SERVICE, 0, max_attempts, 2.0, 1_000)
-        self.dispatcher = Dispatcher(CELL, EPOCH, Bounds(), lambda job: self.queue, lambda: 0.0)
+        configured = queue_of or (lambda job: self.queue)
+        self.dispatcher = Dispatcher(CELL, EPOCH, Bounds(), configured, lambda: 0.0)
         for each in hosts:
             self.dispatcher.update_host(each)
         if settled:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+from curranthall.catalogue import Catalogue, Operations, Route
 from curranthall.cells.advice import Advice
 from curranthall.cells.owner import CELL_PART, CELL_TABLE, Claimant, Owner, decode_owner
 from curranthall.cells.ports import (
@@ -19,8 +20,8 @@
 )
 from curranthall.cells.records import PROGRESS_TABLE, decode_progress_row, part_of
 from curranthall.cells.succession import Environment, Succession
-from curranthall.cells.tracking import Bounds, Queue
-from curranthall.dag import Job, Phase, Progress, TaskId
+from curranthall.cells.tracking import Bounds
+from curranthall.dag import Job, Phase, Progress, Queue, TaskId
 from curranthall.errors import (
     AnswerLost,
     ConnectFailed,
@@ -213,7 +214,10 @@
         self.crashed: dict[str, asyncio.Event] = {}
         self.dead: set[str] = set()
         self.domains = ("a", "b", "c")
-        self.queue = Queue("q", SERVICE, 0, 3, 3.0, 2_000)
+        queue = Queue("q", SERVICE, 0, 3, 3.0, 2_000)
+        self.catalogue = Catalogue(1, (Route("h", "/q/", queue),), frozenset((SERVICE,)))
+        # Tasks whose runs fail.
+        self.failing: set[TaskId] = set()
         self.evacuated: frozenset[str] = frozenset()
         self.work: dict[str, float] = {}
         self.runners: dict[str, Runner] = {}
@@ -372,7 +376,8 @@
 
     def _work(self, task: TaskId) -> Work:
         job = self.judge.jobs[task.job]
-        return Work(job.steps[task.step], self.work.get(task.job, 1.0))
+        fails = task in self.failing
+        return Work(job.steps[task.step], self.work.get(task.job, 1.0), fails)
 
     async def submit(self, entry: str, job: Job) -> Verdict:
         """Submit a job at an entry."""
@@ -403,6 +408,8 @@
         self.cluster = cluster
         self.name = name
         self.dead = False
+        self.operations = Operations()
+        self.operations.apply(cluster.catalogue)
         store = FaultyStore(cluster, self)
         incarnation = cluster.rng.getrandbits(40)
         me = Claimant(name, name, incarnation, domain, 1.0)
@@ -411,7 +418,7 @@
             lambda host: FaultyWorker(cluster, self, host),
             now,
             lambda: now() * 1000,
-            lambda job: cluster.queue,
+            self.operations.queue_of,
             cluster.hosts,
             lambda: cluster.evacuated,
             self.cast,
@@ -420,7 +427,14 @@
             no_advice,
         )
         self.succession = Succession(me, cluster.domains, Bounds(), env)
-        self.intake = Intake(self.succession, store, self, now, lambda: cluster.evacuated)
+        self.intake = Intake(
+            self.succession,
+            store,
+            self,
+            now,
+            lambda: cluster.evacuated,
+            self.operations.queue_of,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -439,6 +453,9 @@
 
     async def _watch_hosts(self) -> None:
         while True:
+            if self.operations.apply(self.cluster.catalogue):
+                for runtime in self.succession.held.values():
+                    runtime.dispatcher.reconfigure()
             self.succession.on_hosts(self.cluster.hosts())
             self.succession.on_evacuated(self.cluster.evacuated)
             await asyncio.sleep(0.3)
--- a/tests/load.py
+++ b/tests/load.py
@@ -23,8 +23,8 @@
     StopTask,
 )
 from curranthall.cells.records import has_tasks_in, other_cells
-from curranthall.cells.tracking import Batch, Bounds, Queue
-from curranthall.dag import Job, Progress, Step, TaskId
+from curranthall.cells.tracking import Batch, Bounds
+from curranthall.dag import Job, Progress, Queue, Step, TaskId
 from curranthall.dag.progress import decode_progress
 from curranthall.model import Host, HostState, Size
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -22,8 +22,8 @@
     has_room,
 )
 from curranthall.cells.poison import Crash, PoisonDetector, Suspect, _is_open
-from curranthall.cells.tracking import Queue, TrackedJob
-from curranthall.dag import Phase, Step, TaskId
+from curranthall.cells.tracking import TrackedJob
+from curranthall.dag import Phase, Queue, Step, TaskId
 from curranthall.dag.progress import Doubt
 from curranthall.model import Size
 from tests.cell_fixtures import SERVICE, Cell, claimed_progress, host, job, listed, step, task
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -26,7 +26,7 @@
     decode_details_row,
     decode_owner,
 )
-from curranthall.cells.tracking import Queue
+from curranthall.dag import Queue
 from curranthall.store import Listing, Row
 from curranthall.values import DECODE_ERRORS
 from tests.cell_fixtures import host, job
@@ -368,7 +368,7 @@
         queue = Queue("q", "desk", max_attempts=4)
         operations.apply(Catalogue(1, (Route("h", "/p/", queue),), frozenset()))
         operations.apply(Catalogue(2, (), frozenset()))
-        self.assertEqual(operations.queue_of(job()), queue)
+        self.assertEqual(operations.queue_of(job()), queue._replace(version=1))
 
 
 if __name__ == "__main__":
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -24,9 +24,9 @@
     StopTask,
 )
 from curranthall.cells.runtime import CellRuntime
-from curranthall.cells.tracking import Bounds, Queue
+from curranthall.cells.tracking import Bounds
 from curranthall.daemon import Daemon, Deployment, RowFormat
-from curranthall.dag import TaskId
+from curranthall.dag import Queue, TaskId
 from curranthall.errors import (
     AnswerLost,
     BadInput,
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -49,8 +49,8 @@
     OtherCells,
     TakenCell,
 )
-from curranthall.cells.tracking import Bounds, Queue
-from curranthall.dag import Phase, Progress, TaskId
+from curranthall.cells.tracking import Bounds
+from curranthall.dag import Phase, Progress, Queue, TaskId
 from curranthall.errors import AnswerLost, PlatformDown
 from curranthall.model import Host, HostState
 from curranthall.standin.store import MemoryStore
