Bound the state of repeating jobs by what is due

Cause: a holder kept a time for each occurrence that was not due, walked all occurrences at each end, kept the state of those that were done, opened all that were due at once, and wrote each done one into the row, which exceeds `max-row-bytes` after some 10,000.

Change: one time a job for its next occurrence; occurrences are opened in order while few of the job's steps wait; the row counts the first occurrences that are done in one number. Rows of the landed code are read and get smaller with the next write.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -122,6 +122,8 @@
 MAX_TICK_S = 0.5
 # Interval between logged summaries of the cell.
 SUMMARY_INTERVAL_S = 2.0
+# While this many steps of a job wait in the cell, no further occurrences of it are opened.
+MAX_WAITING_STEPS = 32
 # The most workers that one summary lists as not proven.
 MAX_LISTED_UNPROVEN = 8
 # Differs from every percentage, so that the next snapshot orders the pace again.
@@ -192,7 +194,8 @@
         self._queue_of = queue_of
         self._wall_ms = wall_ms
         self._ready: dict[tuple[str, int, int], Batch] = {}
-        self._due_at: dict[tuple[str, int], float] = {}
+        # By job, when to look for occurrences that are due.
+        self._due_at: dict[str, float] = {}
         self._unsent: list[_Unsent] = []
         # Workers were proven or rows were read since the held tasks were last checked.
         self._recheck_held = False
@@ -568,22 +571,40 @@
         member.deferred_ends.clear()
 
     def _open_steps(self, tracked: TrackedJob, now: float) -> None:
+        """Open the steps of all due occurrences whose dependencies are done."""
+        tracked.drop_finished()
+        for occurrence in tracked.open_occurrences(self.cell):
+            self._open_occurrence(tracked, occurrence, now)
+        self._open_due(tracked, now)
+
+    def _open_due(self, tracked: TrackedJob, now: float) -> None:
+        """Open further occurrences that are due, unless many steps wait already."""
+        job = tracked.job
+        tracked.next_occurrence = max(tracked.next_occurrence, tracked.progress.finished)
+        self._due_at.pop(job.id, None)
+        if tracked.progress.cell != self.cell or tracked.next_occurrence == job.occurrences:
+            return
+        room = MAX_WAITING_STEPS - tracked.count_waiting_steps()
+        while tracked.next_occurrence < job.occurrences:
+            wait_s = (job.due_ms(tracked.next_occurrence) - self._wall_ms()) / 1000
+            if job.is_timed and wait_s > 0:
+                self._due_at[job.id] = now + wait_s
+                return
+            if room <= 0:
+                # Steps that wait now may have started by the next tick.
+                self._due_at[job.id] = now
+                return
+            self._open_occurrence(tracked, tracked.next_occurrence, now)
+            tracked.next_occurrence += 1
+            room -= 1
+
+    def _open_occurrence(self, tracked: TrackedJob, occurrence: int, now: float) -> None:
         job, progress = tracked.job, tracked.progress
-        for occurrence in range(job.occurrences):
-            if job.is_timed and not self._is_due(tracked, occurrence, now):
-                continue
-            for number, step in enumerate(job.steps):
-                if (occurrence, number) in tracked.batches:
-                    self._update_waiting(tracked.batches[occurrence, number], now)
-                elif all(progress.is_step_done(job, occurrence, i) for i in step.after):
-                    self._open_batch(tracked, occurrence, number, now)
-
-    def _is_due(self, tracked: TrackedJob, occurrence: int, now: float) -> bool:
-        wait_s = (tracked.job.due_ms(occurrence) - self._wall_ms()) / 1000
-        if wait_s <= 0:
-            return True
-        self._due_at[tracked.job.id, occurrence] = now + wait_s
-        return False
+        for number, step in enumerate(job.steps):
+            if (occurrence, number) in tracked.batches:
+                self._update_waiting(tracked.batches[occurrence, number], now)
+            elif all(progress.is_step_done(job, occurrence, i) for i in step.after):
+                self._open_batch(tracked, occurrence, number, now)
 
     def _open_batch(self, tracked: TrackedJob, occurrence: int, number: int, now: float) -> None:
         batch = Batch(tracked, occurrence, number, tracked.job.steps[number])
@@ -635,8 +656,7 @@
             for runs in list(batch.active.values()):
                 for run in list(runs):
                     self._stop(run, now)
-        for key in [key for key in self._due_at if key[0] == tracked.job.id]:
-            del self._due_at[key]
+        self._due_at.pop(tracked.job.id, None)
 
     # Recording
 
@@ -930,9 +950,7 @@
         """
         has_changed = False
         for dependency in tracked.job.steps[task.step].after:
-            full = (1 << tracked.job.steps[dependency].width) - 1
-            if tracked.progress.done.get((task.occurrence, dependency), 0) != full:
-                tracked.progress.done[task.occurrence, dependency] = full
+            if tracked.progress.add_step_done(tracked.job, task.occurrence, dependency):
                 has_changed = True
                 self._mark_dirty(tracked)
                 first_task = TaskId(task.job, task.occurrence, dependency, 0)
@@ -1006,6 +1024,8 @@
             member.pending_acks[ending.number] = PendingAck(task.job, tracked.change)
         if run is not None:
             self._remove_run(run, now, EndReason.ENDED, ending.kind.value)
+        if tracked.progress.is_step_done(tracked.job, task.occurrence, task.step):
+            tracked.drop_finished()
         if tracked.progress.phase.is_final and tracked.final_at is None:
             self._close_job(tracked, now)
 
@@ -1026,7 +1046,7 @@
         step, progress = tracked.job.steps[task.step], tracked.progress
         tracked.checkpoints.pop(task[1:], None)
         if step.gang:
-            progress.done[task.occurrence, task.step] = (1 << step.width) - 1
+            progress.add_step_done(tracked.job, task.occurrence, task.step)
         else:
             progress.add_done(*task[1:])
         complete = progress.is_all_done(tracked.job)
@@ -1036,7 +1056,8 @@
         step_complete = progress.is_step_done(tracked.job, task.occurrence, task.step)
         self._mark_dirty(tracked, urgent=complete or (is_remote and step_complete))
         if step_complete and not complete:
-            self._open_steps(tracked, now)
+            self._open_occurrence(tracked, task.occurrence, now)
+            self._open_due(tracked, now)
         batch = tracked.batches.get((task.occurrence, task.step))
         if batch is not None:
             self._update_waiting(batch, now, None if step.gang else (task.number,))
@@ -1248,12 +1269,12 @@
 
     def tick(self, now: float, confirmed_at: float) -> None:
         """Run all timers; `confirmed_at` is when a renewal last confirmed that the cell is held."""
-        for key, at in list(self._due_at.items()):
+        for job_id, at in list(self._due_at.items()):
             if now >= at:
-                del self._due_at[key]
-                tracked = self.tracked.get(key[0])
+                del self._due_at[job_id]
+                tracked = self.tracked.get(job_id)
                 if tracked is not None and not tracked.progress.phase.is_final:
-                    self._open_steps(tracked, now)
+                    self._open_due(tracked, now)
         lapsed = self._fencing.lapse(now)
         if lapsed:
             log(
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -794,7 +794,7 @@
             prior=tracked.prior,
             by=by,
             size=tracked.size_class,
-            done=stored.progress.count_done(),
+            done=stored.progress.count_done(stored.job),
         )
 
     def refresh(self, job_id: str, row: Row) -> None:
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass, field
 from math import floor, log2
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from curranthall.cells.advice import Tickets
 from curranthall.cells.fleet import FormerRun, Run, Wait
 from curranthall.dag import Job, Phase, Progress, Queue, Step, TaskId
-from curranthall.dag.progress import TaskKey
+from curranthall.dag.progress import TaskKey, drop_keys_below
 
 # A job is worth nothing once it takes this multiple of its objective; it is then placed last.
 LATE_FACTOR = 3.0
@@ -137,6 +137,8 @@
     prior: bool = False
     has_started: bool = False
     batches: dict[tuple[int, int], Batch] = field(default_factory=dict)
+    # The first occurrence whose steps are not open yet: it is not due, or too many wait before it.
+    next_occurrence: int = 0
     checkpoints: dict[TaskKey, str] = field(default_factory=dict)
     failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     refused_on: dict[TaskKey, set[str]] = field(default_factory=dict)
@@ -180,6 +182,34 @@
         """Return the workers on which a task failed or that refused it."""
         return frozenset(self.failed_on.get(key, set()) | self.refused_on.get(key, set()))
 
+    def open_occurrences(self, cell: str) -> list[int]:
+        """Return the occurrences that a cell runs: its own that are open, and those moved there."""
+        found = {key[0] for key, to in self.progress.moved_to.items() if to == cell}
+        if self.progress.cell == cell:
+            found.update(range(self.progress.finished, self.next_occurrence))
+        return sorted(found)
+
+    def count_waiting_steps(self) -> int:
+        """Return how many steps have tasks that wait in this cell."""
+        return sum(batch.count_waiting() > 0 for batch in self.batches.values())
+
+    def drop_finished(self) -> None:
+        """Drop the state of occurrences that are done; steps with runs are dropped later."""
+        if not self.progress.drop_finished(self.job) and not self.progress.finished:
+            return
+        first = self.progress.finished
+        for key, batch in list(self.batches.items()):
+            if key[0] < first and not batch.active:
+                del self.batches[key]
+        tables: tuple[dict[TaskKey, Any], ...] = (
+            self.checkpoints,
+            self.failed_on,
+            self.refused_on,
+            self.former,
+        )
+        for table in tables:
+            drop_keys_below(table, first)
+
     def active(self) -> bool:
         """Return whether this cell knows any run of the job."""
         return any(batch.active for batch in self.batches.values())
@@ -196,11 +226,12 @@
         return self._work_left_cache[2]
 
     def _sum_work_left(self) -> float:
-        left = 0.0
-        for occurrence in range(self.job.occurrences):
-            for number, step in enumerate(self.job.steps):
-                ended = self.progress.done.get((occurrence, number), 0).bit_count()
-                left += (step.width - ended) * step.size.cores * step.estimate_ms / 1000
+        left = (self.job.occurrences - self.progress.finished) * sum(
+            step.work() for step in self.job.steps
+        )
+        for (_, number), mask in self.progress.done.items():
+            step = self.job.steps[number]
+            left -= mask.bit_count() * step.work() / step.width
         return left
 
     def value(self, usual_work: float) -> float:
--- a/src/curranthall/dag/model.py
+++ b/src/curranthall/dag/model.py
@@ -72,6 +72,15 @@
     filling: bool = False
     max_unavailable: int = 0
 
+    def work(self) -> float:
+        """Estimate the core-seconds of all tasks of an occurrence."""
+        return self.width * self.size.cores * self.estimate_ms / 1000
+
+    @property
+    def full_mask(self) -> int:
+        """Return a mask with a bit for each task."""
+        return (1 << self.width) - 1
+
     @property
     def records_starts(self) -> bool:
         """Return whether each start is recorded before it is sent, so that no task starts twice."""
@@ -127,8 +136,7 @@
 
     def work(self) -> float:
         """Estimate the core-seconds of all tasks."""
-        per_occurrence = sum(step.width * step.size.cores * step.estimate_ms for step in self.steps)
-        return self.occurrences * per_occurrence / 1000
+        return self.occurrences * sum(step.work() for step in self.steps)
 
     def encode(self) -> bytes:
         """Encode the job as a row's value."""
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -45,6 +45,12 @@
     worker: str
 
 
+def drop_keys_below(table: dict[Any, Any], occurrence: int) -> None:
+    """Remove the entries of a table whose keys begin with an earlier occurrence."""
+    for key in [key for key in table if key[0] < occurrence]:
+        del table[key]
+
+
 def newest_queue(*known: Queue | None) -> Queue | None:
     """Return the queue that was read in the newest configuration, the first of equals."""
     found = [queue for queue in known if queue is not None]
@@ -57,6 +63,7 @@
 
     cell: str
     phase: Phase = Phase.QUEUED
+    # By occurrence and step, a mask of the tasks that are done; see also `finished`.
     done: dict[tuple[int, int], int] = field(default_factory=dict)
     failures: dict[TaskKey, set[int]] = field(default_factory=dict)
     moved_to: dict[TaskKey, str] = field(default_factory=dict)
@@ -76,23 +83,59 @@
     places: dict[TaskKey, Place] | None = field(default_factory=dict)
     # The job's queue as last configured; None if no row has had it yet.
     queue: Queue | None = None
+    # All occurrences below this number are done; nothing else is kept of them.
+    finished: int = 0
     # Local moves to other cells that no committed row contains yet; not stored.
     uncommitted_moves: dict[TaskKey, str] = field(default_factory=dict)
     uncommitted_job_move: str = ""
 
     def is_done(self, occurrence: int, step: int, index: int) -> bool:
         """Return whether a task is done."""
-        return bool(self.done.get((occurrence, step), 0) >> index & 1)
+        return occurrence < self.finished or bool(self.done.get((occurrence, step), 0) >> index & 1)
 
     def add_done(self, occurrence: int, step: int, index: int) -> bool:
         """Record a task as done; return whether it was not done before."""
+        if occurrence < self.finished:
+            return False
         mask = self.done.get((occurrence, step), 0)
         self.done[occurrence, step] = mask | 1 << index
         return not mask >> index & 1
 
-    def count_done(self) -> int:
+    def add_step_done(self, job: Job, occurrence: int, step: int) -> bool:
+        """Record all tasks of a step as done; return whether one was not done before."""
+        if self.is_step_done(job, occurrence, step):
+            return False
+        self.done[occurrence, step] = job.steps[step].full_mask
+        return True
+
+    def count_done(self, job: Job) -> int:
         """Return the number of tasks that are done."""
-        return sum(mask.bit_count() for mask in self.done.values())
+        in_finished = self.finished * sum(step.width for step in job.steps)
+        return in_finished + sum(mask.bit_count() for mask in self.done.values())
+
+    def drop_finished(self, job: Job) -> bool:
+        """Count the first occurrences that are done in `finished`; return whether there were any.
+
+        The row of a job with many occurrences thus holds only what is not done yet.
+        """
+        before, steps = self.finished, range(len(job.steps))
+        while 1 < job.occurrences > self.finished and all(
+            self.is_step_done(job, self.finished, step) for step in steps
+        ):
+            for step in steps:
+                del self.done[self.finished, step]
+            self.finished += 1
+        if self.finished == before:
+            return False
+        self._forget_finished()
+        return True
+
+    def _forget_finished(self) -> None:
+        """Drop what is recorded of the tasks of finished occurrences."""
+        tables: list[dict[Any, Any]] = [self.done, self.failures, self.moved_to]
+        tables += [self.uncommitted_moves, self.crashes, self.outages, self.outlasted, self.doubts]
+        for table in tables:
+            drop_keys_below(table, self.finished)
 
     def add_failure(self, key: TaskKey, run: int) -> int:
         """Record a failed run; return the number of the task's failed runs."""
@@ -141,7 +184,9 @@
 
     def is_step_done(self, job: Job, occurrence: int, step: int) -> bool:
         """Return whether all tasks of a step are done."""
-        return self.done.get((occurrence, step), 0) == (1 << job.steps[step].width) - 1
+        if occurrence < self.finished:
+            return True
+        return self.done.get((occurrence, step), 0) == job.steps[step].full_mask
 
     def is_all_done(self, job: Job) -> bool:
         """Return whether every task of every occurrence is done; never true for a lasting job."""
@@ -149,7 +194,7 @@
             return False
         return all(
             self.is_step_done(job, occurrence, step)
-            for occurrence in range(job.occurrences)
+            for occurrence in range(self.finished, job.occurrences)
             for step in range(len(job.steps))
         )
 
@@ -226,6 +271,9 @@
             key: to for key, to in self.uncommitted_moves.items() if self.owner(key) == cell
         }
         self.moved_to.update(self.uncommitted_moves)
+        self.finished = max(self.finished, other.finished)
+        if self.finished:
+            self._forget_finished()
 
     def encode(self) -> bytes:
         """Encode the row's value without its empty parts."""
@@ -247,6 +295,8 @@
             for key, place in self.places.items():
                 by_worker.setdefault(place.worker, []).append([*key, place.run])
             value["l"] = [[worker, starts] for worker, starts in by_worker.items()]
+        if self.finished:
+            value["n"] = self.finished
         if self.queue is not None and not self.phase.is_final:
             value["s"] = list(self.queue)
         if self.moved_to:
@@ -280,6 +330,7 @@
         },
         _places(value["l"]) if "l" in value else None,
         _queue(value["s"]) if "s" in value else None,
+        whole(value.get("n", 0)),
     )
 
 
