Keep runs in doubt until their workers answer, and count only crashes

Cause: a task had room for one run in doubt. When it started again before the silent worker had answered (a lasting one after its lease), the run was recorded as an excused crash, for good, and a later answer of the same boot cleared nothing.

Change: a task may have several runs in doubt, each with worker, address, boot and cell; whichever boot answers settles them, through the holder of the worker's cell, also for a job that was moved and after a takeover.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -41,10 +41,11 @@
     PROBATION_S,
     Crash,
     PoisonDetector,
-    count_crashes,
     count_for_placement,
+    count_suspicions,
     crash_key,
     is_given_up,
+    needs_answer,
     needs_quiet,
     startable,
 )
@@ -179,7 +180,7 @@
         self.bounds = bounds
         self.members: dict[str, Member] = {}
         self.tracked: dict[str, TrackedJob] = {}
-        self._poison = PoisonDetector(self.tracked)
+        self._poison = PoisonDetector(self.tracked, cell)
         self.orders: deque[Order] = deque()
         self.interference = Interference()
         self._departures = Departures()
@@ -338,6 +339,9 @@
 
     def update_host(self, host: Host) -> Member | None:
         """Update a worker from its listing; return the member if it is new or has moved."""
+        if host.state is HostState.LEAVING:
+            self._poison.note_leaving(host.name)
+            self._record_cleared()
         member = self.members.get(host.name)
         if member is None:
             member = self.members[host.name] = Member(host)
@@ -807,6 +811,12 @@
     def _settle_crashes(self, member: Member, born: int, now: float) -> None:
         """Count the crashes that an answer of a worker's boot shows."""
         self._count_crashes(self._poison.settle(member, born, len(self.members), now), now)
+        self._record_cleared()
+
+    def _record_cleared(self) -> None:
+        """Record the jobs of which a run is in doubt no longer."""
+        for tracked in self._poison.take_cleared():
+            self._mark_dirty(tracked)
 
     def _count_crashes(self, found: list[Crash], now: float) -> None:
         """Count the crashes against the tasks in doubt; give up poison tasks."""
@@ -1264,6 +1274,7 @@
         for run in list(member.runs.values()):
             self._remove_run(run, now, EndReason.GONE)
         self._settle_crashes(member, 0, now)
+        self._poison.note_gone(member, now)
 
     # Timers
 
@@ -1290,10 +1301,13 @@
             if member.born and member.silent_since is None:
                 # Rows that were read since its last answer may have runs in doubt.
                 self._settle_crashes(member, member.born, now)
+        self._count_crashes(self._poison.settle_gone(len(self.members), now), now)
         self._remove_old_jobs(now)
         self._count_overdue(now)
         if now - self._summary_at >= SUMMARY_INTERVAL_S:
             self._summary_at = now
+            self._poison.expire(now)
+            self._record_cleared()
             self._count_expired(now)
             self._log_summary(now)
 
@@ -1772,9 +1786,6 @@
         refused: list[Refusal],
         now: float,
     ) -> None:
-        self._count_crashes(self._poison.settle_lost(batch), now)
-        if batch.tracked.progress.phase.is_final:
-            return
         if batch.tracked.queue.advised:
             refused, usable = [], self._approved_workers(batch, usable, now)
             if not usable and batch.tickets.is_pending(now):
@@ -1866,7 +1877,7 @@
     def _place_gang(self, batch: Batch, usable: list[Member], now: float) -> None:
         """Start all members of a gang at once, or none."""
         tracked, step = batch.tracked, batch.step
-        if batch.active or len(batch.waiting) < step.width:
+        if batch.active or len(batch.waiting) < step.width or needs_answer(batch, 0):
             return
         chosen: list[Member] = []
         tentative: list[tuple[Member, Run]] = []
@@ -1925,7 +1936,7 @@
             tracked.waited_s = max(tracked.waited_s, now - batch.unplaced_since)
         checkpoint = tracked.checkpoints.get(task[1:], "") if batch.step.checkpointing else ""
         run = Run(task, number, member.name, batch.step, RunState.STARTING, now, checkpoint)
-        run.probation_until, run.crashes = now + PROBATION_S, count_crashes(batch, index)
+        run.probation_until, run.crashes = now + PROBATION_S, count_suspicions(batch, index)
         run.wait = batch.wait()
         run.note_progress(now)
         self._add_run(batch, run, member)
--- a/src/curranthall/cells/poison.py
+++ b/src/curranthall/cells/poison.py
@@ -1,7 +1,8 @@
 """Poison tasks: which of a worker's runs its crash is attributed to.
 
 A worker has crashed if another boot answers in its place and it was not leaving. Suspected are the
-runs that had just started there; runs that had outlasted their start are bystanders.
+runs that had just started there; runs that had outlasted their start are bystanders. A worker that
+only falls silent may have been cut off: its runs are in doubt until a boot answers.
 """
 
 from collections.abc import Iterable
@@ -10,7 +11,8 @@
 from curranthall.cells.fleet import Member, Run, RunState
 from curranthall.cells.tracking import Batch, TrackedJob
 from curranthall.dag import Progress, Step, TaskId
-from curranthall.dag.progress import Doubt, TaskKey
+from curranthall.dag.progress import Doubt, RunKey, TaskKey
+from curranthall.events import Event, log
 from curranthall.model import HostState
 
 # A run is on probation for this long, then until its worker's next answer.
@@ -22,7 +24,8 @@
 QUIET_WAIT_S = 1.5
 # A task is given up after so many crashes in a row, if it alone was on probation at the last one,
 # or if not, after more of them, excused ones included: the platform allows five starts, and one
-# crash may be lost with a killed holder.
+# crash may be lost with a killed holder. While runs in doubt could make up the latter number, the
+# task waits for an answer.
 MAX_CRASHES = 3
 MAX_AMBIGUOUS_CRASHES = 4
 # More than half of a cell's workers, and at least so many, falling silent within this time of each
@@ -31,6 +34,8 @@
 MIN_OUTAGE_WORKERS = 3
 # How long the silences of workers are kept.
 KEPT_S = 60.0
+# After this long without an answer a run is in doubt no longer: its worker may be gone for good.
+MAX_DOUBT_S = 60.0
 
 
 class Suspect(NamedTuple):
@@ -70,20 +75,37 @@
     return progress.count_all_crashes(crash_key(batch.step, batch.task(index)))
 
 
+def count_suspicions(batch: Batch, index: int) -> int:
+    """Return how many runs in a row of a task crashed their worker, or may have."""
+    key = crash_key(batch.step, batch.task(index))
+    return count_crashes(batch, index) + batch.tracked.progress.count_doubts(key)
+
+
 def count_for_placement(batch: Batch, index: int) -> int:
-    """Return a task's crashes in a row, or 0 for a single excused one: it may start anywhere."""
-    crashes = count_crashes(batch, index)
+    """Return a task's suspicions, or 0 for a single one but a counted crash: it starts anywhere."""
+    found = count_suspicions(batch, index)
     key = crash_key(batch.step, batch.task(index))
-    return crashes if crashes > 1 or batch.tracked.progress.count_crashes(key) else 0
+    return found if found > 1 or batch.tracked.progress.count_crashes(key) else 0
 
 
 def startable(batch: Batch) -> list[int]:
     """Return the waiting tasks that may start now, in order.
 
     While one of them is isolated or about to be, the others wait: they may be poison as well, and
-    their work is lost if the job is given up.
+    their work is lost if the job is given up. Nor may a task start that would be given up if all
+    its runs in doubt were crashes.
     """
-    if batch.tracked.progress.crashes or batch.tracked.progress.outages:
+    progress = batch.tracked.progress
+    waiting = batch.waiting
+    if progress.doubts:
+        in_doubt = {run_key[:3] for run_key in progress.doubts}
+        waiting = {
+            index
+            for index in waiting
+            if crash_key(batch.step, batch.task(index)) not in in_doubt
+            or not needs_answer(batch, index)
+        }
+    if progress.crashes or progress.outages:
         on_probation = {
             index
             for index, runs in batch.active.items()
@@ -91,12 +113,20 @@
         }
         isolated = [
             index
-            for index in sorted(batch.waiting | on_probation)
+            for index in sorted(waiting | on_probation)
             if count_crashes(batch, index) >= ISOLATION_CRASHES
         ]
         if isolated:
-            return isolated[:1] if isolated[0] in batch.waiting else []
-    return sorted(batch.waiting)
+            return isolated[:1] if isolated[0] in waiting else []
+    return sorted(waiting)
+
+
+def needs_answer(batch: Batch, index: int) -> bool:
+    """Return whether a task waits until a worker shows whether it crashed with it."""
+    key = crash_key(batch.step, batch.task(index))
+    if not batch.tracked.progress.count_doubts(key):
+        return False
+    return count_suspicions(batch, index) >= MAX_AMBIGUOUS_CRASHES
 
 
 def needs_quiet(batch: Batch, crashes: int, now: float) -> bool:
@@ -114,11 +144,13 @@
     """Attributes the crashes of a cell's workers to runs.
 
     A run that had just started when its worker fell silent is in doubt, which its job's row shows,
-    until the worker or another boot at its address answers: a successor continues from there.
+    until the worker or another boot at its address answers: a successor continues from there. Its
+    task may start again meanwhile and have several runs in doubt.
     """
 
-    def __init__(self, tracked: dict[str, TrackedJob]) -> None:
+    def __init__(self, tracked: dict[str, TrackedJob], cell: str) -> None:
         self._tracked = tracked
+        self._cell = cell
         # When each worker fell silent last, and whether a suspect had just started there.
         self._silences: dict[str, tuple[float, bool]] = {}
         # Jobs whose rows may have runs in doubt.
@@ -126,7 +158,13 @@
         # Names and addresses of the workers with runs in doubt; None if rows changed since.
         self._places: set[str] | None = None
         # Jobs and runs that this holder, not a former one, found in doubt.
-        self._witnessed: set[tuple[str, int]] = set()
+        self._witnessed: set[tuple[str, RunKey]] = set()
+        # When this holder first saw each run in doubt.
+        self._seen_at: dict[tuple[str, RunKey], float] = {}
+        # When each worker was found gone, another boot answering at its address.
+        self._gone_at: dict[str, float] = {}
+        # Jobs of which a run is in doubt no longer and that may have to be recorded.
+        self._cleared: dict[str, TrackedJob] = {}
 
     def note_silence(self, member: Member, now: float) -> None:
         """Record that a worker does not answer."""
@@ -148,48 +186,25 @@
                 continue
             if tracked is None or tracked.progress.phase.is_final:
                 continue
-            key, progress = crash_key(run.step, run.task), tracked.progress
-            known = progress.doubts.get(key)
-            if progress.has_crashed(key, run.number) or (known and known.run >= run.number):
-                continue
+            key, address = crash_key(run.step, run.task), member.host.address
             after_ms = int(((member.silent_since or now) - run.sent_at) * 1000)
-            progress.doubts[key] = Doubt(
-                run.number, member.name, member.host.address, member.born, after_ms
-            )
+            doubt = Doubt(run.number, member.name, address, member.born, after_ms, self._cell)
+            if not tracked.progress.add_doubt(key, doubt):
+                continue
             self._doubted.add(tracked.job.id)
             self._places = None
-            self._witnessed.add((tracked.job.id, run.number))
+            self._witnessed.add((tracked.job.id, (*key, run.number, member.name)))
             changed.append(tracked)
         return changed
 
-    def settle_lost(self, batch: Batch) -> list[Crash]:
-        """Return the crashes of the runs in doubt of tasks that are about to start again.
-
-        These runs are over, and neither their worker nor another boot at its address has answered:
-        it may have crashed, and nothing else may ever show it.
-        """
-        tracked, progress = batch.tracked, batch.tracked.progress
-        if not progress.doubts:
-            return []
-        found = []
-        active = {run.number for runs in batch.active.values() for run in runs}
-        for index in sorted(batch.waiting):
-            key = crash_key(batch.step, batch.task(index))
-            doubt = progress.doubts.get(key)
-            if doubt is None or doubt.run in active:
-                continue
-            self._drop(tracked, key, doubt)
-            if _is_open(progress, key, doubt):
-                suspect = Suspect(tracked, key, doubt, is_witnessed=False, is_excused=True)
-                found.append(Crash([suspect], in_outage=False, is_certain=False))
-        return found
-
     def settle(self, member: Member, born: int, workers: int, now: float) -> list[Crash]:
         """Return the crashes of former boots that an answer of a worker's boot shows.
 
         `workers` is the number of the cell's workers. Runs of the boot that answers are in doubt
-        no longer.
+        no longer, unless they have not outlasted their start yet.
         """
+        if born:
+            self._gone_at.pop(member.name, None)
         if not self._doubted:
             return []
         if self._places is None:
@@ -197,24 +212,84 @@
         if self._places.isdisjoint((member.name, member.host.address)):
             return []
         self._places = None
-        boots: dict[tuple[str, int], list[Suspect]] = {}
-        for tracked, key, doubt in self._list_open():
-            if member.name != doubt.worker and member.host.address != doubt.address:
+        here = member.name, member.host.address
+        starting = {
+            (run.task.job, *crash_key(run.step, run.task), run.number)
+            for run in member.runs.values()
+            if run.probation_until
+        }
+        ended = []
+        for tracked, run_key, doubt in self._list_open():
+            if doubt.worker != here[0] and doubt.address != here[1]:
                 continue
-            is_witnessed = (tracked.job.id, doubt.run) in self._witnessed
             if doubt.born != born:
-                suspect = Suspect(tracked, key, doubt, is_witnessed)
-                boots.setdefault((doubt.worker, doubt.born), []).append(suspect)
-            self._drop(tracked, key, doubt)
+                ended.append((tracked, run_key, doubt))
+            elif (tracked.job.id, *run_key[:4]) not in starting:
+                self._clear(tracked, run_key, "answered")
+        return self._find_crashes(ended, workers, now)
+
+    def _find_crashes(
+        self, ended: list[tuple[TrackedJob, RunKey, Doubt]], workers: int, now: float
+    ) -> list[Crash]:
+        """Settle the runs in doubt of boots that have ended; return the crashes."""
+        boots: dict[tuple[str, int], list[Suspect]] = {}
+        for tracked, run_key, doubt in ended:
+            is_witnessed = (tracked.job.id, run_key) in self._witnessed
+            suspect = Suspect(tracked, run_key[:3], doubt, is_witnessed)
+            boots.setdefault((doubt.worker, doubt.born), []).append(suspect)
+            self._drop(tracked, run_key)
         return [
             self._attribute(worker, found, workers, now) for (worker, _), found in boots.items()
         ]
 
+    def note_gone(self, member: Member, now: float) -> None:
+        """Record that another boot answers in place of a worker, maybe before rows name it."""
+        if member.host.state is not HostState.LEAVING:
+            self._gone_at[member.name] = now
+
+    def settle_gone(self, workers: int, now: float) -> list[Crash]:
+        """Return the crashes of workers that were found gone before their runs were in doubt."""
+        if not self._doubted or not self._gone_at:
+            return []
+        if self._places is None:
+            self._places = self._find_places()
+        if self._places.isdisjoint(self._gone_at):
+            return []
+        self._places = None
+        ended = [each for each in self._list_open() if each[2].worker in self._gone_at]
+        return self._find_crashes(ended, workers, now)
+
     def _find_places(self) -> set[str]:
         doubts = [doubt for _, _, doubt in self._list_open()]
         return {place for doubt in doubts for place in (doubt.worker, doubt.address)}
 
-    def _list_open(self) -> list[tuple[TrackedJob, TaskKey, Doubt]]:
+    def note_leaving(self, worker: str) -> None:
+        """Clear the runs in doubt of a worker that is leaving: its end is no crash."""
+        for tracked, run_key, doubt in self._list_open() if self._doubted else ():
+            if doubt.worker == worker:
+                self._clear(tracked, run_key, "leaving")
+
+    def expire(self, now: float) -> None:
+        """Clear the runs in doubt of this cell's workers that nobody has settled for long."""
+        self._gone_at = {name: at for name, at in self._gone_at.items() if now - at < KEPT_S}
+        jobs = [self._tracked[job_id] for job_id in self._doubted if job_id in self._tracked]
+        self._seen_at = {
+            each: self._seen_at.get(each, now)
+            for each in ((job.job.id, run_key) for job in jobs for run_key in job.progress.doubts)
+        }
+        self._witnessed &= self._seen_at.keys()
+        for (job_id, run_key), seen_at in self._seen_at.items():
+            tracked = self._tracked[job_id]
+            if now - seen_at > MAX_DOUBT_S and _is_open(tracked.progress, run_key):
+                if tracked.progress.doubts[run_key].cell in (self._cell, ""):
+                    self._clear(tracked, run_key, "expired")
+
+    def take_cleared(self) -> list[TrackedJob]:
+        """Return the jobs of which a run is in doubt no longer since the last call."""
+        found, self._cleared = list(self._cleared.values()), {}
+        return found
+
+    def _list_open(self) -> list[tuple[TrackedJob, RunKey, Doubt]]:
         """Return the runs in doubt; drop those that were settled since, and ended jobs."""
         found = []
         for job_id in list(self._doubted):
@@ -222,16 +297,30 @@
             if tracked is None or tracked.progress.phase.is_final or not tracked.progress.doubts:
                 self._doubted.discard(job_id)
                 continue
-            for key, doubt in list(tracked.progress.doubts.items()):
-                if _is_open(tracked.progress, key, doubt):
-                    found.append((tracked, key, doubt))
+            for run_key, doubt in list(tracked.progress.doubts.items()):
+                if _is_open(tracked.progress, run_key):
+                    found.append((tracked, run_key, doubt))
                 else:
-                    self._drop(tracked, key, doubt)
+                    self._drop(tracked, run_key)
         return found
 
-    def _drop(self, tracked: TrackedJob, key: TaskKey, doubt: Doubt) -> None:
-        self._witnessed.discard((tracked.job.id, doubt.run))
-        del tracked.progress.doubts[key]
+    def _clear(self, tracked: TrackedJob, run_key: RunKey, why: str) -> None:
+        """Remove a run whose worker has not crashed, as far as is known."""
+        doubt = tracked.progress.doubts[run_key]
+        self._drop(tracked, run_key)
+        self._cleared[tracked.job.id] = tracked
+        log(
+            Event.RUN_CLEARED,
+            task=TaskId(tracked.job.id, *run_key[:3]),
+            run=doubt.run,
+            worker=doubt.worker,
+            cell=self._cell,
+            why=why,
+        )
+
+    def _drop(self, tracked: TrackedJob, run_key: RunKey) -> None:
+        self._witnessed.discard((tracked.job.id, run_key))
+        tracked.progress.settle_doubt(run_key)
 
     def _attribute(self, worker: str, found: list[Suspect], workers: int, now: float) -> Crash:
         """Return which of the runs in doubt are excused from a worker's crash.
@@ -262,7 +351,6 @@
         return down >= MIN_OUTAGE_WORKERS and 2 * down > workers
 
 
-def _is_open(progress: Progress, key: TaskKey, doubt: Doubt) -> bool:
+def _is_open(progress: Progress, run_key: RunKey) -> bool:
     """Return whether a row's doubt was not settled since, by this holder or another one."""
-    is_over = progress.has_crashed(key, doubt.run) or doubt.run in progress.failures.get(key, ())
-    return not is_over and doubt.run > progress.outlasted.get(key, 0)
+    return not progress.is_settled(run_key)
--- a/src/curranthall/cells/records.py
+++ b/src/curranthall/cells/records.py
@@ -110,13 +110,18 @@
 
 
 def has_tasks_in(progress: Progress, cell: str) -> bool:
-    """Return whether a cell owns tasks of a job."""
-    return progress.cell == cell or cell in progress.moved_to.values()
+    """Return whether a cell owns tasks of a job, or had a run of it that is still in doubt."""
+    return progress.cell == cell or cell in _other_places(progress)
 
 
 def other_cells(progress: Progress, cell: str) -> set[str]:
-    """Return the other cells that own tasks of a job."""
-    return {progress.cell, *progress.moved_to.values()} - {cell}
+    """Return the other cells that have tasks of a job, see `has_tasks_in`."""
+    return {progress.cell, *_other_places(progress)} - {cell, ""}
+
+
+def _other_places(progress: Progress) -> set[str]:
+    in_doubt = (doubt.cell for doubt in progress.doubts.values())
+    return {*progress.moved_to.values(), *in_doubt}
 
 
 def decode_progress_row(row: Row) -> Progress | None:
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -11,6 +11,8 @@
 from curranthall.values import checked, fields, integer, items, text, whole
 
 TaskKey = tuple[int, int, int]
+# A task's key, the number of one of its runs and the worker: a gang's members share one number.
+RunKey = tuple[int, int, int, int, str]
 
 
 class Phase(IntEnum):
@@ -36,6 +38,8 @@
     address: str
     born: int
     after_ms: int
+    # The worker's cell, whose holder settles it; empty in rows of earlier releases.
+    cell: str = ""
 
 
 class Place(NamedTuple):
@@ -74,11 +78,11 @@
     # received the first tasks, until a later holder takes the job over.
     claims: dict[str, int] = field(default_factory=dict)
     # By task, the runs with which a worker crashed, those whose crash is excused (it has a likelier
-    # cause), the highest run that outlasted its start, and the run for which this is open.
+    # cause), the highest run that outlasted its start, and the runs for which this is open.
     crashes: dict[TaskKey, set[int]] = field(default_factory=dict)
     outages: dict[TaskKey, set[int]] = field(default_factory=dict)
     outlasted: dict[TaskKey, int] = field(default_factory=dict)
-    doubts: dict[TaskKey, Doubt] = field(default_factory=dict)
+    doubts: dict[RunKey, Doubt] = field(default_factory=dict)
     # By lasting task that was ever started, its last start; None if starts were not recorded.
     places: dict[TaskKey, Place] | None = field(default_factory=dict)
     # The job's queue as last configured; None if no row has had it yet.
@@ -88,6 +92,8 @@
     # Local moves to other cells that no committed row contains yet; not stored.
     uncommitted_moves: dict[TaskKey, str] = field(default_factory=dict)
     uncommitted_job_move: str = ""
+    # Runs that are in doubt no longer, though committed rows may still say so; not stored.
+    settled: set[RunKey] = field(default_factory=set)
 
     def is_done(self, occurrence: int, step: int, index: int) -> bool:
         """Return whether a task is done."""
@@ -141,11 +147,13 @@
         """Record a failed run; return the number of the task's failed runs."""
         runs = self.failures.setdefault(key, set())
         runs.add(run)
+        self._drop_doubts(key, run)
         return len(runs)
 
     def add_crash(self, key: TaskKey, run: int, is_excused: bool = False) -> int:
         """Record a run with which its worker crashed; return the task's crashes in a row."""
         (self.outages if is_excused else self.crashes).setdefault(key, set()).add(run)
+        self._drop_doubts(key, run)
         return self.count_crashes(key)
 
     def has_crashed(self, key: TaskKey, run: int) -> bool:
@@ -155,6 +163,8 @@
     def add_outlasted(self, key: TaskKey, run: int) -> None:
         """Record a run that outlasted its start: earlier crashes no longer count."""
         self.outlasted[key] = max(run, self.outlasted.get(key, 0))
+        for former in {run_key[3] for run_key in self.doubts if run_key[3] <= run}:
+            self._drop_doubts(key, former)
 
     def count_crashes(self, key: TaskKey) -> int:
         """Return the task's crashes in a row; the first excused one does not count."""
@@ -168,6 +178,44 @@
         last = self.outlasted.get(key, 0)
         return sum(run > last for run in runs)
 
+    def count_doubts(self, key: TaskKey) -> int:
+        """Return how many runs of a task may have crashed their worker or not."""
+        return len({run_key[3] for run_key in self.doubts if run_key[:3] == key})
+
+    def add_doubt(self, key: TaskKey, doubt: Doubt) -> bool:
+        """Record a run of a task as in doubt; return whether it was neither that nor settled."""
+        run_key = (*key, doubt.run, doubt.worker)
+        if run_key in self.doubts or self.is_settled(run_key):
+            return False
+        self.doubts[run_key] = doubt
+        self.settled.discard(run_key)
+        return True
+
+    def _drop_doubts(self, key: TaskKey, run: int) -> None:
+        for run_key in [each for each in self.doubts if each[:4] == (*key, run)]:
+            del self.doubts[run_key]
+
+    def settle_doubt(self, run_key: RunKey) -> None:
+        """Remove a run that is in doubt no longer."""
+        del self.doubts[run_key]
+        self.settled.add(run_key)
+
+    def is_settled(self, run_key: RunKey) -> bool:
+        """Return whether a doubt of a row is over, by this holder or another one."""
+        key, run = run_key[:3], run_key[3]
+        is_known = self.has_crashed(key, run) or run in self.failures.get(key, ())
+        return is_known or run <= self.outlasted.get(key, 0)
+
+    def _merge_doubts(self, other: dict[RunKey, Doubt], cell: str) -> None:
+        """Keep the doubts that this cell found, and take the others as committed."""
+        own = {run_key: doubt for run_key, doubt in self.doubts.items() if doubt.cell == cell}
+        found = {run_key: each for run_key, each in other.items() if run_key not in self.settled}
+        self.doubts = {
+            run_key: doubt
+            for run_key, doubt in (found | own).items()
+            if not self.is_settled(run_key)
+        }
+
     def set_place(self, key: TaskKey, run: int, worker: str) -> None:
         """Record the start of a lasting task before it is sent."""
         if self.places is not None:
@@ -224,6 +272,7 @@
             for key, cell in self.uncommitted_moves.items()
             if committed.owner(key) != cell
         }
+        self.settled &= committed.doubts.keys()
         if committed.cell == self.uncommitted_job_move:
             self.uncommitted_job_move = ""
 
@@ -254,9 +303,7 @@
             self.outages.setdefault(key, set()).update(runs)
         for key, run in other.outlasted.items():
             self.add_outlasted(key, run)
-        for key, doubt in other.doubts.items():
-            if key not in self.doubts or doubt.run > self.doubts[key].run:
-                self.doubts[key] = doubt
+        self._merge_doubts(other.doubts, cell)
         self._merge_places(other.places)
         self.queue = newest_queue(self.queue, other.queue)
         self.highest_run = max(self.highest_run, other.highest_run)
@@ -289,7 +336,7 @@
         if self.outlasted:
             value["o"] = [[*key, run] for key, run in self.outlasted.items()]
         if self.doubts:
-            value["q"] = [[*key, *doubt] for key, doubt in self.doubts.items()]
+            value["q"] = [[*run_key[:3], *doubt] for run_key, doubt in self.doubts.items()]
         if self.places is not None and not self.phase.is_final:
             by_worker: dict[str, list[list[int]]] = {}
             for key, place in self.places.items():
@@ -324,10 +371,7 @@
         _runs(value.get("x", ())),
         _runs(value.get("u", ())),
         {_task_key(*key): whole(run) for *key, run in value.get("o", ())},
-        {
-            _task_key(k, step, index): checked(Doubt(*doubt))
-            for k, step, index, *doubt in value.get("q", ())
-        },
+        _doubts(value.get("q", ())),
         _places(value["l"]) if "l" in value else None,
         _queue(value["s"]) if "s" in value else None,
         whole(value.get("n", 0)),
@@ -346,6 +390,14 @@
     }
 
 
+def _doubts(rows: Iterable[Any]) -> dict[RunKey, Doubt]:
+    found = {}
+    for occurrence, step, index, *fields_ in rows:
+        doubt = checked(Doubt(*fields_[: len(Doubt._fields)]))
+        found[*_task_key(occurrence, step, index), whole(doubt.run), doubt.worker] = doubt
+    return found
+
+
 def _queue(row: object) -> Queue:
     return checked(Queue(*items(row)[: len(Queue._fields)]))
 
