Don't fail a job for a copy of a task that is done

Callers would see a job `failed` though each of its tasks ended as done or was still to run: with `allow-duplicates` a copy that failed after another one was done counted as an attempt, and the last attempt failed the job.

Cause: `_on_failed` counts without a look at whether the task is done. The failure is recorded still, so that BUDGET sees it. The new test in tests.test_dispatcher.Attempts failed before (FAILED in place of RUNNING).

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1080,7 +1080,9 @@
         if tracked.job.steps[task.step].gang:
             runs = [r for k, s in tracked.progress.failures.items() if k[:2] == key[:2] for r in s]
             count = len(set(runs))
-        failed = count >= tracked.queue.max_attempts
+        # A copy may fail after another one was done.
+        is_done = tracked.progress.is_done(*key)
+        failed = count >= tracked.queue.max_attempts and not is_done
         if failed:
             tracked.progress.phase = Phase.FAILED
         self._mark_dirty(tracked, urgent=failed)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -361,6 +361,19 @@
         self.assertEqual(cell.dispatcher.tracked["0" * 16].progress.phase, Phase.FAILED)
         self.assertEqual(cell.plan(), [])
 
+    def test_a_copy_that_fails_after_its_task_is_done_fails_no_job(self) -> None:
+        """The last failed copy used to fail the job of a task that had ended as done."""
+        cell = Cell(host("w1"), host("w2"), max_attempts=1)
+        cell.add(job("0" * 16, step(2, copies=True)))
+        first, other = cell.plan()
+        cell.started(first, other)
+        copy = ListedRun(first.task, first.run + 100, "", 40, 0)
+        cell.answer("w2", [copy, listed(other)] if other.worker == "w2" else [copy])
+        cell.answer(first.worker, [], [ended(1, first, EndKind.DONE)])
+        late = Ending(2, first.task, copy.run, EndKind.FAILED, "")
+        cell.answer("w2", [], [late])
+        self.assertIs(cell.dispatcher.tracked["0" * 16].progress.phase, Phase.RUNNING)
+
     def test_a_failed_task_goes_to_another_worker(self) -> None:
         cell = Cell(host("w1"), host("w2"))
         cell.add(job("0" * 16, step(1)))
