Close an entry's connections when it shuts down

Cause: the clients of the store and the advisor and the servers of probes and metrics were never closed; their writers closed themselves when they were collected after the loop had ended. Each SIGTERM does it, in any order with SIGHUP.

--- a/src/curranthall/platform/__main__.py
+++ b/src/curranthall/platform/__main__.py
@@ -70,6 +70,10 @@
     await asyncio.sleep(max(0.0, PROBE_WINDOW_S - (loop.time() - leaving_at)))
     await callers.drain(max(0.0, deployment.grace_s - CLOSE_MARGIN_S - (loop.time() - leaving_at)))
     await daemon.stop()
+    for server in (probes, metrics):
+        await server.drain(0)
+    store.close()
+    advisor.close()
     log(Event.DAEMON_STOPPED, name=deployment.name)
 
 
