Move tasks only to cells whose workers can run them

Cause: a stranded task goes to the cell with the most free cores, and loads tell nothing of labels, accelerators or memory. Two cells without the label handed the task to each other every 0.4 s.

Change: a cell is a target only if the list of workers, which each holder reads anyway, has a worker there that could run the task when empty. Rows stay as they are. A cell without listed workers counts as before.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -8,6 +8,7 @@
 from curranthall.cells.tracking import Batch, TrackedJob
 from curranthall.dag import Step
 from curranthall.events import Event, log
+from curranthall.model import Host, HostState, Size
 
 # A task is moved after it has found no worker for this long; a closed cell moves tasks at once.
 STRANDED_S = 0.4
@@ -19,12 +20,41 @@
 REFUSAL_LOG_INTERVAL_S = 2.0
 
 
+class WorkerKind(NamedTuple):
+    """What several workers of a cell have in common."""
+
+    service: str
+    labels: tuple[str, ...]
+    size: Size
+
+    def can_run(self, service: str, step: Step) -> bool:
+        """Return whether such a worker, if it is empty, can run tasks of a step."""
+        has_label = not step.requires or step.requires in self.labels
+        return self.service == service and has_label and step.reserved.fits(self.size)
+
+
 class CellLoads(NamedTuple):
-    """The load that another cell published, by service."""
+    """The load that another cell published, by service, and the kinds of its workers."""
 
     cell: str
     loads: dict[str, Load]
     epoch: int = 0
+    # None if its workers are not known.
+    kinds: frozenset[WorkerKind] | None = None
+
+    def can_run(self, service: str, step: Step) -> bool:
+        """Return whether the cell may have a worker that can run tasks of a step."""
+        return self.kinds is None or any(kind.can_run(service, step) for kind in self.kinds)
+
+
+def group_kinds(hosts: Iterable[Host]) -> dict[str, frozenset[WorkerKind]]:
+    """Return the kinds of workers by failure domain."""
+    found: dict[str, set[WorkerKind]] = {}
+    for host in hosts:
+        if host.state is HostState.LIVE:
+            kind = WorkerKind(host.service, host.labels, host.size)
+            found.setdefault(host.domain, set()).add(kind)
+    return {domain: frozenset(kinds) for domain, kinds in found.items()}
 
 
 class _Move(NamedTuple):
@@ -40,6 +70,7 @@
 
     def __init__(self, published: CellLoads, moves: Iterable[_Move]) -> None:
         self.cell, self.epoch = published.cell, published.epoch
+        self._can_run = published.can_run
         self.published = published.loads
         self.left = dict(published.loads)
         # What tasks that must start may use: they start before short ones that were moved there.
@@ -58,7 +89,7 @@
         """Return the cores that tasks of a batch may use here, all of them if it must start."""
         service, step = batch.tracked.queue.service, batch.step
         load, cores = self.left.get(service), max(step.size.cores, MIN_CORES)
-        if load is None:
+        if load is None or not self._can_run(service, step):
             return 0.0
         if not step.lasting:
             room = load.room(step)
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from curranthall.cells.advice import Advice
-from curranthall.cells.balance import CellLoads
+from curranthall.cells.balance import CellLoads, WorkerKind, group_kinds
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.owner import (
     ABSTAIN_S,
@@ -70,6 +70,9 @@
         self._bounds = bounds
         self._env = env
         self._leaving = False
+        # The workers that `_kinds` was made of, by failure domain.
+        self._grouped_hosts: dict[str, Host] | None = None
+        self._kinds: dict[str, frozenset[WorkerKind]] = {}
 
     async def run(self) -> None:
         """Poll the owner rows until cancelled; take cells that become vacant."""
@@ -268,11 +271,13 @@
     def _other_loads(self, cell: str) -> list[CellLoads]:
         """Return the loads of the other cells that have a live holder and are not evacuated."""
         now, evacuated = self._env.clock(), self._env.evacuated()
-        found = []
+        hosts, found = self._env.hosts(), []
+        if hosts is not None and hosts is not self._grouped_hosts:
+            self._grouped_hosts, self._kinds = hosts, group_kinds(hosts.values())
         for other in self.watch.cells:
             owner = self.watch.live_holder(other, now)
             if owner is not None and other != cell and other not in evacuated:
-                found.append(CellLoads(other, owner.load, owner.epoch))
+                found.append(CellLoads(other, owner.load, owner.epoch, self._kinds.get(other)))
         return found
 
     def send_to_holder(self, cell: str, stored: StoredJob) -> None:
--- a/tests/load.py
+++ b/tests/load.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from curranthall.cells.balance import Balancer, CellLoads
+from curranthall.cells.balance import Balancer, CellLoads, WorkerKind, group_kinds
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.fleet import Member
 from curranthall.cells.load import Load, rate_cell, widest_step
@@ -311,6 +311,7 @@
         self.sent_cores: dict[str, float] = {}
         self.balancers: dict[str, Balancer] = {}
         self._exchanged_at = -1.0
+        self._kinds: dict[str, frozenset[WorkerKind]] = {}
         self._sampled_at = self.now
         self._next: list[tuple[float, int]] = []
         queues = {profile.queue.name: profile.queue for profile in profiles}
@@ -499,6 +500,7 @@
             return
         self._exchanged_at = self.now
         self.sent_cores.clear()
+        self._kinds = group_kinds(worker.host for worker in self.workers.values())
         for name, dispatcher in self.cells.items():
             self.loads[name] = dispatcher.load(self.now)
             for other in self.cells.values():
@@ -564,7 +566,12 @@
         for name, dispatcher in self.cells.items():
             dispatcher.tick(self.now, self.now)
             rooms = [
-                CellLoads(other, {} if self.cells[other].closed else loads, self.cells[other].epoch)
+                CellLoads(
+                    other,
+                    {} if self.cells[other].closed else loads,
+                    self.cells[other].epoch,
+                    self._kinds.get(other),
+                )
                 for other, loads in self.loads.items()
                 if other != name
             ]
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1,10 +1,12 @@
 """Moves of waiting tasks to other cells, and the room that earlier moves leave there."""
 
 import unittest
+from typing import Any
 
-from curranthall.cells.balance import Balancer, CellLoads
+from curranthall.cells.balance import Balancer, CellLoads, group_kinds
 from curranthall.cells.load import Load
 from curranthall.dag import Step
+from curranthall.model import HostState, Size
 from tests.cell_fixtures import CELL, SERVICE, Cell, host, job, step
 
 LASTING = "0" * 16
@@ -36,6 +38,50 @@
         return job_id
 
 
+class Needs(MovesTestCase):
+    """Cells tell their free cores only; which workers they have is known from the list."""
+
+    def move(self, new_step: Step, *cells: CellLoads) -> str:
+        """Let a job wait and be moved; return the cell of its first task."""
+        job_id = self.add(new_step)
+        self.cell.now += 0.5
+        self.cell.plan()
+        self.balancer.move_stranded(self.cell.dispatcher, list(cells), self.cell.now)
+        return self.cell.dispatcher.tracked[job_id].progress.owner((0, 0, 0))
+
+    def make_cell(self, name: str, free: float, **fields: Any) -> CellLoads:
+        """Build a cell with one kind of workers."""
+        kinds = group_kinds([host(f"{name}-w1", cores=16, domain=name, **fields)])
+        load = rooms(free, free, lasting=2 * free, largest_lasting=free)
+        return CellLoads(name, {SERVICE: load}, 0, kinds[name])
+
+    def test_tasks_are_moved_only_where_a_worker_can_run_them(self) -> None:
+        """A task used to go to and fro between the cells with the most free cores."""
+        large = Size(16, 100_000, 2)
+        needs: dict[str, tuple[Step, dict[str, Any]]] = {
+            "label": (step(1, cores=2, requires="special"), {"labels": ("special", "r9")}),
+            "accelerator": (Step(1, Size(2, 1_000, 1), 1_000), {"size": large}),
+            "memory": (Step(1, Size(2, 90_000), 1_000), {"size": large}),
+        }
+        for name, (new_step, fields) in needs.items():
+            for is_lasting in (False, True):
+                with self.subTest(name, is_lasting=is_lasting):
+                    wanted = new_step._replace(lasting=is_lasting)
+                    cells = [self.make_cell("south", 14), self.make_cell("west", 6, **fields)]
+                    self.assertEqual(self.move(wanted, *cells), "west")
+                    self.assertEqual(self.move(wanted, *cells[:1]), CELL)
+
+    def test_leaving_workers_do_not_count(self) -> None:
+        leaving = host("w5", domain="south", labels=("special",), state=HostState.LEAVING)
+        kinds = group_kinds([leaving, host("w6", domain="south")])
+        south = CellLoads("south", {SERVICE: rooms(14, 14)}, 0, kinds["south"])
+        self.assertEqual(self.move(step(1, cores=2, requires="special"), south), CELL)
+
+    def test_a_cell_with_unknown_workers_gets_any_task(self) -> None:
+        south = CellLoads("south", {SERVICE: rooms(14, 14)})
+        self.assertEqual(self.move(step(1, cores=2, requires="special"), south), "south")
+
+
 class Moves(MovesTestCase):
     def move(self, *others: CellLoads) -> None:
         """Run one round of moves."""
