Publish the rooms that gangs of more than 16 members need

Cause: a load lists the free cores of 16 workers, so no cell seemed to hold more members that need over half of a worker; a gang is moved only as a whole, and the entry that accepts it rated all cells alike.

Change: a load counts the other workers' rooms by lower bounds, at most 16 of them; only gangs use these counts.

--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -1,6 +1,8 @@
 """Load of a cell by service, by which entries and other cells choose a cell."""
 
 import hashlib
+import math
+from collections import Counter
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -8,7 +10,7 @@
 from curranthall.cells.headroom import NO_HEADROOM, Headroom
 from curranthall.cells.interference import Interference
 from curranthall.dag import Job, Step
-from curranthall.values import checked, fields, figures, finite, items, text
+from curranthall.values import checked, fields, figures, finite, items, text, whole
 
 # Serving tasks of one image prefer one cell, so that filling images that interfere with it find
 # room in other cells.
@@ -19,6 +21,8 @@
 MIN_CORES = 0.1
 # The rooms listed in a load; more would enlarge the rows that every entry reads.
 LISTED_ROOMS = 16
+# The other rooms are counted by lower bounds, so many to each power of two of cores.
+BOUNDS_PER_POWER = 8
 # Tolerance of sums and quotients of cores, so that rounding errors hide no room.
 ROUNDING = 1e-9
 # Lower bound of the weight by which the room for a filling image is divided.
@@ -49,7 +53,8 @@
     `filling` is the room by filling image, `serving` the cores of serving tasks by image.
     `lasting` is the part of the free cores available to lasting tasks, `largest_lasting` the most
     of it on one worker; `largest` holds the free cores of the LISTED_ROOMS workers with the most,
-    `quarantined` those of quarantined ones, which count nowhere else.
+    `quarantined` those of quarantined ones, which count nowhere else. `others` counts the workers
+    with fewer free cores by lower bounds of these, for gangs that need many rooms at once.
     """
 
     cores: float = 0.0
@@ -62,6 +67,7 @@
     largest_lasting: float = 0.0
     largest: tuple[float, ...] = ()
     quarantined: tuple[float, ...] = ()
+    others: tuple[tuple[float, int], ...] = ()
 
     def room(self, step: Step) -> float:
         """Return the cores available to tasks of a step, less those requested by waiting tasks."""
@@ -76,15 +82,23 @@
     def _whole_room(self, step: Step) -> float:
         """Return the free cores that tasks of a step can use: each needs one worker's room."""
         cores = max(step.size.cores, MIN_CORES)
-        room = count_slots(step, self.largest) * cores
+        room = self.slots(step) * cores
+        if step.gang:
+            return min(room, self.free)
         if 2 * cores <= min(self.largest, default=0.0):
             # Only the sum is known of the other workers; most of it is usable by small tasks.
             room += self.free - sum(self.largest)
         return min(room, self.free)
 
     def slots(self, step: Step) -> int:
-        """Return how many tasks of a step fit on the workers with the most free cores."""
-        return count_slots(step, self.largest)
+        """Return how many tasks of a step fit on the workers with the most free cores.
+
+        The members of a gang, which start all at once, may use all workers.
+        """
+        slots = count_slots(step, self.largest)
+        if step.gang:
+            slots += sum(count * count_slots(step, (room,)) for room, count in self.others)
+        return slots
 
     def slots_of_last_resort(self, step: Step) -> int:
         """Return how many tasks of a step fit on the quarantined workers with the most."""
@@ -98,11 +112,14 @@
         cores = max(step.size.cores, MIN_CORES)
         if step.filling:
             return self._less_idle(cores * count)
-        largest, quarantined = list(self.largest), list(self.quarantined)
+        largest, quarantined, others = list(self.largest), list(self.quarantined), self.others
         taken = 0.0
         for _ in range(count):
+            is_taken = _take_room(largest, cores)
+            if step.gang and not is_taken:
+                others, is_taken = _without_room(others, cores)
             # Lasting tasks start on quarantined workers where no other has room.
-            is_last_resort = not _take_room(largest, cores) and step.lasting
+            is_last_resort = not is_taken and step.lasting
             if not is_last_resort or not _take_room(quarantined, cores):
                 taken += cores
         return self._less_idle(taken)._replace(
@@ -110,6 +127,7 @@
             lasting=self.lasting - taken,
             largest=tuple(sorted(largest, reverse=True)),
             quarantined=tuple(sorted(quarantined, reverse=True)),
+            others=others,
         )
 
     def _less_idle(self, cores: float) -> "Load":
@@ -134,6 +152,28 @@
     return True
 
 
+def _without_room(
+    others: tuple[tuple[float, int], ...], cores: float
+) -> tuple[tuple[tuple[float, int], ...], bool]:
+    """Return counted rooms without the smallest one that fits, and whether any does."""
+    fitting = [room for room, count in others if count and room >= cores - ROUNDING]
+    if not fitting:
+        return others, False
+    smallest = min(fitting)
+    return tuple((room, count - (room == smallest)) for room, count in others), True
+
+
+def _count_rooms(rooms: Iterable[float]) -> tuple[tuple[float, int], ...]:
+    """Count the LISTED_ROOMS largest lower bounds of rooms."""
+    counts = Counter(_round_down(room) for room in rooms if room >= MIN_CORES)
+    return tuple(sorted(counts.items(), reverse=True)[:LISTED_ROOMS])
+
+
+def _round_down(room: float) -> float:
+    unit = 2.0 ** math.floor(math.log2(room)) / BOUNDS_PER_POWER
+    return math.floor(room / unit + ROUNDING) * unit
+
+
 def _add_room(rooms: tuple[float, ...], room: float) -> tuple[float, ...]:
     return tuple(sorted((*rooms, room), reverse=True)[:LISTED_ROOMS])
 
@@ -147,6 +187,7 @@
 ) -> dict[str, Load]:
     """Return the load of the given usable workers, and the room on quarantined ones, by service."""
     loads: dict[str, Load] = {}
+    free_by_service: dict[str, list[float]] = {}
     members = list(members)
     images = known.filling_images()
     weights = _tabulate_weights(members, images, known)
@@ -159,6 +200,7 @@
                 image = run.step.image
                 load.serving[image] = load.serving.get(image, 0.0) + run.step.size.cores
         free, cores = _free_cores(member), member.host.size.cores
+        free_by_service.setdefault(member.host.service, []).append(free)
         kept = headroom.kept_on(member).cores
         lasting = max(0.0, min(free, cores - kept - member.lasting.cores))
         loads[member.host.service] = load._replace(
@@ -169,6 +211,9 @@
             largest_lasting=max(load.largest_lasting, lasting),
             idle=load.idle + _idle_cores(member),
         )
+    for service, each_free in free_by_service.items():
+        others = _count_rooms(sorted(each_free, reverse=True)[LISTED_ROOMS:])
+        loads[service] = loads[service]._replace(others=others)
     for member in quarantined:
         load = loads.get(member.host.service, Load(filling={}, serving={}))
         rooms = _add_room(load.quarantined, _free_cores(member))
@@ -275,5 +320,6 @@
             serving=figures(load.serving),
             largest=tuple(map(finite, load.largest)),
             quarantined=tuple(map(finite, load.quarantined)),
+            others=tuple((finite(room), whole(count)) for room, count in load.others),
         )
     )
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -3,8 +3,10 @@
 import unittest
 from typing import Any
 
+from cbor2 import dumps, loads
+
 from curranthall.cells.balance import Balancer, CellLoads, group_kinds
-from curranthall.cells.load import Load
+from curranthall.cells.load import Load, decode_loads, encode_loads
 from curranthall.dag import Step
 from curranthall.model import HostState, Size
 from tests.cell_fixtures import CELL, SERVICE, Cell, host, job, step
@@ -82,6 +84,64 @@
         self.assertEqual(self.move(step(1, cores=2, requires="special"), south), "south")
 
 
+class LargeGangs(MovesTestCase):
+    """Gangs with more members than a load lists rooms."""
+
+    def publish(self, workers: int, cores: float, used: int = 0) -> CellLoads:
+        """Build a cell of equal workers; `used` of them have half of their cores in use."""
+        south = Cell(*(host(f"s{number}", cores=cores) for number in range(workers)))
+        if used:
+            south.add(job("e" * 16, step(used, cores=cores / 2, max_per_worker=1)))
+            south.started(*south.plan())
+        load = decode_loads(loads(dumps(encode_loads(south.dispatcher.load(south.now)))))
+        return CellLoads("south", load)
+
+    def wait(self, *cells: CellLoads) -> float:
+        """Return how long it takes until all waiting jobs are moved, at most the limit."""
+        began = self.cell.now
+        tracked = self.cell.dispatcher.tracked.values()
+        while self.cell.now - began < LASTING_LIMIT_S:
+            if all(each.progress.owner((0, 0, 0)) != CELL for each in tracked):
+                break
+            self.cell.now += TICK_S
+            self.cell.answer("w1")
+            self.cell.plan()
+            self.balancer.move_stranded(self.cell.dispatcher, list(cells), self.cell.now)
+        return self.cell.now - began
+
+    def test_a_gang_of_more_members_than_listed_rooms_is_moved_where_it_fits(self) -> None:
+        """Cells publish their largest rooms only, so no cell seemed to hold such a gang."""
+        self.add(step(20, cores=20, gang=True))
+        self.assertLess(self.wait(self.publish(24, 32)), LASTING_LIMIT_S)
+
+    def test_a_gang_is_not_moved_where_it_does_not_fit(self) -> None:
+        for south in (self.publish(19, 32), self.publish(24, 32, used=5), self.publish(40, 16)):
+            with self.subTest(south.loads[SERVICE].others):
+                self.setUp()
+                self.add(step(20, cores=20, gang=True))
+                self.assertGreaterEqual(self.wait(south), LASTING_LIMIT_S)
+
+    def test_two_gangs_are_not_moved_into_the_room_of_one(self) -> None:
+        for _ in range(2):
+            self.add(step(20, cores=20, gang=True))
+        south = self.publish(30, 32)
+        for _ in range(12):
+            self.cell.now += TICK_S
+            self.cell.answer("w1")
+            self.cell.plan()
+            self.balancer.move_stranded(self.cell.dispatcher, [south], self.cell.now)
+        self.assertEqual(self.balancer_moves(), 1)
+
+    def balancer_moves(self) -> int:
+        """Return how many jobs were moved."""
+        tracked = self.cell.dispatcher.tracked.values()
+        return sum(each.progress.owner((0, 0, 0)) != CELL for each in tracked)
+
+    def test_single_tasks_see_the_listed_rooms_only(self) -> None:
+        load = self.publish(24, 32).loads[SERVICE]
+        self.assertEqual((load.slots(step(1, cores=20)), load.others), (16, ((32.0, 8),)))
+
+
 class Moves(MovesTestCase):
     def move(self, *others: CellLoads) -> None:
         """Run one round of moves."""
