Update all open steps of a repeating job when its row changes

Cause: only occurrences that the cell counts as open were looked at again; before, all steps with state were. Now these are again, whether their occurrence is open or not, each once.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -577,7 +577,12 @@
     def _open_steps(self, tracked: TrackedJob, now: float) -> None:
         """Open the steps of all due occurrences whose dependencies are done."""
         tracked.drop_finished()
-        for occurrence in tracked.open_occurrences(self.cell):
+        occurrences = tracked.open_occurrences(self.cell)
+        for batch in tracked.batches.values():
+            if batch.occurrence not in occurrences:
+                # Its tasks may be done, or another cell's by now.
+                self._update_waiting(batch, now)
+        for occurrence in sorted(occurrences):
             self._open_occurrence(tracked, occurrence, now)
         self._open_due(tracked, now)
 
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -182,12 +182,12 @@
         """Return the workers on which a task failed or that refused it."""
         return frozenset(self.failed_on.get(key, set()) | self.refused_on.get(key, set()))
 
-    def open_occurrences(self, cell: str) -> list[int]:
+    def open_occurrences(self, cell: str) -> set[int]:
         """Return the occurrences that a cell runs: its own that are open, and those moved there."""
         found = {key[0] for key, to in self.progress.moved_to.items() if to == cell}
         if self.progress.cell == cell:
             found.update(range(self.progress.finished, self.next_occurrence))
-        return sorted(found)
+        return found
 
     def count_waiting_steps(self) -> int:
         """Return how many steps have tasks that wait in this cell."""
--- a/tests/test_occurrences.py
+++ b/tests/test_occurrences.py
@@ -259,6 +259,27 @@
         self.assertFalse(found & set(far))
         self.assertEqual(len(found), 240 - len(far))
 
+    def test_a_task_that_a_row_gives_to_another_cell_does_not_start_here(self) -> None:
+        cell = TimedCell("w1")
+        row = claimed_progress()
+        row.cell, row.moved_to = "south", {(7, 0, 0): CELL}
+        cell.dispatcher.adopt(make_job(20), row, 1, cell.now)
+        later = decode_progress(row.encode())
+        later.moved_to = {(7, 0, 0): "west"}
+        cell.dispatcher.refresh(JOB, later, 2, cell.now)
+        self.assertEqual(cell.plan(), [])
+
+    def test_a_copy_of_a_finished_occurrence_is_stopped(self) -> None:
+        cell = TimedCell("w1")
+        new_job = make_job(20, step(1, copies=True))
+        cell.dispatcher.adopt(new_job, claimed_progress(), 1, cell.now)
+        first = cell.plan()[0]
+        cell.started(first)
+        row = claimed_progress()
+        row.finished = 1
+        cell.dispatcher.refresh(JOB, decode_progress(row.encode()), 2, cell.now)
+        self.assertEqual([stop.task for stop in cell.stops()], [first.task])
+
     def test_a_failed_occurrence_fails_the_job(self) -> None:
         cell = TimedCell("w1")
         cell.dispatcher.adopt(make_job(3), claimed_progress(), 1, cell.now)
