Simplify dropping finished occurrences

No change of behaviour: the row's function returns nothing any more, and the case of a job that runs once is a guard of its own. tests.test_occurrences and the dispatcher's tests pass as before.

--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -195,9 +195,10 @@
 
     def drop_finished(self) -> None:
         """Drop the state of occurrences that are done; steps with runs are dropped later."""
-        if not self.progress.drop_finished(self.job) and not self.progress.finished:
-            return
+        self.progress.drop_finished(self.job)
         first = self.progress.finished
+        if not first:
+            return
         for key, batch in list(self.batches.items()):
             if key[0] < first and not batch.active:
                 del self.batches[key]
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -119,22 +119,22 @@
         in_finished = self.finished * sum(step.width for step in job.steps)
         return in_finished + sum(mask.bit_count() for mask in self.done.values())
 
-    def drop_finished(self, job: Job) -> bool:
-        """Count the first occurrences that are done in `finished`; return whether there were any.
+    def drop_finished(self, job: Job) -> None:
+        """Count the first occurrences that are done in `finished`, and drop what is kept of them.
 
         The row of a job with many occurrences thus holds only what is not done yet.
         """
+        if job.occurrences == 1:
+            return
         before, steps = self.finished, range(len(job.steps))
-        while 1 < job.occurrences > self.finished and all(
+        while self.finished < job.occurrences and all(
             self.is_step_done(job, self.finished, step) for step in steps
         ):
             for step in steps:
                 del self.done[self.finished, step]
             self.finished += 1
-        if self.finished == before:
-            return False
-        self._forget_finished()
-        return True
+        if self.finished > before:
+            self._forget_finished()
 
     def _forget_finished(self) -> None:
         """Drop what is recorded of the tasks of finished occurrences."""
