--- a/review/lib-2/standins_2.py
+++ b/review/lib-2/standins_2.py
@@ -17,8 +17,9 @@
 import tempfile
 import time
 from collections import deque
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any, Awaitable, Callable
+from typing import Any
 
 REPO = Path(__file__).resolve().parents[2]
 TXN_S = 0.005
@@ -81,8 +82,7 @@
                 reason = REASONS.get(status, "Status")
                 writer.write(
                     f"HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode()
-                    + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
                 )
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
@@ -781,7 +781,9 @@
         body = b"" if value is None else json.dumps(value).encode()
         status, answer = await call(entry.frontend, method, path, body, timeout, "desk.example")
         if not quiet:
-            self.record("request", entry=entry.name, what=f"{method} {path}", answer=status, body=answer)
+            self.record(
+                "request", entry=entry.name, what=f"{method} {path}", answer=status, body=answer
+            )
         return status, answer
 
     async def submit(
@@ -804,9 +806,7 @@
         """Return the phase that a consumer is shown; a status if there is none."""
         for _ in range(3):
             chosen = entry or random.choice(self.entries)
-            status, answer = await self.request(
-                chosen, "GET", f"/{route}/{job_id}", quiet=quiet
-            )
+            status, answer = await self.request(chosen, "GET", f"/{route}/{job_id}", quiet=quiet)
             if status == 200:
                 return str(answer["phase"])
             if status == 410:
@@ -832,8 +832,7 @@
                     f"{method} {path} HTTP/1.1\r\nHost: {host or address}\r\n"
                     f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
                     f"X-Curranthall-Request-Deadline: {int(timeout * 1000)}\r\n"
-                    "Connection: close\r\n\r\n".encode()
-                    + body
+                    "Connection: close\r\n\r\n".encode() + body
                 )
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 status, length = int(head.split(" ", 2)[1]), 0
