--- a/review/8/case.py
+++ b/review/8/case.py
@@ -76,7 +76,7 @@
             still = {job for job in still if not running(site, job)}
             busiest = max(busiest, used_share(site))
             await asyncio.sleep(0.05)
-        shown = {job: await site.phase(job, "reports") for job in jobs}
+        shown = {job: await site.phase(job) for job in jobs}
         stuck = [job for job in jobs if job in still and shown[job] != "completed"]
         for job in stuck:
             last = max(end["at"] for end in site.ends if end["task"].startswith(f"{job}.0.0."))
--- a/review/lib-2/standins_2.py
+++ b/review/lib-2/standins_2.py
@@ -569,7 +569,7 @@
             stdout=self.log.open("ab"),
             stderr=subprocess.STDOUT,
         )
-        site.record("entry-up", entry=self.name)
+        site.record("entry-up", entry=self.name, pid=self.process.pid)
 
     def kill(self, number: signal.Signals = signal.SIGKILL) -> None:
         """Send a signal to the process."""
@@ -620,6 +620,7 @@
             for number, zone in enumerate(zone for zone in zones for _ in range(entries))
         ]
         self.jobs: dict[str, dict[str, Any]] = {}
+        self._routes: dict[str, str] = {}
         self.ends: list[dict[str, Any]] = []
         self.starts: list[dict[str, Any]] = []
         self._gangs: dict[tuple[str, int], list[tuple[Worker, Run]]] = {}
@@ -775,15 +776,13 @@
         path: str,
         value: Any = None,
         timeout: float = 3.0,
-        quiet: bool = False,
     ) -> tuple[int, Any]:
         """Send a consumer's request."""
         body = b"" if value is None else json.dumps(value).encode()
         status, answer = await call(entry.frontend, method, path, body, timeout, "desk.example")
-        if not quiet:
-            self.record(
-                "request", entry=entry.name, what=f"{method} {path}", answer=status, body=answer
-            )
+        self.record(
+            "request", entry=entry.name, what=f"{method} {path}", answer=status, body=answer
+        )
         return status, answer
 
     async def submit(
@@ -791,7 +790,7 @@
     ) -> str:
         """Hand a job in, with retries as a consumer; return its id."""
         job_id = f"{random.randrange(16**16):016x}"
-        self.jobs[job_id] = job
+        self.jobs[job_id], self._routes[job_id] = job, route
         for _ in range(5):
             chosen = entry or random.choice([e for e in self.entries if e.process is not None])
             status, _ = await self.request(chosen, "POST", f"/{route}/{job_id}", job)
@@ -800,13 +799,12 @@
             await asyncio.sleep(0.5)
         raise RuntimeError("a job was not accepted")
 
-    async def phase(
-        self, job_id: str, route: str = "cuts", entry: Entry | None = None, quiet: bool = False
-    ) -> str:
+    async def phase(self, job_id: str, entry: Entry | None = None) -> str:
         """Return the phase that a consumer is shown; a status if there is none."""
+        route = self._routes.get(job_id, "cuts")
         for _ in range(3):
             chosen = entry or random.choice(self.entries)
-            status, answer = await self.request(chosen, "GET", f"/{route}/{job_id}", quiet=quiet)
+            status, answer = await self.request(chosen, "GET", f"/{route}/{job_id}")
             if status == 200:
                 return str(answer["phase"])
             if status == 410:
@@ -856,6 +854,10 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def limited() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # Ended from outside, the script still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(115):
             return await case(Path(folder), trouble)
 
