A gang waits and moves as a whole

Cause: a cell counted the waiting tasks of a gang one by one, as those of any other step. When a worker is lost, the other members end at once, and the run on the lost worker counts until its lease lapses, up to 6 s later. In between, whatever looked at the step again (a newer row, another step that ended) made three of four members wait. An evacuated cell moves what waits, so three members went to one cell and the last one, later, to another. A gang starts only where all its members wait: neither part ever did. `_stop_gang` had the right rule, but only for the call it made itself.

What starts together is now one unit (`Batch.units`): all of its tasks wait, are held, lose their wait to a run and move, or none does. The functions that change a batch ask for the units, so their callers need not know. A refused start now also leaves a gang its former wait.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -544,8 +544,9 @@
         if numbers is None:
             progress.move_job(cell, epoch)
         else:
-            keys = [(batch.occurrence, batch.number, each) for each in numbers]
-            progress.move_tasks(keys, cell, epoch)
+            keys = [batch.key(index) for unit in batch.units(numbers) for index in unit]
+            own = [key for key in keys if progress.owner(key) == self.cell]
+            progress.move_tasks(own, cell, epoch)
         progress.highest_run = max(progress.highest_run, self._last_run)
         self._mark_dirty(tracked, urgent=True)
         for each in tracked.batches.values():
@@ -628,25 +629,8 @@
         Runs of tasks that are done are stopped. `indexes` are the tasks that may have changed, by
         default all.
         """
-        progress = batch.tracked.progress
-        for index in range(batch.step.width) if indexes is None else indexes:
-            key = batch.occurrence, batch.number, index
-            is_own = progress.owner(key) == self.cell
-            if not is_own:
-                # Should it come back, it has waited elsewhere since its last run here.
-                batch.tracked.former.pop(key, None)
-            done = progress.is_done(*key) and not batch.step.lasting
-            batch.waiting.discard(index)
-            batch.held.discard(index)
-            if is_own and not done and index not in batch.active:
-                held = self._may_still_run(batch, key)
-                (batch.held if held else batch.waiting).add(index)
-            if done:
-                for run in list(batch.active.get(index, ())):
-                    self._stop(run, now)
-        if batch.step.gang and batch.held:
-            batch.held |= batch.waiting
-            batch.waiting.clear()
+        for unit in batch.units(indexes):
+            self._update_unit(batch, unit, now)
         if not batch.waiting:
             batch.note_placed()
         if batch.count_waiting():
@@ -655,6 +639,24 @@
         else:
             batch.waiting_since = None
 
+    def _update_unit(self, batch: Batch, unit: range, now: float) -> None:
+        """Update tasks that start together: all of them wait, or none does."""
+        progress, keys = batch.tracked.progress, [batch.key(index) for index in unit]
+        foreign = [key for key in keys if progress.owner(key) != self.cell]
+        for key in foreign:
+            # Should it come back, it has waited elsewhere since its last run here.
+            batch.tracked.former.pop(key, None)
+        done = not batch.step.lasting and any(progress.is_done(*key) for key in keys)
+        batch.waiting.difference_update(unit)
+        batch.held.difference_update(unit)
+        if not (foreign or done or any(index in batch.active for index in unit)):
+            held = any(self._may_still_run(batch, key) for key in keys)
+            (batch.held if held else batch.waiting).update(unit)
+        if done:
+            for index in unit:
+                for run in list(batch.active.get(index, ())):
+                    self._stop(run, now)
+
     def _close_job(self, tracked: TrackedJob, now: float) -> None:
         """Stop all runs of a job in a final phase and drop its waiting tasks."""
         tracked.final_at = now
@@ -983,8 +985,9 @@
 
     def _add_run(self, batch: Batch, run: Run, member: Member) -> None:
         batch.active.setdefault(run.task.number, []).append(run)
-        batch.waiting.discard(run.task.number)
-        batch.held.discard(run.task.number)
+        for unit in batch.units((run.task.number,)):
+            batch.waiting.difference_update(unit)
+            batch.held.difference_update(unit)
         if not batch.count_waiting():
             batch.waiting_since = None
         member.add(run)
@@ -1075,7 +1078,7 @@
             self._open_due(tracked, now)
         batch = tracked.batches.get((task.occurrence, task.step))
         if batch is not None:
-            self._update_waiting(batch, now, None if step.gang else (task.number,))
+            self._update_waiting(batch, now, (task.number,))
 
     def _on_failed(self, tracked: TrackedJob, task: TaskId, ending: Ending, member: Member) -> None:
         key = task[1:]
@@ -1099,10 +1102,9 @@
             return
         if run.step.gang:
             self._stop_gang(batch, now)
-        else:
-            self._update_waiting(batch, now, (run.task.number,))
-            if why in NO_EFFECT and run.task.number in batch.waiting:
-                batch.resume(run.wait)
+        self._update_waiting(batch, now, (run.task.number,))
+        if why in NO_EFFECT and run.task.number in batch.waiting:
+            batch.resume(run.wait)
 
     def _detach_run(self, run: Run, why: EndReason, how: str = "") -> Batch | None:
         """Remove a run that is over; return its batch if its job is tracked and not final."""
@@ -1152,8 +1154,6 @@
                     self._detach_run(run, EndReason.UNSENT)
                 else:
                     self._stop(run, now)
-        if not batch.active:
-            self._update_waiting(batch, now)
 
     # Orders and their answers
 
@@ -1489,7 +1489,7 @@
             return
         if not self._has_waited_long(batch, now):
             return
-        keys = [(batch.occurrence, batch.number, index) for index in batch.waiting]
+        keys = [batch.key(index) for index in batch.waiting]
         failed_on = set().union(*(batch.tracked.failed_on.get(key, ()) for key in keys))
         members = [
             member
@@ -1813,7 +1813,7 @@
         held_back: tuple[int, PlacementRequest] | None = None
         for index in indexes:
             crashes = count_for_placement(batch, index)
-            avoid = tracked.avoided_workers((batch.occurrence, batch.number, index))
+            avoid = tracked.avoided_workers(batch.key(index))
             req = PlacementRequest(
                 service,
                 step,
@@ -1884,7 +1884,7 @@
     def _place_gang(self, batch: Batch, usable: list[Member], now: float) -> None:
         """Start all members of a gang at once, or none."""
         tracked, step = batch.tracked, batch.step
-        if batch.active or len(batch.waiting) < step.width or needs_answer(batch, 0):
+        if not batch.waiting or needs_answer(batch, 0):
             return
         chosen: list[Member] = []
         tentative: list[tuple[Member, Run]] = []
@@ -1918,7 +1918,7 @@
             batch.unplaced_since = batch.unplaced_since or now
             return
         number = self._next_run(tracked)
-        keys = [(batch.occurrence, batch.number, index) for index in range(step.width)]
+        keys = [batch.key(index) for index in range(step.width)]
         checkpoint = next(
             (tracked.checkpoints[key] for key in keys if key in tracked.checkpoints), ""
         )
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -1,5 +1,6 @@
 """Jobs tracked by a cell's holder: queue, waiting tasks and runs of each."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from math import floor, log2
 from typing import Any, NamedTuple
@@ -101,6 +102,20 @@
         at_work = [any(run.is_at_work for run in runs) for runs in self.active.values()]
         return self.count_waiting() + len(at_work) - sum(at_work)
 
+    def units(self, indexes: Iterable[int] | None = None) -> list[range]:
+        """Return what starts together: all tasks of a gang, else each of the given tasks.
+
+        By default these are all tasks of the step.
+        """
+        if self.step.gang:
+            return [range(self.step.width)]
+        each = range(self.step.width) if indexes is None else indexes
+        return [range(index, index + 1) for index in each]
+
+    def key(self, index: int) -> TaskKey:
+        """Return a task's key in the job's row."""
+        return self.occurrence, self.number, index
+
     def task(self, index: int) -> TaskId:
         """Return the id of a task."""
         return TaskId(self.tracked.job.id, self.occurrence, self.number, index)
@@ -120,8 +135,7 @@
 
     def _never_run(self) -> set[TaskKey]:
         """Return the waiting tasks that have had no run under this holder."""
-        keys = {(self.occurrence, self.number, index) for index in self.waiting}
-        return keys - self.tracked.former.keys()
+        return {self.key(index) for index in self.waiting} - self.tracked.former.keys()
 
 
 @dataclass(slots=True, eq=False)
