Log why a gang does not run

With the log as it was nobody saw why a job with an idle gang stood still: a gang of which a cell had only some members was neither placed nor refused, and the summary showed the reason `gang` whatever was missing.

GANG_IDLE, every two seconds for the eight gangs that have been idle the longest, tells which of its members still have runs (worker and state), which ones other cells own, the workers that have to answer first, and how many members found a worker. tests.test_gangs.Idle covers each of the reasons and the rate; the event does not exist on the code before.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -21,6 +21,7 @@
     Run,
     RunState,
 )
+from curranthall.cells.gangs import IdleGangs
 from curranthall.cells.headroom import (
     FILLING_HEADROOM,
     NO_HEADROOM,
@@ -184,6 +185,7 @@
         self.orders: deque[Order] = deque()
         self.interference = Interference()
         self._departures = Departures()
+        self._idle_gangs = IdleGangs(cell)
         self.dirty: dict[str, TrackedJob] = {}
         self.urgent = False
         # Nothing starts here, because the failure domain is taken out or the cell is released.
@@ -638,6 +640,8 @@
             self._ready[batch.tracked.job.id, batch.occurrence, batch.number] = batch
         else:
             batch.waiting_since = None
+        if batch.step.gang:
+            self._idle_gangs.update(batch, now)
 
     def _update_unit(self, batch: Batch, unit: range, now: float) -> None:
         """Update tasks that start together: all of them wait, or none does."""
@@ -1317,6 +1321,12 @@
             self._record_cleared()
             self._count_expired(now)
             self._log_summary(now)
+            self._log_idle_gangs(now)
+
+    def _log_idle_gangs(self, now: float) -> None:
+        """Log why the gangs that have been idle longest do not run."""
+        for gang in self._idle_gangs.report(now, self.closed, self._is_held):
+            log(Event.GANG_IDLE, cell=self.cell, epoch=self.epoch, **gang._asdict())
 
     def _log_summary(self, now: float) -> None:
         """Log a summary of the cell."""
@@ -1914,6 +1924,7 @@
             siblings[member.name] = siblings.get(member.name, 0) + 1
         for member, placeholder in tentative:
             member.remove(placeholder)
+        batch.fitting = len(chosen)
         if len(chosen) < step.width:
             batch.unplaced_since = batch.unplaced_since or now
             return
@@ -1927,6 +1938,7 @@
         for index, member in enumerate(chosen):
             self._start(batch, index, member, number, now)
         batch.note_placed()
+        self._idle_gangs.drop(batch)
 
     def _racks(self, siblings: dict[str, int]) -> frozenset[str]:
         names = [name for name in siblings if name in self.members]
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -69,6 +69,8 @@
     # The step had begun when this holder took the job over.
     prior: bool = False
     tickets: Tickets = field(default_factory=Tickets)
+    # How many members of a gang found a worker when it was last tried.
+    fitting: int = 0
 
     def count_waiting(self) -> int:
         """Return how many tasks wait, held or not."""
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -1,14 +1,19 @@
 """Gangs wait, move and start as a whole, whatever happens to single members."""
 
 import unittest
+from typing import Any
 
 from curranthall.cells.balance import Balancer, CellLoads
+from curranthall.cells.dispatcher import SUMMARY_INTERVAL_S
+from curranthall.cells.gangs import MAX_REPORTED_GANGS, IdleReason
 from curranthall.cells.load import Load
 from curranthall.cells.ports import EndKind, ListedRun, StartTask
 from curranthall.cells.tracking import Batch
 from curranthall.dag import Progress, Step
-from curranthall.dag.progress import decode_progress
+from curranthall.dag.progress import Doubt, decode_progress
 from tests.cell_fixtures import CELL, EPOCH, SERVICE, Cell, ended, host, job, step, task
+from tests.test_events import CATALOGUE
+from tests.test_traces import LogTestCase
 
 JOB = "0" * 16
 WIDTH = 4
@@ -18,10 +23,11 @@
 LAPSED_S = 13.0
 
 
-class GangTestCase(unittest.TestCase):
+class GangTestCase(LogTestCase):
     """A cell of four workers that runs one job; its gang has a member on each of them."""
 
     def setUp(self) -> None:
+        super().setUp()
         self.start_gang(GANG, step(1), step(1))
 
     def start_gang(self, *steps: Step) -> None:
@@ -173,5 +179,68 @@
         self.assertEqual(self.batch.count_waiting(), 0)
 
 
+class Idle(GangTestCase):
+    """The log tells why a gang does not run, and where the members are that it lacks."""
+
+    def idle_lines(self, after_s: float = 3.0) -> list[dict[str, Any]]:
+        """Return what is logged of idle gangs within some seconds."""
+        self.lines.records.clear()
+        until = self.cell.now + after_s
+        while self.cell.now < until:
+            self.cell.now += 0.5
+            for member in list(self.cell.dispatcher.members.values()):
+                if member.silent_since is None:
+                    self.answer(member.name)
+            self.cell.plan()
+            self.cell.dispatcher.tick(self.cell.now, self.cell.now)
+        return self.lines.named("GANG_IDLE")
+
+    def test_a_gang_that_runs_is_not_logged(self) -> None:
+        self.assertEqual(self.idle_lines(), [])
+
+    def test_a_run_that_is_not_over_is_logged_with_its_worker(self) -> None:
+        lost = self.members[2]
+        self.lose(lost)
+        line = self.idle_lines()[-1]
+        self.assertEqual((line["job"], line["width"], line["why"]), (JOB, WIDTH, "runs"))
+        self.assertEqual(line["runs"], [[2, lost.worker, "stopping"]])
+
+    def test_too_few_workers_are_logged_with_the_number_of_members_that_found_one(self) -> None:
+        self.start_gang(GANG)
+        self.lose(self.members[2])
+        self.idle_lines(LAPSED_S)
+        line = self.idle_lines()[-1]
+        self.assertEqual((line["why"], line["fitting"], line["runs"]), ("room", WIDTH - 1, []))
+
+    def test_members_of_other_cells_are_logged_by_cell(self) -> None:
+        moved = {(0, 0, 3): "west", (0, 0, 1): "south"}
+        row = Progress(CELL, moved_to=moved, claims={CELL: EPOCH})
+        self.cell.dispatcher.adopt(job("1" * 16, GANG), row, 1, self.cell.now)
+        line = self.idle_lines()[-1]
+        self.assertEqual((line["job"], line["why"]), ("1" * 16, "split"))
+        self.assertEqual(line["elsewhere"], {"south": [1], "west": [3]})
+
+    def test_a_gang_whose_runs_may_all_have_crashed_their_workers_is_logged(self) -> None:
+        doubts = {
+            (0, 0, 0, number, "x"): Doubt(number, "x", "x:1", 5, 10, CELL) for number in range(1, 5)
+        }
+        row = Progress(CELL, claims={CELL: EPOCH}, doubts=doubts)
+        self.cell.dispatcher.adopt(job("1" * 16, GANG), row, 1, self.cell.now)
+        line = self.idle_lines()[-1]
+        self.assertEqual((line["why"], line["in_doubt"]), ("answer", ["x"] * 4))
+
+    def test_the_number_and_rate_of_lines_are_bounded(self) -> None:
+        for number in range(1, 3 * MAX_REPORTED_GANGS):
+            self.cell.add(job(f"{number:016x}", step(WIDTH, cores=9, gang=True)))
+        lines = self.idle_lines(4 * SUMMARY_INTERVAL_S)
+        self.assertGreater(len(lines), MAX_REPORTED_GANGS)
+        self.assertLessEqual(len(lines), 4 * MAX_REPORTED_GANGS)
+
+    def test_every_reason_is_documented(self) -> None:
+        (row,) = [row for row in CATALOGUE.read_text().splitlines() if "| gang-idle |" in row]
+        for reason in IdleReason:
+            self.assertRegex(row, rf"\b{reason.value}\b")
+
+
 if __name__ == "__main__":
     unittest.main()
