Join gangs that rows assign to several cells

A split gang runs in the cell that owns its first member. The holder of any other cell gives its members there, under the same conditions as any move: the job is claimed and proven, none of the members has a run here, and no worker of a former holder may run one. Only the owner of a task moves it, as before, so no member can start while its last run may go on: the first cell starts the gang only once it owns all of it, and keeps its part meanwhile. Taking the first member's cell for the whole gang at once when a row is read would be shorter, and would start a member whose last run its own cell has not seen end.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -5,7 +5,7 @@
 
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.load import MIN_CORES, ROUNDING, Load
-from curranthall.cells.tracking import Batch, TrackedJob
+from curranthall.cells.tracking import Batch
 from curranthall.dag import Step
 from curranthall.events import Event, log
 from curranthall.model import Host, HostState, Size
@@ -120,6 +120,10 @@
 
     def move_stranded(self, dispatcher: Dispatcher, others: list[CellLoads], now: float) -> None:
         """Move tasks that found no worker to the cells with the most room for them."""
+        for batch, indexes in dispatcher.list_strays(now):
+            cell = batch.tracked.progress.owner(batch.key(0))
+            dispatcher.move(batch.tracked, batch, indexes, cell, now)
+            _log_move(batch, len(indexes), cell)
         self._moves = [row for row in self._moves if now - row.at < MOVED_S]
         targets = [_Target(other, self._moves) for other in others]
         dispatcher.other_cell_loads = _by_service(target.published for target in targets)
@@ -163,7 +167,7 @@
         move = _Move(now, target.cell, batch.tracked.queue.service, batch.step, count)
         self._moves.append(move)
         target.subtract(move)
-        _move_tasks(dispatcher, batch.tracked, batch, numbers, target, now)
+        _move_tasks(dispatcher, batch, numbers, target, now)
         return True
 
     def _log_refusal(
@@ -204,21 +208,15 @@
 
 
 def _move_tasks(
-    dispatcher: Dispatcher,
-    tracked: TrackedJob,
-    batch: Batch,
-    numbers: list[int],
-    target: _Target,
-    now: float,
+    dispatcher: Dispatcher, batch: Batch, numbers: list[int], target: _Target, now: float
 ) -> None:
+    tracked = batch.tracked
     # Move the whole job only if no task of it can be running, here or in a cell it was moved to.
     whole = not dispatcher.may_have_started(tracked) and len(numbers) == batch.step.width
     dispatcher.move(tracked, batch, None if whole else numbers, target.cell, now, target.epoch)
-    log(
-        Event.JOB_MOVED,
-        job=tracked.job.id,
-        step=batch.number,
-        tasks=len(numbers),
-        whole=whole,
-        to=target.cell,
-    )
+    _log_move(batch, len(numbers), target.cell, whole)
+
+
+def _log_move(batch: Batch, tasks: int, cell: str, whole: bool = False) -> None:
+    job = batch.tracked.job.id
+    log(Event.JOB_MOVED, job=job, step=batch.number, tasks=tasks, whole=whole, to=cell)
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -525,6 +525,18 @@
         ]
         return sorted(found, key=lambda batch: self._sort_key(batch, now))
 
+    def list_strays(self, now: float) -> list[tuple[Batch, list[int]]]:
+        """Return split gangs and their members here that another cell may start now.
+
+        The rows of earlier releases may assign the members of one gang to several cells.
+        """
+        return [
+            (batch, indexes)
+            for batch, indexes in self._idle_gangs.list_strays()
+            if not self._is_held(batch, now)
+            and not any(self._may_still_run(batch, batch.key(index)) for index in indexes)
+        ]
+
     def may_have_started(self, tracked: TrackedJob) -> bool:
         """Return whether any task of a job may have been started, here or elsewhere."""
         progress = tracked.progress
--- a/src/curranthall/cells/gangs.py
+++ b/src/curranthall/cells/gangs.py
@@ -62,6 +62,19 @@
         """Forget a gang that runs or does not have to run."""
         self._since.pop(batch, None)
 
+    def list_strays(self) -> list[tuple[Batch, list[int]]]:
+        """Return the split gangs without a run here, and the members that other cells wait for.
+
+        A split gang runs in the cell that owns its first member.
+        """
+        return [
+            (batch, self._list_owned(batch))
+            for batch in self._since
+            if self._is_idle(batch)
+            and not batch.active
+            and batch.tracked.progress.owner(batch.key(0)) != self._cell
+        ]
+
     def report(
         self, now: float, is_closed: bool, is_held: Callable[[Batch, float], bool]
     ) -> list[IdleGang]:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -7,10 +7,11 @@
 from curranthall.cells.dispatcher import SUMMARY_INTERVAL_S
 from curranthall.cells.gangs import MAX_REPORTED_GANGS, IdleReason
 from curranthall.cells.load import Load
-from curranthall.cells.ports import EndKind, ListedRun, StartTask
+from curranthall.cells.ports import Ending, EndKind, ListedRun, StartTask
+from curranthall.cells.records import PARTS
 from curranthall.cells.tracking import Batch
 from curranthall.dag import Progress, Step
-from curranthall.dag.progress import Doubt, decode_progress
+from curranthall.dag.progress import Doubt, Place, decode_progress
 from tests.cell_fixtures import CELL, EPOCH, SERVICE, Cell, ended, host, job, step, task
 from tests.test_events import CATALOGUE
 from tests.test_traces import LogTestCase
@@ -21,6 +22,8 @@
 SOUTH = CellLoads("south", {SERVICE: Load(cores=64, free=64, idle=64, largest=(16.0,) * 4)})
 # By then the lease of a worker that answers no more has certainly lapsed.
 LAPSED_S = 13.0
+# A run of the former holder.
+RUN = (EPOCH - 1) * 1_000_000 + 9
 
 
 class GangTestCase(LogTestCase):
@@ -179,6 +182,85 @@
         self.assertEqual(self.batch.count_waiting(), 0)
 
 
+class Split(GangTestCase):
+    """A row of an earlier release names several cells for the members of one gang."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cell = Cell(*(host(f"w{number}") for number in range(WIDTH)))
+
+    def split_row(self, **moved_to: str) -> Progress:
+        """Build a row with members `m0` to `m3` in other cells."""
+        moved = {(0, 0, int(name[1:])): cell for name, cell in moved_to.items()}
+        return Progress(CELL, moved_to=moved, claims={CELL: EPOCH, "south": 3, "west": 2})
+
+    def adopt_row(self, row: Progress, gang: Step = GANG) -> None:
+        """Adopt the job with a row; let the cell move what it may."""
+        self.cell.dispatcher.adopt(job(JOB, gang), row, 1, self.cell.now)
+        self.balance()
+
+    def balance(self) -> None:
+        """Run one round of moves."""
+        self.cell.plan()
+        Balancer().move_stranded(self.cell.dispatcher, [SOUTH], self.cell.now)
+
+    def test_members_go_to_the_cell_of_the_first_one(self) -> None:
+        """The members in each cell used to wait for the others for good."""
+        for is_lasting in (False, True):
+            with self.subTest(is_lasting=is_lasting):
+                self.setUp()
+                row = self.split_row(m0="south", m1="south", m2="west")
+                self.adopt_row(row, GANG._replace(lasting=is_lasting))
+                self.assertEqual(self.owners(), ["south", "south", "west", "south"])
+                self.assertIn(JOB, self.cell.dispatcher.dirty)
+                self.assertEqual(self.progress.claims["south"], 3)
+
+    def test_the_cell_of_the_first_member_keeps_it_and_starts_all_once_they_are_there(self) -> None:
+        self.adopt_row(self.split_row(m2="south", m3="south"))
+        self.cell.dispatcher.closed = True
+        self.balance()
+        self.assertEqual(self.owners(), [CELL, CELL, "south", "south"])
+        self.cell.dispatcher.closed = False
+        self.assertEqual(self.cell.plan(), [])
+        joined = self.progress.moved_to | {(0, 0, 2): CELL, (0, 0, 3): CELL}
+        self.refresh(Progress(CELL, moved_to=joined, claims=self.progress.claims))
+        self.assertEqual(len(self.cell.plan()), WIDTH)
+
+    def test_a_member_with_a_run_stays_until_the_run_is_over(self) -> None:
+        """It would start in the other cell while its run here goes on."""
+        self.cell.answer("w3", [ListedRun(task(number=3), RUN, "", 50, 0)])
+        self.adopt_row(self.split_row(m0="south", m1="south", m2="south"))
+        self.assertEqual(self.owners(), ["south", "south", "south", CELL])
+        self.cell.answer("w3", [], [Ending(1, task(number=3), RUN, EndKind.BROKEN, "")])
+        self.balance()
+        self.assertEqual(self.owners(), ["south"] * WIDTH)
+
+    def test_a_member_stays_until_no_worker_of_a_former_holder_can_run_it(self) -> None:
+        for is_lasting in (False, True):
+            with self.subTest(is_lasting=is_lasting):
+                self.cell = Cell(settled=False)
+                self.cell.dispatcher.take_over([host("w0")], self.cell.now + 9)
+                places = {(0, 0, 3): Place(RUN, "w0")} if is_lasting else {}
+                moved_to = dict.fromkeys([(0, 0, index) for index in range(3)], "south")
+                row = Progress(CELL, moved_to=moved_to, claims={CELL: EPOCH - 1}, places=places)
+                self.adopt_row(row, GANG._replace(lasting=is_lasting))
+                self.cell.record()
+                self.balance()
+                self.assertEqual(self.owners(), ["south", "south", "south", CELL])
+                self.cell.answer("w0", [])
+                self.cell.dispatcher.note_rows_read(PARTS)
+                self.cell.record()
+                self.balance()
+                self.assertEqual(self.owners(), ["south"] * WIDTH)
+
+    def test_members_of_a_gang_that_is_done_stay(self) -> None:
+        done = {(0, 0): GANG.full_mask}
+        row = Progress(CELL, done=done, moved_to={(0, 0, 0): "south"}, claims={CELL: EPOCH})
+        self.cell.dispatcher.adopt(job(JOB, GANG, step(9, cores=9)), row, 1, self.cell.now)
+        self.balance()
+        self.assertEqual(self.owners(), ["south", CELL, CELL, CELL])
+
+
 class Idle(GangTestCase):
     """The log tells why a gang does not run, and where the members are that it lacks."""
 
