Test gangs whose workers, holders and domains are lost together

The plays of takeovers had no gangs, as the stand-in for workers couples no members. GangJudge does: the members of one run work once all are there, end together, and are reported if they stand alone without a fault. Workers lost together with an evacuation of their domain, of the target of the move, or with the holder before, during and after the move are played in order, and at random (`python -m tests.takeover FIRST COUNT gangs`), there also with rows that assign the members of a gang to several cells.

--- a/src/curranthall/standin/runner.py
+++ b/src/curranthall/standin/runner.py
@@ -137,6 +137,10 @@
         if run is not None:
             run.pace = order.percent
 
+    def end(self, task: TaskId, kind: EndKind) -> None:
+        """End a run for a reason outside this worker, e.g. the end of another member of a gang."""
+        self._end(self.running[task], kind)
+
     def step(self) -> None:
         """Advance all runs to the current time and end those that lapsed or finished."""
         if self.running and self.clock_ms > self._lease_ms:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -108,7 +108,7 @@
             case "done":
                 self.done[task, run] = now()
                 self._on_end(task, run, worker)
-            case "failed" | "stopped" | "lapsed":
+            case "failed" | "stopped" | "lapsed" | "broken" | "alone":
                 self._on_end(task, run, worker)
 
     def note_sent(self, task: TaskId, worker: str) -> None:
--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -1,7 +1,7 @@
 """Random simulations of takeovers in which the former holder is unaware of its successor.
 
 `python -m tests.takeover [FIRST [COUNT [KIND]]]` simulates COUNT seeds and prints the broken rules;
-KIND is `takeover`, `restarts`, `overload`, `departure`, `lasting`, `series` or `parts`.
+KIND is `takeover`, `restarts`, `overload`, `departure`, `lasting`, `series`, `parts` or `gangs`.
 """
 
 import asyncio
@@ -10,12 +10,14 @@
 import sys
 from collections.abc import Callable
 
-from curranthall.cells.records import PARTS
-from curranthall.dag import Job, Step
+from curranthall.cells.records import JOB_TABLE, PARTS, PROGRESS_TABLE, part_of
+from curranthall.dag import Job, Phase, Progress, Step
 from curranthall.errors import CurranthallError
 from curranthall.intake import Verdict
 from curranthall.model import Size
+from curranthall.store import Put
 from tests.cluster import SERVICE, Cluster, now
+from tests.gang_judge import GangJudge
 from tests.lease_judge import LeaseJudge
 from tests.virtual import run
 from tests.waits import WaitJudge
@@ -27,7 +29,7 @@
 
 
 def random_steps(rng: random.Random) -> tuple[Step, ...]:
-    """Return random steps of a job; the stand-in for workers does not support gangs."""
+    """Return random steps of a job without gangs, which only `Gangs` couples."""
     size = Size(rng.choice((1, 2)), 1_000)
     match rng.randrange(4):
         case 0:
@@ -564,6 +566,130 @@
             self._heal_later(seconds, functools.partial(cluster.parts_away.difference_update, away))
 
 
+class Gangs(Simulation):
+    """A simulation of gangs whose workers, holders and failure domains are lost together.
+
+    Some rows assign the members of a gang to several cells, as earlier releases did.
+    """
+
+    # By then all leases are over, and each job has had the time to run once more.
+    settle_s = 45.0
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        random.seed(seed)
+        self.cluster.late_orders_outlive_boot = False
+        self.gangs = GangJudge(self.cluster)
+
+    async def run(self) -> list[str]:
+        """Run the simulation; return the broken rules."""
+        cluster = self.cluster
+        for number in range(JOBS + 1, JOBS + 4):
+            self._store_split(number)
+        cluster.start()
+        await asyncio.sleep(3)
+        callers = [
+            asyncio.ensure_future(self._submit_later(number)) for number in range(1, JOBS // 2)
+        ]
+        await asyncio.gather(self._faults(), self._faults())
+        await asyncio.gather(*callers)
+        cluster.cuts, cluster.evacuated = set(), frozenset()
+        for name, entry in list(cluster.entries.items()):
+            if entry.dead:
+                cluster.restart(name)
+        await asyncio.sleep(self.settle_s)
+        self._check_all_ran()
+        for job in self.accepted:
+            if job.lasting:
+                await self._cancel(job)
+        await asyncio.sleep(5)
+        self.gangs.close()
+        cluster.close()
+        if not self.gangs.whole_runs:
+            self.gangs.broken.append("no gang has run")
+        return cluster.judge.broken + self.gangs.broken
+
+    def _random_steps(self) -> tuple[Step, ...]:
+        rng, size = self.rng, Size(self.rng.choice((0.5, 1)), 1_000)
+        gang = Step(
+            rng.randint(2, 4),
+            size,
+            1_000,
+            gang=True,
+            max_per_worker=rng.choice((0, 1, 2)),
+            same_rack=rng.random() < 0.2,
+            lasting=rng.random() < 0.2,
+        )
+        beside = Step(rng.randint(1, 5), size, 1_000)
+        match rng.randrange(4):
+            case 0:
+                return (gang,)
+            case 1:
+                return (gang, beside)
+            case 2:
+                return (gang, beside, beside._replace(after=(1,)))
+            case _:
+                return (beside, gang._replace(after=(0,)))
+
+    def _store_split(self, number: int) -> None:
+        """Store a job whose row assigns the members of a gang to several cells."""
+        rng, cluster = self.rng, self.cluster
+        size = Size(1, 1_000)
+        steps = (Step(rng.randint(2, 4), size, 1_000, gang=True), Step(2, size, 1_000))
+        job = Job(f"{number:016x}", "q", SERVICE, "spec", steps, int(now() * 1000))
+        cells = [rng.choice(cluster.domains) for _ in range(steps[0].width)]
+        moved = {(0, 0, index): cell for index, cell in enumerate(cells)}
+        row = Progress(rng.choice(cluster.domains), Phase.RUNNING, moved_to=moved, moves=2)
+        puts = [Put(JOB_TABLE, job.id, job.encode()), Put(PROGRESS_TABLE, job.id, row.encode())]
+        cluster.store.apply(part_of(job.id), [], puts, [])
+        cluster.judge.jobs[job.id] = job
+        cluster.work[job.id] = rng.choice((0.5, 1.0, 3.0))
+        self.accepted.append(job)
+
+    async def _fault(self) -> None:
+        rng, cluster = self.rng, self.cluster
+        if rng.random() < 0.5:
+            await super()._fault()
+            return
+        cell = rng.choice(cluster.domains)
+        names = sorted(name for name in cluster.runners if name[0] == cell)
+        lost = rng.sample(names, min(len(names), rng.choice((1, 1, 2))))
+        for name in lost:
+            cluster.crash_worker(name)
+        holder = cluster.holder(cell)
+        for change in rng.sample(("evacuate", "kill", "nothing"), 2):
+            await asyncio.sleep(rng.choice((0.05, rng.uniform(0.0, 3.0))))
+            if change == "evacuate":
+                cluster.evacuated = frozenset((cell,))
+            elif change == "kill" and holder is not None and not cluster.entries[holder].dead:
+                cluster.kill(holder)
+        await asyncio.sleep(rng.uniform(1.0, 8.0))
+        cluster.evacuated = frozenset()
+        for name in lost:
+            cluster.add_worker(name, cell)
+        if holder is not None and cluster.entries[holder].dead:
+            cluster.restart(holder)
+
+    def _check_all_ran(self) -> None:
+        """Report the jobs that are not done, and lasting gangs that do not run as a whole."""
+        for job in self.accepted:
+            progress = self.cluster.find_progress(job.id)
+            if progress is None:
+                continue
+            if progress.phase.is_final:
+                if progress.phase is not Phase.COMPLETED:
+                    self.gangs.broken.append(f"{progress.phase.name.lower()}: {job.id}")
+                continue
+            idle = [
+                number
+                for number, step in enumerate(job.steps)
+                if not progress.is_step_done(job, 0, number)
+                and not (step.lasting and self.gangs.runs(job.id, number) == step.width)
+            ]
+            if idle:
+                self.gangs.broken.append(f"{now():.3f} steps {idle} do not run: {job.id}")
+
+
 KINDS = {
     "takeover": Simulation,
     "restarts": Restarts,
@@ -572,6 +698,7 @@
     "lasting": Lasting,
     "series": Series,
     "parts": Parts,
+    "gangs": Gangs,
 }
 
 
