Move a gang only to cells with workers for all its members

Callers would see a gang with a limit of members a worker (or with a label, or much memory) wait for good beside an idle cell that it fits into.

Cause: a cell was judged by free cores for a gang, and by one worker that can run a task. So two cells with many cores on too few workers, or with one suited worker, handed the gang to each other every 0.4 s, and the cell with enough workers, whose cores are fewer, never got it.

A cell is a target for a gang only if its listed workers, when empty, hold all members at once, by service, label, size and members a worker, and if the rooms that it published do as well. A moved gang takes one room a member where its members may not share a worker. Single tasks are judged as before.

`same_rack` is a preference in placement, so no cell is ruled out for it.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -1,6 +1,7 @@
 """Move waiting tasks to cells with free cores when this cell has none or is evacuated."""
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from curranthall.cells.dispatcher import Dispatcher
@@ -27,10 +28,13 @@
     labels: tuple[str, ...]
     size: Size
 
-    def can_run(self, service: str, step: Step) -> bool:
-        """Return whether such a worker, if it is empty, can run tasks of a step."""
-        has_label = not step.requires or step.requires in self.labels
-        return self.service == service and has_label and step.reserved.fits(self.size)
+    def slots(self, service: str, step: Step) -> int:
+        """Return how many tasks of a step such a worker can run if it is empty."""
+        if self.service != service or (step.requires and step.requires not in self.labels):
+            return 0
+        most, need = step.max_per_worker or step.width, step.reserved
+        pairs = [(size, each) for size, each in zip(self.size, need, strict=True) if each > 0]
+        return min([most, *(int(size / each + ROUNDING) for size, each in pairs)])
 
 
 class CellLoads(NamedTuple):
@@ -39,22 +43,30 @@
     cell: str
     loads: dict[str, Load]
     epoch: int = 0
-    # None if its workers are not known.
-    kinds: frozenset[WorkerKind] | None = None
+    # The number of its workers by kind, or None if they are not known.
+    kinds: Mapping[WorkerKind, int] | None = None
 
     def can_run(self, service: str, step: Step) -> bool:
-        """Return whether the cell may have a worker that can run tasks of a step."""
-        return self.kinds is None or any(kind.can_run(service, step) for kind in self.kinds)
-
-
-def group_kinds(hosts: Iterable[Host]) -> dict[str, frozenset[WorkerKind]]:
-    """Return the kinds of workers by failure domain."""
-    found: dict[str, set[WorkerKind]] = {}
+        """Return whether the cell, if it is empty, can run a task of a step, or a whole gang."""
+        if self.kinds is None:
+            return True
+        needed = step.width if step.gang else 1
+        slots = 0
+        for kind, workers in self.kinds.items():
+            slots += workers * kind.slots(service, step)
+            if slots >= needed:
+                return True
+        return False
+
+
+def group_kinds(hosts: Iterable[Host]) -> dict[str, Counter[WorkerKind]]:
+    """Count the workers by failure domain and kind."""
+    found: dict[str, Counter[WorkerKind]] = {}
     for host in hosts:
         if host.state is HostState.LIVE:
             kind = WorkerKind(host.service, host.labels, host.size)
-            found.setdefault(host.domain, set()).add(kind)
-    return {domain: frozenset(kinds) for domain, kinds in found.items()}
+            found.setdefault(host.domain, Counter())[kind] += 1
+    return found
 
 
 class _Move(NamedTuple):
@@ -91,6 +103,11 @@
         load, cores = self.left.get(service), max(step.size.cores, MIN_CORES)
         if load is None or not self._can_run(service, step):
             return 0.0
+        if must_start and step.lasting:
+            # They start before all others that wait there, so they may use each whole room.
+            load = self.left_by_lasting[service]
+        if step.gang and not load.holds_gang(step):
+            return 0.0
         if not step.lasting:
             room = load.room(step)
             shared = room - (1 - ROOM_SHARE) * max(0.0, self.published[service].room(step))
@@ -98,8 +115,6 @@
             return least if must_start and shared < least <= room else shared
         if not must_start:
             return min(load.room(step), load.slots(step) * cores)
-        # They start before all others that wait there, so they may use each whole room.
-        load = self.left_by_lasting[service]
         return (load.slots(step) or load.slots_of_last_resort(step)) * cores
 
     def is_last_resort(self, batch: Batch) -> bool:
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -104,6 +104,16 @@
         """Return how many tasks of a step fit on the quarantined workers with the most."""
         return count_slots(step, self.quarantined)
 
+    def holds_gang(self, step: Step) -> bool:
+        """Return whether all members of a gang find room at once, in the last resort quarantined.
+
+        Only the cores of the rooms are known.
+        """
+        listed = [(room, 1) for room in self.largest]
+        rooms = [*listed, *self.others] if self.slots(step) else [(r, 1) for r in self.quarantined]
+        slots = sum(workers * _slots_in(room, step) for room, workers in rooms)
+        return slots >= step.width
+
     def less(self, step: Step, count: int) -> "Load":
         """Return the load once `count` more tasks of a step have the room that they use.
 
@@ -113,15 +123,13 @@
         if step.filling:
             return self._less_idle(cores * count)
         largest, quarantined, others = list(self.largest), list(self.quarantined), self.others
-        taken = 0.0
-        for _ in range(count):
-            is_taken = _take_room(largest, cores)
-            if step.gang and not is_taken:
-                others, is_taken = _without_room(others, cores)
-            # Lasting tasks start on quarantined workers where no other has room.
-            is_last_resort = not is_taken and step.lasting
-            if not is_last_resort or not _take_room(quarantined, cores):
-                taken += cores
+        left = _take_rooms(largest, step, count)
+        for _ in range(left if step.gang else 0):
+            others, is_taken = _without_room(others, cores)
+            left -= is_taken
+        # Lasting tasks start on quarantined workers where no other has room.
+        last_resort = left - _take_rooms(quarantined, step, left) if step.lasting else 0
+        taken = cores * (count - last_resort)
         return self._less_idle(taken)._replace(
             free=self.free - taken,
             lasting=self.lasting - taken,
@@ -141,15 +149,21 @@
     return sum(int(room / cores + ROUNDING) for room in rooms)
 
 
-def _take_room(rooms: list[float], cores: float) -> bool:
-    """Take cores from the smallest of the rooms that fit; return whether any does."""
-    fitting = [room for room in rooms if room >= cores - ROUNDING]
-    if not fitting:
-        return False
-    smallest = min(fitting)
-    rooms.remove(smallest)
-    rooms.append(max(0.0, smallest - cores))
-    return True
+def _slots_in(room: float, step: Step) -> int:
+    """Return how many tasks of a step may start in one worker's room, for a gang all at once."""
+    slots = count_slots(step, (room,))
+    return min(slots, step.max_per_worker) if step.gang and step.max_per_worker else slots
+
+
+def _take_rooms(rooms: list[float], step: Step, count: int) -> int:
+    """Take cores for tasks from the smallest rooms that fit; return how many tasks find none."""
+    cores = max(step.size.cores, MIN_CORES)
+    rooms.sort()
+    for at, room in enumerate(rooms):
+        tasks = min(_slots_in(room, step), count)
+        rooms[at] = max(0.0, room - tasks * cores)
+        count -= tasks
+    return count
 
 
 def _without_room(
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -72,7 +73,7 @@
         self._leaving = False
         # The workers that `_kinds` was made of, by failure domain.
         self._grouped_hosts: dict[str, Host] | None = None
-        self._kinds: dict[str, frozenset[WorkerKind]] = {}
+        self._kinds: dict[str, Counter[WorkerKind]] = {}
 
     async def run(self) -> None:
         """Poll the owner rows until cancelled; take cells that become vacant."""
--- a/tests/load.py
+++ b/tests/load.py
@@ -311,7 +311,7 @@
         self.sent_cores: dict[str, float] = {}
         self.balancers: dict[str, Balancer] = {}
         self._exchanged_at = -1.0
-        self._kinds: dict[str, frozenset[WorkerKind]] = {}
+        self._kinds: dict[str, Counter[WorkerKind]] = {}
         self._sampled_at = self.now
         self._next: list[tuple[float, int]] = []
         queues = {profile.queue.name: profile.queue for profile in profiles}
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -8,7 +8,7 @@
 from curranthall.cells.balance import Balancer, CellLoads, group_kinds
 from curranthall.cells.load import Load, decode_loads, encode_loads
 from curranthall.dag import Step
-from curranthall.model import HostState, Size
+from curranthall.model import Host, HostState, Size
 from tests.cell_fixtures import CELL, SERVICE, Cell, host, job, step
 
 LASTING = "0" * 16
@@ -84,6 +84,86 @@
         self.assertEqual(self.move(step(1, cores=2, requires="special"), south), "south")
 
 
+class GangNeeds(MovesTestCase):
+    """A gang needs workers for all of its members at once."""
+
+    def publish(self, name: str, *hosts: Host) -> CellLoads:
+        """Build a cell of empty workers."""
+        cell = Cell(*(each._replace(domain=name) for each in hosts))
+        kinds = group_kinds(member.host for member in cell.dispatcher.members.values())
+        return CellLoads(name, cell.dispatcher.load(cell.now), 0, kinds[name])
+
+    def move(self, gang: Step, *cells: CellLoads) -> str:
+        """Let a gang wait and be moved; return the cell of its first member."""
+        job_id = self.add(gang)
+        self.cell.now += 0.5
+        self.cell.plan()
+        self.balancer.move_stranded(self.cell.dispatcher, list(cells), self.cell.now)
+        return self.cell.dispatcher.tracked[job_id].progress.owner((0, 0, 0))
+
+    def test_a_gang_is_moved_only_where_all_members_can_start(self) -> None:
+        """A gang used to go to and fro between cells with many cores and too few workers."""
+        gang = step(4, cores=2, gang=True)
+        small = [host(f"s{number}", cores=4) for number in range(4)]
+        large = [host(f"l{number}", cores=64) for number in range(4)]
+        memory = Size(2, 20_000)
+        needs: dict[str, tuple[Step, list[Host], list[Host]]] = {
+            "workers": (gang._replace(max_per_worker=1), large[:3], small),
+            "two a worker": (gang._replace(max_per_worker=2), large[:1], small),
+            "labels": (
+                gang._replace(requires="special", max_per_worker=1),
+                [*large[:3], large[3]._replace(labels=("special",))],
+                [each._replace(labels=("special",)) for each in small],
+            ),
+            "memory": (
+                gang._replace(size=memory),
+                [each._replace(size=Size(64, 30_000)) for each in large[:3]],
+                [each._replace(size=Size(4, 30_000)) for each in small],
+            ),
+        }
+        for name, (wanted, south_hosts, west_hosts) in needs.items():
+            for is_lasting in (False, True):
+                with self.subTest(name, is_lasting=is_lasting):
+                    self.setUp()
+                    moved = wanted._replace(lasting=is_lasting)
+                    south = self.publish("south", *south_hosts)
+                    west = self.publish("west", *west_hosts)
+                    self.assertEqual(self.move(moved, south, west), "west")
+                    self.assertEqual(self.move(moved, south), CELL)
+
+    def test_a_gang_is_not_moved_where_other_tasks_leave_too_few_workers(self) -> None:
+        west = [host(f"s{number}", cores=4) for number in range(4)]
+        south = Cell(*(host(f"l{number}", cores=64, domain="south") for number in range(4)))
+        south.add(job("e" * 16, step(2, cores=63, max_per_worker=1)))
+        south.started(*south.plan())
+        kinds = group_kinds(member.host for member in south.dispatcher.members.values())
+        cells = [
+            CellLoads("south", south.dispatcher.load(south.now), 0, kinds["south"]),
+            self.publish("west", *west),
+        ]
+        gang = step(4, cores=2, gang=True, max_per_worker=1)
+        self.assertEqual(self.move(gang, *cells), "west")
+
+    def test_gangs_that_use_a_part_of_each_worker_are_moved_together(self) -> None:
+        gang = step(4, cores=1, gang=True, max_per_worker=1)
+        south = self.publish("south", *(host(f"l{number}", cores=4) for number in range(4)))
+        self.assertEqual([self.move(gang, south) for _ in range(2)], ["south", "south"])
+
+    def test_a_lasting_gang_is_moved_to_quarantined_workers_only_if_it_fits(self) -> None:
+        gang = step(3, cores=4, gang=True, lasting=True, max_per_worker=1)
+        for quarantined, wanted in (((16.0,) * 2, CELL), ((4.0,) * 3, "south")):
+            with self.subTest(quarantined):
+                self.setUp()
+                south = CellLoads("south", {SERVICE: Load(quarantined=quarantined)})
+                self.add(gang)
+                for _ in range(2):
+                    self.cell.now += WAITED_S
+                    self.cell.plan()
+                    self.balancer.move_stranded(self.cell.dispatcher, [south], self.cell.now)
+                (tracked,) = self.cell.dispatcher.tracked.values()
+                self.assertEqual(tracked.progress.owner((0, 0, 0)), wanted)
+
+
 class LargeGangs(MovesTestCase):
     """Gangs with more members than a load lists rooms."""
 
--- a/tests/test_gang_plays.py
+++ b/tests/test_gang_plays.py
@@ -35,6 +35,13 @@
         self.gangs = GangJudge(self.cluster)
         self.jobs: list[Job] = []
 
+    def replace_workers(self, cell: str, *cores: float) -> None:
+        """Give a cell workers of the given sizes before the cluster starts."""
+        for name in [name for name in self.cluster.runners if name[0] == cell]:
+            del self.cluster.runners[name]
+        for number, each in enumerate(cores):
+            self.cluster.add_worker(f"{cell}-w{number}", cell, each)
+
     async def start(self, steps: tuple[Step, ...]) -> None:
         """Start the cluster, and jobs with a gang in one cell."""
         cluster = self.cluster
@@ -147,11 +154,18 @@
 
 
 class Losses(unittest.TestCase):
-    def play(self, scenario: Scenario, limit_s: float, steps: tuple[Step, ...] = STEPS) -> None:
+    def play(
+        self,
+        scenario: Scenario,
+        limit_s: float,
+        steps: tuple[Step, ...] = STEPS,
+        prepare: Callable[[Site], None] = lambda site: None,
+    ) -> None:
         """Play a scenario; check that each gang runs again in time and no rule is broken."""
 
         async def main() -> tuple[list[str], list[str]]:
             site = Site(1)
+            prepare(site)
             await site.start(steps)
             lost_at = now()
             await scenario(site)
@@ -185,6 +199,15 @@
             with self.subTest(scenario.__name__):
                 self.play(scenario, LOST_AFTER_S, steps)
 
+    def test_gangs_leave_cells_that_have_too_few_workers_for_them(self) -> None:
+        """Gangs with one member a worker used to go to and fro between the roomiest cells."""
+
+        def prepare(site: Site) -> None:
+            site.replace_workers("b", 32, 32)
+            site.replace_workers("c", 4, 4, 4, 4)
+
+        self.play(lose_more_than_a_gang_can_spare, LOST_AFTER_S, STEPS, prepare)
+
 
 class RandomPlays(unittest.TestCase):
     def test_no_gang_is_left_idle_and_no_member_runs_twice(self) -> None:
