Test gangs beside late and lost commits of a move

Rows of a later holder, a former one and a lost move arrive before this cell's move of a gang is recorded: the gang keeps one owner in each case.

--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -11,7 +11,7 @@
 from curranthall.cells.records import PARTS
 from curranthall.cells.tracking import Batch
 from curranthall.dag import Progress, Step
-from curranthall.dag.progress import Doubt, Place, decode_progress
+from curranthall.dag.progress import Doubt, Place, TaskKey, decode_progress
 from tests.cell_fixtures import CELL, EPOCH, SERVICE, Cell, ended, host, job, step, task
 from tests.test_events import CATALOGUE
 from tests.test_traces import LogTestCase
@@ -182,6 +182,37 @@
         self.assertEqual(self.batch.count_waiting(), 0)
 
 
+class LateCommits(GangTestCase):
+    """Rows of other writers arrive after this cell has moved the gang, before it is recorded."""
+
+    def test_the_gang_stays_whole_whichever_row_arrives(self) -> None:
+        home, away = dict[TaskKey, str](), {(0, 0, index): "west" for index in range(WIDTH)}
+        cases = {
+            "still here": (home, EPOCH, "south"),
+            "moved by a later holder": (away, EPOCH + 1, "west"),
+            "taken over by a later holder": (home, EPOCH + 1, CELL),
+        }
+        for name, (moved_to, epoch, owner) in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                self.lose(self.members[0])
+                self.wait_for_lapse()
+                self.evacuate()
+                self.assertEqual(self.owners(), ["south"] * WIDTH)
+                self.refresh(Progress(CELL, moved_to=moved_to, claims={CELL: epoch}))
+                self.assertEqual(self.owners(), [owner] * WIDTH)
+                self.assertEqual(self.cell.plan(), [])
+
+    def test_a_move_that_was_lost_leaves_the_gang_with_its_owner(self) -> None:
+        """The store may answer nothing: the row still has the gang here, and is written again."""
+        self.lose(self.members[0])
+        self.wait_for_lapse()
+        self.evacuate()
+        self.refresh(Progress(CELL, claims={CELL: EPOCH}))
+        self.assertIn(JOB, self.cell.dispatcher.dirty)
+        self.assertEqual(self.owners(), ["south"] * WIDTH)
+
+
 class Split(GangTestCase):
     """A row of an earlier release names several cells for the members of one gang."""
 
