--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -28,13 +28,18 @@
     labels: tuple[str, ...]
     size: Size
 
+    def can_run(self, service: str, step: Step) -> bool:
+        """Return whether such a worker, if it is empty, can run tasks of a step."""
+        has_label = not step.requires or step.requires in self.labels
+        return self.service == service and has_label and step.reserved.fits(self.size)
+
     def slots(self, service: str, step: Step) -> int:
-        """Return how many tasks of a step such a worker can run if it is empty."""
-        if self.service != service or (step.requires and step.requires not in self.labels):
+        """Return how many tasks of a step such a worker, if it is empty, can run at once."""
+        if not self.can_run(service, step):
             return 0
-        most, need = step.max_per_worker or step.width, step.reserved
-        pairs = [(size, each) for size, each in zip(self.size, need, strict=True) if each > 0]
-        return min([most, *(int(size / each + ROUNDING) for size, each in pairs)])
+        sizes = zip(self.size, step.reserved, strict=True)
+        fitting = [int(size / each + ROUNDING) for size, each in sizes if each > 0]
+        return min([step.max_per_worker or step.width, *fitting])
 
 
 class CellLoads(NamedTuple):
@@ -50,13 +55,10 @@
         """Return whether the cell, if it is empty, can run a task of a step, or a whole gang."""
         if self.kinds is None:
             return True
-        needed = step.width if step.gang else 1
-        slots = 0
-        for kind, workers in self.kinds.items():
-            slots += workers * kind.slots(service, step)
-            if slots >= needed:
-                return True
-        return False
+        if not step.gang:
+            return any(kind.can_run(service, step) for kind in self.kinds)
+        slots = (workers * kind.slots(service, step) for kind, workers in self.kinds.items())
+        return sum(slots) >= step.width
 
 
 def group_kinds(hosts: Iterable[Host]) -> dict[str, Counter[WorkerKind]]:
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -553,12 +553,15 @@
         now: float,
         epoch: int = 0,
     ) -> None:
-        """Assign tasks of a batch to another cell and epoch; the whole job if `numbers` is None."""
+        """Assign tasks of a batch to another cell and epoch; the whole job if `numbers` is None.
+
+        Only tasks that this cell owns move; with one member of a gang, so do all others here.
+        """
         progress = tracked.progress
         if numbers is None:
             progress.move_job(cell, epoch)
         else:
-            keys = [batch.key(index) for unit in batch.units(numbers) for index in unit]
+            keys = [batch.key(index) for index in batch.together_with(numbers)]
             own = [key for key in keys if progress.owner(key) == self.cell]
             progress.move_tasks(own, cell, epoch)
         progress.highest_run = max(progress.highest_run, self._last_run)
@@ -643,8 +646,23 @@
         Runs of tasks that are done are stopped. `indexes` are the tasks that may have changed, by
         default all.
         """
-        for unit in batch.units(indexes):
-            self._update_unit(batch, unit, now)
+        progress = batch.tracked.progress
+        for index in batch.together_with(indexes):
+            key = batch.occurrence, batch.number, index
+            is_own = progress.owner(key) == self.cell
+            if not is_own:
+                # Should it come back, it has waited elsewhere since its last run here.
+                batch.tracked.former.pop(key, None)
+            done = progress.is_done(*key) and not batch.step.lasting
+            batch.waiting.discard(index)
+            batch.held.discard(index)
+            if is_own and not done and index not in batch.active:
+                held = self._may_still_run(batch, key)
+                (batch.held if held else batch.waiting).add(index)
+            if done:
+                for run in list(batch.active.get(index, ())):
+                    self._stop(run, now)
+        batch.keep_gang_whole()
         if not batch.waiting:
             batch.note_placed()
         if batch.count_waiting():
@@ -655,24 +673,6 @@
         if batch.step.gang:
             self._idle_gangs.update(batch, now)
 
-    def _update_unit(self, batch: Batch, unit: range, now: float) -> None:
-        """Update tasks that start together: all of them wait, or none does."""
-        progress, keys = batch.tracked.progress, [batch.key(index) for index in unit]
-        foreign = [key for key in keys if progress.owner(key) != self.cell]
-        for key in foreign:
-            # Should it come back, it has waited elsewhere since its last run here.
-            batch.tracked.former.pop(key, None)
-        done = not batch.step.lasting and any(progress.is_done(*key) for key in keys)
-        batch.waiting.difference_update(unit)
-        batch.held.difference_update(unit)
-        if not (foreign or done or any(index in batch.active for index in unit)):
-            held = any(self._may_still_run(batch, key) for key in keys)
-            (batch.held if held else batch.waiting).update(unit)
-        if done:
-            for index in unit:
-                for run in list(batch.active.get(index, ())):
-                    self._stop(run, now)
-
     def _close_job(self, tracked: TrackedJob, now: float) -> None:
         """Stop all runs of a job in a final phase and drop its waiting tasks."""
         tracked.final_at = now
@@ -1001,9 +1001,9 @@
 
     def _add_run(self, batch: Batch, run: Run, member: Member) -> None:
         batch.active.setdefault(run.task.number, []).append(run)
-        for unit in batch.units((run.task.number,)):
-            batch.waiting.difference_update(unit)
-            batch.held.difference_update(unit)
+        batch.waiting.discard(run.task.number)
+        batch.held.discard(run.task.number)
+        batch.keep_gang_whole()
         if not batch.count_waiting():
             batch.waiting_since = None
         member.add(run)
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -109,10 +109,9 @@
 
         Only the cores of the rooms are known.
         """
-        listed = [(room, 1) for room in self.largest]
-        rooms = [*listed, *self.others] if self.slots(step) else [(r, 1) for r in self.quarantined]
-        slots = sum(workers * _slots_in(room, step) for room, workers in rooms)
-        return slots >= step.width
+        listed = self.largest if self.slots(step) else self.quarantined
+        rooms = [*((room, 1) for room in listed), *self.others]
+        return sum(workers * _slots_in(room, step) for room, workers in rooms) >= step.width
 
     def less(self, step: Step, count: int) -> "Load":
         """Return the load once `count` more tasks of a step have the room that they use.
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -104,15 +104,22 @@
         at_work = [any(run.is_at_work for run in runs) for runs in self.active.values()]
         return self.count_waiting() + len(at_work) - sum(at_work)
 
-    def units(self, indexes: Iterable[int] | None = None) -> list[range]:
-        """Return what starts together: all tasks of a gang, else each of the given tasks.
-
-        By default these are all tasks of the step.
-        """
-        if self.step.gang:
-            return [range(self.step.width)]
-        each = range(self.step.width) if indexes is None else indexes
-        return [range(index, index + 1) for index in each]
+    def together_with(self, indexes: Iterable[int] | None = None) -> Iterable[int]:
+        """Return the given tasks, by default all, and those that only start together with them."""
+        if self.step.gang or indexes is None:
+            return range(self.step.width)
+        return indexes
+
+    def keep_gang_whole(self) -> None:
+        """Let all members of a gang wait, or be held, or neither."""
+        if not self.step.gang:
+            return
+        if self.count_waiting() < self.step.width:
+            self.waiting.clear()
+            self.held.clear()
+        elif self.held:
+            self.held |= self.waiting
+            self.waiting.clear()
 
     def key(self, index: int) -> TaskKey:
         """Return a task's key in the job's row."""
