--- a/tests/test_gang_plays.py
+++ b/tests/test_gang_plays.py
@@ -13,6 +13,7 @@
 from tests.test_takeover import CELL, POLL_S, make_job, make_step
 from tests.virtual import run
 
+# An odd number: once the first gangs have moved, one of the other cells has more room left.
 JOBS = 3
 WORK_S = 2.0
 GANG = make_step(4, gang=True, max_per_worker=1)
