--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -58,10 +58,7 @@
         ]
         await asyncio.gather(self._faults(), self._faults())
         await asyncio.gather(*callers)
-        cluster.cuts, cluster.evacuated = set(), frozenset()
-        for name, entry in list(cluster.entries.items()):
-            if entry.dead:
-                cluster.restart(name)
+        self._end_faults()
         await asyncio.sleep(SETTLE_S)
         for job in self.accepted:
             if any(step.lasting for step in job.steps):
@@ -70,6 +67,14 @@
         cluster.close()
         return cluster.judge.broken
 
+    def _end_faults(self) -> None:
+        """Heal all cuts, open all cells and start the killed entries."""
+        cluster = self.cluster
+        cluster.cuts, cluster.evacuated = set(), frozenset()
+        for name, entry in list(cluster.entries.items()):
+            if entry.dead:
+                cluster.restart(name)
+
     def _random_steps(self) -> tuple[Step, ...]:
         return random_steps(self.rng)
 
@@ -593,10 +598,7 @@
         ]
         await asyncio.gather(self._faults(), self._faults())
         await asyncio.gather(*callers)
-        cluster.cuts, cluster.evacuated = set(), frozenset()
-        for name, entry in list(cluster.entries.items()):
-            if entry.dead:
-                cluster.restart(name)
+        self._end_faults()
         await asyncio.sleep(self.settle_s)
         self._check_all_ran()
         for job in self.accepted:
