Log which boot of a worker each start was sent to, and runs and ends that don't fit

The logs could not tell a start that the next boot executed late from a lease that it extended late or from ends that it forgot: no line named the boot of a start, nothing told that a listed run had been taken for over, and a gap in the numbers of ends went unnoticed.

RUN_PLACED, RUN_UNSURE, RUN_VANISHED and WORKER_REBORN name boots and token; WORKER_REBORN counts the unanswered starts; RUN_REAPPEARED and ENDS_SKIPPED are new. No decision changes. With any of the nine hooks in the dispatcher taken out, a test of tests.test_late_calls_log fails.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from curranthall.cells.advice import Advice
+from curranthall.cells.boot_log import BootLog
 from curranthall.cells.departure import Departures, departing_runs, has_room_elsewhere
 from curranthall.cells.fencing import Fencing
 from curranthall.cells.fleet import (
@@ -203,6 +204,7 @@
         # Workers were proven or rows were read since the held tasks were last checked.
         self._recheck_held = False
         self._fencing = Fencing()
+        self._boot_log = BootLog(cell, epoch, self.token)
         # Whether the rows of all parts, and of which, were read after all workers were fenced.
         self.proven = True
         self._proven_parts: set[str] = set()
@@ -362,6 +364,10 @@
         """Return the workers that may run tasks of this cell, as stored for a successor."""
         return [member.host._replace(remaining_ms=0) for member in self.members.values()]
 
+    def token(self, worker: str) -> int:
+        """Return the fencing token of the calls to a worker."""
+        return self.epoch
+
     def boot_ids(self) -> dict[str, int]:
         """Return the boot of each worker that has answered, as of its last answer."""
         return {member.name: member.born for member in self.members.values() if member.born}
@@ -759,11 +765,12 @@
             self._keep_deferred_ends(member)
             member.confirmed = False
             self._resend_stops(member)
-            log(Event.WORKER_REBORN, worker=member.name, born=snapshot.born)
+            self._boot_log.note_restart(member, now)
         # While the list of ends is incomplete, an unlisted run may have ended as done.
         member.all_ends_listed = snapshot.complete
         for ending in snapshot.ended:
             if ending.number > member.last_end:
+                self._boot_log.check_end(member, ending)
                 self._on_end(member, ending, now)
                 member.last_end = ending.number
         member.unknown_runs.clear()
@@ -930,6 +937,7 @@
     def _find_listed(self, member: Member, entry: ListedRun, now: float) -> Run | None:
         """Track a listed run that this holder did not start, or stop it."""
         task = entry.task
+        self._boot_log.check_listed(member, task, entry.run, "running", now)
         tracked = self.tracked.get(task.job)
         if tracked is None:
             self.unknown_jobs.add(task.job)
@@ -1000,6 +1008,7 @@
         return tracked.batches[key]
 
     def _add_run(self, batch: Batch, run: Run, member: Member) -> None:
+        run.sent_to = member.born
         batch.active.setdefault(run.task.number, []).append(run)
         batch.waiting.discard(run.task.number)
         batch.held.discard(run.task.number)
@@ -1030,6 +1039,8 @@
                 self._log_end(member, ending)
             return
         run = member.runs.get((task, ending.run))
+        if run is None:
+            self._boot_log.check_listed(member, task, ending.run, ending.kind.value, now)
         if tracked.progress.phase.is_final or not tracked.job.has_task(task):
             # The end needs no record of its own once the row holds the final phase.
             member.pending_acks[ending.number] = PendingAck(task.job, tracked.change)
@@ -1113,6 +1124,7 @@
 
     def _remove_run(self, run: Run, now: float, why: EndReason, how: str = "") -> None:
         """Remove a run that is over; its task waits again unless it is done."""
+        self._boot_log.note_removed(run, why, now)
         batch = self._detach_run(run, why, how)
         if batch is None:
             return
@@ -1160,6 +1172,8 @@
             epoch=self.epoch,
             state=run.state.value,
             why=why.value,
+            unsure=run.is_unsure,
+            **self._boot_log.boots(run, self.members.get(run.worker)),
         )
 
     def _stop_gang(self, batch: Batch, now: float) -> None:
@@ -1247,7 +1261,7 @@
         run, member = self.find(order), self.members.get(order.worker)
         if run is None or member is None or run.state is not RunState.STARTING:
             return
-        log(Event.RUN_UNSURE, task=run.task, run=run.number, worker=run.worker)
+        self._boot_log.note_unsure(run, member)
         run.absence_valid_after = member.clock_reached_by(order.deadline_ms)
         self._stop(run, now)
 
@@ -2016,6 +2030,7 @@
             self._doubt(member, [run], now)
         deadline_ms = member.clock_now(now) + int(START_WINDOW_S * 1000)
         member.granted_ms = max(member.granted_ms, deadline_ms)
+        run.sent_to = member.born
         self.orders.append(
             StartTask(
                 member.name,
@@ -2042,6 +2057,8 @@
             prior=tracked.prior,
             fenced=self.is_fully_fenced,
             after=list(tracked.former.pop(task[1:], ())) or None,
+            born=member.born,
+            token=self.token(member.name),
         )
 
     # Metrics
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -113,6 +113,10 @@
     crashes: int = 0
     # Until an answer from after this time lists the run, a crash may be its doing; 0 once it can't.
     probation_until: float = 0.0
+    # The worker's boot when the start was sent, or that first listed the run.
+    sent_to: int = 0
+    # Whether the start got no answer.
+    is_unsure: bool = False
 
     @property
     def is_suspect(self) -> bool:
@@ -181,6 +185,8 @@
     answered_at: float = 0.0
     silent_since: float | None = None
     missing_since: float | None = None
+    # Whether this holder saw the worker restart, so that all ends of the boot are listed to it.
+    saw_restart: bool = False
     last_end: int = 0
     # The highest number of an end that a hold has acknowledged.
     acked_end: int = 0
@@ -395,6 +401,15 @@
             for run in self.runs.values()
         )
 
+    def count_unanswered(self) -> int:
+        """Count the runs that are not over and whose starts have not been answered."""
+        return sum(run.is_unsure or run.state is RunState.STARTING for run in self.runs.values())
+
+    def has_gap_before(self, ending: Ending) -> bool:
+        """Return whether ends before a listed one are missing that this holder did not see."""
+        is_known = self.last_end > 0 or self.saw_restart
+        return is_known and ending.number > self.last_end + 1
+
     def may_list_ends(self, now: float) -> bool:
         """Return whether a worker whose leases have lapsed may still answer and list ends."""
         return self.missing_since is None and now < self.lapses_at() + END_WAIT_S
@@ -420,6 +435,7 @@
             # Another holder may have extended a lease up to now.
             self.granted_ms = snapshot.clock_ms + int(max_hold_s * 1000)
         if has_restarted:
+            self.saw_restart = True
             self.last_end = self.acked_end = 0
             self.pending_acks.clear()
             self.unknown_runs.clear()
