Worker stand-in: take the lease of refused starts too

A worker takes deadline-ms also from a start that it refuses as old or for lack of room. The stand-in ignored it, so no play in virtual time saw leases that such a start prolongs. Both tests of RefusedStarts failed before (1.0 s of lease left in place of 5.0).

--- a/src/curranthall/standin/runner.py
+++ b/src/curranthall/standin/runner.py
@@ -110,13 +110,14 @@
         if current is not None and current.order.run == order.run:
             return StartResult.STARTED
         if order.run <= self._barred_runs.get(order.task, 0) or current is not None:
+            self._extend(order.deadline_ms)
             return StartResult.OLD_RUN
         if order.deadline_ms < self.clock_ms:
             return StartResult.TOO_LATE
+        self._extend(order.deadline_ms)
         work = self._find_work(order.task)
         if not work.step.reserved.fits(self.host.size.minus(self.total_reserved())):
             return StartResult.NO_ROOM
-        self._extend(order.deadline_ms)
         self.running[order.task] = _Run(order, work, updated_at=self._clock())
         self._on_event("start", order.task, order.run, self.host.name)
         return StartResult.STARTED
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from curranthall.cells.ports import StartTask
+from curranthall.cells.ports import StartResult, StartTask
 from curranthall.dag import TaskId
 from curranthall.standin.runner import Runner, Work
 from tests.cell_fixtures import host, step
@@ -43,5 +43,28 @@
         self.assertNotIn("acked done", self.events_after(7.0))
 
 
+class RefusedStarts(unittest.TestCase):
+    def lease_after(self, run_number: int, cores: float) -> float:
+        """Return the lease left after a start beside a run whose lease ends in 1 s."""
+        runner = Runner(
+            host("w1", cores=1),
+            lambda: 0.0,
+            lambda task: Work(step(cores=cores), 1.0),
+            lambda *_: None,
+        )
+        other = TaskId("0" * 16, 0, 0, 1)
+        runner.start(7, StartTask("w1", other, 2, "", "", 1_000))
+        task = other if run_number == 1 else TASK
+        result = runner.start(7, StartTask("w1", task, run_number, "", "", 5_000))
+        self.assertIsNot(result, StartResult.STARTED)
+        return runner.lease_left_s()
+
+    def test_a_start_of_an_old_run_extends_the_lease(self) -> None:
+        self.assertEqual(self.lease_after(1, 0.5), 5.0)
+
+    def test_a_start_without_room_extends_the_lease(self) -> None:
+        self.assertEqual(self.lease_after(3, 1.0), 5.0)
+
+
 if __name__ == "__main__":
     unittest.main()
