Test cluster: let the boot that runs execute all late calls

A worker that is back under its id executes calls that were meant for its former boot. The test cluster excused this: late orders were dropped at a restart in the plays overload, departure, lasting, series, parts, gangs and in the state machine, and late holds in all. Now both reach whatever boot runs, holds with their cursor.

Beside that, a share of calls to a worker out of reach (retried_calls, 0 by default) is executed by its next boot, or at the end of a cut, within up to 2 s, as by a connection attempt that is retried; the caller gets no answer.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -36,6 +36,9 @@
 from curranthall.standin.store import MemoryStore
 from curranthall.store import Check, Committed, Drop, Listing, Put, Stale
 
+# What a worker's boot does when it executes a call.
+Effect = Callable[[Runner], Awaitable[object]]
+
 SERVICE = "desk"
 NET_S = 0.001
 TIMEOUT_S = 0.6
@@ -43,6 +46,8 @@
 WAIT_S = 2.0
 # Range of the delay of orders and lease extensions that arrive late.
 LATE_S = (2.0, 6.0)
+# Longest time in which connection attempts to a worker are retried.
+RETRY_S = 2.0
 STEP_S = 0.05
 # The platform's bound on runs of a cancelled job: time to learn of the cancel, then to stop.
 CANCEL_S = 3.9
@@ -185,8 +190,8 @@
         self.lose_answers = 0.0
         self.apply_late = 0.0
         self.late_holds = 0.0
-        # Whether a restarted worker still executes the late orders to its former boot.
-        self.late_orders_outlive_boot = True
+        # Share of calls to a worker out of reach that it executes if it is back within RETRY_S.
+        self.retried_calls = 0.0
         self.cuts: set[frozenset[str]] = set()
         # Entries whose commits fail while their reads succeed.
         self.read_only: set[str] = set()
@@ -562,48 +567,60 @@
         self._entry = entry
         self._name = host.name
 
-    async def _reach(self) -> Runner:
-        await self._cluster.thawed(self._entry.name)
-        await asyncio.sleep(NET_S * (1 + self._cluster.rng.random()))
-        if self._name in self._cluster.gone:
+    async def _reach(self, effect: Effect | None = None) -> Runner:
+        """Return the worker's present boot; out of reach, the effect may take place later."""
+        cluster = self._cluster
+        await cluster.thawed(self._entry.name)
+        await asyncio.sleep(NET_S * (1 + cluster.rng.random()))
+        if self._name in cluster.gone:
             raise OtherBoot(worker=self._name)
-        runner = self._cluster.runners.get(self._name)
-        if runner is None or not self._cluster.open(self._entry.name, self._name):
+        runner = cluster.runners.get(self._name)
+        if runner is None or not cluster.open(self._entry.name, self._name):
+            share = cluster.retried_calls if effect is not None else 0.0
+            if effect is not None and share and cluster.rng.random() < share:
+                asyncio.ensure_future(self._retry(effect))
             await asyncio.sleep(TIMEOUT_S)
             raise AnswerLost(peer=self._name)
         return runner
 
-    async def _maybe_late(self, share: float, effect: Callable[[Runner], object]) -> None:
-        """At random, lose the answer; the boot that runs seconds later executes the order."""
+    async def _retry(self, effect: Effect) -> None:
+        """Retry a connection for a while; the boot that is reached first executes the call."""
+        cluster, until = self._cluster, now() + RETRY_S * self._cluster.rng.random()
+        while now() < until:
+            await asyncio.sleep(STEP_S * cluster.rng.random())
+            if self._name in cluster.runners and cluster.open(self._entry.name, self._name):
+                await self._apply(effect)
+                return
+
+    async def _apply(self, effect: Effect) -> None:
+        """Let the worker's present boot, if any, execute a call whose answer is lost."""
+        runner = self._cluster.runners.get(self._name)
+        try:
+            if runner is not None:
+                await effect(runner)
+        except CurranthallError:
+            pass
+
+    async def _maybe_late(self, share: float, effect: Effect) -> None:
+        """At random, lose the answer; the boot that runs seconds later executes the call."""
         cluster = self._cluster
         if not share or cluster.rng.random() >= share:
             return
-        ordered = cluster.runners.get(self._name)
-
-        def apply() -> None:
-            runner = cluster.runners.get(self._name)
-            try:
-                is_same = runner is ordered or cluster.late_orders_outlive_boot
-                if runner is not None and is_same:
-                    effect(runner)
-            except CurranthallError:
-                pass
-
         delay = cluster.rng.uniform(*LATE_S)
-        asyncio.get_running_loop().call_later(delay, apply)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay, lambda: asyncio.ensure_future(self._apply(effect)))
         await asyncio.sleep(TIMEOUT_S)
         raise AnswerLost(peer=self._name, why="late")
 
-    async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
+    async def hold(self, token: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
         """Hold; at random, lose the answer and extend the lease late."""
-        runner = await self._reach()
 
-        def late(later_runner: Runner) -> None:
-            if later_runner is runner:
-                asyncio.ensure_future(self._hold_ignoring_errors(runner, epoch, cursor, lease_ms))
+        async def hold(runner: Runner) -> None:
+            await runner.hold(token, cursor, lease_ms, 0)
 
-        await self._maybe_late(self._cluster.late_holds, late)
-        snapshot = await self._await_unless_crashed(runner.hold(epoch, cursor, lease_ms, wait_ms))
+        runner = await self._reach(hold)
+        await self._maybe_late(self._cluster.late_holds, hold)
+        snapshot = await self._await_unless_crashed(runner.hold(token, cursor, lease_ms, wait_ms))
         self._cluster.judge.note_listed(runner, snapshot)
         if (self._entry.name, self._name) in self._cluster.missed_holds:
             await asyncio.sleep(TIMEOUT_S)
@@ -611,14 +628,6 @@
         await self._reach()
         return snapshot
 
-    async def _hold_ignoring_errors(
-        self, runner: Runner, epoch: int, cursor: int, lease_ms: int | None
-    ) -> None:
-        try:
-            await runner.hold(epoch, cursor, lease_ms, 0)
-        except CurranthallError:
-            pass
-
     async def _await_unless_crashed(self, call: Coroutine[Any, Any, Snapshot]) -> Snapshot:
         """Await an answer; a crash of the worker closes the connection."""
         answer = asyncio.ensure_future(call)
@@ -632,28 +641,37 @@
             answer.cancel()
             crash.cancel()
 
-    async def start(self, epoch: int, order: StartTask) -> StartResult:
+    async def start(self, token: int, order: StartTask) -> StartResult:
         """Start a run, at random late."""
+
+        async def start(runner: Runner) -> StartResult:
+            result = runner.start(token, order)
+            if result is StartResult.STARTED and order.task in self._cluster.poison:
+                asyncio.ensure_future(self._cluster.poison_worker(self._name, order.task))
+            return result
+
         self._cluster.judge.note_sent(order.task, self._name)
-        runner = await self._reach()
-        late = self._cluster.apply_late
-        await self._maybe_late(late, lambda later_runner: later_runner.start(epoch, order))
-        result = runner.start(epoch, order)
-        if result is StartResult.STARTED and order.task in self._cluster.poison:
-            asyncio.ensure_future(self._cluster.poison_worker(self._name, order.task))
-        return result
-
-    async def stop(self, epoch: int, order: StopTask) -> None:
+        runner = await self._reach(start)
+        await self._maybe_late(self._cluster.apply_late, start)
+        return await start(runner)
+
+    async def stop(self, token: int, order: StopTask) -> None:
         """Stop a run, at random late."""
-        runner = await self._reach()
-        late = self._cluster.apply_late
-        await self._maybe_late(late, lambda later_runner: later_runner.stop(epoch, order))
-        runner.stop(epoch, order)
 
-    async def pace(self, epoch: int, order: PaceTask) -> None:
+        async def stop(runner: Runner) -> None:
+            runner.stop(token, order)
+
+        runner = await self._reach(stop)
+        await self._maybe_late(self._cluster.apply_late, stop)
+        await stop(runner)
+
+    async def pace(self, token: int, order: PaceTask) -> None:
         """Throttle a run."""
-        runner = await self._reach()
-        runner.pace(epoch, order)
+
+        async def pace(runner: Runner) -> None:
+            runner.pace(token, order)
+
+        await pace(await self._reach(pace))
 
     def close(self) -> None:
         """Do nothing: there is no connection."""
--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -196,7 +196,6 @@
         super().__init__(seed)
         # Half of the seeds have no fault of the platform, so that all listed ends count.
         self.calm = seed % 2 == 0
-        self.cluster.late_orders_outlive_boot = False
         # Numbers of jobs and workers that are added besides the usual ones.
         self.extra = 0
 
@@ -323,14 +322,7 @@
 
 
 class Lasting(Restarts):
-    """A simulation with mostly lasting tasks, without orders to a boot that the next one executes.
-
-    Half of the seeds have no orderly restarts.
-    """
-
-    def __init__(self, seed: int) -> None:
-        super().__init__(seed)
-        self.cluster.late_orders_outlive_boot = False
+    """A simulation with mostly lasting tasks; half of the seeds have no orderly restarts."""
 
     def _random_steps(self) -> tuple[Step, ...]:
         rng, size = self.rng, Size(self.rng.choice((1, 2)), 1_000)
@@ -359,7 +351,6 @@
         # The product draws the workers that it probes from the shared generator.
         random.seed(seed)
         self.cluster = Cluster(seed, entries=2, workers=5)
-        self.cluster.late_orders_outlive_boot = False
         self.waits = WaitJudge(self.cluster)
         self.leases = LeaseJudge(self.cluster)
         self.cell = self.rng.choice(self.cluster.domains)
@@ -583,7 +574,6 @@
     def __init__(self, seed: int) -> None:
         super().__init__(seed)
         random.seed(seed)
-        self.cluster.late_orders_outlive_boot = False
         self.gangs = GangJudge(self.cluster)
 
     async def run(self) -> list[str]:
--- a/tests/test_series_machine.py
+++ b/tests/test_series_machine.py
@@ -65,7 +65,6 @@
 
     async def _boot(self) -> None:
         self.cluster = Cluster(1, entries=2, workers=WORKERS)
-        self.cluster.late_orders_outlive_boot = False
         self.waits = WaitJudge(self.cluster)
         self.cluster.start()
         await asyncio.sleep(3)
