Tests that fail: calls to a worker's former boot reach its next one

The test cluster keeps calls of a kind to a worker (withhold) until a test lets whatever boot runs then execute them.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -192,6 +192,8 @@
         self.late_holds = 0.0
         # Share of calls to a worker out of reach that it executes if it is back within RETRY_S.
         self.retried_calls = 0.0
+        # By verb and worker, calls without an answer that wait for `execute`.
+        self.withheld: dict[tuple[str, str], list[Effect]] = {}
         self.cuts: set[frozenset[str]] = set()
         # Entries whose commits fail while their reads succeed.
         self.read_only: set[str] = set()
@@ -259,6 +261,18 @@
         if reborn:
             self.gone.add(name)
 
+    def withhold(self, verb: str, worker: str) -> list[Effect]:
+        """Return a list that takes a worker's further calls of a kind instead of the worker."""
+        return self.withheld.setdefault((verb, worker), [])
+
+    async def execute(self, worker: str, effect: Effect) -> None:
+        """Let a worker's present boot, if any, execute a call whose answer is lost."""
+        try:
+            if worker in self.runners:
+                await effect(self.runners[worker])
+        except CurranthallError:
+            pass
+
     def announce(self, name: str, left_s: float) -> None:
         """Let a worker announce that it exits in `left_s`."""
         self.leaving.add(name)
@@ -589,26 +603,22 @@
         while now() < until:
             await asyncio.sleep(STEP_S * cluster.rng.random())
             if self._name in cluster.runners and cluster.open(self._entry.name, self._name):
-                await self._apply(effect)
+                await cluster.execute(self._name, effect)
                 return
 
-    async def _apply(self, effect: Effect) -> None:
-        """Let the worker's present boot, if any, execute a call whose answer is lost."""
-        runner = self._cluster.runners.get(self._name)
-        try:
-            if runner is not None:
-                await effect(runner)
-        except CurranthallError:
-            pass
+    async def _delay(self, seconds: float, effect: Effect) -> None:
+        await asyncio.sleep(seconds)
+        await self._cluster.execute(self._name, effect)
 
-    async def _maybe_late(self, share: float, effect: Effect) -> None:
+    async def _maybe_late(self, verb: str, share: float, effect: Effect) -> None:
         """At random, lose the answer; the boot that runs seconds later executes the call."""
         cluster = self._cluster
-        if not share or cluster.rng.random() >= share:
+        if (verb, self._name) in cluster.withheld:
+            cluster.withheld[verb, self._name].append(effect)
+        elif not share or cluster.rng.random() >= share:
             return
-        delay = cluster.rng.uniform(*LATE_S)
-        loop = asyncio.get_running_loop()
-        loop.call_later(delay, lambda: asyncio.ensure_future(self._apply(effect)))
+        else:
+            asyncio.ensure_future(self._delay(cluster.rng.uniform(*LATE_S), effect))
         await asyncio.sleep(TIMEOUT_S)
         raise AnswerLost(peer=self._name, why="late")
 
@@ -619,7 +629,7 @@
             await runner.hold(token, cursor, lease_ms, 0)
 
         runner = await self._reach(hold)
-        await self._maybe_late(self._cluster.late_holds, hold)
+        await self._maybe_late("hold", self._cluster.late_holds, hold)
         snapshot = await self._await_unless_crashed(runner.hold(token, cursor, lease_ms, wait_ms))
         self._cluster.judge.note_listed(runner, snapshot)
         if (self._entry.name, self._name) in self._cluster.missed_holds:
@@ -652,7 +662,7 @@
 
         self._cluster.judge.note_sent(order.task, self._name)
         runner = await self._reach(start)
-        await self._maybe_late(self._cluster.apply_late, start)
+        await self._maybe_late("start", self._cluster.apply_late, start)
         return await start(runner)
 
     async def stop(self, token: int, order: StopTask) -> None:
@@ -662,7 +672,7 @@
             runner.stop(token, order)
 
         runner = await self._reach(stop)
-        await self._maybe_late(self._cluster.apply_late, stop)
+        await self._maybe_late("stop", self._cluster.apply_late, stop)
         await stop(runner)
 
     async def pace(self, token: int, order: PaceTask) -> None:
