Fence each boot of a worker before it is used

Cause: the fencing token of all calls to a worker was the cell's epoch, so nothing told a worker's boots apart. A boot that is back under its id knows no token, no deadline and no cursor, and its clock starts at 0. It executed what the former boot had left without an answer: a start whose run counted as over (REBORN, VANISHED, LAPSED), a hold that extended leases past the time counted from the boot's first answer, a cursor that forgot ends nobody had seen.

Each worker now has a token of its own. A holder raises it to the version of its newest confirmed owner row when the worker is silent or was found restarted: above all tokens in use, and below any successor's epoch, which is above the store's version, so rows and releases of before need no change. A returned boot gets no start until it has answered under a token above all that were spent on former boots. From that answer on it refuses their calls, its list is whole, and leases count anew. A start without an answer counts as over after a restart by that answer only, not by its deadline or its stop. Where the worker stays silent, a run of such a start is waited for until a late start's lease is over (12 s after it was sent, and a lease), as long as the worker is listed; its lease end is not handed over. A dropped worker that is listed again is fenced above its former calls.

Weighed: a wait before each new start of an unanswered one (12 s; lasting tasks would break LOST, jobs their objective), a token of epoch and counter (a holder of the former release could not take over).

Changed checks: three tests of test_dispatcher expected a restarted worker's unanswered start to be over once its stop was answered, a start right after the roster's renewal, and a lease end while a start had no answer; they now expect the fenced answer, as strictly. LateHolds accepts that the worker refuses the late hold. The cell fixture answers twice, as the hold loop does.

--- a/src/curranthall/cells/boot_log.py
+++ b/src/curranthall/cells/boot_log.py
@@ -38,7 +38,8 @@
     def boots(self, run: Run, member: Member | None) -> dict[str, object]:
         """Return fields with the boot that a start was sent to, and the boot that answers now."""
         born = member.born if member is not None else 0
-        return {"sent_to": run.sent_to, "born": born, "token": self._token(run.worker)}
+        sent = {"sent_to": run.sent_to, "sent_token": run.token}
+        return {**sent, "born": born, "token": self._token(run.worker)}
 
     def note_unsure(self, run: Run, member: Member) -> None:
         """Note and log that a start got no answer."""
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -13,6 +13,7 @@
 from curranthall.cells.departure import Departures, departing_runs, has_room_elsewhere
 from curranthall.cells.fencing import Fencing
 from curranthall.cells.fleet import (
+    LATE_CALL_S,
     NO_EFFECT,
     NO_END_LISTED,
     EndReason,
@@ -21,6 +22,7 @@
     PendingAck,
     Run,
     RunState,
+    late_lease_end,
 )
 from curranthall.cells.gangs import IdleGangs
 from curranthall.cells.headroom import (
@@ -181,6 +183,10 @@
         self.epoch = epoch
         self.bounds = bounds
         self.members: dict[str, Member] = {}
+        # The highest fencing token that is certainly lower than any successor's.
+        self._newest_token = epoch
+        # Former members to which late calls may still be under way.
+        self._dropped: dict[str, Member] = {}
         self.tracked: dict[str, TrackedJob] = {}
         self._poison = PoisonDetector(self.tracked, cell)
         self.orders: deque[Order] = deque()
@@ -243,16 +249,16 @@
         `lease_ends` are earlier local times by worker.
         """
         for host in roster:
-            self.members[host.name] = Member(host, prior=True)
+            self._add_member(host, prior=True)
         self._fencing.take_over(self.members, proof_at, lease_ends, now)
         self.proven = self.is_fully_fenced
 
     def lease_end(self, member: Member, now: float) -> float | None:
         """Return the local time by which a worker's runs are over if it gets no more orders.
 
-        None if a start may still be carried out: a restarted worker does not know its deadline.
+        None if a late call may have effect: a restarted worker does not know its deadline.
         """
-        if member.has_open_start(now):
+        if member.has_open_start(now) or (member.born and not member.is_fenced):
             return None
         former = self._fencing.lease_end(member.name)
         return max(former, member.lapses_at()) if member.born else former
@@ -348,12 +354,22 @@
             self._record_cleared()
         member = self.members.get(host.name)
         if member is None:
-            member = self.members[host.name] = Member(host)
-            return member
+            return self._add_member(host)
         moved = member.host.address != host.address
         member.host, member.missing_since = host, None
         return member if moved else None
 
+    def _add_member(self, host: Host, prior: bool = False) -> Member:
+        member = self.members[host.name] = Member(host, prior, token=self._newest_token)
+        if host.name in self._dropped:
+            member.expect_late_calls(self._dropped.pop(host.name))
+        return member
+
+    def _drop_member(self, member: Member, now: float) -> None:
+        del self.members[member.name]
+        dropped = [*self._dropped.values(), member]
+        self._dropped = {each.name: each for each in dropped if now - each.spent_at < LATE_CALL_S}
+
     def mark_host_missing(self, name: str, now: float) -> None:
         """Record that a worker is no longer listed."""
         member = self.members.get(name)
@@ -365,8 +381,9 @@
         return [member.host._replace(remaining_ms=0) for member in self.members.values()]
 
     def token(self, worker: str) -> int:
-        """Return the fencing token of the calls to a worker."""
-        return self.epoch
+        """Return the fencing token of calls to a worker."""
+        member = self.members.get(worker)
+        return member.token if member is not None else self.epoch
 
     def boot_ids(self) -> dict[str, int]:
         """Return the boot of each worker that has answered, as of its last answer."""
@@ -398,6 +415,16 @@
             member.confirmed = False
         return confirmed
 
+    def raise_tokens(self, version: int) -> None:
+        """Raise the tokens of workers that may have restarted to the version of a renewal.
+
+        It is above all tokens in use, and a successor's epoch is above it.
+        """
+        self._newest_token = version
+        for member in self.members.values():
+            if member.needs_token:
+                member.token = version
+
     def confirm_roster(self, boot_ids: dict[str, int]) -> None:
         """Record that a renewal sent when `boot_ids` was taken was confirmed.
 
@@ -722,6 +749,11 @@
         tracked.recorded = max(tracked.recorded, change)
         tracked.version = max(tracked.version, version)
 
+    def is_outdated(self, worker: str, token: int) -> bool:
+        """Return whether a call is refused because this holder has raised the worker's token."""
+        member = self.members.get(worker)
+        return member is None or token < member.token
+
     def cursor(self, member: Member) -> int:
         """Return the number up to which a worker's ends may be acknowledged."""
         recorded: list[tuple[int, str, int]] = []
@@ -756,15 +788,22 @@
 
     # Snapshots
 
-    def on_snapshot(self, member: Member, snapshot: Snapshot, asked_at: float, now: float) -> None:
-        """Process the runs and ends that a worker lists."""
+    def on_snapshot(
+        self,
+        member: Member,
+        snapshot: Snapshot,
+        asked_at: float,
+        now: float,
+        token: int,
+    ) -> None:
+        """Process the runs and ends that a worker lists, asked for under a token."""
         if member.born not in (0, snapshot.born):
             self._doubt(member, member.runs.values(), now)
-        reborn = member.note_answer(snapshot, now, self.bounds.max_hold_s)
+        reborn = member.note_answer(snapshot, token, now, self.bounds.max_hold_s)
         if reborn:
             self._keep_deferred_ends(member)
             member.confirmed = False
-            self._resend_stops(member)
+            self._expect_late_starts(member)
             self._boot_log.note_restart(member, now)
         # While the list of ends is incomplete, an unlisted run may have ended as done.
         member.all_ends_listed = snapshot.complete
@@ -780,7 +819,12 @@
             listed.add((entry.task, entry.run))
             self._on_listed(member, entry, asked_at, now)
         for run in list(member.runs.values()) if snapshot.complete else ():
-            if (run.task, run.number) not in listed and asked_at > run.absence_valid_after:
+            if (run.task, run.number) in listed or not run.is_over(asked_at, token):
+                continue
+            if member.is_fenced or now >= member.late_start_until:
+                if run.may_begin:
+                    late_until = run.sent_at + LATE_CALL_S
+                    member.late_start_until = max(member.late_start_until, late_until)
                 self._remove_run(run, now, EndReason.REBORN if reborn else EndReason.VANISHED)
         if snapshot.complete:
             # Only now: an answer whose processing failed above proves nothing.
@@ -876,14 +920,14 @@
                 if failed and tracked.final_at is None:
                     self._close_job(tracked, now)
 
-    def _resend_stops(self, member: Member) -> None:
-        """Make a restarted worker reject the unanswered starts, by stopping them again.
+    def _expect_late_starts(self, member: Member) -> None:
+        """Wait until a restarted worker refuses the starts that its former boot did not answer.
 
         Their deadline refers to the clock before the restart and may be far ahead on the new one.
         """
         for run in member.runs.values():
-            if run.state is RunState.STOPPING:
-                run.absence_valid_after, run.stop_sent_at = float("inf"), 0.0
+            if run.may_begin:
+                run.absence_valid_after = float("inf")
 
     def _stop_stalled(self, member: Member, now: float) -> None:
         """Stop runs that make no progress and quarantine their worker."""
@@ -1021,7 +1065,7 @@
         """Record that a worker has the run."""
         if run.state is not RunState.STOPPING:
             run.state = RunState.RUNNING
-        run.absence_valid_after = known_at
+        run.absence_valid_after, run.has_begun = known_at, True
         tracked = self.tracked[run.task.job]
         if not tracked.has_started:
             tracked.has_started = True
@@ -1262,13 +1306,15 @@
         if run is None or member is None or run.state is not RunState.STARTING:
             return
         self._boot_log.note_unsure(run, member)
-        run.absence_valid_after = member.clock_reached_by(order.deadline_ms)
+        if member.is_fenced:
+            run.absence_valid_after = member.clock_reached_by(order.deadline_ms)
         self._stop(run, now)
 
     def on_stop_answered(self, order: StopTask, now: float) -> None:
         """Record that a stop was answered: a later snapshot without the run proves it over."""
-        run = self.find(order)
-        if run is not None:
+        run, member = self.find(order), self.members.get(order.worker)
+        # A former boot may have answered.
+        if run is not None and member is not None and (run.has_begun or member.is_fenced):
             run.absence_valid_after = min(run.absence_valid_after, now)
 
     def on_pace_failed(self, order: PaceTask) -> None:
@@ -1297,9 +1343,10 @@
 
         `rejected` is the start, if any, that another boot answered.
         """
-        member = self.members.pop(worker, None)
+        member = self.members.get(worker)
         if member is None:
             return
+        self._drop_member(member, now)
         log(Event.WORKER_GONE, worker=worker, running=len(member.runs))
         self._note_fenced(worker)
         self.interference.forget_worker(worker)
@@ -1431,7 +1478,11 @@
         lapsed = member.silent_since is not None and confirmed_at > member.lapses_at()
         if lapsed and member.runs:
             may_list_ends = member.may_list_ends(now)
-            over = [run for run in member.runs.values() if run.step.lasting or not may_list_ends]
+            over = [
+                run
+                for run in member.runs.values()
+                if (run.step.lasting or not may_list_ends) and not self._may_run_late(run, now)
+            ]
             if over:
                 log(Event.WORKER_LAPSED, worker=member.name, runs=len(over))
             for run in over:
@@ -1441,7 +1492,16 @@
         if member.missing_since is not None and lapsed and not unproven:
             self.interference.forget_worker(member.name)
             self._keep_deferred_ends(member)
-            del self.members[member.name]
+            self._drop_member(member, now)
+
+    def _may_run_late(self, run: Run, now: float) -> bool:
+        """Return whether a silent worker may run a start that it did not answer.
+
+        It may have restarted: the deadline and the lease then count on the new boot's clock.
+        """
+        if not run.may_begin or self.members[run.worker].missing_since is not None:
+            return False
+        return now < late_lease_end(run.sent_at, self.bounds.max_hold_s)
 
     def _note_lapsed(self, run: Run, member: Member) -> None:
         """Record when the platform began to expect a new run of a task.
@@ -1483,7 +1543,7 @@
         if self._rooms_as_of != (now, self._last_run, self.closed):
             self._rooms, self._rooms_as_of = {}, (now, self._last_run, self.closed)
             for member in () if self.closed else self.members.values():
-                if member.confirmed and (member.is_available(now) or member.is_last_resort(now)):
+                if member.is_ready and (member.is_available(now) or member.is_last_resort(now)):
                     self._rooms.setdefault(member.host.service, []).append(member.room)
         return self._rooms
 
@@ -1530,7 +1590,7 @@
         members = [
             member
             for member in self.members.values()
-            if member.confirmed and member.is_last_resort(now) and member.name not in failed_on
+            if member.is_ready and member.is_last_resort(now) and member.name not in failed_on
         ]
         if members:
             self._place(batch, _without_reserved(batch.step, members, reserved), [], now)
@@ -2030,7 +2090,8 @@
             self._doubt(member, [run], now)
         deadline_ms = member.clock_now(now) + int(START_WINDOW_S * 1000)
         member.granted_ms = max(member.granted_ms, deadline_ms)
-        run.sent_to = member.born
+        member.spend_token(now)
+        run.sent_to, run.token = member.born, member.token
         self.orders.append(
             StartTask(
                 member.name,
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -13,6 +13,8 @@
 # A worker's clock may run up to 2 % slow (the platform's bound); the slack covers answer delay.
 CLOCK_DRIFT = 0.02
 LAPSE_SLACK_S = 0.2
+# A worker, or its next boot, carries out a call without an answer at most this long after it.
+LATE_CALL_S = 12.0
 # A lapse shows that a worker's runs are over, but not how they ended. As long as the worker is
 # listed as up, its finite tasks start again only if it does not answer for this long after.
 END_WAIT_S = 6.0
@@ -37,6 +39,11 @@
 STALL_S = 2.0
 
 
+def late_lease_end(sent_at: float, max_hold_s: float) -> float:
+    """Return when a lease is certainly over that a late call may give to a later boot."""
+    return sent_at + LATE_CALL_S + max_hold_s / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
+
+
 class RunState(Enum):
     """State of a run as known to the cell's holder."""
 
@@ -95,6 +102,10 @@
     state: RunState
     sent_at: float
     checkpoint: str = ""
+    # Fencing token of its start; 0 until that is sent.
+    token: int = 0
+    # The worker has answered its start or listed it, so it carries out that start no more.
+    has_begun: bool = False
     # A snapshot requested after this time that does not list the run proves that it is over.
     absence_valid_after: float = float("inf")
     stop_sent_at: float = 0.0
@@ -118,6 +129,18 @@
     # Whether the start got no answer.
     is_unsure: bool = False
 
+    def is_over(self, asked_at: float, token: int) -> bool:
+        """Return whether an answer without the run, asked for under a token, proves it over.
+
+        A worker that has answered under a token refuses all calls with a lower one.
+        """
+        return asked_at > self.absence_valid_after or 0 < self.token < token
+
+    @property
+    def may_begin(self) -> bool:
+        """Return whether its start was sent and may still be carried out."""
+        return self.state in (RunState.STARTING, RunState.STOPPING) and not self.has_begun
+
     @property
     def is_suspect(self) -> bool:
         """Return whether the task's last worker crashed and this one may, too."""
@@ -174,6 +197,20 @@
     # Runs being stopped elsewhere whose tasks are to start here; part of `used` and `lasting`.
     expected: set[Run] = field(default_factory=set)
     born: int = 0
+    # Fencing token of calls to this worker.
+    token: int = 0
+    # Token and time of the last call that a later boot must not carry out: a start, a lease or an
+    # acknowledgement. Such calls refer to the clock and the ends of the boot they were sent to.
+    spent_token: int = 0
+    spent_at: float = 0.0
+    # The present boot has answered under a higher token than this, the last one spent on former
+    # boots, and refuses calls to them.
+    former_token: int = 0
+    is_fenced: bool = False
+    # When leases are over that late calls to former boots may have extended.
+    late_leases_over_at: float = 0.0
+    # Until then a boot to come may carry out a start without an answer whose run was removed.
+    late_start_until: float = 0.0
     clock_ms: int = 0
     clock_at: float = 0.0
     # The latest lease end or start deadline that the worker may have, on its clock.
@@ -252,9 +289,20 @@
             return pace
         return pace * min(1.0, max(0.0, self.idle_cores + wanted) / wanted)
 
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the roster is confirmed and the worker refuses calls to former boots."""
+        return self.confirmed and self.is_fenced
+
+    @property
+    def needs_token(self) -> bool:
+        """Return whether another boot than the one that calls were sent to answers, or may."""
+        may_differ = self.silent_since is not None or not self.is_fenced
+        return may_differ and self.token <= self.spent_token
+
     def is_usable(self, now: float) -> bool:
         """Return whether a task may be started on this worker."""
-        return self.confirmed and self.is_available(now)
+        return self.is_ready and self.is_available(now)
 
     def is_available(self, now: float) -> bool:
         """Return whether a task may be started on this worker once a renewal confirms it."""
@@ -278,7 +326,7 @@
 
     def may_send(self, run: Run, now: float) -> bool:
         """Return whether a run that was placed here may still be sent."""
-        return self.confirmed and self._accepts_starts(now, run)
+        return self.is_ready and self._accepts_starts(now, run)
 
     def _accepts_starts(self, now: float, run: Run | None = None) -> bool:
         return (
@@ -386,7 +434,8 @@
 
     def lapses_at(self) -> float:
         """Return the local time by which every lease ever sent has certainly lapsed."""
-        return self.clock_reached_by(self.granted_ms) + LAPSE_SLACK_S
+        lapses_at = self.clock_reached_by(self.granted_ms) + LAPSE_SLACK_S
+        return lapses_at if self.is_fenced else max(lapses_at, self.late_leases_over_at)
 
     def is_lost(self, now: float) -> bool:
         """Return whether the worker is silent for long, or silent and not listed as up."""
@@ -395,11 +444,8 @@
         return not self.is_listed_live or now - self.silent_since > LOST_AFTER_S
 
     def has_open_start(self, now: float) -> bool:
-        """Return whether an unanswered start may still be carried out."""
-        return any(
-            run.absence_valid_after > now and run.state is not RunState.RECORDING
-            for run in self.runs.values()
-        )
+        """Return whether an unanswered start may still be carried out, by any boot."""
+        return now < self.late_start_until or any(run.may_begin for run in self.runs.values())
 
     def count_unanswered(self) -> int:
         """Count the runs that are not over and whose starts have not been answered."""
@@ -426,14 +472,30 @@
             left_s = max(0.0, limit - LAPSE_SLACK_S - self.clock_at) * (1 - CLOCK_DRIFT)
             lease_ms = min(lease_ms, self.clock_ms + int(left_s * 1000) - 1)
         self.granted_ms = max(self.granted_ms, lease_ms)
+        self.spend_token(now)
         return lease_ms
 
-    def note_answer(self, snapshot: Snapshot, now: float, max_hold_s: float) -> bool:
-        """Update the clock from an answer; return whether the worker has restarted."""
+    def expect_late_calls(self, former: "Member") -> None:
+        """Wait until the worker refuses the calls to it as a member that was dropped."""
+        self.spent_token = self.former_token = former.spent_token
+        self.spent_at, self.late_start_until = former.spent_at, former.late_start_until
+
+    def spend_token(self, now: float) -> None:
+        """Record that a call is sent that a later boot must not carry out."""
+        self.spent_token, self.spent_at = self.token, now
+
+    def note_answer(self, snapshot: Snapshot, token: int, now: float, max_hold_s: float) -> bool:
+        """Update the clock from an answer to a call; return whether the worker has restarted."""
         has_restarted = self.born not in (0, snapshot.born)
-        if snapshot.born != self.born:
-            # Another holder may have extended a lease up to now.
-            self.granted_ms = snapshot.clock_ms + int(max_hold_s * 1000)
+        if has_restarted:
+            self.is_fenced, self.former_token = False, self.spent_token
+            self.late_leases_over_at = late_lease_end(self.spent_at, max_hold_s)
+        is_newly_fenced = not self.is_fenced and token > self.former_token
+        self.is_fenced |= is_newly_fenced
+        if snapshot.born != self.born or is_newly_fenced:
+            # Another holder, or a late call, may have extended a lease up to now.
+            extended_ms = snapshot.clock_ms + int(max_hold_s * 1000)
+            self.granted_ms = max(extended_ms, 0 if has_restarted else self.granted_ms)
         if has_restarted:
             self.saw_restart = True
             self.last_end = self.acked_end = 0
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from curranthall.cells.advice import Advice
 from curranthall.cells.balance import Balancer, CellLoads
@@ -59,6 +59,8 @@
 from curranthall.model import Host
 from curranthall.store import Check, Committed, Put, Row, Stale, Store
 
+Answer = TypeVar("Answer")
+
 TICK_S = 0.1
 # A worker that answers for the first time waits for a renewal; this delay lets one cover several.
 CONFIRM_DELAY_S = 0.05
@@ -377,6 +379,7 @@
         try:
             if await self._write_owner(renewed, details):
                 self.confirmed_at = max(self.confirmed_at, now)
+                self.dispatcher.raise_tokens(self._version)
                 self.dispatcher.confirm_roster(boot_ids)
                 self.wake()
             else:
@@ -538,7 +541,7 @@
         wait_ms = BUSY_WAIT_MS if member.runs else IDLE_WAIT_MS
         if member.serving and member.filling_cores > 0:
             wait_ms = SHARED_WAIT_MS
-        if limit < asked_at + hold_s:
+        if limit < asked_at + hold_s or not member.is_fenced:
             wait_ms = LIMITED_WAIT_MS
         retry_now = lease is None and hold_s > 0
         if retry_now:
@@ -546,8 +549,13 @@
             wait_ms = 0
         # A silent worker may have restarted, and a new boot numbers its ends from 1 again.
         cursor = dispatcher.cursor(member) if member.silent_since is None else 0
+        token = member.token
         try:
-            snapshot = await self._ports[member.name].hold(dispatcher.epoch, cursor, lease, wait_ms)
+            snapshot = await self._ports[member.name].hold(token, cursor, lease, wait_ms)
+        except Fenced:
+            if not dispatcher.is_outdated(member.name, token):
+                raise
+            return HOLD_PAUSE_S
         except (ConnectFailed, AnswerLost) as exc:
             dispatcher.on_silence(member.name, self._clock(), exc)
             return SILENT_PAUSE_S
@@ -555,7 +563,7 @@
             dispatcher.on_gone(member.name, self._clock())
             return 0.0
         born, was_silent = member.born, member.silent_since is not None
-        dispatcher.on_snapshot(member, snapshot, asked_at, self._clock())
+        dispatcher.on_snapshot(member, snapshot, asked_at, self._clock(), token)
         if member.born != born or (was_silent and member.name in self._lease_limits):
             self._renew_now.set()
         if dispatcher.unknown_jobs and not self._resolving:
@@ -620,13 +628,14 @@
         port = self._ports.get(order.worker)
         if port is None:
             return
+        token = self.dispatcher.token(order.worker)
         match order:
             case StartTask():
-                self._spawn(self._send_start(port, order))
+                self._spawn(self._send_start(port, token, order))
             case StopTask():
-                self._spawn(self._send_stop(port, order))
+                self._spawn(self._send_stop(port, token, order))
             case PaceTask():
-                self._spawn(self._send_pace(port, order))
+                self._spawn(self._send_pace(port, token, order))
 
     async def _ask_advice(self, order: AskAdvice) -> None:
         asked_at, advice = self._clock(), None
@@ -637,10 +646,19 @@
         self.dispatcher.on_advice(order, advice, asked_at, self._clock())
         self.wake()
 
-    async def _send_start(self, port: WorkerPort, order: StartTask) -> None:
+    async def _unless_outdated(self, worker: str, token: int, call: Awaitable[Answer]) -> Answer:
+        """Return an order's answer; raise ConnectFailed if this holder's newer calls fenced it."""
+        try:
+            return await call
+        except Fenced as exc:
+            if not self.dispatcher.is_outdated(worker, token):
+                raise
+            raise ConnectFailed(peer=worker, why="token raised since") from exc
+
+    async def _send_start(self, port: WorkerPort, token: int, order: StartTask) -> None:
         dispatcher = self.dispatcher
         try:
-            result = await port.start(dispatcher.epoch, order)
+            result = await self._unless_outdated(order.worker, token, port.start(token, order))
         except ConnectFailed:
             dispatcher.on_start_unsent(order, self._clock())
         except AnswerLost:
@@ -651,17 +669,17 @@
             dispatcher.on_start_result(order, result, self._clock())
         self.wake()
 
-    async def _send_stop(self, port: WorkerPort, order: StopTask) -> None:
+    async def _send_stop(self, port: WorkerPort, token: int, order: StopTask) -> None:
         try:
-            await port.stop(self.dispatcher.epoch, order)
+            await self._unless_outdated(order.worker, token, port.stop(token, order))
         except (ConnectFailed, AnswerLost, OtherBoot) as exc:
             log(Event.ORDER_UNANSWERED, what="stop", task=order.task, error=exc)
             return
         self.dispatcher.on_stop_answered(order, self._clock())
 
-    async def _send_pace(self, port: WorkerPort, order: PaceTask) -> None:
+    async def _send_pace(self, port: WorkerPort, token: int, order: PaceTask) -> None:
         try:
-            await port.pace(self.dispatcher.epoch, order)
+            await self._unless_outdated(order.worker, token, port.pace(token, order))
         except (ConnectFailed, AnswerLost, OtherBoot) as exc:
             log(Event.ORDER_UNANSWERED, what="pace", task=order.task, error=exc)
             self.dispatcher.on_pace_failed(order)
--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -57,7 +57,7 @@
         settled: bool = True,
         queue_of: Callable[[Job], Queue | None] | None = None,
     ) -> None:
-        self.now = 100.0
+        self.now, self.row_version = 100.0, EPOCH
         self.queue = Queue("q", SERVICE, 0, max_attempts, 2.0, 1_000)
         configured = queue_of or (lambda job: self.queue)
         self.dispatcher = Dispatcher(CELL, EPOCH, Bounds(), configured, lambda: 0.0)
@@ -134,12 +134,17 @@
         """Process a worker's answer to a hold and, if `confirm`, a renewal sent after it."""
         snapshot = Snapshot(int(self.now * 1000), born, running or [], ended or [])
         asked = self.now if asked_at is None else asked_at
-        self.dispatcher.on_snapshot(self.dispatcher.members[name], snapshot, asked, self.now)
+        member = self.dispatcher.members[name]
+        self.dispatcher.on_snapshot(member, snapshot, asked, self.now, member.token)
         if confirm:
             self.confirm_roster()
+            if not member.is_fenced:
+                self.dispatcher.on_snapshot(member, snapshot, asked, self.now, member.token)
 
     def confirm_roster(self) -> None:
         """Process a confirmed renewal."""
+        self.row_version += 1
+        self.dispatcher.raise_tokens(self.row_version)
         self.dispatcher.confirm_roster(self.dispatcher.boot_ids())
 
 
--- a/tests/load.py
+++ b/tests/load.py
@@ -463,7 +463,8 @@
         worker.snapshot_at = self.now
         snapshot = Snapshot(int(self.now * 1000), 1, worker.list_runs(self.now), worker.ends)
         worker.ends = []
-        dispatcher.on_snapshot(dispatcher.members[worker.host.name], snapshot, self.now, self.now)
+        member = dispatcher.members[worker.host.name]
+        dispatcher.on_snapshot(member, snapshot, self.now, self.now, member.token)
 
     # Rows
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -3,6 +3,7 @@
 import unittest
 
 from curranthall.cells.balance import Balancer, CellLoads
+from curranthall.cells.fleet import LATE_CALL_S
 from curranthall.cells.load import Load, Waiting
 from curranthall.cells.ports import Ending, EndKind, ListedRun, Snapshot, StartResult, StartTask
 from curranthall.dag import Phase, Progress
@@ -506,6 +507,11 @@
         cell.dispatcher.on_start_unanswered(order, cell.now)
         self.assertIsNone(cell.dispatcher.lease_end(member, cell.now))
         cell.now += 2
+        self.assertIsNone(cell.dispatcher.lease_end(member, cell.now))
+        cell.answer("w1")
+        self.assertEqual(member.runs, {})
+        self.assertIsNone(cell.dispatcher.lease_end(member, cell.now))
+        cell.now += LATE_CALL_S - 2
         self.assertIsNotNone(cell.dispatcher.lease_end(member, cell.now))
 
     def test_a_listed_worker_may_answer_first_though_its_lease_ended_before_the_takeover(
@@ -765,13 +771,15 @@
         cell.stops()
         cell.now += 5
         for worker in ("w1", "w2"):
-            cell.answer(worker, born=BORN + 1)
-        self.assertEqual(cell.plan(), [])
+            cell.answer(worker, born=BORN + 1, confirm=False)
         cell.dispatcher.tick(cell.now, cell.now)
         (stop,) = cell.stops()
         cell.dispatcher.on_stop_answered(stop, cell.now)
         cell.now += 0.1
-        cell.answer(order.worker, born=BORN + 1)
+        cell.answer(order.worker, born=BORN + 1, confirm=False)
+        cell.confirm_roster()
+        self.assertIn((order.task, order.run), cell.member(order.worker).runs)
+        cell.answer(order.worker, born=BORN + 1, confirm=False)
         self.assertEqual(len(cell.plan()), 1)
 
     def test_another_boot_at_the_address_ends_all_runs_at_once(self) -> None:
@@ -792,6 +800,8 @@
         cell.answer("w1", born=BORN + 5, confirm=False)
         self.assertEqual(cell.plan(), [])
         cell.confirm_roster()
+        self.assertEqual(cell.plan(), [])
+        cell.answer("w1", born=BORN + 5, confirm=False)
         self.assertEqual(len(cell.plan()), 1)
 
     def test_a_worker_whose_runs_fail_is_quarantined(self) -> None:
@@ -878,7 +888,7 @@
             cell.answer(other)
             clock_ms = read_ms + int((at - read_at) * 980)
             snapshot = Snapshot(clock_ms, BORN, [], [])
-            cell.dispatcher.on_snapshot(cell.member(order.worker), snapshot, at, at)
+            cell.dispatcher.on_snapshot(cell.member(order.worker), snapshot, at, at, 1)
             return clock_ms
 
         self.assertLess(answer(read_at + 2.45 + 1.576), order.deadline_ms)
--- a/tests/test_late_calls_log.py
+++ b/tests/test_late_calls_log.py
@@ -26,10 +26,16 @@
         self.cell.add(job("0" * 16, step(width, lasting=lasting)))
         return self.cell.plan()
 
-    def answer(self, *running: ListedRun, born: int = BORN, after_s: float = 0.1) -> None:
+    def answer(
+        self,
+        *running: ListedRun,
+        born: int = BORN,
+        after_s: float = 0.1,
+        confirm: bool = True,
+    ) -> None:
         """Process an answer without ends that was asked for and came some time later."""
         self.cell.now += after_s
-        self.cell.answer("w1", list(running), born=born)
+        self.cell.answer("w1", list(running), born=born, confirm=confirm)
 
 
 class Boots(BootLogTestCase):
@@ -40,7 +46,7 @@
 
     def test_a_start_without_an_answer_names_the_boot_it_was_sent_to(self) -> None:
         (start,) = self.place()
-        self.answer(born=NEXT)
+        self.answer(born=NEXT, confirm=False)
         self.cell.dispatcher.on_start_unanswered(start, self.cell.now)
         line = self.line("RUN_UNSURE")
         self.assertEqual((line["sent_to"], line["born"], line["token"]), (BORN, NEXT, EPOCH))
@@ -116,7 +122,9 @@
         self.assertEqual((line["worker"], line["listed"]), ("w1", "running"))
         self.assertEqual((line["why"], line["unsure"]), ("vanished", True))
         self.assertEqual((line["removed_ms"], line["sent_ms"]), (1_500, 1_600))
-        self.assertEqual((line["sent_to"], line["born"], line["token"]), (BORN, NEXT, EPOCH))
+        token = self.cell.member("w1").token
+        self.assertGreater(token, EPOCH)
+        self.assertEqual((line["sent_to"], line["born"], line["token"]), (BORN, NEXT, token))
 
     def test_it_is_logged_once(self) -> None:
         (start,) = self.place()
--- a/tests/test_proofs_after_changes.py
+++ b/tests/test_proofs_after_changes.py
@@ -3,11 +3,13 @@
 import asyncio
 import unittest
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from typing import Any
 
 from curranthall.cells.fleet import Run, RunState
 from curranthall.cells.owner import VACANT_S
 from curranthall.cells.ports import Snapshot
+from curranthall.errors import Fenced
 from curranthall.model import HostState
 from curranthall.standin.store import MemoryStore
 from tests.cell_fixtures import host, task
@@ -150,7 +152,9 @@
             runtime = make_runtime(MemoryStore(now), [], now, now_ms=1)
             runtime.dispatcher.update_host(leaving)
             member = runtime.dispatcher.members["w1"]
-            runtime.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), now(), now())
+            runtime.dispatcher.on_snapshot(
+                member, Snapshot(0, 1, [], []), now(), now(), member.token
+            )
             started = Run(task(), 1, "w1", make_step(1), RunState.RUNNING, now())
             started.absence_valid_after = now()
             member.add(started)
@@ -222,7 +226,8 @@
             split.cut(split.former, "a-w9")
             await lose(split, worker)
             await asyncio.sleep(sent_at + self.LATE_S - now())
-            await cluster.runners[worker].hold(epoch, 0, lease_ms, 0)
+            with suppress(Fenced):
+                await cluster.runners[worker].hold(epoch, 0, lease_ms, 0)
             split.cluster.cuts.discard(frozenset((split.former, "a-w9")))
 
         starts, broken = play(scene, FULL)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -127,7 +127,7 @@
         for name in ("w1", "w2"):
             runtime.dispatcher.update_host(host(name))
             member = runtime.dispatcher.members[name]
-            runtime.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), 0.0, 0.0)
+            runtime.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), 0.0, 0.0, member.token)
             self.assertFalse(member.is_usable(0.0))
             await runtime._renew()
         self.assertEqual(await self.stored_names(store), {"w1", "w2"})
@@ -140,7 +140,9 @@
         runtime.dispatcher.take_over([host("w1")], proof_at=7.0)
         member = runtime.dispatcher.members["w1"]
         answer = Snapshot(0, 1, [], [])
-        store.meanwhile = lambda: runtime.dispatcher.on_snapshot(member, answer, 0.0, 0.0)
+        store.meanwhile = lambda: runtime.dispatcher.on_snapshot(
+            member, answer, 0.0, 0.0, member.token
+        )
         await runtime._renew()
         self.assertFalse(member.is_usable(0.0))
         store.meanwhile = lambda: None
@@ -152,9 +154,11 @@
         runtime = make_runtime(store, [])
         runtime.dispatcher.update_host(host("w1"))
         member = runtime.dispatcher.members["w1"]
-        runtime.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), 0.0, 0.0)
+        runtime.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), 0.0, 0.0, member.token)
         after_restart = Snapshot(0, 2, [], [])
-        store.meanwhile = lambda: runtime.dispatcher.on_snapshot(member, after_restart, 0.0, 0.0)
+        store.meanwhile = lambda: runtime.dispatcher.on_snapshot(
+            member, after_restart, 0.0, 0.0, member.token
+        )
         await runtime._renew()
         self.assertFalse(member.is_usable(0.0))
         store.meanwhile = lambda: None
@@ -895,7 +899,7 @@
             runtime.dispatcher.update_host(host("w1"))
             runtime.loaded = loaded
             member = runtime.dispatcher.members["w1"]
-            runtime.dispatcher.on_snapshot(member, snapshot, 0.0, 0.0)
+            runtime.dispatcher.on_snapshot(member, snapshot, 0.0, 0.0, member.token)
             loop = asyncio.create_task(
                 runtime._resolve_unknown() if loaded else runtime._load_jobs()
             )
@@ -1218,7 +1222,7 @@
         former.dispatcher.adopt(job(), claimed_progress(), answer.version, 0.0)
         successor.dispatcher.update_host(host("w1"))
         member = successor.dispatcher.members["w1"]
-        successor.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), 0.0, 0.0)
+        successor.dispatcher.on_snapshot(member, Snapshot(0, 1, [], []), 0.0, 0.0, member.token)
         successor.dispatcher.confirm_roster(successor.dispatcher.boot_ids())
         successor.dispatcher.adopt(job(), claimed_progress(), answer.version, 0.0)
         successor.dispatcher.plan(0.0)
--- a/tests/test_stored_lease_ends.py
+++ b/tests/test_stored_lease_ends.py
@@ -239,7 +239,7 @@
     def test_a_limited_lease_is_over_by_its_limit_on_a_slow_clock(self) -> None:
         for left_ms in range(300, 6_000, 7):
             member = Member(host("w1"))
-            member.note_answer(Snapshot(0, 1, [], []), 100.0, 0.0)
+            member.note_answer(Snapshot(0, 1, [], []), 1, 100.0, 0.0)
             limit = 100.0 + left_ms / 1000
             lease_ms = member.grant(100.0, 6.0, limit)
             assert lease_ms is not None
