Start a task again on the worker that left its start unanswered

Callers saw two runs of a task at once: a start without an answer, stopped and absent from the worker's list, let the task start on another worker. Then the first worker crashed, and its next boot executed the start before it was fenced.

The task now starts next on the same worker, once, if there is room. That run ends with the boot, before the next one can execute the late start; until the next boot is fenced, or the late start's lease is over, the task waits. Not covered: a task that was done before the crash.

The new test fails without the preference, cut off and not.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -823,8 +823,7 @@
                 continue
             if member.is_fenced or now >= member.late_start_until:
                 if run.may_begin:
-                    late_until = run.sent_at + LATE_CALL_S
-                    member.late_start_until = max(member.late_start_until, late_until)
+                    self._note_unanswered(run, member)
                 self._remove_run(run, now, EndReason.REBORN if reborn else EndReason.VANISHED)
         if snapshot.complete:
             # Only now: an answer whose processing failed above proves nothing.
@@ -843,6 +842,24 @@
                 tail_over_target=round(worst_tail_ratio(member), 2),
             )
 
+    def _note_unanswered(self, run: Run, member: Member) -> None:
+        """Record that a boot to come may carry out a start that the present one can't any more.
+
+        The task starts next on the same worker, so that its run is over when that boot begins.
+        """
+        member.late_start_until = max(member.late_start_until, run.sent_at + LATE_CALL_S)
+        tracked = self.tracked.get(run.task.job)
+        if tracked is not None:
+            tracked.unanswered[run.task[1:]] = run
+
+    def _find_unanswered(self, batch: Batch, index: int, now: float) -> Run | None:
+        """Return a task's last run if a boot to come may carry out its unanswered start."""
+        run = batch.tracked.unanswered.get(batch.key(index))
+        member = self.members.get(run.worker) if run is not None else None
+        if run is None or member is None or now >= run.sent_at + LATE_CALL_S:
+            return None
+        return run
+
     def _note_fenced(self, worker: str) -> None:
         """Record that a worker listed all its runs and ends, or is gone."""
         self._recheck_held |= worker in self._fencing.unproven
@@ -1499,9 +1516,9 @@
 
         It may have restarted: the deadline and the lease then count on the new boot's clock.
         """
-        if not run.may_begin or self.members[run.worker].missing_since is not None:
+        if not run.late_start_at or self.members[run.worker].missing_since is not None:
             return False
-        return now < late_lease_end(run.sent_at, self.bounds.max_hold_s)
+        return now < late_lease_end(run.late_start_at, self.bounds.max_hold_s)
 
     def _note_lapsed(self, run: Run, member: Member) -> None:
         """Record when the platform began to expect a new run of a task.
@@ -1923,7 +1940,9 @@
                 crashes=crashes,
                 needs_quiet=needs_quiet(batch, crashes, now),
             )
-            member = choose_worker(req, usable)
+            preferred = self._preferred(batch, index, usable, now)
+            member = choose_worker(req, preferred) if preferred else None
+            member = member or choose_worker(req, usable)
             if member is None and crashes:
                 held_back = index, req
                 continue
@@ -1942,6 +1961,15 @@
         else:
             batch.note_placed()
 
+    def _preferred(
+        self, batch: Batch, index: int, usable: list[Member], now: float
+    ) -> list[Member]:
+        """Return the worker that a task starts on again after one unanswered start, if any."""
+        run = self._find_unanswered(batch, index, now)
+        if run is None or run.unanswered_at:
+            return []
+        return [member for member in usable if member.name == run.worker]
+
     def _handle_unplaced(
         self, batch: Batch, index: int, req: PlacementRequest, usable: list[Member], now: float
     ) -> None:
@@ -2042,6 +2070,9 @@
         checkpoint = tracked.checkpoints.get(task[1:], "") if batch.step.checkpointing else ""
         run = Run(task, number, member.name, batch.step, RunState.STARTING, now, checkpoint)
         run.probation_until, run.crashes = now + PROBATION_S, count_suspicions(batch, index)
+        unanswered = self._find_unanswered(batch, index, now)
+        if unanswered is not None and unanswered.worker == member.name:
+            run.unanswered_at = unanswered.sent_at
         run.wait = batch.wait()
         run.note_progress(now)
         self._add_run(batch, run, member)
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -106,6 +106,8 @@
     token: int = 0
     # The worker has answered its start or listed it, so it carries out that start no more.
     has_begun: bool = False
+    # When the task's start before this one was sent, if this worker never answered that; else 0.
+    unanswered_at: float = 0.0
     # A snapshot requested after this time that does not list the run proves that it is over.
     absence_valid_after: float = float("inf")
     stop_sent_at: float = 0.0
@@ -141,6 +143,11 @@
         """Return whether its start was sent and may still be carried out."""
         return self.state in (RunState.STARTING, RunState.STOPPING) and not self.has_begun
 
+    @property
+    def late_start_at(self) -> float:
+        """Return when the task's last start was sent that a later boot may carry out; else 0."""
+        return self.sent_at if self.may_begin else self.unanswered_at
+
     @property
     def is_suspect(self) -> bool:
         """Return whether the task's last worker crashed and this one may, too."""
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -166,6 +166,8 @@
     failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     refused_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     former: dict[TaskKey, FormerRun] = field(default_factory=dict)
+    # Runs whose start the worker did not answer and no longer carries out, unless it restarts.
+    unanswered: dict[TaskKey, Run] = field(default_factory=dict)
     # Number of the last local change, and of the last one that the row contains.
     change: int = 0
     recorded: int = 0
@@ -230,6 +232,7 @@
             self.failed_on,
             self.refused_on,
             self.former,
+            self.unanswered,
         )
         for table in tables:
             drop_keys_below(table, first)
--- a/tests/test_returned_workers.py
+++ b/tests/test_returned_workers.py
@@ -205,6 +205,34 @@
 
         self.check(scene)
 
+    def test_a_task_on_the_worker_that_left_its_start_unanswered_does_not_run_twice(self) -> None:
+        for cut_off in (False, True):
+            with self.subTest(cut_off=cut_off):
+
+                async def scene(returns: Returns, cut_off: bool = cut_off) -> None:
+                    cluster = returns.cluster
+                    cluster.announce(WORKERS[0], LONG_S)
+                    await asyncio.sleep(1.0)
+                    worker, starts = await returns.lose_start(60.0)
+                    sent_at = now()
+                    # The first worker has as little room, and comes before this one.
+                    cluster.withhold("stop", worker)
+                    cluster.leaving.clear()
+                    await asyncio.sleep(0.4)
+                    await returns.submit("b-e1", returns.new_job(14, 60.0))
+                    while returns.running() < 14:
+                        await asyncio.sleep(POLL_S)
+                    cluster.withheld.clear()
+                    while returns.running() < 15:
+                        await asyncio.sleep(POLL_S)
+                    await returns.restart(worker)
+                    if cut_off:
+                        returns.isolate(worker)
+                        await asyncio.sleep(sent_at + 5.0 - now())
+                    await returns.execute(worker, starts)
+
+                self.check(scene)
+
     def test_a_worker_that_was_dropped_and_is_back_does_not_start_a_task_of_its_former_life(
         self,
     ) -> None:
