Send each cursor only until it was answered

Callers saw a task start after it had ended done: every hold carried the cursor of all ends acknowledged before, so a hold without an answer that the worker's next boot executed late made that boot forget ends 1 to 60 of its own. A late start that was done there then looked as if it had never run, and its task started again.

A hold now carries a cursor only until one with it was answered. Ends that were forgotten stay forgotten, so a lower cursor later changes nothing, and most holds have nothing to lose at a restart.

Evidence: tests.test_returned_workers test_a_cursor_that_was_answered_is_not_sent_again fails before (started after an acknowledged end at 129.366 s) and passes.

--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -232,8 +232,9 @@
     # Whether this holder saw the worker restart, so that all ends of the boot are listed to it.
     saw_restart: bool = False
     last_end: int = 0
-    # The highest number of an end that a hold has acknowledged.
+    # The highest number of an end that a hold has acknowledged, with an answer or without.
     acked_end: int = 0
+    answered_ack: int = 0
     pending_acks: dict[int, PendingAck] = field(default_factory=dict)
     # By job, ends of runs of jobs that this holder does not know yet.
     deferred_ends: dict[str, list[Ending]] = field(default_factory=dict)
@@ -491,6 +492,13 @@
         """Record that a call is sent that a later boot must not carry out."""
         self.spent_token, self.spent_at = self.token, now
 
+    def spend_cursor(self, cursor: int, now: float) -> int:
+        """Return the cursor to send: 0 once answered, as a later boot would forget its own ends."""
+        if cursor <= self.answered_ack:
+            return 0
+        self.spend_token(now)
+        return cursor
+
     def note_answer(self, snapshot: Snapshot, token: int, now: float, max_hold_s: float) -> bool:
         """Update the clock from an answer to a call; return whether the worker has restarted."""
         has_restarted = self.born not in (0, snapshot.born)
@@ -505,7 +513,7 @@
             self.granted_ms = max(extended_ms, 0 if has_restarted else self.granted_ms)
         if has_restarted:
             self.saw_restart = True
-            self.last_end = self.acked_end = 0
+            self.last_end = self.acked_end = self.answered_ack = 0
             self.pending_acks.clear()
             self.unknown_runs.clear()
         self.born = snapshot.born
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -549,6 +549,7 @@
             wait_ms = 0
         # A silent worker may have restarted, and a new boot numbers its ends from 1 again.
         cursor = dispatcher.cursor(member) if member.silent_since is None else 0
+        cursor = member.spend_cursor(cursor, asked_at)
         token = member.token
         try:
             snapshot = await self._ports[member.name].hold(token, cursor, lease, wait_ms)
@@ -563,6 +564,8 @@
             dispatcher.on_gone(member.name, self._clock())
             return 0.0
         born, was_silent = member.born, member.silent_since is not None
+        if snapshot.born == born:
+            member.answered_ack = max(member.answered_ack, cursor)
         dispatcher.on_snapshot(member, snapshot, asked_at, self._clock(), token)
         if member.born != born or (was_silent and member.name in self._lease_limits):
             self._renew_now.set()
--- a/tests/test_returned_workers.py
+++ b/tests/test_returned_workers.py
@@ -330,6 +330,31 @@
     def test_an_end_that_was_not_listed_is_not_forgotten_after_two_restarts(self) -> None:
         self.check_forgotten(restarts=2)
 
+    def test_a_cursor_that_was_answered_is_not_sent_again(self) -> None:
+        async def scene(returns: Returns) -> None:
+            worker = WORKERS[0]
+            for name in WORKERS[1:]:
+                returns.cluster.announce(name, LONG_S)
+            await returns.submit("b-e1", returns.new_job(4, 0.5))
+            await asyncio.sleep(3.0)
+            holds = returns.cluster.withhold("hold", worker)
+            starts = returns.cluster.withhold("start", worker)
+            while not holds:
+                await asyncio.sleep(POLL_S)
+            await returns.submit("b-e1", returns.new_job(1, 0.5))
+            while not starts:
+                await asyncio.sleep(POLL_S)
+            returns.cluster.withheld.clear()
+            returns.isolate(worker)
+            await returns.restart(worker)
+            await returns.execute(worker, starts[:1])
+            self.assertTrue(returns.runner(worker).running)
+            await asyncio.sleep(1.0)
+            await returns.execute(worker, holds[:1])
+            returns.cluster.cuts.clear()
+
+        self.check(scene)
+
 
 class UsedAgain(unittest.TestCase):
     """A worker that is back, in a cell without other room."""
