Call a silent worker at short intervals while a late start may reach its next boot

Callers saw a task start after it had ended done: its first start had got no answer, another run had done the task, the worker crashed, and its next boot executed the first start before it was fenced. A holder called a silent worker every 0.8 s (a call that hangs takes 0.6 s), and first under the token of before, so that a boot could be up for most of a second before it refused late calls.

While a start without an answer may still be executed, 12 s after it was sent at most, a silent worker is called every 0.1 s, without waiting for the calls before, and the token is raised as soon as the worker falls silent. So the first answer of the next boot mostly fences it. Other silent workers are called as before.

Evidence: the new test (a boot that executes a late start 0.2 s after it began, for nine lengths of the crash) failed for six of them.

--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -455,6 +455,12 @@
         """Return whether an unanswered start may still be carried out, by any boot."""
         return now < self.late_start_until or any(run.may_begin for run in self.runs.values())
 
+    def needs_probes(self, now: float) -> bool:
+        """Return whether the next boot has to be fenced at once, as it may execute a late start."""
+        if self.silent_since is None or now >= self.spent_at + LATE_CALL_S:
+            return False
+        return self.has_open_start(now)
+
     def count_unanswered(self) -> int:
         """Count the runs that are not over and whose starts have not been answered."""
         return sum(run.is_unsure or run.state is RunState.STARTING for run in self.runs.values())
--- a/src/curranthall/cells/guard.py
+++ b/src/curranthall/cells/guard.py
@@ -1,10 +1,11 @@
 """Calls to workers and the advisor; a defect of one call counts as a lost answer."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 from curranthall.cells.ports import PaceTask, Snapshot, StartResult, StartTask, StopTask, WorkerPort
-from curranthall.errors import AnswerLost, CurranthallError
+from curranthall.errors import AnswerLost, ConnectFailed, CurranthallError
 from curranthall.events import Event, log
 from curranthall.model import Host
 
@@ -22,6 +23,35 @@
         raise AnswerLost(peer=peer, why="defect") from exc
 
 
+async def first_answer(
+    call: Callable[[], Awaitable[Answer]],
+    clock: Callable[[], float],
+    pause_s: float,
+    is_wanted: Callable[[], bool],
+) -> tuple[Answer, float]:
+    """Make a call anew after each pause; return the first answer and when its call was made.
+
+    A call to a peer that is down may hang. Raise AnswerLost once no answer is wanted any more.
+    """
+    pending: dict[asyncio.Future[Answer], float] = {}
+    try:
+        while is_wanted():
+            made_at = clock()
+            pending[asyncio.ensure_future(call())] = made_at
+            done, _ = await asyncio.wait(
+                pending, timeout=pause_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            for each in done:
+                asked_at = pending.pop(each)
+                if not isinstance(each.exception(), AnswerLost | ConnectFailed):
+                    return each.result(), asked_at
+            await asyncio.sleep(max(0.0, made_at + pause_s - clock()))
+        raise AnswerLost(why="no call was answered")
+    finally:
+        for each in pending:
+            each.cancel()
+
+
 class GuardedPort:
     """Port to one worker that is connected by the first call; implements WorkerPort."""
 
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -9,7 +9,7 @@
 from curranthall.cells.balance import Balancer, CellLoads
 from curranthall.cells.dispatcher import START_WINDOW_S, Dispatcher
 from curranthall.cells.fleet import Member
-from curranthall.cells.guard import GuardedPort, guard
+from curranthall.cells.guard import GuardedPort, first_answer, guard
 from curranthall.cells.owner import (
     CELL_PART,
     CELL_TABLE,
@@ -28,6 +28,7 @@
     AskAdvice,
     Order,
     PaceTask,
+    Snapshot,
     StartTask,
     StopTask,
     WorkerPort,
@@ -77,6 +78,8 @@
 LIMITED_WAIT_MS = 100
 HOLD_PAUSE_S = 0.05
 SILENT_PAUSE_S = 0.2
+# The pause between the calls to a silent worker of which the next boot may execute a late start.
+PROBE_PAUSE_S = 0.1
 # The pause after an answer whose processing failed.
 DEFECT_PAUSE_S = 1.0
 # Delays that batch changes of progress rows: usual, and urgent (e.g. the end of a job).
@@ -552,12 +555,17 @@
         cursor = member.spend_cursor(cursor, asked_at)
         token = member.token
         try:
-            snapshot = await self._ports[member.name].hold(token, cursor, lease, wait_ms)
+            if member.needs_probes(asked_at):
+                (snapshot, token), asked_at = await self._probe(member)
+            else:
+                snapshot = await self._ports[member.name].hold(token, cursor, lease, wait_ms)
         except Fenced:
             if not dispatcher.is_outdated(member.name, token):
                 raise
             return HOLD_PAUSE_S
         except (ConnectFailed, AnswerLost) as exc:
+            if member.silent_since is None and member.has_open_start(asked_at):
+                self._renew_now.set()
             dispatcher.on_silence(member.name, self._clock(), exc)
             return SILENT_PAUSE_S
         except OtherBoot:
@@ -574,6 +582,18 @@
             self._spawn(self._resolve_unknown())
         return 0.0 if retry_now else HOLD_PAUSE_S
 
+    async def _probe(self, member: Member) -> tuple[tuple[Snapshot, int], float]:
+        """Return a silent worker's first answer, its token and when it was asked for."""
+        port = self._ports[member.name]
+
+        async def hold() -> tuple[Snapshot, int]:
+            token = member.token
+            return await port.hold(token, 0, None, 0), token
+
+        return await first_answer(
+            hold, self._clock, PROBE_PAUSE_S, lambda: member.needs_probes(self._clock())
+        )
+
     async def _resolve_unknown(self) -> None:
         """Look up the jobs of listed runs and ends that this holder does not track."""
         try:
--- a/src/curranthall/platform/worker.py
+++ b/src/curranthall/platform/worker.py
@@ -28,6 +28,7 @@
 from curranthall.values import DECODE_ERRORS, fields, items, number, reason, text, whole
 
 CONNECTIONS = 6
+HOLD_CONNECTIONS = 6
 START_TIMEOUT_S = 0.6
 STOP_TIMEOUT_S = 0.6
 # Added to a hold's `wait-ms` for the timeout of the call.
@@ -59,7 +60,7 @@
 
     def __init__(self, host: Host) -> None:
         self._host = host
-        self._holds = HttpClient(host.address, 1)
+        self._holds = HttpClient(host.address, HOLD_CONNECTIONS)
         self._orders = HttpClient(host.address, CONNECTIONS)
         self._headers = (*JSON_HEADERS, (INSTANCE_HEADER, host.name))
 
--- a/tests/test_returned_workers.py
+++ b/tests/test_returned_workers.py
@@ -205,6 +205,19 @@
 
         self.check(scene)
 
+    def test_a_boot_is_fenced_soon_whenever_it_begins(self) -> None:
+        for down_s in (0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9):
+            with self.subTest(down_s=down_s):
+
+                async def scene(returns: Returns, down_s: float = down_s) -> None:
+                    worker, starts = await self.start_elsewhere(returns, 0.5)
+                    await asyncio.sleep(1.5)
+                    await returns.restart(worker, down_s)
+                    await asyncio.sleep(0.2)
+                    await returns.execute(worker, starts)
+
+                self.check(scene)
+
     def test_a_task_on_the_worker_that_left_its_start_unanswered_does_not_run_twice(self) -> None:
         for cut_off in (False, True):
             with self.subTest(cut_off=cut_off):
