Bind renewals and starts at the product's workers to the boot that granted the lease

An attempt that its entry had counted as lost, and would start again elsewhere, ran on the next boot of its worker.

A restarted worker knows no token, so it took the renewal of a lease of its former boot for a claim, with a full term from then on. The entry, whose renewal got no answer, counts the lapse from the last answer of the former boot, up to a term earlier. Starts of the former boot, or sent to it by an entry that didn't know of the restart, passed too: the claim gave the boot their token and number, and their permit's end lies far ahead on a clock that begins anew. After a lapse an entry claims with the token that it had, so a start of the lapsed lease that came late was executed under the next one.

Renewals and starts now name the boot of the last inventory. Another boot refuses the renewal as fenced, so the entry claims anew and learns from the inventory what is left, and refuses the start, which then has certainly not run. A late claim still gives a boot a lease, but no start that was sent before it. A call without the name, from an earlier release, is taken as before.

--- a/src/curranthall/lease.py
+++ b/src/curranthall/lease.py
@@ -208,12 +208,12 @@
 
     async def _call(self, held: HeldWorker, token: Token, lease: Lease | None) -> None:
         sent_at = self._clock()
-        echo, seq, seen = 0.0, 1, -1
+        echo, seq, seen, boot = 0.0, 1, -1, ""
         if lease is not None:
             lease.seq += 1
-            echo, seq, seen = lease.stamp, lease.seq, lease.changes
+            echo, seq, seen, boot = lease.stamp, lease.seq, lease.changes, lease.boot
         try:
-            grant, changes = await held.worker.lease(token, echo, seq, seen, TERM_S)
+            grant, changes = await held.worker.lease(token, echo, seq, seen, TERM_S, boot)
         except Fenced as exc:
             self._on_fenced(held, lease, exc)
         except (ConnectFailed, AnswerLost, Refused):
@@ -330,7 +330,8 @@
             self.unreserve(held, order)
             raise Refused(why="lease not usable")
         try:
-            await held.worker.start(lease.token, seq, order, lease.to_worker_time(until))
+            worker_until = lease.to_worker_time(until)
+            await held.worker.start(lease.token, seq, order, worker_until, lease.boot)
         except (Fenced, Refused, ConnectFailed):
             lease.pending.pop(order.task, None)
             raise
--- a/src/curranthall/standin/engine.py
+++ b/src/curranthall/standin/engine.py
@@ -78,9 +78,13 @@
 
     # Lease
 
-    def lease(self, token: Token, echo: float, seq: int, seen: int, term: float) -> LeaseGrant:
+    def lease(
+        self, token: Token, echo: float, seq: int, seen: int, term: float, boot: str = ""
+    ) -> LeaseGrant:
         """Grant or renew the lease; a renewed term starts at the earlier stamp `echo`, not now."""
         self.expire_lease()
+        if self._is_former(boot):
+            raise Fenced(token=self.token)
         now = self._clock()
         if token == self.token and not self._released:
             self._lease_end = max(self._lease_end, min(echo, now) + term)
@@ -95,6 +99,10 @@
         report, self._report = self._report, None
         return LeaseGrant(self.token, now, self._lease_end - now, inventory, report)
 
+    def _is_former(self, boot: str) -> bool:
+        """Return whether a call was sent to a former boot; a claim names none."""
+        return boot not in ("", self._boot)
+
     def set_report(self, report: Report) -> None:
         """Set the report to send with the next renewal."""
         self._report = report
@@ -158,9 +166,13 @@
 
     # Tasks
 
-    def start(self, token: Token, seq: int, order: StartOrder, until: float) -> None:
+    def start(
+        self, token: Token, seq: int, order: StartOrder, until: float, boot: str = ""
+    ) -> None:
         """Start an attempt; repeats have no effect; overtaken or late calls are refused."""
         self._check_token(token)
+        if self._is_former(boot):
+            raise Refused(why="sent to a former boot")
         if order.task in self._active:
             return
         if seq < self._seq or self._clock() > until:
--- a/src/curranthall/standin/servers.py
+++ b/src/curranthall/standin/servers.py
@@ -167,8 +167,9 @@
         token = Token(*value["token"])
         match req.path:
             case "/lease":
+                boot = value.get("boot", "")
                 grant = engine.lease(
-                    token, value["echo"], value["seq"], value["seen"], value["term"]
+                    token, value["echo"], value["seq"], value["seen"], value["term"], boot
                 )
                 listed = grant.inventory
                 inventory = None if listed is None else inventory_to_json(listed)
@@ -177,7 +178,8 @@
             case "/release":
                 engine.release(token)
             case "/start":
-                engine.start(token, value["seq"], _decode_order(value["order"]), value["until"])
+                order, boot = _decode_order(value["order"]), value.get("boot", "")
+                engine.start(token, value["seq"], order, value["until"], boot)
             case "/stop":
                 outcome = engine.stop(token, Task(*value["task"]), value["finish"])
                 wire = None if outcome is None else [outcome.kind.value, *outcome[1:]]
--- a/src/curranthall/worker.py
+++ b/src/curranthall/worker.py
@@ -29,10 +29,12 @@
     """
 
     async def lease(
-        self, token: Token, echo: float, seq: int, seen: int, term: float
+        self, token: Token, echo: float, seq: int, seen: int, term: float, boot: str
     ) -> tuple[LeaseGrant, int]:
         """Claim or renew the lease; return the grant and the inventory's change count.
 
+        A renewal names the boot that granted the lease; any other boot refuses it as fenced.
+
         `echo` is the stamp of the last grant; if the change count is still `seen`, the
         inventory is omitted. Starts numbered below `seq` are refused from now on.
         """
@@ -40,8 +42,10 @@
     async def release(self, token: Token) -> None:
         """Release the lease."""
 
-    async def start(self, token: Token, seq: int, order: StartOrder, until: float) -> None:
-        """Start an attempt, not after `until` on the worker's clock."""
+    async def start(
+        self, token: Token, seq: int, order: StartOrder, until: float, boot: str
+    ) -> None:
+        """Start an attempt on a boot, not after `until` on the worker's clock."""
 
     async def stop(self, token: Token, task: Task, finish: bool) -> Outcome | None:
         """Stop an attempt and return its outcome, None if the worker does not know it."""
@@ -71,10 +75,10 @@
         self._endpoint = HttpClient(address, connections - CONTROL_CONNECTIONS)
 
     async def lease(
-        self, token: Token, echo: float, seq: int, seen: int, term: float
+        self, token: Token, echo: float, seq: int, seen: int, term: float, boot: str
     ) -> tuple[LeaseGrant, int]:
         """Claim or renew the lease."""
-        value = {"token": token, "echo": echo, "seq": seq, "seen": seen, "term": term}
+        value = {"token": token, "echo": echo, "seq": seq, "seen": seen, "term": term, "boot": boot}
         reply = (await self._post("/lease", value)).json()
         listed = reply["inventory"]
         inventory = None if listed is None else inventory_from_json(listed)
@@ -88,9 +92,11 @@
         """Release the lease."""
         await self._post("/release", {"token": token})
 
-    async def start(self, token: Token, seq: int, order: StartOrder, until: float) -> None:
+    async def start(
+        self, token: Token, seq: int, order: StartOrder, until: float, boot: str
+    ) -> None:
         """Start an attempt."""
-        value = {"token": token, "seq": seq, "order": order, "until": until}
+        value = {"token": token, "seq": seq, "order": order, "until": until, "boot": boot}
         await self._post("/start", value)
 
     async def stop(self, token: Token, task: Task, finish: bool) -> Outcome | None:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -69,6 +69,20 @@
 
         run(main())
 
+    def test_calls_that_name_a_former_boot_have_no_effect(self) -> None:
+        async def main() -> None:
+            worker = engine()
+            worker.lease(A1, 0.0, 1, -1, TERM_S)
+            lease_end = worker._lease_end
+            await asyncio.sleep(1)
+            with self.assertRaises(Fenced):
+                worker.lease(A1, 1_000.0, 2, 0, TERM_S, "b0")
+            with self.assertRaises(Refused):
+                worker.start(A1, 3, ORDER, FOREVER, "b0")
+            self.assertEqual((worker.log, worker._lease_end), ([], lease_end))
+
+        run(main())
+
     def test_a_lapse_stops_tasks_and_keeps_their_checkpoints(self) -> None:
         async def main() -> None:
             worker = engine()
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -284,19 +284,21 @@
         )
 
     async def lease(
-        self, token: Token, echo: float, seq: int, seen: int, term: float
+        self, token: Token, echo: float, seq: int, seen: int, term: float, boot: str
     ) -> tuple[LeaseGrant, int]:
         result: tuple[LeaseGrant, int] = await self._call(
             "lease.renew" if echo else "lease.claim",
-            lambda w: (w.lease(token, echo, seq, seen, term), w.changes),
+            lambda w: (w.lease(token, echo, seq, seen, term, boot), w.changes),
         )
         return result
 
     async def release(self, token: Token) -> None:
         await self._call("lease.release", lambda w: w.release(token))
 
-    async def start(self, token: Token, seq: int, order: StartOrder, until: float) -> None:
-        await self._call("task.start", lambda w: w.start(token, seq, order, until))
+    async def start(
+        self, token: Token, seq: int, order: StartOrder, until: float, boot: str
+    ) -> None:
+        await self._call("task.start", lambda w: w.start(token, seq, order, until, boot))
 
     async def stop(self, token: Token, task: Task, finish: bool) -> Any:
         return await self._call("task.stop", lambda w: w.stop(token, task, finish))
