Tests that fail: late starts of a worker's former boot, and beliefs about it

In the tests of CellWorkers a start is lost on its way to a worker of a cell, which then restarts under its id; the new boot executes the start 3 to 5 s late, or at once when it begins. Two runs at once where the holder took the lapse of the worker's leases for proof, whether the worker is cut off, down until then, or not listed; where the holder restarts at its address or releases the cell (the successor waits 6.7 s); where the former boot had answered a stop, or a new holder's hold, so that the task was started elsewhere before the restart.

Beliefs: quarantine and pace of a former boot are kept for the next one, and a run that the present boot lists is counted as a crash of the former one.

--- a/tests/test_former_lives.py
+++ b/tests/test_former_lives.py
@@ -3,12 +3,20 @@
 import asyncio
 import unittest
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from typing import Any
+from unittest import mock
 
-from curranthall.errors import CurranthallError
+import tests.cluster
+from curranthall.cells.fleet import FAILURES_TO_QUARANTINE
+from curranthall.cells.ports import EndKind, StartResult, StartTask
+from curranthall.errors import AnswerLost, CurranthallError, Fenced
 from curranthall.lease import LOST, MARGIN_S, HeldWorker, LeaseKeeper
 from curranthall.model import Host, Outcome, Size, StartOrder, Task
 from curranthall.standin.engine import TERM_S
+from tests.cell_fixtures import BORN, Cell, ended, host, job, listed, step
+from tests.cluster import TIMEOUT_S, FaultyWorker
+from tests.test_takeover import CELL, SplitCell, make_job, make_step
 from tests.virtual import NET_S, FakeWorker, World, run
 
 ORDER = StartOrder(Task("j", 0, 0), "c", "acme", Size(1, 1), 100.0, 0)
@@ -19,6 +27,11 @@
 # Longer than a call waits for its answer.
 LATE_S = 1.7
 NEVER_S = 1_000.0
+# The platform's workers may execute a call seconds late.
+LATE_START_S = 5.0
+LONG_S = 25.0
+# Half of the cell's room.
+TASKS = 14
 
 
 class LeasedWorker:
@@ -148,5 +161,235 @@
         self.play(scene)
 
 
+class LosingWorker(FaultyWorker):
+    """A worker as seen by one entry that may not execute starts, nor answer them."""
+
+    # The worker that loses starts, and the starts with their epochs that it lost.
+    losing = ""
+    lost: list[tuple[int, StartTask]] = []
+
+    async def start(self, epoch: int, order: StartTask) -> StartResult:
+        """Start a run, or lose the call."""
+        if self._name != self.losing:
+            return await super().start(epoch, order)
+        self.lost.append((epoch, order))
+        await asyncio.sleep(TIMEOUT_S)
+        raise AnswerLost(peer=self._name, why="lost")
+
+
+class LostStarts(SplitCell):
+    """A cell of which one worker left the starts of a job without an answer."""
+
+    worker = "a-w0"
+
+    async def lose_starts(self, lasting: bool) -> None:
+        """Submit the job and wait until the worker loses the first starts."""
+        await self.start()
+        self.close_cells("b", "c")
+        # The clocks of the first boots are far ahead of those of the next ones.
+        await asyncio.sleep(LONG_S)
+        LosingWorker.losing, LosingWorker.lost = self.worker, []
+        job = make_job(1, make_step(TASKS, lasting=lasting))
+        self.cluster.work[job.id] = LONG_S
+        await self.submit("b-e1", job)
+        while not LosingWorker.lost:
+            await asyncio.sleep(NET_S)
+        LosingWorker.losing = ""
+
+    async def restart_worker(self) -> None:
+        """Restart the worker."""
+        self.cluster.crash_worker(self.worker)
+        await asyncio.sleep(REBOOT_S)
+        self.cluster.add_worker(self.worker, CELL)
+        self.cluster.runners[self.worker].clock_rate = 0.98
+
+    def execute_late(self) -> None:
+        """Let the boot that runs now execute the lost starts, unless it refuses them."""
+        for epoch, order in LosingWorker.lost:
+            with suppress(Fenced):
+                self.cluster.runners[self.worker].start(epoch, order)
+
+    def cut_off(self) -> None:
+        """Cut the worker off from all entries."""
+        for name in self.cluster.entries:
+            self.cut(name, self.worker)
+
+
+Scene = Callable[[LostStarts], Coroutine[Any, Any, None]]
+
+
+class CellWorkers(unittest.TestCase):
+    """A start that a worker's former boot left without an answer is executed by the next one."""
+
+    def check(self, scene: Scene, finite: bool = False) -> None:
+        """Play a scene after starts were lost; no task runs twice."""
+
+        async def main() -> list[str]:
+            split = LostStarts(1)
+            await split.lose_starts(lasting=not finite)
+            await scene(split)
+            await asyncio.sleep(LONG_S)
+            split.cluster.close()
+            return split.cluster.judge.broken
+
+        with mock.patch.object(tests.cluster, "FaultyWorker", LosingWorker):
+            self.assertEqual(run(main()), [])
+
+    def test_the_worker_is_cut_off_after_its_restart(self) -> None:
+        async def scene(split: LostStarts) -> None:
+            await split.restart_worker()
+            split.cut_off()
+            await asyncio.sleep(LATE_START_S - REBOOT_S)
+            split.execute_late()
+
+        self.check(scene)
+        self.check(scene, finite=True)
+
+    def test_the_worker_is_down_until_then(self) -> None:
+        async def scene(split: LostStarts) -> None:
+            split.cluster.crash_worker(split.worker)
+            await asyncio.sleep(LATE_START_S)
+            split.cluster.add_worker(split.worker, CELL)
+            split.execute_late()
+            split.cut_off()
+
+        self.check(scene)
+        self.check(scene, finite=True)
+
+    def test_the_worker_is_cut_off_and_not_listed_after_its_restart(self) -> None:
+        async def scene(split: LostStarts) -> None:
+            split.cluster.unlisted.add(split.worker)
+            await split.restart_worker()
+            split.cut_off()
+            await asyncio.sleep(LATE_START_S - REBOOT_S)
+            split.execute_late()
+
+        self.check(scene)
+        self.check(scene, finite=True)
+
+    def test_the_former_boot_answered_a_stop(self) -> None:
+        async def scene(split: LostStarts) -> None:
+            await asyncio.sleep(1.5)
+            await split.restart_worker()
+            split.execute_late()
+            split.cut_off()
+
+        self.check(scene)
+        self.check(scene, finite=True)
+
+    def test_the_former_boot_answered_a_stop_and_got_no_more_tasks(self) -> None:
+        async def scene(split: LostStarts) -> None:
+            split.cluster.unlisted.add(split.worker)
+            await asyncio.sleep(2.5)
+            await split.restart_worker()
+            split.execute_late()
+
+        self.check(scene)
+        self.check(scene, finite=True)
+
+    def test_the_holder_restarts(self) -> None:
+        async def scene(split: LostStarts) -> None:
+            split.cluster.kill(split.former)
+            await split.restart_worker()
+            split.cut_off()
+            split.cluster.restart(split.former)
+            await asyncio.sleep(LATE_START_S - REBOOT_S)
+            split.execute_late()
+
+        self.check(scene)
+        self.check(scene, finite=True)
+
+    def test_the_holder_releases_the_cell(self) -> None:
+        async def scene(split: LostStarts) -> None:
+            leaving = asyncio.ensure_future(split.cluster.entries[split.former].succession.leave())
+            await split.restart_worker()
+            split.cut_off()
+            await asyncio.sleep(LATE_START_S - REBOOT_S)
+            split.execute_late()
+            await leaving
+
+        self.check(scene)
+        self.check(scene, finite=True)
+
+    def test_the_holder_releases_the_cell_once_it_gave_the_start_up(self) -> None:
+        async def scene(split: LostStarts) -> None:
+            split.cut_off()
+            await asyncio.sleep(2 * TIMEOUT_S)
+            leaving = asyncio.ensure_future(split.cluster.entries[split.former].succession.leave())
+            await split.restart_worker()
+            await asyncio.sleep(LATE_START_S - 2 * TIMEOUT_S - REBOOT_S)
+            split.execute_late()
+            await leaving
+
+        self.check(scene)
+        self.check(scene, finite=True)
+
+    def test_another_entry_takes_the_cell(self) -> None:
+        async def scene(split: LostStarts) -> None:
+            split.cluster.kill(split.former)
+            await split.restart_worker()
+            split.cut_off()
+            await asyncio.sleep(LATE_START_S - REBOOT_S)
+            split.execute_late()
+
+        self.check(scene)
+        self.check(scene, finite=True)
+
+    def test_the_former_boot_answered_another_entry_that_took_the_cell(self) -> None:
+        async def scene(split: LostStarts) -> None:
+            split.cluster.kill(split.former)
+            await split.wait_for_successor()
+            await asyncio.sleep(1)
+            await split.restart_worker()
+            split.execute_late()
+            split.cut_off()
+
+        self.check(scene)
+        self.check(scene, finite=True)
+
+
+class Beliefs(unittest.TestCase):
+    """What a cell's holder learned of a worker holds for one boot of it."""
+
+    def test_a_restarted_worker_slows_no_task_for_the_tails_of_its_former_boot(self) -> None:
+        cell = Cell(host("w1", cores=16))
+        cell.add(job("2" * 16, step(1, cores=4, filling=True, image="fill")))
+        cell.add(job("1" * 16, step(1, cores=4, lasting=True, image="watch", target_ms=20)))
+        orders = cell.plan()
+        cell.started(*orders)
+        while not cell.member("w1").pace_all:
+            cell.now += 0.5
+            cell.answer("w1", [listed(order, cell.now, gauge=60) for order in orders])
+        cell.paces()
+        cell.now += 0.5
+        cell.answer("w1", born=BORN + 1)
+        cell.now += 0.5
+        (order,) = (each for each in cell.plan() if each.task.job == "2" * 16)
+        cell.started(order)
+        cell.answer("w1", [listed(order)], born=BORN + 1)
+        self.assertEqual(cell.paces(), [])
+
+    def test_a_restarted_worker_is_not_quarantined_for_failures_of_its_former_boot(self) -> None:
+        cell = Cell(host("w1"), max_attempts=9)
+        cell.add(job("1" * 16, step(FAILURES_TO_QUARANTINE)))
+        orders = cell.plan()
+        cell.started(*orders)
+        ends = [ended(at, order, EndKind.FAILED) for at, order in enumerate(orders, 1)]
+        cell.answer("w1", ended=ends)
+        self.assertTrue(cell.member("w1").is_quarantined(cell.now))
+        cell.answer("w1", born=BORN + 1)
+        self.assertFalse(cell.member("w1").is_quarantined(cell.now))
+
+    def test_a_run_that_the_present_boot_lists_did_not_crash_the_former_one(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("1" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.dispatcher.on_start_unanswered(order, cell.now)
+        cell.now += 0.1
+        cell.answer("w1", [listed(order)], born=BORN + 1)
+        progress = cell.dispatcher.tracked[order.task.job].progress
+        self.assertEqual(progress.count_all_crashes(order.task[1:]), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
