Wait for unanswered starts of a holder that has released its cell

Callers saw two runs of a task at once after an entry had shut down: it left a start without an answer, its release named no lease end for that worker, and the next holder took 6.7 s, the longest lease after a holder's end, for proof. The worker had restarted under its id and was cut off; it executed the start 5 s late, with a lease from then on.

Cause: 'if the holder has ended, nothing that it sent lasts longer' holds only for the boot that it was sent to. A release names the lease end of every worker but those to which a late start may be under way, so the next holder now waits for the unnamed ones as long as for any order of a former holder (12.5 s). Where the release's details are missing, as from an earlier release, the wait is as before.

Evidence: two tests of tests.test_former_lives (test_the_holder_releases_the_cell, and once it gave the start up) failed (two runs at once at 135.147 and 136.752 s) and pass; test_takeover, test_takeovers_in_series, test_proofs_after_changes pass as before.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -249,6 +249,11 @@
     probe_at: float
     silent_until: float = 0.0
 
+    @property
+    def is_released(self) -> bool:
+        """Return whether the cell's last holder has released it."""
+        return self.owner is not None and not self.owner.holder
+
     def drop_foreign_ends(self, details: Details) -> Details:
         """Drop lease ends that the holder in the owner row did not write, or not with that row."""
         epoch = self.owner.epoch if self.owner else 0
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -218,7 +218,7 @@
         if longest_ms is None:
             return former
         kept = set(former)
-        if vacancy.owner is not None and not vacancy.owner.holder:
+        if vacancy.is_released:
             live = {name for name, host in hosts.items() if host.state is HostState.LIVE}
             kept -= live.difference(details.unheard)
         return {
@@ -235,6 +235,10 @@
             name: min(vacancy.proof_at, self.watch.local_time_of(end_ms))
             for name, end_ms in former_ends.items()
         }
+        if lease_ends and vacancy.is_released:
+            # A release names no worker of which a boot to come may execute a start late.
+            unnamed = {host.name for host in roster} - lease_ends.keys()
+            lease_ends |= dict.fromkeys(unnamed, vacancy.silent_until)
         ends = [lease_ends.get(host.name, vacancy.proof_at) for host in roster]
         log(
             Event.CELL_TAKEN,
