Forget the performance of a worker's former boot

Callers waited longer than needed: quarantine (up to 5 s) and the pace of filling tasks (1.4 s in the test) that a worker earned before it restarted under its id held for its next boot, which runs nothing of before and may be of another kind.

Both are forgotten with the boot. Two tests of tests.test_former_lives (Beliefs) failed before and pass; test_pacing, test_quarantine, test_dispatcher and test_poison pass.

--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -522,11 +522,19 @@
             self.last_end = self.acked_end = self.answered_ack = 0
             self.pending_acks.clear()
             self.unknown_runs.clear()
+            self._forget_performance()
         self.born = snapshot.born
         self.clock_ms, self.clock_at = snapshot.clock_ms, now
         self.answered_at, self.silent_since, self.all_ends_listed = now, None, True
         return has_restarted
 
+    def _forget_performance(self) -> None:
+        """Forget what was learned of a former boot: the present one may be of another kind."""
+        self.recent_failures.clear()
+        self.quarantined_until = 0.0
+        self.pace, self.pace_all, self.pace_factor = 100, False, 1.0
+        self.over_target_since, self.tails = None, ()
+
     def note_end(self, kind: EndKind, now: float) -> bool:
         """Count an end; return whether the worker is quarantined for it."""
         if kind in (EndKind.DONE, EndKind.FAILED):
