Don't wait for the late leases of a worker that is gone

Two waits were too wide: the end of leases that late calls may have extended counted for a boot that was no longer listed, and all runs of the former boot were kept until the next one was fenced if one start had no answer, not only that task's.

The late leases now count while the platform lists the worker, as for late starts, and only a run whose task has an unanswered start on the worker is kept.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -821,7 +821,7 @@
         for run in list(member.runs.values()) if snapshot.complete else ():
             if (run.task, run.number) in listed or not run.is_over(asked_at, token):
                 continue
-            if member.is_fenced or now >= member.late_start_until:
+            if member.is_fenced or not run.may_restart(now):
                 if run.may_begin:
                     self._note_unanswered(run, member)
                 self._remove_run(run, now, EndReason.REBORN if reborn else EndReason.VANISHED)
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -143,6 +143,10 @@
         """Return whether its start was sent and may still be carried out."""
         return self.state in (RunState.STARTING, RunState.STOPPING) and not self.has_begun
 
+    def may_restart(self, now: float) -> bool:
+        """Return whether a boot to come may carry out the task's start before this one."""
+        return self.unanswered_at > 0 and now < self.unanswered_at + LATE_CALL_S
+
     @property
     def late_start_at(self) -> float:
         """Return when the task's last start was sent that a later boot may carry out; else 0."""
@@ -443,7 +447,9 @@
     def lapses_at(self) -> float:
         """Return the local time by which every lease ever sent has certainly lapsed."""
         lapses_at = self.clock_reached_by(self.granted_ms) + LAPSE_SLACK_S
-        return lapses_at if self.is_fenced else max(lapses_at, self.late_leases_over_at)
+        if self.is_fenced or self.missing_since is not None:
+            return lapses_at
+        return max(lapses_at, self.late_leases_over_at)
 
     def is_lost(self, now: float) -> bool:
         """Return whether the worker is silent for long, or silent and not listed as up."""
