Count the wait for a late start from the last call to its worker

Callers could see two runs of a task at once (found in review, at 141.390 s of the test): the wait for a late start on a silent worker counted from when the start was sent, but a hold sent after it and carried out 11.9 s late extends its lease. It counts from the last call that a later boot must not carry out now. The test test_a_late_hold_after_a_late_start_is_waited_for failed before and passes.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1516,9 +1516,10 @@
 
         It may have restarted: the deadline and the lease then count on the new boot's clock.
         """
-        if not run.late_start_at or self.members[run.worker].missing_since is not None:
+        member = self.members[run.worker]
+        if not (run.may_begin or run.unanswered_at) or member.missing_since is not None:
             return False
-        return now < late_lease_end(run.late_start_at, self.bounds.max_hold_s)
+        return now < late_lease_end(member.spent_at, self.bounds.max_hold_s)
 
     def _note_lapsed(self, run: Run, member: Member) -> None:
         """Record when the platform began to expect a new run of a task.
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -147,11 +147,6 @@
         """Return whether a boot to come may carry out the task's start before this one."""
         return self.unanswered_at > 0 and now < self.unanswered_at + LATE_CALL_S
 
-    @property
-    def late_start_at(self) -> float:
-        """Return when the task's last start was sent that a later boot may carry out; else 0."""
-        return self.sent_at if self.may_begin else self.unanswered_at
-
     @property
     def is_suspect(self) -> bool:
         """Return whether the task's last worker crashed and this one may, too."""
