Don't quarantine a returned worker for runs of its former boot

A worker that came back in an outage of the store was quarantined for 2.67 s more (found in review): a run that is kept until the boot is fenced makes no progress, so it counted as standing still. The runs of a boot that is not fenced are not judged. test_runs_of_the_former_boot_do_not_count_as_stalled failed before and passes.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -948,6 +948,9 @@
 
     def _stop_stalled(self, member: Member, now: float) -> None:
         """Stop runs that make no progress and quarantine their worker."""
+        if not member.is_fenced:
+            # Runs of a former boot are kept until a late start of their tasks can't have effect.
+            return
         for run in member.runs.values():
             run.note_idle(member.speed(run), now)
         stalled = [run for run in member.runs.values() if run.is_stalled]
