Soak: restart workers in series under their ids, with calls that reach the next boot

The soak restarted single workers at once and reset their connections, so no call to a former boot was ever executed by the next one. A new fault takes one to all workers of a domain, one to three times in series: calls to them are kept for 0.2 to 3 s, also those whose caller has given up, while connections stay open; the workers restart; the new boots execute the kept calls; 0.05 to 1.5 s later they are cut off for 0.3 to 9 s. Other faults, signals and changes go on beside it. The links' new mode is also drawn for links to the store, whose calls are then performed late.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -8,6 +8,7 @@
 
 CHUNK_BYTES = 65_536
 DELAY_S = 0.4
+POLL_S = 0.02
 
 
 class Mode(Enum):
@@ -21,6 +22,8 @@
     DROP_ALL = "silent"
     # Data to the target is forwarded, data from it is dropped.
     DROP_ANSWERS = "deaf"
+    # Data to the target is kept and forwarded late, though its sender may have given up.
+    HOLD = "hold"
 
 
 class Proxy:
@@ -84,6 +87,8 @@
             while data := await reader.read(CHUNK_BYTES):
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(DELAY_S)
+                while self.mode is Mode.HOLD and not is_answer:
+                    await asyncio.sleep(POLL_S)
                 if self.mode is Mode.DROP_ALL or (self.mode is Mode.DROP_ANSWERS and is_answer):
                     continue
                 writer.write(data)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -319,6 +319,8 @@
             self._disturb_worker_link,
             self._disturb_worker_link,
             self._crash_worker,
+            self._restart_workers,
+            self._restart_workers,
             self._reconfigure,
             self._drop_history,
             self._evacuate,
@@ -369,14 +371,38 @@
         await self._disturb_links(self.links[self.rng.choice(sorted(self.links))])
 
     async def _crash_worker(self) -> None:
-        """Restart a worker under the same id, without its former state."""
+        """Crash a worker and its connections, and restart it at once."""
         name = self.rng.choice(sorted(self.workers))
+        self._restart(name)
+        self.links[name].reset()
+
+    def _restart(self, name: str) -> None:
+        """Restart a worker under the same id, without its former state."""
         worker = self.workers[name]
         self.judge.note_crash(name, worker.runner)
         worker.runner.running.clear()
-        self.links[name].reset()
         worker.runner = self._make_runner(name, worker.runner.host.domain)
 
+    async def _restart_workers(self) -> None:
+        """Restart workers in series; new boots execute earlier calls and are then cut off."""
+        domain = self.rng.choice(DOMAINS)
+        names = sorted(name for name in self.workers if name[0] == domain)
+        names = self.rng.sample(names, self.rng.randint(1, len(names)))
+        links = [self.links[name] for name in names]
+        for _ in range(self.rng.randint(1, 3)):
+            for link in links:
+                link.set_mode(Mode.HOLD)
+            await asyncio.sleep(self.rng.uniform(0.2, 3))
+            for name, link in zip(names, links, strict=True):
+                self._restart(name)
+                link.set_mode(Mode.PASS)
+            await asyncio.sleep(self.rng.uniform(0.05, 1.5))
+            for link in links:
+                link.set_mode(Mode.DROP_ALL)
+            await asyncio.sleep(self.rng.uniform(0.3, 9))
+            for link in links:
+                link.set_mode(Mode.PASS)
+
     async def _reconfigure(self) -> None:
         self.version += self.rng.randint(1, 5)
         self._write_config()
