Don't count a run that the present boot may have as a crash of the former one

A start was placed on a worker between its restart and the holder's first answer from the new boot. The new boot executed it. The doubt about the run, written at the start as the task had crashed two workers, named the former boot; the answer of another boot counted as the third crash, a certain one, 1.0 s after the start (TASK_GIVEN_UP, after_ms 0), while the run was listed.

A run in doubt that is still starting or running at the worker stays in doubt, and is cleared once it outlasted its start, also on the boot that answers. If it is removed, the crash counts as before.

Evidence: test_a_run_that_the_present_boot_started_did_not_crash_the_former_one failed before with (1, {}) != (0, {}).

--- a/src/curranthall/cells/poison.py
+++ b/src/curranthall/cells/poison.py
@@ -213,18 +213,18 @@
             return []
         self._places = None
         here = member.name, member.host.address
-        starting = {
-            (run.task.job, *crash_key(run.step, run.task), run.number)
+        runs = {
+            (run.task.job, *crash_key(run.step, run.task), run.number): run
             for run in member.runs.values()
-            if run.probation_until
         }
         ended = []
         for tracked, run_key, doubt in self._list_open():
             if doubt.worker != here[0] and doubt.address != here[1]:
                 continue
-            if doubt.born != born:
+            run = runs.get((tracked.job.id, *run_key[:4])) if born else None
+            if doubt.born != born and not (run and _may_be_present(run, doubt)):
                 ended.append((tracked, run_key, doubt))
-            elif (tracked.job.id, *run_key[:4]) not in starting:
+            elif run is None or not run.probation_until:
                 self._clear(tracked, run_key, "answered")
         return self._find_crashes(ended, workers, now)
 
@@ -354,3 +354,8 @@
 def _is_open(progress: Progress, run_key: RunKey) -> bool:
     """Return whether a row's doubt was not settled since, by this holder or another one."""
     return not progress.is_settled(run_key)
+
+
+def _may_be_present(run: Run, doubt: Doubt) -> bool:
+    """Return whether the boot that answers may have executed a start sent to its former boot."""
+    return run.worker == doubt.worker and run.state in (RunState.STARTING, RunState.RUNNING)
--- a/tests/test_former_lives.py
+++ b/tests/test_former_lives.py
@@ -380,15 +380,30 @@
         cell.answer("w1", born=BORN + 1)
         self.assertFalse(cell.member("w1").is_quarantined(cell.now))
 
-    def test_a_run_that_the_present_boot_lists_did_not_crash_the_former_one(self) -> None:
+    def check_no_crash(self, cell: Cell, order: StartTask) -> None:
+        """Let a restarted worker list a run until it is done; no crash is counted."""
+        cell.now += 0.1
+        cell.answer("w1", [listed(order)], born=BORN + 1)
+        cell.now += 1.0
+        cell.answer("w1", [listed(order)], born=BORN + 1)
+        cell.dispatcher.tick(cell.now, cell.now)
+        cell.answer("w1", ended=[ended(1, order, EndKind.DONE)], born=BORN + 1)
+        progress = cell.dispatcher.tracked[order.task.job].progress
+        self.assertEqual((progress.count_all_crashes(order.task[1:]), progress.doubts), (0, {}))
+
+    def test_a_run_that_the_present_boot_started_did_not_crash_the_former_one(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("1" * 16, step(1)))
+        (order,) = cell.plan()
+        cell.started(order)
+        self.check_no_crash(cell, order)
+
+    def test_an_unanswered_run_of_the_present_boot_did_not_crash_the_former_one(self) -> None:
         cell = Cell(host("w1"))
         cell.add(job("1" * 16, step(1)))
         (order,) = cell.plan()
         cell.dispatcher.on_start_unanswered(order, cell.now)
-        cell.now += 0.1
-        cell.answer("w1", [listed(order)], born=BORN + 1)
-        progress = cell.dispatcher.tracked[order.task.job].progress
-        self.assertEqual(progress.count_all_crashes(order.task[1:]), 0)
+        self.check_no_crash(cell, order)
 
 
 if __name__ == "__main__":
