Log ends that begin above 1 also for a boot that a former holder followed

On plays with late holds, most tasks that started after an acknowledged end were started by a successor, which has seen no restart.

--- a/src/curranthall/cells/boot_log.py
+++ b/src/curranthall/cells/boot_log.py
@@ -77,8 +77,8 @@
         )
 
     def check_end(self, member: Member, ending: Ending) -> None:
-        """Log a gap before the next end of a boot: nobody here acknowledged the ends in it."""
-        if member.has_gap_before(ending):
+        """Log a gap before the next end of a boot: this holder did not acknowledge those in it."""
+        if ending.number > member.last_end + 1:
             log(
                 Event.ENDS_SKIPPED,
                 worker=member.name,
@@ -86,6 +86,7 @@
                 after=member.last_end,
                 first=ending.number,
                 acked=member.acked_end,
+                followed=member.lists_all_ends_here,
                 **self._holder,
             )
 
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -405,10 +405,10 @@
         """Count the runs that are not over and whose starts have not been answered."""
         return sum(run.is_unsure or run.state is RunState.STARTING for run in self.runs.values())
 
-    def has_gap_before(self, ending: Ending) -> bool:
-        """Return whether ends before a listed one are missing that this holder did not see."""
-        is_known = self.last_end > 0 or self.saw_restart
-        return is_known and ending.number > self.last_end + 1
+    @property
+    def lists_all_ends_here(self) -> bool:
+        """Return whether nobody but this holder can have acknowledged ends listed from now on."""
+        return self.last_end > 0 or self.saw_restart
 
     def may_list_ends(self, now: float) -> bool:
         """Return whether a worker whose leases have lapsed may still answer and list ends."""
--- a/tests/test_late_calls_log.py
+++ b/tests/test_late_calls_log.py
@@ -172,6 +172,7 @@
         line = self.line("ENDS_SKIPPED")
         self.assertEqual((line["worker"], line["born"]), ("w1", BORN))
         self.assertEqual((line["after"], line["first"], line["acked"]), (1, 3, 0))
+        self.assertTrue(line["followed"])
 
     def test_numbers_of_a_new_boot_that_begin_above_1_are_logged(self) -> None:
         self.answer(born=NEXT)
@@ -180,12 +181,14 @@
         self.cell.answer("w1", [], [ended(2, start, EndKind.DONE)], born=NEXT)
         line = self.line("ENDS_SKIPPED")
         self.assertEqual((line["born"], line["after"], line["first"]), (NEXT, 0, 2))
+        self.assertTrue(line["followed"])
 
-    def test_numbers_of_a_boot_from_before_may_begin_anywhere(self) -> None:
+    def test_ends_that_a_former_holder_may_have_acknowledged_are_marked(self) -> None:
         (start,) = self.place()
         self.cell.started(start)
         self.cell.answer("w1", [], [ended(40, start, EndKind.DONE)])
-        self.assertEqual(self.lines.named("ENDS_SKIPPED"), [])
+        line = self.line("ENDS_SKIPPED")
+        self.assertEqual((line["after"], line["first"], line["followed"]), (0, 40, False))
 
     def test_ends_that_follow_each_other_or_are_listed_again_have_no_gap(self) -> None:
         first, second = self.place(2)
