Don't count a start that the next boot executed as a crash of the former one

A start without an answer that is being stopped when a worker restarts counted as a crash of the former boot, though the next boot lists its run; four in a row fail a job. As long as the run is known at the worker, its doubt stays open: it is listed, or the boot isn't fenced yet. A listed run has begun, also while it is being stopped.

test_an_unanswered_run_of_the_present_boot_did_not_crash_the_former_one failed before and passes, with test_poison, test_silences, test_many_poison, test_quarantine and test_dispatcher.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -989,6 +989,7 @@
             run = self._find_listed(member, entry, now)
             if run is None:
                 return
+        run.has_begun = True
         if run.state is RunState.STARTING:
             self._confirm_run(run, asked_at)
         if entry.checkpoint:
--- a/src/curranthall/cells/poison.py
+++ b/src/curranthall/cells/poison.py
@@ -222,7 +222,8 @@
             if doubt.worker != here[0] and doubt.address != here[1]:
                 continue
             run = runs.get((tracked.job.id, *run_key[:4])) if born else None
-            if doubt.born != born and not (run and _may_be_present(run, doubt)):
+            # A run that is still known here may have been started by the boot that answers.
+            if doubt.born != born and (run is None or run.worker != doubt.worker):
                 ended.append((tracked, run_key, doubt))
             elif run is None or not run.probation_until:
                 self._clear(tracked, run_key, "answered")
@@ -354,8 +355,3 @@
 def _is_open(progress: Progress, run_key: RunKey) -> bool:
     """Return whether a row's doubt was not settled since, by this holder or another one."""
     return not progress.is_settled(run_key)
-
-
-def _may_be_present(run: Run, doubt: Doubt) -> bool:
-    """Return whether the boot that answers may have executed a start sent to its former boot."""
-    return run.worker == doubt.worker and run.state in (RunState.STARTING, RunState.RUNNING)
