--- a/tests/test_returned_workers_review.py
+++ b/tests/test_returned_workers_review.py
@@ -3,7 +3,6 @@
 import asyncio
 import unittest
 
-from curranthall.cells.fleet import LATE_CALL_S
 from curranthall.dag import Job
 from tests.cluster import Effect, now
 from tests.test_returned_workers import LONG_S, WORKERS, ReturnedWorkers, Returns
@@ -14,6 +13,8 @@
 RERUN_S = 10.0
 # The platform lists a worker for this long after its last report.
 LISTED_S = 4.5
+# A call without an answer is executed within this time.
+LATE_CALL_S = 12.0
 # Just before the last moment at which a call without an answer is executed.
 LAST_S = LATE_CALL_S - 0.1
 
