Wait for late starts of finite tasks also on workers that are not listed

After 4.5 s it was listed no more, and the lapse of its former boot's leases was taken for the end of the start.

A finite task now waits for a late start's lease whether the worker is listed or not; a member with runs is kept until then.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1510,7 +1510,7 @@
                 self._remove_run(run, now, EndReason.LAPSED)
                 self._note_lapsed(run, member)
         unproven = member.name in self._fencing.unproven
-        if member.missing_since is not None and lapsed and not unproven:
+        if member.missing_since is not None and lapsed and not (unproven or member.runs):
             self.interference.forget_worker(member.name)
             self._keep_deferred_ends(member)
             self._drop_member(member, now)
@@ -1521,7 +1521,10 @@
         It may have restarted: the deadline and the lease then count on the new boot's clock.
         """
         member = self.members[run.worker]
-        if not (run.may_begin or run.unanswered_at) or member.missing_since is not None:
+        if not (run.may_begin or run.unanswered_at):
+            return False
+        if run.step.lasting and member.missing_since is not None:
+            # The platform expects a lasting task to run again sooner than that.
             return False
         return now < late_lease_end(member.spent_at, self.bounds.max_hold_s)
 
