--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -74,7 +74,8 @@
 IDLE_WAIT_MS = 2_000
 # Tail latencies are polled more often where filling tasks share a worker with serving ones.
 SHARED_WAIT_MS = 500
-# While a stored row limits a worker's leases, until the next renewal is confirmed.
+# While a stored row limits a worker's leases, or its token has to be raised, until the next renewal
+# is confirmed.
 LIMITED_WAIT_MS = 100
 HOLD_PAUSE_S = 0.05
 SILENT_PAUSE_S = 0.2
@@ -544,7 +545,9 @@
         wait_ms = BUSY_WAIT_MS if member.runs else IDLE_WAIT_MS
         if member.serving and member.filling_cores > 0:
             wait_ms = SHARED_WAIT_MS
-        if limit < asked_at + hold_s or not member.is_fenced:
+        if not member.is_fenced:
+            wait_ms = SHARED_WAIT_MS if self._renewal_failed else LIMITED_WAIT_MS
+        if limit < asked_at + hold_s:
             wait_ms = LIMITED_WAIT_MS
         retry_now = lease is None and hold_s > 0
         if retry_now:
