Name what is sent to workers a token; plain names for what former boots were sent

Reading only: ports, clients and the worker stand-in called the fencing token an epoch, which it is only until a holder raises it.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -368,7 +368,7 @@
     def _drop_member(self, member: Member, now: float) -> None:
         del self.members[member.name]
         dropped = [*self._dropped.values(), member]
-        self._dropped = {each.name: each for each in dropped if now - each.spent_at < LATE_CALL_S}
+        self._dropped = {each.name: each for each in dropped if now - each.used_at < LATE_CALL_S}
 
     def mark_host_missing(self, name: str, now: float) -> None:
         """Record that a worker is no longer listed."""
@@ -843,7 +843,7 @@
             )
 
     def _note_unanswered(self, run: Run, member: Member) -> None:
-        """Record that a boot to come may carry out a start that the present one can't any more.
+        """Record that a later boot may execute a start that the present one can't any more.
 
         The task starts next on the same worker, so that its run is over when that boot begins.
         """
@@ -853,7 +853,7 @@
             tracked.unanswered[run.task[1:]] = run
 
     def _find_unanswered(self, batch: Batch, index: int, now: float) -> Run | None:
-        """Return a task's last run if a boot to come may carry out its unanswered start."""
+        """Return a task's last run if a later boot may execute its unanswered start."""
         run = batch.tracked.unanswered.get(batch.key(index))
         member = self.members.get(run.worker) if run is not None else None
         if run is None or member is None or now >= run.sent_at + LATE_CALL_S:
@@ -1526,7 +1526,7 @@
         if run.step.lasting and member.missing_since is not None:
             # The platform expects a lasting task to run again sooner than that.
             return False
-        return now < late_lease_end(member.spent_at, self.bounds.max_hold_s)
+        return now < late_lease_end(member.used_at, self.bounds.max_hold_s)
 
     def _note_lapsed(self, run: Run, member: Member) -> None:
         """Record when the platform began to expect a new run of a task.
@@ -2129,7 +2129,7 @@
             self._doubt(member, [run], now)
         deadline_ms = member.clock_now(now) + int(START_WINDOW_S * 1000)
         member.granted_ms = max(member.granted_ms, deadline_ms)
-        member.spend_token(now)
+        member.note_used(now)
         run.sent_to, run.token = member.born, member.token
         self.orders.append(
             StartTask(
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -13,7 +13,7 @@
 # A worker's clock may run up to 2 % slow (the platform's bound); the slack covers answer delay.
 CLOCK_DRIFT = 0.02
 LAPSE_SLACK_S = 0.2
-# A worker, or its next boot, carries out a call without an answer at most this long after it.
+# The longest after it was sent that a worker, or its next boot, executes an unanswered call.
 LATE_CALL_S = 12.0
 # A lapse shows that a worker's runs are over, but not how they ended. As long as the worker is
 # listed as up, its finite tasks start again only if it does not answer for this long after.
@@ -104,7 +104,7 @@
     checkpoint: str = ""
     # Fencing token of its start; 0 until that is sent.
     token: int = 0
-    # The worker has answered its start or listed it, so it carries out that start no more.
+    # The worker has answered its start or listed the run: no boot executes that start any more.
     has_begun: bool = False
     # When the task's start before this one was sent, if this worker never answered that; else 0.
     unanswered_at: float = 0.0
@@ -140,11 +140,11 @@
 
     @property
     def may_begin(self) -> bool:
-        """Return whether its start was sent and may still be carried out."""
+        """Return whether its start was sent and may still be executed."""
         return self.state in (RunState.STARTING, RunState.STOPPING) and not self.has_begun
 
     def may_restart(self, now: float) -> bool:
-        """Return whether a boot to come may carry out the task's start before this one."""
+        """Return whether a later boot may execute the task's start before this one."""
         return self.unanswered_at > 0 and now < self.unanswered_at + LATE_CALL_S
 
     @property
@@ -205,17 +205,17 @@
     born: int = 0
     # Fencing token of calls to this worker.
     token: int = 0
-    # Token and time of the last call that a later boot must not carry out: a start, a lease or an
+    # Token and time of the last call that a later boot must not execute: a start, a lease or an
     # acknowledgement. Such calls refer to the clock and the ends of the boot they were sent to.
-    spent_token: int = 0
-    spent_at: float = 0.0
-    # The present boot has answered under a higher token than this, the last one spent on former
-    # boots, and refuses calls to them.
+    used_token: int = 0
+    used_at: float = 0.0
+    # The highest token used for calls to former boots. Once the present boot has answered under a
+    # higher one, it is fenced: it refuses those calls.
     former_token: int = 0
     is_fenced: bool = False
     # When leases are over that late calls to former boots may have extended.
     late_leases_over_at: float = 0.0
-    # Until then a boot to come may carry out a start without an answer whose run was removed.
+    # Until then a later boot may execute an unanswered start whose run was removed.
     late_start_until: float = 0.0
     clock_ms: int = 0
     clock_at: float = 0.0
@@ -305,7 +305,7 @@
     def needs_token(self) -> bool:
         """Return whether another boot than the one that calls were sent to answers, or may."""
         may_differ = self.silent_since is not None or not self.is_fenced
-        return may_differ and self.token <= self.spent_token
+        return may_differ and self.token <= self.used_token
 
     def is_usable(self, now: float) -> bool:
         """Return whether a task may be started on this worker."""
@@ -453,12 +453,12 @@
         return not self.is_listed_live or now - self.silent_since > LOST_AFTER_S
 
     def has_open_start(self, now: float) -> bool:
-        """Return whether an unanswered start may still be carried out, by any boot."""
+        """Return whether any boot may still execute an unanswered start."""
         return now < self.late_start_until or any(run.may_begin for run in self.runs.values())
 
     def needs_probes(self, now: float) -> bool:
         """Return whether the next boot has to be fenced at once, as it may execute a late start."""
-        if self.silent_since is None or now >= self.spent_at + LATE_CALL_S:
+        if self.silent_since is None or now >= self.used_at + LATE_CALL_S:
             return False
         return self.has_open_start(now)
 
@@ -487,31 +487,31 @@
             left_s = max(0.0, limit - LAPSE_SLACK_S - self.clock_at) * (1 - CLOCK_DRIFT)
             lease_ms = min(lease_ms, self.clock_ms + int(left_s * 1000) - 1)
         self.granted_ms = max(self.granted_ms, lease_ms)
-        self.spend_token(now)
+        self.note_used(now)
         return lease_ms
 
     def expect_late_calls(self, former: "Member") -> None:
         """Wait until the worker refuses the calls to it as a member that was dropped."""
-        self.spent_token = self.former_token = former.spent_token
-        self.spent_at, self.late_start_until = former.spent_at, former.late_start_until
+        self.used_token = self.former_token = former.used_token
+        self.used_at, self.late_start_until = former.used_at, former.late_start_until
 
-    def spend_token(self, now: float) -> None:
-        """Record that a call is sent that a later boot must not carry out."""
-        self.spent_token, self.spent_at = self.token, now
+    def note_used(self, now: float) -> None:
+        """Record that a call is sent that a later boot must not execute."""
+        self.used_token, self.used_at = self.token, now
 
-    def spend_cursor(self, cursor: int, now: float) -> int:
+    def next_cursor(self, cursor: int, now: float) -> int:
         """Return the cursor to send: 0 once answered, as a later boot would forget its own ends."""
         if cursor <= self.answered_ack:
             return 0
-        self.spend_token(now)
+        self.note_used(now)
         return cursor
 
     def note_answer(self, snapshot: Snapshot, token: int, now: float, max_hold_s: float) -> bool:
         """Update the clock from an answer to a call; return whether the worker has restarted."""
         has_restarted = self.born not in (0, snapshot.born)
         if has_restarted:
-            self.is_fenced, self.former_token = False, self.spent_token
-            self.late_leases_over_at = late_lease_end(self.spent_at, max_hold_s)
+            self.is_fenced, self.former_token = False, self.used_token
+            self.late_leases_over_at = late_lease_end(self.used_at, max_hold_s)
         is_newly_fenced = not self.is_fenced and token > self.former_token
         self.is_fenced |= is_newly_fenced
         if snapshot.born != self.born or is_newly_fenced:
--- a/src/curranthall/cells/guard.py
+++ b/src/curranthall/cells/guard.py
@@ -60,23 +60,23 @@
         self._connect = connect
         self._connected: WorkerPort | None = None
 
-    async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
+    async def hold(self, token: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
         """Extend the lease."""
         return await guard(
-            self._host.name, lambda: self._port().hold(epoch, cursor, lease_ms, wait_ms)
+            self._host.name, lambda: self._port().hold(token, cursor, lease_ms, wait_ms)
         )
 
-    async def start(self, epoch: int, order: StartTask) -> StartResult:
+    async def start(self, token: int, order: StartTask) -> StartResult:
         """Start a run."""
-        return await guard(self._host.name, lambda: self._port().start(epoch, order))
+        return await guard(self._host.name, lambda: self._port().start(token, order))
 
-    async def stop(self, epoch: int, order: StopTask) -> None:
+    async def stop(self, token: int, order: StopTask) -> None:
         """Stop a run."""
-        await guard(self._host.name, lambda: self._port().stop(epoch, order))
+        await guard(self._host.name, lambda: self._port().stop(token, order))
 
-    async def pace(self, epoch: int, order: PaceTask) -> None:
+    async def pace(self, token: int, order: PaceTask) -> None:
         """Throttle a run."""
-        await guard(self._host.name, lambda: self._port().pace(epoch, order))
+        await guard(self._host.name, lambda: self._port().pace(token, order))
 
     def close(self) -> None:
         """Close the connections."""
--- a/src/curranthall/cells/ports.py
+++ b/src/curranthall/cells/ports.py
@@ -119,16 +119,16 @@
 class WorkerPort(Protocol):
     """Calls to one worker; they raise ConnectFailed (no effect), AnswerLost, Fenced, OtherBoot."""
 
-    async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
+    async def hold(self, token: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
         """Extend the lease, acknowledge ends up to `cursor`, and return the runs and ends."""
 
-    async def start(self, epoch: int, order: StartTask) -> StartResult:
+    async def start(self, token: int, order: StartTask) -> StartResult:
         """Start a run."""
 
-    async def stop(self, epoch: int, order: StopTask) -> None:
+    async def stop(self, token: int, order: StopTask) -> None:
         """Stop a run."""
 
-    async def pace(self, epoch: int, order: PaceTask) -> None:
+    async def pace(self, token: int, order: PaceTask) -> None:
         """Throttle a run."""
 
     def close(self) -> None:
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -555,7 +555,7 @@
             wait_ms = 0
         # A silent worker may have restarted, and a new boot numbers its ends from 1 again.
         cursor = dispatcher.cursor(member) if member.silent_since is None else 0
-        cursor = member.spend_cursor(cursor, asked_at)
+        cursor = member.next_cursor(cursor, asked_at)
         token = member.token
         try:
             if member.needs_probes(asked_at):
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -236,7 +236,7 @@
             for name, end_ms in former_ends.items()
         }
         if lease_ends and vacancy.is_released:
-            # A release names no worker of which a boot to come may execute a start late.
+            # A release names no worker of which a later boot may execute a start.
             unnamed = {host.name for host in roster} - lease_ends.keys()
             lease_ends |= dict.fromkeys(unnamed, vacancy.silent_until)
         ends = [lease_ends.get(host.name, vacancy.proof_at) for host in roster]
--- a/src/curranthall/platform/worker.py
+++ b/src/curranthall/platform/worker.py
@@ -64,9 +64,9 @@
         self._orders = HttpClient(host.address, CONNECTIONS)
         self._headers = (*JSON_HEADERS, (INSTANCE_HEADER, host.name))
 
-    async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
+    async def hold(self, token: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
         """Extend the lease if `lease_ms` is given; return the worker's runs."""
-        body: dict[str, Any] = {"fencing-token": epoch, "ack-cursor": cursor, "wait-ms": wait_ms}
+        body: dict[str, Any] = {"fencing-token": token, "ack-cursor": cursor, "wait-ms": wait_ms}
         if lease_ms is not None:
             body["deadline-ms"] = lease_ms
         timeout = wait_ms / 1000 + HOLD_MARGIN_S
@@ -79,14 +79,14 @@
             why = f"unreadable answer: {reason(exc)}"
             raise AnswerLost(peer=self._host.name, why=why) from exc
 
-    async def start(self, epoch: int, order: StartTask) -> StartResult:
+    async def start(self, token: int, order: StartTask) -> StartResult:
         """Start a run."""
         body = {
             "task": str(order.task),
             "run-id": order.run,
             "spec": order.spec,
             "deadline-ms": order.deadline_ms,
-            "fencing-token": epoch,
+            "fencing-token": token,
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
@@ -98,23 +98,23 @@
         else:
             result = STATUS_RESULTS.get(answer.status, StartResult.UNHEALTHY)
         if result is StartResult.FENCED:
-            raise Fenced(worker=self._host.name, epoch=epoch)
+            raise Fenced(worker=self._host.name, token=token)
         return result
 
-    async def stop(self, epoch: int, order: StopTask) -> None:
+    async def stop(self, token: int, order: StopTask) -> None:
         """Stop a run."""
-        body = {"task": str(order.task), "run-id": order.run, "fencing-token": epoch}
+        body = {"task": str(order.task), "run-id": order.run, "fencing-token": token}
         answer = await self._send(self._orders, "/v1/run-stop", body, STOP_TIMEOUT_S)
         if answer.status != 200:
             self._raise_refusal(answer)
 
-    async def pace(self, epoch: int, order: PaceTask) -> None:
+    async def pace(self, token: int, order: PaceTask) -> None:
         """Set a run's CPU share, in percent."""
         body = {
             "task": str(order.task),
             "run-id": order.run,
             "percent": order.percent,
-            "fencing-token": epoch,
+            "fencing-token": token,
         }
         answer = await self._send(self._orders, "/v1/pace", body, STOP_TIMEOUT_S)
         if answer.status != 200:
--- a/src/curranthall/standin/runner.py
+++ b/src/curranthall/standin/runner.py
@@ -1,4 +1,4 @@
-"""Worker stand-in for tasks of DAG jobs: epochs, lease, start checks, ends until acknowledged."""
+"""Worker stand-in for tasks of DAG jobs: tokens, lease, start checks, ends until acknowledged."""
 
 import asyncio
 from collections.abc import Callable
@@ -58,7 +58,7 @@
         self._on_event = on_event
         self._booted_at = clock()
         self.born = int(clock() * 1000)
-        self._epoch = 0
+        self._token = 0
         self._lease_ms = 0
         self._ended: list[Ending] = []
         self._last_end = 0
@@ -76,9 +76,9 @@
         """Return the real time until the lease is over; 0 or less once it is."""
         return (self._lease_ms - self.clock_ms) / 1000 / self.clock_rate
 
-    async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
+    async def hold(self, token: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
         """Acknowledge ends up to `cursor`, extend the lease, wait for an end, list all runs."""
-        self._check_epoch(epoch)
+        self._check_token(token)
         self._record_lapse()
         for end in self._ended:
             if end.number <= cursor:
@@ -94,7 +94,7 @@
                     await self._end_added.wait()
             except TimeoutError:
                 pass
-            self._check_epoch(epoch)
+            self._check_token(token)
         self.step()
         running = [
             ListedRun(run.order.task, run.order.run, "", self._percent(run), 0.0)
@@ -102,9 +102,9 @@
         ]
         return Snapshot(self.clock_ms, self.born, running, list(self._ended))
 
-    def start(self, epoch: int, order: StartTask) -> StartResult:
+    def start(self, token: int, order: StartTask) -> StartResult:
         """Start a run, unless it is stale, late or has no room."""
-        self._check_epoch(epoch)
+        self._check_token(token)
         self.step()
         current = self.running.get(order.task)
         if current is not None and current.order.run == order.run:
@@ -122,17 +122,17 @@
         self._on_event("start", order.task, order.run, self.host.name)
         return StartResult.STARTED
 
-    def stop(self, epoch: int, order: StopTask) -> None:
+    def stop(self, token: int, order: StopTask) -> None:
         """Stop the task's run up to the ordered number, and bar such runs from starting."""
-        self._check_epoch(epoch)
+        self._check_token(token)
         self._barred_runs[order.task] = max(order.run, self._barred_runs.get(order.task, 0))
         run = self.running.get(order.task)
         if run is not None and run.order.run <= order.run:
             self._end(run, EndKind.STOPPED)
 
-    def pace(self, epoch: int, order: PaceTask) -> None:
+    def pace(self, token: int, order: PaceTask) -> None:
         """Set a run's pace in percent."""
-        self._check_epoch(epoch)
+        self._check_token(token)
         self.step()
         run = self.running.get(order.task)
         if run is not None:
@@ -161,10 +161,10 @@
             total = total.plus(run.work.step.reserved)
         return total
 
-    def _check_epoch(self, epoch: int) -> None:
-        if epoch < self._epoch:
-            raise Fenced(worker=self.host.name, epoch=epoch, newest=self._epoch)
-        self._epoch = epoch
+    def _check_token(self, token: int) -> None:
+        if token < self._token:
+            raise Fenced(worker=self.host.name, token=token, newest=self._token)
+        self._token = token
 
     def _record_lapse(self) -> None:
         if self.clock_ms > self._lease_ms:
