--- a/tests/test_returned_workers.py
+++ b/tests/test_returned_workers.py
@@ -203,6 +203,20 @@
 
         self.check(scene)
 
+    def test_a_boot_that_is_cut_off_and_not_listed_and_starts_a_task_late_is_waited_for(
+        self,
+    ) -> None:
+        async def scene(returns: Returns) -> None:
+            worker, starts = await returns.lose_start(0.0)
+            sent_at = now()
+            returns.isolate(worker)
+            await returns.restart(worker)
+            returns.cluster.unlisted.add(worker)
+            await asyncio.sleep(sent_at + 5.0 - now())
+            await returns.execute(worker, starts)
+
+        self.check(scene)
+
     def test_a_boot_cut_off_that_starts_a_task_late_is_waited_for_by_the_next_holder(self) -> None:
         async def scene(returns: Returns) -> None:
             worker, starts = await returns.lose_start(0.0)
