--- a/tests/test_former_lives.py
+++ b/tests/test_former_lives.py
@@ -15,6 +15,7 @@
 from curranthall.model import Host, Outcome, Size, StartOrder, Task
 from curranthall.standin.engine import TERM_S
 from tests.cell_fixtures import BORN, Cell, ended, host, job, listed, step
+from tests.cluster import LATE_S as LATE_CALLS_S
 from tests.cluster import TIMEOUT_S, FaultyWorker
 from tests.test_takeover import CELL, SplitCell, make_job, make_step
 from tests.virtual import NET_S, FakeWorker, World, run
@@ -335,6 +336,16 @@
         self.check(scene)
         self.check(scene, finite=True)
 
+    def test_another_entry_takes_the_cell_and_the_start_is_executed_as_late_as_any(self) -> None:
+        async def scene(split: LostStarts) -> None:
+            split.cluster.kill(split.former)
+            await split.restart_worker()
+            split.cut_off()
+            await asyncio.sleep(LATE_CALLS_S[1] - REBOOT_S)
+            split.execute_late()
+
+        self.check(scene)
+
     def test_the_former_boot_answered_another_entry_that_took_the_cell(self) -> None:
         async def scene(split: LostStarts) -> None:
             split.cluster.kill(split.former)
