--- a/tests/test_returned_workers_review.py
+++ b/tests/test_unfenced_workers.py
@@ -1,4 +1,4 @@
-"""Workers that are back under their ids: cases found in review."""
+"""Workers that are back under their ids, before they refuse calls to their former boots."""
 
 import asyncio
 import unittest
