--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -821,7 +821,7 @@
         for run in list(member.runs.values()) if snapshot.complete else ():
             if (run.task, run.number) in listed or not run.is_over(asked_at, token):
                 continue
-            if member.is_fenced or now >= member.late_start_until:
+            if member.is_fenced or not run.may_restart(now):
                 if run.may_begin:
                     self._note_unanswered(run, member)
                 self._remove_run(run, now, EndReason.REBORN if reborn else EndReason.VANISHED)
@@ -948,6 +948,9 @@
 
     def _stop_stalled(self, member: Member, now: float) -> None:
         """Stop runs that make no progress and quarantine their worker."""
+        if not member.is_fenced:
+            # Runs of a former boot are kept until a late start of their tasks can't have effect.
+            return
         for run in member.runs.values():
             run.note_idle(member.speed(run), now)
         stalled = [run for run in member.runs.values() if run.is_stalled]
@@ -986,6 +989,7 @@
             run = self._find_listed(member, entry, now)
             if run is None:
                 return
+        run.has_begun = True
         if run.state is RunState.STARTING:
             self._confirm_run(run, asked_at)
         if entry.checkpoint:
@@ -1516,9 +1520,10 @@
 
         It may have restarted: the deadline and the lease then count on the new boot's clock.
         """
-        if not run.late_start_at or self.members[run.worker].missing_since is not None:
+        member = self.members[run.worker]
+        if not (run.may_begin or run.unanswered_at) or member.missing_since is not None:
             return False
-        return now < late_lease_end(run.late_start_at, self.bounds.max_hold_s)
+        return now < late_lease_end(member.spent_at, self.bounds.max_hold_s)
 
     def _note_lapsed(self, run: Run, member: Member) -> None:
         """Record when the platform began to expect a new run of a task.
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -143,10 +143,9 @@
         """Return whether its start was sent and may still be carried out."""
         return self.state in (RunState.STARTING, RunState.STOPPING) and not self.has_begun
 
-    @property
-    def late_start_at(self) -> float:
-        """Return when the task's last start was sent that a later boot may carry out; else 0."""
-        return self.sent_at if self.may_begin else self.unanswered_at
+    def may_restart(self, now: float) -> bool:
+        """Return whether a boot to come may carry out the task's start before this one."""
+        return self.unanswered_at > 0 and now < self.unanswered_at + LATE_CALL_S
 
     @property
     def is_suspect(self) -> bool:
@@ -443,7 +442,9 @@
     def lapses_at(self) -> float:
         """Return the local time by which every lease ever sent has certainly lapsed."""
         lapses_at = self.clock_reached_by(self.granted_ms) + LAPSE_SLACK_S
-        return lapses_at if self.is_fenced else max(lapses_at, self.late_leases_over_at)
+        if self.is_fenced or self.missing_since is not None:
+            return lapses_at
+        return max(lapses_at, self.late_leases_over_at)
 
     def is_lost(self, now: float) -> bool:
         """Return whether the worker is silent for long, or silent and not listed as up."""
@@ -465,10 +466,10 @@
         """Count the runs that are not over and whose starts have not been answered."""
         return sum(run.is_unsure or run.state is RunState.STARTING for run in self.runs.values())
 
-    def has_gap_before(self, ending: Ending) -> bool:
-        """Return whether ends before a listed one are missing that this holder did not see."""
-        is_known = self.last_end > 0 or self.saw_restart
-        return is_known and ending.number > self.last_end + 1
+    @property
+    def lists_all_ends_here(self) -> bool:
+        """Return whether nobody but this holder can have acknowledged ends listed from now on."""
+        return self.last_end > 0 or self.saw_restart
 
     def may_list_ends(self, now: float) -> bool:
         """Return whether a worker whose leases have lapsed may still answer and list ends."""
@@ -522,11 +523,19 @@
             self.last_end = self.acked_end = self.answered_ack = 0
             self.pending_acks.clear()
             self.unknown_runs.clear()
+            self._forget_performance()
         self.born = snapshot.born
         self.clock_ms, self.clock_at = snapshot.clock_ms, now
         self.answered_at, self.silent_since, self.all_ends_listed = now, None, True
         return has_restarted
 
+    def _forget_performance(self) -> None:
+        """Forget what was learned of a former boot: the present one may be of another kind."""
+        self.recent_failures.clear()
+        self.quarantined_until = 0.0
+        self.pace, self.pace_all, self.pace_factor = 100, False, 1.0
+        self.over_target_since, self.tails = None, ()
+
     def note_end(self, kind: EndKind, now: float) -> bool:
         """Count an end; return whether the worker is quarantined for it."""
         if kind in (EndKind.DONE, EndKind.FAILED):
--- a/src/curranthall/cells/poison.py
+++ b/src/curranthall/cells/poison.py
@@ -213,18 +213,19 @@
             return []
         self._places = None
         here = member.name, member.host.address
-        starting = {
-            (run.task.job, *crash_key(run.step, run.task), run.number)
+        runs = {
+            (run.task.job, *crash_key(run.step, run.task), run.number): run
             for run in member.runs.values()
-            if run.probation_until
         }
         ended = []
         for tracked, run_key, doubt in self._list_open():
             if doubt.worker != here[0] and doubt.address != here[1]:
                 continue
-            if doubt.born != born:
+            run = runs.get((tracked.job.id, *run_key[:4])) if born else None
+            # A run that is still known here may have been started by the boot that answers.
+            if doubt.born != born and (run is None or run.worker != doubt.worker):
                 ended.append((tracked, run_key, doubt))
-            elif (tracked.job.id, *run_key[:4]) not in starting:
+            elif run is None or not run.probation_until:
                 self._clear(tracked, run_key, "answered")
         return self._find_crashes(ended, workers, now)
 
