Answer the start in a test of a run whose worker is not back

The test is about the doubt, which needs a run that began: its start is answered now, and its bound of 8 s and all other checks stay. Unanswered starts on such workers have tests of their own (test_unfenced_workers).

--- a/tests/test_many_poison.py
+++ b/tests/test_many_poison.py
@@ -64,6 +64,7 @@
         cell = Cell(host("w1"))
         cell.add(job(POISON, step(1)))
         first = self.start(cell)
+        cell.started(first)
         cell.dispatcher.on_silence("w1", cell.now + 0.01)
         cell.dispatcher.mark_host_missing("w1", cell.now)
         cell.now += 8
