Check again that a restarted worker's unanswered start keeps its task from the others

The other worker is confirmed and fenced now, shown to be usable, and the plan has to be empty until the restarted one has answered under its raised token. With the guard in on_stop_answered taken out the test fails; it passes as it is (89 tests of test_dispatcher). No code under src changes.

--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -778,7 +778,11 @@
         cell.now += 0.1
         cell.answer(order.worker, born=BORN + 1, confirm=False)
         cell.confirm_roster()
+        other = "w2" if order.worker == "w1" else "w1"
+        cell.answer(other, born=BORN + 1, confirm=False)
+        self.assertTrue(cell.member(other).is_usable(cell.now))
         self.assertIn((order.task, order.run), cell.member(order.worker).runs)
+        self.assertEqual(cell.plan(), [])
         cell.answer(order.worker, born=BORN + 1, confirm=False)
         self.assertEqual(len(cell.plan()), 1)
 
