Log what a count of waiting jobs is made of

An entry that showed too few waiting jobs left no line. It could not be told whether nobody had read the jobs (the cell's holder was gone or out of touch), a new holder showed its predecessor's count, a moved job counted in neither cell, or a job counted as begun by a start without effect.

PENDING_SHOWN gives by cell the count, its source, and the owner row's holder, epoch, version and age, when a holder is not live or a held cell is not loaded. JOB_STORED names the epoch, the row's age and the job's version; CELL_TAKEN and CELL_LOADED the counts before and after the load. JOB_REASSIGNED marks the stored row from which on a tracked job counts in another cell (JOB_MOVED is only the decision, and lacked the cell that made it), JOB_BEGUN the first confirmed start; JOB_ADOPTED has `home` and `begun`. New metrics: owner_row_age_seconds, shown_waiting_jobs, cell_loaded. No decision changes; the condition by which a cell counts a job is now Progress.counts_in.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -140,7 +140,7 @@
         for batch, indexes in dispatcher.list_strays(now):
             cell = batch.tracked.progress.owner(batch.key(0))
             dispatcher.move(batch.tracked, batch, indexes, cell, now)
-            _log_move(batch, len(indexes), cell)
+            _log_move(dispatcher, batch, len(indexes), cell)
         self._moves = [row for row in self._moves if now - row.at < MOVED_S]
         targets = [_Target(other, self._moves) for other in others]
         dispatcher.other_cell_loads = _by_service(target.published for target in targets)
@@ -231,9 +231,20 @@
     # Move the whole job only if no task of it can be running, here or in a cell it was moved to.
     whole = not dispatcher.may_have_started(tracked) and len(numbers) == batch.step.width
     dispatcher.move(tracked, batch, None if whole else numbers, target.cell, now, target.epoch)
-    _log_move(batch, len(numbers), target.cell, whole)
+    _log_move(dispatcher, batch, len(numbers), target.cell, whole)
 
 
-def _log_move(batch: Batch, tasks: int, cell: str, whole: bool = False) -> None:
-    job = batch.tracked.job.id
-    log(Event.JOB_MOVED, job=job, step=batch.number, tasks=tasks, whole=whole, to=cell)
+def _log_move(
+    dispatcher: Dispatcher, batch: Batch, tasks: int, to: str, whole: bool = False
+) -> None:
+    log(
+        Event.JOB_MOVED,
+        job=batch.tracked.job.id,
+        step=batch.number,
+        tasks=tasks,
+        whole=whole,
+        to=to,
+        cell=dispatcher.cell,
+        epoch=dispatcher.epoch,
+        version=batch.tracked.version,
+    )
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -502,8 +502,10 @@
             return
         was_final = tracked.progress.phase.is_final
         has_unrecorded = tracked.recorded < tracked.change
+        was_counted = tracked.progress.counts_in(self.cell)
         tracked.progress.merge(progress, self.cell, self.epoch)
         tracked.version = version
+        self._log_reassigned(tracked, was_counted, "row")
         self._poison.note_row(tracked)
         if has_unrecorded:
             self.dirty[job_id] = tracked
@@ -519,6 +521,26 @@
                 self._mark_dirty(tracked, urgent=True)
                 self._close_job(tracked, now)
 
+    def confirm(self, tracked: TrackedJob, committed: Progress, change: int, version: int) -> None:
+        """Process the row of a job that this holder has stored with all changes up to `change`."""
+        was_counted = tracked.progress.counts_in(self.cell)
+        tracked.progress.confirm(committed)
+        self.note_recorded(tracked, change, version)
+        self._log_reassigned(tracked, was_counted, "commit")
+
+    def _log_reassigned(self, tracked: TrackedJob, was_counted: bool, by: str) -> None:
+        """Log that a stored row moved a tracked job from this cell to another, or back."""
+        if tracked.progress.counts_in(self.cell) != was_counted:
+            log(
+                Event.JOB_REASSIGNED,
+                job=tracked.job.id,
+                cell=self.cell,
+                epoch=self.epoch,
+                to=tracked.progress.cell,
+                version=tracked.version,
+                by=by,
+            )
+
     def reconfigure(self) -> None:
         """Apply a new configuration of the queues."""
         for tracked in self.tracked.values():
@@ -1090,6 +1112,15 @@
         tracked = self.tracked[run.task.job]
         if not tracked.has_started:
             tracked.has_started = True
+            log(
+                Event.JOB_BEGUN,
+                job=tracked.job.id,
+                cell=self.cell,
+                epoch=self.epoch,
+                task=run.task,
+                run=run.number,
+                worker=run.worker,
+            )
             if tracked.progress.phase is Phase.QUEUED:
                 tracked.progress.phase = Phase.RUNNING
 
@@ -2168,8 +2199,7 @@
         counts: dict[str, int] = {}
         for tracked in self.tracked.values():
             if not (tracked.has_started or tracked.job.is_timed or tracked.progress.phase.is_final):
-                # A job given to another cell counts here until its row names that cell.
-                if tracked.progress.cell == self.cell or tracked.progress.uncommitted_job_move:
+                if tracked.progress.counts_in(self.cell):
                     counts[tracked.job.queue] = counts.get(tracked.job.queue, 0) + 1
         return counts
 
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -366,6 +366,14 @@
         seen = self.observations.get(cell)
         return seen.owner.waiting if seen is not None and seen.owner else {}
 
+    def row_age_ms(self, cell: str, now: float) -> int | None:
+        """Return for how long a cell's row has not changed, or None if none was read yet.
+
+        It starts again after an outage of the store, like the time until the holder is replaced.
+        """
+        seen = self.observations.get(cell)
+        return None if seen is None else int((now - seen.since) * 1000)
+
     def epoch(self, cell: str) -> int:
         """Return the epoch of a cell's holder, or 0 when none is known."""
         owner = self.holder(cell)
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -757,8 +757,7 @@
                 case Committed(version):
                     for (tracked, change, _), put in zip(changes, puts, strict=True):
                         committed = decode_progress(put.value)
-                        tracked.progress.confirm(committed)
-                        self.dispatcher.note_recorded(tracked, change, version)
+                        self.dispatcher.confirm(tracked, committed, change, version)
                         self._send_to_others(tracked.job, committed, version)
                 case Stale(rows):
                     self._reconcile(changes, rows)
@@ -837,6 +836,8 @@
             version=stored.version,
             prior=tracked.prior,
             by=by,
+            home=stored.progress.cell,
+            begun=tracked.has_started,
             size=tracked.size_class,
             done=stored.progress.count_done(stored.job),
         )
@@ -896,7 +897,13 @@
                 log(Event.CELL_PROVEN, cell=self.cell, by="rows")
         if not self.loaded and len(self._read_versions) == len(PARTS):
             self.loaded = True
-            log(Event.CELL_LOADED, cell=self.cell, jobs=len(dispatcher.tracked))
+            log(
+                Event.CELL_LOADED,
+                cell=self.cell,
+                epoch=dispatcher.epoch,
+                jobs=len(dispatcher.tracked),
+                waiting=dispatcher.waiting_jobs(),
+            )
             self._renew_now.set()
         self.wake()
 
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -248,6 +248,7 @@
             workers=len(roster),
             proof_in_s=round(max(0.0, max(ends, default=now) - now), 2),
             handed_over=len(former_ends),
+            waiting=owner.waiting,
         )
         dispatcher = Dispatcher(vacancy.cell, owner.epoch, self._bounds, env.queue_of, env.wall_ms)
         dispatcher.take_over(roster, vacancy.proof_at, lease_ends, now)
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -115,6 +115,19 @@
         yield Sample("idle_jobs", {**label, "queue": queue, "size": size}, count)
 
 
+def _ownership_samples(succession: Succession, now: float) -> Iterator[Sample]:
+    """Yield samples of what this entry knows about the cells' waiting jobs."""
+    watch, held = succession.watch, succession.held
+    for cell in watch.cells:
+        label, age_ms = {"cell": cell}, watch.row_age_ms(cell, now)
+        if cell in held:
+            yield Sample("cell_loaded", label, float(held[cell].loaded))
+        elif age_ms is not None:
+            yield Sample("owner_row_age_seconds", label, age_ms / 1000)
+            for queue, count in watch.waiting(cell).items():
+                yield Sample("shown_waiting_jobs", {**label, "queue": queue}, count)
+
+
 class Daemon:
     """Runs one entry on the platform."""
 
@@ -204,6 +217,7 @@
         yield Sample("configuration_version", {}, catalogue.version if catalogue else 0)
         for cell, runtime in self.succession.held.items():
             yield from _cell_samples(cell, runtime, now)
+        yield from _ownership_samples(self.succession, now)
 
     # Methods of PeerLinks, called by the intake
 
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -265,6 +265,10 @@
         self.moved_to.clear()
         self.uncommitted_moves.clear()
 
+    def counts_in(self, cell: str) -> bool:
+        """Return whether a cell's holder counts the job: until a stored row names another cell."""
+        return self.cell == cell or bool(self.uncommitted_job_move)
+
     def confirm(self, committed: "Progress") -> None:
         """Forget the local moves that this holder's committed row contains."""
         self.uncommitted_moves = {
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -12,6 +12,7 @@
 from curranthall.dag import Job, Phase, Progress, Queue
 from curranthall.errors import AnswerLost, CurranthallError, PeerUnreachable, PlatformDown
 from curranthall.events import Event, log
+from curranthall.intake.shown import count_by_cell, log_doubtful
 from curranthall.store import Check, Committed, Put, Row, Stale, Store
 from curranthall.telemetry import acceptance_seconds
 from curranthall.values import checked, items, reason, text, whole
@@ -160,8 +161,17 @@
         match answer:
             case Committed(version):
                 stored = StoredJob(job, progress, version)
-                work = round(job.work(), 1)
-                log(Event.JOB_STORED, job=job.id, queue=job.queue, cell=progress.cell, work=work)
+                cell = progress.cell
+                log(
+                    Event.JOB_STORED,
+                    job=job.id,
+                    queue=job.queue,
+                    cell=cell,
+                    epoch=progress.claims.get(cell, 0),
+                    row_age_ms=self._succession.watch.row_age_ms(cell, self._clock()),
+                    version=version,
+                    work=round(job.work(), 1),
+                )
                 self._hand_over(stored)
             case Stale():
                 # A job with this id is already stored.
@@ -247,12 +257,9 @@
 
     def count_pending(self, queue: str) -> int:
         """Count the accepted jobs of a queue that have not started."""
-        watch, held = self._succession.watch, self._succession.held
-        counts = [
-            held[cell].waiting_jobs() if cell in held else watch.waiting(cell)
-            for cell in watch.cells
-        ]
-        return sum(count.get(queue, 0) for count in counts)
+        counts = count_by_cell(self._succession, queue, self._clock())
+        log_doubtful(queue, counts)
+        return sum(count.shown for count in counts.values())
 
     # Cancellation
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -13,6 +13,7 @@
 
 import tools.explain
 from curranthall import events
+from curranthall.cells.owner import VACANT_S
 from curranthall.dag import Job, Phase, Step
 from curranthall.intake import Verdict
 from curranthall.logwriter import LogWriter
@@ -195,6 +196,75 @@
         taken = [line for line in lines if line["name"] == "CELL_TAKEN"]
         self.assertIn(self.killed, {line.get("former") for line in taken})
 
+    def test_a_waiting_job_of_a_cell_whose_holder_is_cut_off(self) -> None:
+        async def scenario(cluster: Cluster) -> None:
+            cluster.evacuated = frozenset("bc")
+            await asyncio.sleep(1)
+            cluster.cuts = {frozenset(("a", other)) for other in ("b", "c", "store")}
+            job = make_job(1, Step(1, Size(90, 1_000), 1_000))
+            await cluster.submit("b-e0", job)
+            for _ in range(40):
+                await asyncio.sleep(0.2)
+                cluster.entries["b-e0"].intake.count_pending("q")
+            cluster.cuts = set()
+            await asyncio.sleep(10)
+            self.job = job.id
+
+        self.run_scenario(scenario)
+        lines = self.grep_logs("grep -E 'JOB_(STORED", ID=self.job)
+        (stored,) = [line for line in lines if line["name"] == "JOB_STORED"]
+        adopted = [line for line in lines if line["name"] == "JOB_ADOPTED"]
+        self.assertEqual((stored["cell"], adopted[0]["version"]), ("a", stored["version"]))
+        self.assertLess(stored["row_age_ms"], VACANT_S * 1000)
+        shown = [line for line in self.grep_logs("grep '\"PENDING_SHOWN\"'")]
+        unread = [line for line in shown if stored["t"] < line["t"] < adopted[0]["t"]]
+        self.assertGreater(len(unread), 5)
+        for line in unread:
+            cell = line["cells"]["a"]
+            self.assertEqual((line["queue"], cell["shown"]), ("q", 0))
+            self.assertLess(cell["version"], stored["version"])
+            self.assertEqual((cell["source"], cell["epoch"]), ("row", stored["epoch"]))
+            self.assertEqual((cell["live"], cell["loaded"]), (False, None))
+            self.assertGreaterEqual(cell["age_ms"], VACANT_S * 1000)
+
+    def test_a_holder_that_shows_its_predecessors_count(self) -> None:
+        async def scenario(cluster: Cluster) -> None:
+            cluster.evacuated = frozenset("bc")
+            await asyncio.sleep(1)
+            await cluster.submit("b-e0", make_job(1, Step(1, Size(90, 1_000), 1_000)))
+            await asyncio.sleep(3)
+            former = cluster.holder("a")
+            assert former is not None
+            cluster.kill(former)
+            cluster.parts_away = {(name, "7") for name in cluster.entries}
+            await cluster.until(lambda: is_held(cluster, "a"), 30)
+            successor = cluster.holder("a")
+            assert successor is not None
+            cluster.entries[successor].intake.count_pending("q")
+            cluster.parts_away = set()
+            await asyncio.sleep(5)
+
+        self.run_scenario(scenario)
+        lines = [line for line in self.grep_logs("grep -E 'CELL_(TAKEN") if line["cell"] == "a"]
+        taken = [line for line in lines if line["name"] == "CELL_TAKEN"][-1]
+        loaded = [line for line in lines if line["name"] == "CELL_LOADED"][-1]
+        self.assertEqual((taken["waiting"], loaded["waiting"]), ({"q": 1}, {"q": 1}))
+        self.assertEqual(taken["epoch"], loaded["epoch"])
+        shown = self.grep_logs("grep '\"PENDING_SHOWN\"'")[-1]
+        self.assertTrue(taken["t"] <= shown["t"] < loaded["t"])
+        cell = shown["cells"]["a"]
+        self.assertEqual((cell["source"], cell["loaded"], cell["shown"]), ("held", False, 1))
+        self.assertEqual(cell["epoch"], taken["epoch"])
+
+    def test_a_count_that_misses_no_cell_is_not_logged(self) -> None:
+        async def scenario(cluster: Cluster) -> None:
+            await asyncio.sleep(3)
+            for entry in cluster.entries.values():
+                entry.intake.count_pending("q")
+
+        self.run_scenario(scenario)
+        self.assertEqual(self.grep_logs("grep '\"PENDING_SHOWN\"'"), [])
+
 
 def make_step() -> Step:
     """Build a step with one task of one second."""
@@ -206,6 +276,11 @@
     return any(r.running for r in cluster.runners.values() if r.host.domain == cell)
 
 
+async def is_held(cluster: Cluster, cell: str) -> bool:
+    """Return whether a live entry holds a cell."""
+    return cluster.holder(cell) is not None
+
+
 async def is_completed(cluster: Cluster, job: Job) -> bool:
     """Return whether a live entry shows the job as completed."""
     name = next(name for name, entry in cluster.entries.items() if not entry.dead)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -52,6 +52,7 @@
 from curranthall.platform.worker import PlatformWorker, is_reachable
 from curranthall.standin.runner import Runner, Work
 from curranthall.store import Check, Committed, Put, Row, Stale
+from curranthall.telemetry import Sample
 from tests.cell_fixtures import step
 from tests.cluster import no_advice
 from tests.odd_input import DEPTHS, list_odd_configs, list_odd_rows, nest, place
@@ -657,6 +658,38 @@
             await asyncio.sleep(0.05)
         self.fail(f"{path} never {phase}: {answer}")
 
+    def samples(self) -> dict[str, list[Sample]]:
+        """Return the daemon's samples by name."""
+        found: dict[str, list[Sample]] = {}
+        for sample in self.daemon.collect_samples():
+            found.setdefault(sample.name, []).append(sample)
+        return found
+
+    async def test_the_metrics_show_what_a_count_of_waiting_jobs_comes_from(self) -> None:
+        await self.configure()
+        runtime = await self.wait_for_cell()
+        for _ in range(100):
+            if runtime.loaded:
+                break
+            await asyncio.sleep(0.05)
+        for is_loaded in (False, True):
+            runtime.loaded = is_loaded
+            (loaded,) = self.samples()["cell_loaded"]
+            self.assertEqual(loaded[1:], ({"cell": "north"}, float(is_loaded)))
+        self.assertNotIn("owner_row_age_seconds", self.samples())
+        del self.daemon.succession.held["north"]
+        seen = self.daemon.succession.watch.observations["north"]
+        assert seen.owner is not None
+        seen.owner = seen.owner._replace(waiting={"cuts": 3})
+        seen.since -= 30
+        samples = self.samples()
+        self.assertNotIn("cell_loaded", samples)
+        (shown,), (age,) = samples["shown_waiting_jobs"], samples["owner_row_age_seconds"]
+        self.assertEqual(shown[1:], ({"cell": "north", "queue": "cuts"}, 3))
+        self.assertEqual(age.labels, {"cell": "north"})
+        self.assertTrue(30 <= age.value < 40)
+        self.daemon.succession.held["north"] = runtime
+
     async def test_requests_before_any_configuration_get_a_retryable_error(self) -> None:
         answer = await self.call("GET", "/cuts/" + "0" * 16)
         self.assertEqual(answer.status, 503)
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -8,16 +8,20 @@
 from unittest.mock import patch
 
 from curranthall import events
+from curranthall.cells.balance import Balancer, CellLoads, group_kinds
 from curranthall.cells.ports import EndKind, StartResult, StartTask
 from curranthall.cells.records import StoredJob, create_job
 from curranthall.cells.runtime import CellRuntime
-from curranthall.dag import Progress
+from curranthall.cells.tracking import TrackedJob
+from curranthall.dag import Phase, Progress
+from curranthall.dag.progress import decode_progress
 from curranthall.standin.store import MemoryStore
 from curranthall.store import Committed
 from tests.cell_fixtures import (
     BORN,
     CELL,
     EPOCH,
+    SERVICE,
     Cell,
     claimed_progress,
     ended,
@@ -27,6 +31,7 @@
     step,
     task,
 )
+from tests.test_balance import rooms
 from tests.test_runtime import make_runtime
 from tests.virtual import run
 
@@ -257,6 +262,107 @@
         self.play(scenario)
         self.assertTrue(self.adopted_line("listed run")["prior"])
 
+    def test_an_adoption_logs_the_cell_that_counts_the_job(self) -> None:
+        async def scenario(store: MemoryStore, runtime: CellRuntime) -> None:
+            await self.follow(runtime)
+            progress = Progress("south", Phase.RUNNING, moved_to={(0, 0, 0): CELL})
+            runtime.offer(await self.store_job(store, progress))
+
+        self.play(scenario)
+        line = self.adopted_line("message")
+        self.assertEqual((line["home"], line["begun"]), ("south", True))
+
+    def test_a_loaded_cell_logs_its_count(self) -> None:
+        async def scenario(store: MemoryStore, runtime: CellRuntime) -> None:
+            await self.store_job(store, claimed_progress())
+            await self.follow(runtime)
+
+        self.play(scenario)
+        (line,) = self.lines.named("CELL_LOADED")
+        self.assertEqual((line["epoch"], line["jobs"], line["waiting"]), (EPOCH, 1, {"q": 1}))
+
+
+class MoveLines(LogTestCase):
+    def moved(self, numbers: list[int] | None) -> tuple[Cell, TrackedJob]:
+        """Give tasks of a waiting job to another cell, or all; they are not stored there yet."""
+        cell = Cell()
+        cell.add(job("0" * 16, step(2)), version=5)
+        tracked = cell.dispatcher.tracked["0" * 16]
+        cell.dispatcher.move(tracked, tracked.batches[0, 0], numbers, "south", cell.now)
+        self.assertEqual(self.lines.named("JOB_REASSIGNED"), [])
+        return cell, tracked
+
+    def store(self, cell: Cell, tracked: TrackedJob, version: int) -> None:
+        """Confirm the row of a job as stored."""
+        committed = decode_progress(tracked.progress.encode())
+        cell.dispatcher.confirm(tracked, committed, tracked.change, version)
+
+    def expect_reassigned(self, to: str, version: int, by: str) -> None:
+        """Check the last line about a job that counts in another cell from then on."""
+        line = self.lines.named("JOB_REASSIGNED")[-1]
+        expected = {"job": "0" * 16, "cell": CELL, "epoch": EPOCH}
+        expected |= {"to": to, "version": version, "by": by}
+        self.assertEqual({key: line[key] for key in expected}, expected)
+
+    def test_a_moved_job_is_logged_once_its_row_is_stored(self) -> None:
+        cell, tracked = self.moved(None)
+        self.assertEqual(cell.dispatcher.waiting_jobs(), {"q": 1})
+        self.store(cell, tracked, 6)
+        self.assertEqual(cell.dispatcher.waiting_jobs(), {})
+        self.expect_reassigned("south", 6, "commit")
+
+    def test_a_moved_job_is_logged_when_only_its_row_tells_that_it_was_stored(self) -> None:
+        cell, tracked = self.moved(None)
+        row = decode_progress(tracked.progress.encode())
+        cell.dispatcher.refresh(tracked.job.id, row, 7, cell.now)
+        self.expect_reassigned("south", 7, "row")
+
+    def test_a_job_that_comes_back_is_logged(self) -> None:
+        cell, tracked = self.moved(None)
+        self.store(cell, tracked, 6)
+        cell.dispatcher.refresh(tracked.job.id, Progress(CELL, moves=2), 9, cell.now)
+        self.assertEqual(cell.dispatcher.waiting_jobs(), {"q": 1})
+        self.expect_reassigned(CELL, 9, "row")
+        self.assertEqual(len(self.lines.named("JOB_REASSIGNED")), 2)
+
+    def test_a_job_of_which_some_tasks_move_still_counts_here(self) -> None:
+        cell, tracked = self.moved([0])
+        self.store(cell, tracked, 6)
+        self.assertEqual(self.lines.named("JOB_REASSIGNED"), [])
+
+    def test_a_move_logs_the_cell_that_decided_it(self) -> None:
+        cell = Cell(host("w1", cores=1))
+        cell.add(job("0" * 16, step(1, cores=2)), version=5)
+        for _ in range(2):
+            cell.plan()
+            cell.now += 0.5
+        kinds = group_kinds([host("s1", cores=16, domain="south")])
+        south = CellLoads("south", {SERVICE: rooms(4)}, 3, kinds["south"])
+        Balancer().move_stranded(cell.dispatcher, [south], cell.now)
+        (line,) = self.lines.named("JOB_MOVED")
+        expected = {"cell": CELL, "epoch": EPOCH, "to": "south", "version": 5, "whole": True}
+        self.assertEqual({key: line[key] for key in expected}, expected)
+
+
+class BegunLines(LogTestCase):
+    def test_a_job_is_logged_as_begun_by_its_first_confirmed_start(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(2)))
+        first, second = cell.plan()
+        self.assertEqual(self.lines.named("JOB_BEGUN"), [])
+        cell.started(first)
+        cell.started(second)
+        (line,) = self.lines.named("JOB_BEGUN")
+        expected = {"job": "0" * 16, "cell": CELL, "epoch": EPOCH, "run": first.run, "worker": "w1"}
+        self.assertEqual({key: line[key] for key in expected}, expected)
+
+    def test_a_refused_start_begins_no_job(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1)))
+        (first,) = cell.plan()
+        cell.dispatcher.on_start_result(first, StartResult.NO_ROOM, cell.now)
+        self.assertEqual(self.lines.named("JOB_BEGUN"), [])
+
 
 if __name__ == "__main__":
     unittest.main()
