Count waiting jobs that a cell's holder has not read

Cause: entries add up the counts in the cells' owner rows and take each for the present state, though it is the state of the holder's last look. Jobs given to a cell after that are in no count if the holder is killed, frozen or cut off from the store, until the next one has read the rows and renewed; a new holder repeats its predecessor's count under a new row version; and an entry that can't read the owner rows shows old ones.

Now a count names the store version that it is as of. An entry that is asked compares it with the version that it read 4 s ago and completes an old count from the feed of the rows: one call, and none while all cells are held. A rewritten row names the version that gave the job to its cell, so that no job is counted by its holder and from the feed.

The metrics test sets the count through a read of the rows, as the watch keeps counts by read; the test of the log lines now also expects what the feed adds. Existing callers await the count.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -88,6 +88,7 @@
 from curranthall.events import Event, log
 from curranthall.model import Host, HostState, Size
 from curranthall.telemetry import completion_seconds, jobs_by_size
+from curranthall.values import MAX_WHOLE
 
 # A worker refuses a start that it processes later than this, by its own clock.
 START_WINDOW_S = 1.5
@@ -442,7 +443,9 @@
         if job.id in self.tracked:
             return
         due = now - (self._wall_ms() - job.accepted_ms) / 1000
-        tracked = TrackedJob(job, progress, version, Queue(job.queue, job.service), due)
+        queue = Queue(job.queue, job.service)
+        tracked = TrackedJob(job, progress, version, queue, due)
+        tracked.given_version = progress.given_version or version
         tracked.prior = progress.claims.get(self.cell, 0) != self.epoch
         self.tracked[job.id] = tracked
         self._update_queue(tracked)
@@ -504,7 +507,7 @@
         has_unrecorded = tracked.recorded < tracked.change
         was_counted = tracked.progress.counts_in(self.cell)
         tracked.progress.merge(progress, self.cell, self.epoch)
-        tracked.version = version
+        tracked.version, tracked.given_version = version, progress.given_version or version
         self._log_reassigned(tracked, was_counted, "row")
         self._poison.note_row(tracked)
         if has_unrecorded:
@@ -525,6 +528,7 @@
         """Process the row of a job that this holder has stored with all changes up to `change`."""
         was_counted = tracked.progress.counts_in(self.cell)
         tracked.progress.confirm(committed)
+        tracked.given_version = committed.given_version or version
         self.note_recorded(tracked, change, version)
         self._log_reassigned(tracked, was_counted, "commit")
 
@@ -2194,11 +2198,11 @@
 
     # Metrics
 
-    def waiting_jobs(self) -> dict[str, int]:
-        """Count the jobs that have not begun, by queue."""
+    def waiting_jobs(self, counted_to: int = MAX_WHOLE) -> dict[str, int]:
+        """Count the jobs that have not begun, by queue, as of a version of the progress rows."""
         counts: dict[str, int] = {}
         for tracked in self.tracked.values():
-            if not (tracked.has_started or tracked.job.is_timed or tracked.progress.phase.is_final):
+            if tracked.is_waiting and tracked.given_version <= counted_to:
                 if tracked.progress.counts_in(self.cell):
                     counts[tracked.job.queue] = counts.get(tracked.job.queue, 0) + 1
         return counts
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -1,5 +1,6 @@
 """Cell ownership: the owner row in the store, and when another entry may take a cell."""
 
+from collections import deque
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from math import ceil
@@ -57,6 +58,9 @@
 UNREACHED = float("inf")
 # How long an entry that gave up a cell (e.g. its workers are out of reach) leaves it to others.
 ABSTAIN_S = 6.0
+# A published count of waiting jobs that lacks changes older than this is completed from the feed.
+# It exceeds the age that the feed, the renewals and the polls of a healthy cell add up to.
+MAX_COUNT_AGE_S = 4.0
 
 
 def longest_lease_s(max_hold_s: float) -> float:
@@ -82,6 +86,8 @@
     # Until when orders of this holder and of earlier ones may have effect, by the store's clock; 0
     # if unknown. It counts from when the row was composed, and binds its writer.
     orders_until_ms: int = 0
+    # The store version up to which progress rows are included in `waiting`; 0 if unknown.
+    counted_to: int = 0
 
     def encode(self) -> bytes:
         """Encode the row's value."""
@@ -101,7 +107,8 @@
     """Decode a row's value; raise one of DECODE_ERRORS when it is invalid."""
     holder, address, incarnation, epoch, load, waiting, *more = items(loads(data))
     # Rows written by earlier versions lack these fields.
-    fenced, written_ms, workers, until_ms = (*more, *(False, 0, 0, 0)[len(more) :])[:4]
+    defaults = False, 0, 0, 0, 0
+    fenced, written_ms, workers, until_ms, counted_to = (*more, *defaults[len(more) :])[:5]
     return Owner(
         text(holder),
         text(address),
@@ -113,6 +120,7 @@
         whole(written_ms),
         whole(workers),
         whole(until_ms),
+        whole(counted_to),
     )
 
 
@@ -206,6 +214,13 @@
     return [text(serving), text(image), finite(weight), finite(variance)]
 
 
+class WaitingJobs(NamedTuple):
+    """A cell's waiting jobs by queue, as of a store version of the progress rows."""
+
+    by_queue: dict[str, int]
+    counted_to: int
+
+
 class Claimant(NamedTuple):
     """An entry that may take cells; `cores` is its CPU quota."""
 
@@ -234,6 +249,14 @@
     orders_over_at: float
 
 
+def _published_count(owner: Owner | None, version: int) -> WaitingJobs:
+    """Return the count in an owner row of the given version."""
+    if owner is None:
+        return WaitingJobs({}, 0)
+    # Rows written by earlier versions don't tell what they count, only when.
+    return WaitingJobs(owner.waiting, owner.counted_to or version)
+
+
 class Vacancy(NamedTuple):
     """When a cell may be taken; leases of former holders may last until `proof_at`.
 
@@ -249,6 +272,11 @@
     probe_at: float
     silent_until: float = 0.0
 
+    @property
+    def waiting(self) -> WaitingJobs:
+        """Return the count that the former holder published."""
+        return _published_count(self.owner, self.version)
+
     @property
     def is_released(self) -> bool:
         """Return whether the cell's last holder has released it."""
@@ -274,6 +302,10 @@
     abstain_until: dict[str, float] = field(default_factory=dict)
     # When a vacant cell's workers were found in reach, or UNREACHED after a failed probe.
     reachable_since: dict[str, float] = field(default_factory=dict)
+    # The counts of waiting jobs as of the last read.
+    _waiting: dict[str, WaitingJobs] = field(default_factory=dict)
+    # When the rows were read within MAX_COUNT_AGE_S before the last time, and the store's version.
+    _reads: deque[tuple[float, int]] = field(default_factory=deque)
     # The store's clock minus the local one, if known: at least and at most.
     _store_offset_ms: float | None = None
     _max_store_offset_ms: float | None = None
@@ -304,6 +336,9 @@
             sent_at = now if asked_at is None else asked_at
             self._max_store_offset_ms = listing.now_ms - sent_at * 1000
         self.epoch_seen = max(self.epoch_seen, listing.version)
+        self._reads.append((now, listing.version))
+        while now - self._reads[0][0] > MAX_COUNT_AGE_S:
+            self._reads.popleft()
         found = {row.key: row for row in listing.rows}
         for cell in self.cells:
             row = found.get(cell)
@@ -327,6 +362,8 @@
             elif missed_reads:
                 # The holder could not renew either if the store was down: restart its timeout.
                 known.since = known.renewed_at = now
+            seen = self.observations[cell]
+            self._waiting[cell] = _published_count(seen.owner, seen.version)
 
     def record(self, cell: str, owner: Owner, version: int, now: float) -> None:
         """Record a row that this entry wrote."""
@@ -361,10 +398,22 @@
             return None
         return seen.owner
 
-    def waiting(self, cell: str) -> dict[str, int]:
-        """Return a cell's waiting jobs by queue from its row, whether it is held or not."""
-        seen = self.observations.get(cell)
-        return seen.owner.waiting if seen is not None and seen.owner else {}
+    def waiting(self, cell: str) -> WaitingJobs:
+        """Return the count of waiting jobs in a cell's row, whether it is held or not.
+
+        The counts of all cells are of one read.
+        """
+        return self._waiting.get(cell, WaitingJobs({}, 0))
+
+    def due_version(self, now: float) -> int:
+        """Return the store version that a count of waiting jobs has to include not to be old.
+
+        It is the version of MAX_COUNT_AGE_S ago, or a later one after a gap between two reads.
+        While the rows can't be read, all counts are old.
+        """
+        if not self._reads or now - self.read_at > MAX_COUNT_AGE_S:
+            return MAX_WHOLE
+        return self._reads[0][1]
 
     def row_age_ms(self, cell: str, now: float) -> int | None:
         """Return for how long a cell's row has not changed, or None if none was read yet.
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -20,6 +20,7 @@
     RENEW_S,
     Details,
     Owner,
+    WaitingJobs,
     decode_details_row,
     decode_owner_row,
     longest_lease_s,
@@ -223,14 +224,16 @@
         self._releasing = True
         for hold in self._holds.values():
             hold.cancel()
+        waiting = self._count_to_publish()
         released = self.owner._replace(
             holder="",
             load={},
-            waiting=self.waiting_jobs(),
+            waiting=waiting.by_queue,
             fenced=self.dispatcher.is_fully_fenced,
             written_ms=self._store_ms(),
             workers=len(self.dispatcher.members),
             orders_until_ms=self._orders_until_ms(),
+            counted_to=waiting.counted_to,
         )
         members = self.dispatcher.members.values()
         details = self._details._replace(
@@ -305,6 +308,22 @@
         """Return the number of jobs that have not begun, by queue."""
         return self.dispatcher.waiting_jobs() if self.loaded else self.owner.waiting
 
+    def _count_to_publish(self) -> WaitingJobs:
+        """Return the count of waiting jobs for the owner row.
+
+        A holder that has just taken the cell goes on with the former count until it knows the jobs.
+        """
+        if not self.loaded:
+            return WaitingJobs(self.owner.waiting, self.owner.counted_to)
+        if self._due_parts:
+            # The feed may have passed jobs that are still to be read.
+            return self.count_waiting(self.owner.counted_to)
+        return self.count_waiting(max(self._fed_to, min(self._read_versions.values())))
+
+    def count_waiting(self, counted_to: int) -> WaitingJobs:
+        """Count the jobs that have not begun, as of a version of the progress rows."""
+        return WaitingJobs(self.dispatcher.waiting_jobs(counted_to), counted_to)
+
     def wake(self) -> None:
         """Request a planning round."""
         self._wake.set()
@@ -361,13 +380,15 @@
         if self._is_cut_off(now):
             await self.release()
             return True
+        waiting = self._count_to_publish()
         renewed = self.owner._replace(
             load=self.dispatcher.load(now),
-            waiting=self.waiting_jobs(),
+            waiting=waiting.by_queue,
             fenced=self.dispatcher.is_fully_fenced,
             written_ms=self._store_ms(),
             workers=len(self.dispatcher.members),
             orders_until_ms=self._orders_until_ms(),
+            counted_to=waiting.counted_to,
         )
         limits, lease_ends = self._lease_limits, self._lease_ends(self._unheard_members(now))
         lease_ends |= self._departing_lease_ends(now)
@@ -749,6 +770,8 @@
             del dirty[tracked.job.id]
             self._commits += 1
             tracked.progress.writer = f"{self.dispatcher.epoch}.{self._commits}"
+            is_given = bool(tracked.progress.uncommitted_job_move)
+            tracked.progress.given_version = 0 if is_given else tracked.given_version
             changes.append((tracked, tracked.change, tracked.progress.writer))
         checks = [Check(PROGRESS_TABLE, t.job.id, t.version) for t in batch]
         puts = [Put(PROGRESS_TABLE, t.job.id, t.progress.encode()) for t in batch]
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -162,7 +162,7 @@
         epoch = max(self.watch.epoch_seen, former) + 1
         me = self.me
         # Publish the former holder's counts until the jobs are loaded.
-        waiting = vacancy.owner.waiting if vacancy.owner else {}
+        waiting = vacancy.waiting
         workers = len(details.roster)
         sent_at = env.clock()
         written_ms = self.watch.store_ms(sent_at)
@@ -173,11 +173,12 @@
             me.incarnation,
             epoch,
             {},
-            waiting,
+            waiting.by_queue,
             fenced=not workers,
             written_ms=written_ms,
             workers=workers,
             orders_until_ms=self.watch.store_time_of(orders_over_at) or 0,
+            counted_to=waiting.counted_to,
         )
         former_ends = details.lease_ends
         # A holder that is lost before its first renewal does not start the wait anew.
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -156,6 +156,8 @@
     version: int
     queue: Queue
     due: float
+    # The version of the row that gave the job to its cell.
+    given_version: int = 0
     # The row named another epoch when the job was adopted.
     prior: bool = False
     has_started: bool = False
@@ -195,6 +197,11 @@
             self.job.critical_path_ms(at) / 1000 for at in range(len(self.job.steps))
         )
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the job counts as waiting: it has not begun, and has no due times."""
+        return not (self.has_started or self.job.is_timed or self.progress.phase.is_final)
+
     @property
     def visible_phase(self) -> Phase:
         """Return the phase shown to callers: final only once recorded."""
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -124,7 +124,7 @@
             yield Sample("cell_loaded", label, float(held[cell].loaded))
         elif age_ms is not None:
             yield Sample("owner_row_age_seconds", label, age_ms / 1000)
-            for queue, count in watch.waiting(cell).items():
+            for queue, count in watch.waiting(cell).by_queue.items():
                 yield Sample("shown_waiting_jobs", {**label, "queue": queue}, count)
 
 
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -89,6 +89,8 @@
     queue: Queue | None = None
     # All occurrences below this number are done; nothing else is kept of them.
     finished: int = 0
+    # The version of the row that gave the job to its cell; 0 if it is this row.
+    given_version: int = 0
     # Local moves to other cells that no committed row contains yet; not stored.
     uncommitted_moves: dict[TaskKey, str] = field(default_factory=dict)
     uncommitted_job_move: str = ""
@@ -348,6 +350,8 @@
             value["l"] = [[worker, starts] for worker, starts in by_worker.items()]
         if self.finished:
             value["n"] = self.finished
+        if self.given_version and not self.phase.is_final:
+            value["g"] = self.given_version
         if self.queue is not None and not self.phase.is_final:
             value["s"] = list(self.queue)
         if self.moved_to:
@@ -379,6 +383,7 @@
         _places(value["l"]) if "l" in value else None,
         _queue(value["s"]) if "s" in value else None,
         whole(value.get("n", 0)),
+        whole(value.get("g", 0)),
     )
 
 
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -12,7 +12,7 @@
 from curranthall.dag import Job, Phase, Progress, Queue
 from curranthall.errors import AnswerLost, CurranthallError, PeerUnreachable, PlatformDown
 from curranthall.events import Event, log
-from curranthall.intake.shown import count_by_cell, log_doubtful
+from curranthall.intake.pending import PendingJobs
 from curranthall.store import Check, Committed, Put, Row, Stale, Store
 from curranthall.telemetry import acceptance_seconds
 from curranthall.values import checked, items, reason, text, whole
@@ -85,6 +85,7 @@
         self._queue_of = queue_of
         self._phases: dict[str, _CachedPhase] = {}
         self._submissions: list[tuple[float, str, float]] = []
+        self._pending = PendingJobs(succession, store, clock)
 
     # Submission
 
@@ -255,11 +256,9 @@
         self._phases[job_id] = _CachedPhase(progress.cell, progress.phase, self._clock())
         return JobStatus(progress.phase)
 
-    def count_pending(self, queue: str) -> int:
+    async def count_pending(self, queue: str) -> int:
         """Count the accepted jobs of a queue that have not started."""
-        counts = count_by_cell(self._succession, queue, self._clock())
-        log_doubtful(queue, counts)
-        return sum(count.shown for count in counts.values())
+        return await self._pending.count(queue)
 
     # Cancellation
 
--- a/src/curranthall/platform/front.py
+++ b/src/curranthall/platform/front.py
@@ -41,7 +41,8 @@
             return json_response({"error": "no such queue"}, 404)
         job_path = req.path[len(route.prefix) :]
         if job_path == "" and req.method == "GET":
-            return json_response({"pending": self._daemon.intake.count_pending(route.queue.name)})
+            pending = await self._daemon.intake.count_pending(route.queue.name)
+            return json_response({"pending": pending})
         if not JOB_ID.match(job_path):
             return json_response({"error": "no such path"}, 404)
         match req.method:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -537,7 +537,7 @@
             for _ in range(100):
                 await asyncio.sleep(0.1)
                 alive = [each for each in cluster.entries.values() if not each.dead]
-                shown += [each.intake.count_pending("q") for each in alive]
+                shown += [await each.intake.count_pending("q") for each in alive]
             self.assertEqual({cell for cell in cluster.domains if cluster.holder(cell)}, {*"abc"})
             cluster.close()
             return min(shown)
@@ -563,7 +563,7 @@
                     cluster.cuts = set()
                 if now() > accepted_at + self.PENDING_S:
                     entries = [each for each in cluster.entries.values() if each.name[0] != "a"]
-                    shown += [each.intake.count_pending("q") for each in entries]
+                    shown += [await each.intake.count_pending("q") for each in entries]
             cluster.close()
             return min(shown)
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -205,10 +205,10 @@
             await cluster.submit("b-e0", job)
             for _ in range(40):
                 await asyncio.sleep(0.2)
-                cluster.entries["b-e0"].intake.count_pending("q")
+                await cluster.entries["b-e0"].intake.count_pending("q")
+            self.healed_at, self.job = now(), job.id
             cluster.cuts = set()
             await asyncio.sleep(10)
-            self.job = job.id
 
         self.run_scenario(scenario)
         lines = self.grep_logs("grep -E 'JOB_(STORED", ID=self.job)
@@ -217,15 +217,17 @@
         self.assertEqual((stored["cell"], adopted[0]["version"]), ("a", stored["version"]))
         self.assertLess(stored["row_age_ms"], VACANT_S * 1000)
         shown = [line for line in self.grep_logs("grep '\"PENDING_SHOWN\"'")]
-        unread = [line for line in shown if stored["t"] < line["t"] < adopted[0]["t"]]
-        self.assertGreater(len(unread), 5)
+        unread = [line for line in shown if stored["t"] < line["t"] < self.healed_at]
+        self.assertLess(self.healed_at, adopted[0]["t"])
+        self.assertGreater(sum(not line["cells"]["a"]["live"] for line in unread), 5)
+        self.assertEqual((unread[-1]["shown"], unread[-1]["cells"]["a"]["added"]), (1, 1))
         for line in unread:
             cell = line["cells"]["a"]
             self.assertEqual((line["queue"], cell["shown"]), ("q", 0))
             self.assertLess(cell["version"], stored["version"])
             self.assertEqual((cell["source"], cell["epoch"]), ("row", stored["epoch"]))
-            self.assertEqual((cell["live"], cell["loaded"]), (False, None))
-            self.assertGreaterEqual(cell["age_ms"], VACANT_S * 1000)
+            self.assertEqual(cell["live"], cell["age_ms"] < VACANT_S * 1000)
+            self.assertIsNone(cell["loaded"])
 
     def test_a_holder_that_shows_its_predecessors_count(self) -> None:
         async def scenario(cluster: Cluster) -> None:
@@ -240,7 +242,7 @@
             await cluster.until(lambda: is_held(cluster, "a"), 30)
             successor = cluster.holder("a")
             assert successor is not None
-            cluster.entries[successor].intake.count_pending("q")
+            await cluster.entries[successor].intake.count_pending("q")
             cluster.parts_away = set()
             await asyncio.sleep(5)
 
@@ -260,7 +262,7 @@
         async def scenario(cluster: Cluster) -> None:
             await asyncio.sleep(3)
             for entry in cluster.entries.values():
-                entry.intake.count_pending("q")
+                await entry.intake.count_pending("q")
 
         self.run_scenario(scenario)
         self.assertEqual(self.grep_logs("grep '\"PENDING_SHOWN\"'"), [])
--- /dev/null
+++ b/tests/test_pending.py
@@ -0,0 +1,236 @@
+"""The count of waiting jobs at each entry, in virtual time."""
+
+import asyncio
+import unittest
+from collections.abc import Iterable
+
+from curranthall.dag import Job, Step
+from curranthall.intake import Verdict
+from curranthall.model import Size
+from curranthall.store import Listing
+from tests.cluster import Cluster, Entry, now
+from tests.test_cells import make_job
+from tests.virtual import run
+
+COUNT = 6
+# The platform counts a job that waits from this long after it was accepted.
+PENDING_S = 5.0
+# An entry is in touch from this long after its start.
+TOUCH_S = 4.0
+SAMPLE_S = 0.05
+
+
+def too_large() -> Step:
+    """Build a step whose task fits no worker."""
+    return Step(1, Size(100, 1_000), 1_000)
+
+
+async def count(entry: Entry) -> int:
+    """Return the count of waiting jobs that an entry shows."""
+    return await entry.intake.count_pending("q")
+
+
+def idle_entry(cluster: Cluster) -> str:
+    """Return the last entry that holds no cell."""
+    alive = [entry for entry in cluster.entries.values() if not entry.dead]
+    return [entry.name for entry in alive if not entry.succession.held][-1]
+
+
+async def shown_for(seconds: float, entries: Iterable[Entry]) -> set[int]:
+    """Return the counts that live entries show over some time."""
+    until, watched, shown = now() + seconds, list(entries), set[int]()
+    while now() < until:
+        await asyncio.sleep(SAMPLE_S)
+        shown |= {await count(entry) for entry in watched if not entry.dead}
+    return shown
+
+
+class Pending(unittest.TestCase):
+    async def submit(self, cluster: Cluster, entry: str, step: Step) -> list[Job]:
+        """Submit the jobs at an entry; expect that they are accepted."""
+        jobs = [make_job(number, step) for number in range(1, COUNT + 1)]
+        for job in jobs:
+            self.assertIs(await cluster.submit(entry, job), Verdict.ACCEPTED)
+        return jobs
+
+
+class OwnerRowsAway(Pending):
+    """An entry reaches the store except for the part with the owner rows."""
+
+    def test_jobs_stored_since_the_last_read_are_counted(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await asyncio.sleep(3)
+            name = idle_entry(cluster)
+            cluster.cell_rows_down = {name}
+            await self.submit(cluster, "a-e0", too_large())
+            await asyncio.sleep(PENDING_S)
+            self.assertEqual(await count(cluster.entries["a-e0"]), COUNT)
+            shown = await shown_for(3.0, [cluster.entries[name]])
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+    def test_an_entry_that_never_read_them_counts_jobs(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await asyncio.sleep(3)
+            await self.submit(cluster, "a-e0", too_large())
+            name = idle_entry(cluster)
+            cluster.kill(name)
+            cluster.cell_rows_down = {name}
+            cluster.restart(name)
+            await asyncio.sleep(max(PENDING_S, TOUCH_S))
+            self.assertEqual(await count(cluster.entries["a-e0"]), COUNT)
+            shown = await shown_for(3.0, [cluster.entries[name]])
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+
+class NewHolder(Pending):
+    """A cell's new holder wrote its first row, but has not read the cell's jobs yet."""
+
+    async def take_vacant(self, cluster: Cluster) -> str:
+        """Let the jobs be stored for a vacant cell; return its new holder once it took the cell."""
+        await asyncio.sleep(3)
+        former = cluster.holder("a")
+        assert former is not None
+        workers = [name for name in cluster.runners if name[0] == "a"]
+        cluster.cuts = {frozenset((e, w)) for e in cluster.entries for w in workers}
+        cluster.kill(former)
+        cluster.evacuated = frozenset("bc")
+        await self.submit(cluster, idle_entry(cluster), too_large())
+        await asyncio.sleep(PENDING_S)
+        cluster.cuts, until = set(), now() + 10
+        while (holder := cluster.holder("a")) is None and now() < until:
+            await asyncio.sleep(0.001)
+        assert holder is not None
+        self.assertFalse(cluster.entries[holder].succession.held["a"].loaded)
+        return holder
+
+    def test_it_counts_jobs_stored_while_the_cell_was_vacant(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            holder = await self.take_vacant(cluster)
+            shown = {await count(cluster.entries[holder])}
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+    def test_other_entries_count_them_if_it_is_lost_then(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            cluster.kill(await self.take_vacant(cluster))
+            shown = await shown_for(2.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+    def test_they_are_counted_once_until_its_own_count_shows(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            holder = await self.take_vacant(cluster)
+            shown = await shown_for(5.0, cluster.entries.values())
+            self.assertTrue(cluster.entries[holder].succession.held["a"].loaded)
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+
+class Reads(Pending):
+    """What a count reads from the store."""
+
+    def note_reads(self, cluster: Cluster) -> list[int]:
+        """Return a list to which the version of each read of the feed without waiting is added."""
+        feed, versions = cluster.store.feed, list[int]()
+
+        async def noted(table: str, after: int, wait_ms: int) -> Listing:
+            if not wait_ms:
+                versions.append(after)
+            return await feed(table, after, wait_ms)
+
+        cluster.store.feed = noted  # type: ignore[method-assign]
+        return versions
+
+    async def lose_holder(self, cluster: Cluster) -> None:
+        """Let the jobs be stored for a cell that is vacant for good."""
+        await asyncio.sleep(3)
+        former = cluster.holder("a")
+        assert former is not None
+        cluster.cuts = {frozenset((e, w)) for e in cluster.entries for w in cluster.runners}
+        cluster.evacuated = frozenset("bc")
+        cluster.kill(former)
+        await self.submit(cluster, idle_entry(cluster), too_large())
+
+    def test_a_count_reads_nothing_while_all_cells_are_held(self) -> None:
+        async def main() -> list[int]:
+            cluster = Cluster()
+            cluster.start()
+            await asyncio.sleep(5)
+            versions = self.note_reads(cluster)
+            await self.submit(cluster, "a-e0", too_large())
+            await shown_for(20.0, cluster.entries.values())
+            cluster.close()
+            return versions
+
+        self.assertEqual(run(main()), [])
+
+    def test_a_count_beside_a_vacant_cell_reads_only_new_changes(self) -> None:
+        async def main() -> list[int]:
+            cluster = Cluster()
+            cluster.start()
+            await self.lose_holder(cluster)
+            await asyncio.sleep(PENDING_S)
+            versions = self.note_reads(cluster)
+            entry = cluster.entries[idle_entry(cluster)]
+            for _ in range(20):
+                self.assertEqual(await count(entry), COUNT)
+                await asyncio.sleep(0.1)
+            cluster.close()
+            return versions
+
+        versions = run(main())
+        self.assertIn(len(versions), range(1, 6))
+        self.assertEqual(versions, sorted(versions))
+
+    def test_jobs_are_counted_though_the_store_has_dropped_their_changes(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await self.lose_holder(cluster)
+            await asyncio.sleep(PENDING_S)
+            cluster.store.drop_history()
+            shown = await shown_for(3.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+    def test_the_last_count_is_shown_while_the_store_is_down(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await self.lose_holder(cluster)
+            await asyncio.sleep(PENDING_S)
+            await shown_for(1.0, cluster.entries.values())
+            cluster.store_down = True
+            shown = await shown_for(5.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,7 @@
 from curranthall.catalogue import Catalogue, Evacuation, MaintenanceWave
 from curranthall.cells.advice import Advice
 from curranthall.cells.dispatcher import RUNS_PER_EPOCH
+from curranthall.cells.owner import CELL_PART, CELL_TABLE
 from curranthall.cells.ports import (
     AskAdvice,
     EndKind,
@@ -25,7 +26,7 @@
 )
 from curranthall.cells.runtime import CellRuntime
 from curranthall.cells.tracking import Bounds
-from curranthall.daemon import Daemon, Deployment, RowFormat
+from curranthall.daemon import Daemon, Deployment, RowFormat, boot_clock
 from curranthall.dag import Queue, TaskId
 from curranthall.errors import (
     AnswerLost,
@@ -51,7 +52,7 @@
 from curranthall.platform.store import PlatformStore
 from curranthall.platform.worker import PlatformWorker, is_reachable
 from curranthall.standin.runner import Runner, Work
-from curranthall.store import Check, Committed, Put, Row, Stale
+from curranthall.store import Check, Committed, Listing, Put, Row, Stale
 from curranthall.telemetry import Sample
 from tests.cell_fixtures import step
 from tests.cluster import no_advice
@@ -678,10 +679,13 @@
             self.assertEqual(loaded[1:], ({"cell": "north"}, float(is_loaded)))
         self.assertNotIn("owner_row_age_seconds", self.samples())
         del self.daemon.succession.held["north"]
-        seen = self.daemon.succession.watch.observations["north"]
+        watch = self.daemon.succession.watch
+        seen = watch.observations["north"]
         assert seen.owner is not None
-        seen.owner = seen.owner._replace(waiting={"cuts": 3})
-        seen.since -= 30
+        renewed = seen.owner._replace(waiting={"cuts": 3}).encode()
+        row = Row(CELL_TABLE, CELL_PART, "north", renewed, seen.version + 1)
+        watch.observe(Listing([row], row.version, 0), boot_clock())
+        watch.observations["north"].since -= 30
         samples = self.samples()
         self.assertNotIn("cell_loaded", samples)
         (shown,), (age,) = samples["shown_waiting_jobs"], samples["owner_row_age_seconds"]
