Count a moved job until its new cell does

Cause: the former holder stops counting a job with the commit that moves it; the new one counts it from its next renewal after it has read the row. In between no row has it, or, if the new holder is lost first, none has until a successor has read the rows.

Now the former holder's row also has the moves that the other cell's published count doesn't include yet, with the versions of their rows, so an entry that reads both rows knows which one counts the job. The counts are compared as of one read of the table.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -73,7 +73,14 @@
     KeptRoomAccess,
     SpareRoom,
 )
-from curranthall.cells.tracking import LATE_VALUE, Batch, Bounds, TrackedJob, classify
+from curranthall.cells.tracking import (
+    LATE_VALUE,
+    Batch,
+    Bounds,
+    JobMove,
+    TrackedJob,
+    classify,
+)
 from curranthall.cells.waits import (
     LastingWait,
     WaitContext,
@@ -195,6 +202,8 @@
         self._departures = Departures()
         self._idle_gangs = IdleGangs(cell)
         self.dirty: dict[str, TrackedJob] = {}
+        # Waiting jobs that stored rows moved to other cells, which may not count them yet.
+        self.job_moves: list[JobMove] = []
         self.urgent = False
         # Nothing starts here, because the failure domain is taken out or the cell is released.
         self.closed = False
@@ -508,7 +517,7 @@
         was_counted = tracked.progress.counts_in(self.cell)
         tracked.progress.merge(progress, self.cell, self.epoch)
         tracked.version, tracked.given_version = version, progress.given_version or version
-        self._log_reassigned(tracked, was_counted, "row")
+        self._note_reassigned(tracked, was_counted, "row")
         self._poison.note_row(tracked)
         if has_unrecorded:
             self.dirty[job_id] = tracked
@@ -530,20 +539,24 @@
         tracked.progress.confirm(committed)
         tracked.given_version = committed.given_version or version
         self.note_recorded(tracked, change, version)
-        self._log_reassigned(tracked, was_counted, "commit")
+        self._note_reassigned(tracked, was_counted, "commit")
 
-    def _log_reassigned(self, tracked: TrackedJob, was_counted: bool, by: str) -> None:
-        """Log that a stored row moved a tracked job from this cell to another, or back."""
-        if tracked.progress.counts_in(self.cell) != was_counted:
-            log(
-                Event.JOB_REASSIGNED,
-                job=tracked.job.id,
-                cell=self.cell,
-                epoch=self.epoch,
-                to=tracked.progress.cell,
-                version=tracked.version,
-                by=by,
-            )
+    def _note_reassigned(self, tracked: TrackedJob, was_counted: bool, by: str) -> None:
+        """Note whether a stored row moved a tracked job from this cell to another, or back."""
+        counts, to = tracked.progress.counts_in(self.cell), tracked.progress.cell
+        if counts == was_counted:
+            return
+        if was_counted and tracked.is_waiting:
+            self.job_moves.append(JobMove(to, tracked.version, tracked.job.queue))
+        log(
+            Event.JOB_REASSIGNED,
+            job=tracked.job.id,
+            cell=self.cell,
+            epoch=self.epoch,
+            to=to,
+            version=tracked.version,
+            by=by,
+        )
 
     def reconfigure(self) -> None:
         """Apply a new configuration of the queues."""
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -68,6 +68,18 @@
     return max_hold_s * LEASE_STRETCH + LEASE_SLACK_S
 
 
+class MovedJobs(NamedTuple):
+    """Waiting jobs of a queue that a row of this version moved to another cell.
+
+    They count until that cell's count includes the version.
+    """
+
+    cell: str
+    version: int
+    queue: str
+    jobs: int
+
+
 class Owner(NamedTuple):
     """A cell's owner row; `holder` is empty once the cell is released."""
 
@@ -88,6 +100,7 @@
     orders_until_ms: int = 0
     # The store version up to which progress rows are included in `waiting`; 0 if unknown.
     counted_to: int = 0
+    moved: tuple["MovedJobs", ...] = ()
 
     def encode(self) -> bytes:
         """Encode the row's value."""
@@ -107,8 +120,8 @@
     """Decode a row's value; raise one of DECODE_ERRORS when it is invalid."""
     holder, address, incarnation, epoch, load, waiting, *more = items(loads(data))
     # Rows written by earlier versions lack these fields.
-    defaults = False, 0, 0, 0, 0
-    fenced, written_ms, workers, until_ms, counted_to = (*more, *defaults[len(more) :])[:5]
+    defaults: tuple[Any, ...] = False, 0, 0, 0, 0, []
+    fenced, written_ms, workers, until_ms, counted_to, moved = (*more, *defaults[len(more) :])[:6]
     return Owner(
         text(holder),
         text(address),
@@ -121,9 +134,15 @@
         whole(workers),
         whole(until_ms),
         whole(counted_to),
+        tuple(map(_moved_jobs, items(moved))),
     )
 
 
+def _moved_jobs(value: object) -> MovedJobs:
+    cell, version, queue, jobs = items(value)
+    return MovedJobs(text(cell), whole(version), text(queue), whole(jobs))
+
+
 def decode_owner_row(row: Row, newest_version: int = MAX_WHOLE) -> Owner | None:
     """Decode a row; return None for a deleted one and, logged, UNREADABLE_OWNER for an odd one.
 
@@ -219,6 +238,7 @@
 
     by_queue: dict[str, int]
     counted_to: int
+    moved: tuple[MovedJobs, ...] = ()
 
 
 class Claimant(NamedTuple):
@@ -254,7 +274,7 @@
     if owner is None:
         return WaitingJobs({}, 0)
     # Rows written by earlier versions don't tell what they count, only when.
-    return WaitingJobs(owner.waiting, owner.counted_to or version)
+    return WaitingJobs(owner.waiting, owner.counted_to or version, owner.moved)
 
 
 class Vacancy(NamedTuple):
@@ -401,7 +421,7 @@
     def waiting(self, cell: str) -> WaitingJobs:
         """Return the count of waiting jobs in a cell's row, whether it is held or not.
 
-        The counts of all cells are of one read.
+        The counts of all cells are of one read, so that no job that moved is in two of them.
         """
         return self._waiting.get(cell, WaitingJobs({}, 0))
 
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, NamedTuple, TypeVar
 
@@ -19,6 +20,7 @@
     ORDER_LIMIT_S,
     RENEW_S,
     Details,
+    MovedJobs,
     Owner,
     WaitingJobs,
     decode_details_row,
@@ -121,10 +123,14 @@
 
 
 class OtherCells(NamedTuple):
-    """Access to the other cells: their loads, and a way to send them jobs."""
+    """Access to the other cells: their loads, a way to send them jobs, and whether they count one.
+
+    A cell counts a job from the version of its row on.
+    """
 
     loads: Callable[[str], list[CellLoads]]
     send: Callable[[str, StoredJob], None]
+    is_counted: Callable[[str, int], bool]
 
 
 class CellRuntime:
@@ -234,6 +240,7 @@
             workers=len(self.dispatcher.members),
             orders_until_ms=self._orders_until_ms(),
             counted_to=waiting.counted_to,
+            moved=waiting.moved,
         )
         members = self.dispatcher.members.values()
         details = self._details._replace(
@@ -314,7 +321,7 @@
         A holder that has just taken the cell goes on with the former count until it knows the jobs.
         """
         if not self.loaded:
-            return WaitingJobs(self.owner.waiting, self.owner.counted_to)
+            return WaitingJobs(self.owner.waiting, self.owner.counted_to, self.owner.moved)
         if self._due_parts:
             # The feed may have passed jobs that are still to be read.
             return self.count_waiting(self.owner.counted_to)
@@ -322,7 +329,14 @@
 
     def count_waiting(self, counted_to: int) -> WaitingJobs:
         """Count the jobs that have not begun, as of a version of the progress rows."""
-        return WaitingJobs(self.dispatcher.waiting_jobs(counted_to), counted_to)
+        waiting = self.dispatcher.waiting_jobs(counted_to)
+        return WaitingJobs(waiting, counted_to, self._list_moved())
+
+    def _list_moved(self) -> tuple[MovedJobs, ...]:
+        """Return the waiting jobs moved to cells that don't count them yet."""
+        moves = self.dispatcher.job_moves
+        moves[:] = [move for move in moves if not self._others.is_counted(move.cell, move.version)]
+        return tuple(MovedJobs(*move, jobs) for move, jobs in Counter(moves).items())
 
     def wake(self) -> None:
         """Request a planning round."""
@@ -389,6 +403,7 @@
             workers=len(self.dispatcher.members),
             orders_until_ms=self._orders_until_ms(),
             counted_to=waiting.counted_to,
+            moved=waiting.moved,
         )
         limits, lease_ends = self._lease_limits, self._lease_ends(self._unheard_members(now))
         lease_ends |= self._departing_lease_ends(now)
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -179,6 +179,7 @@
             workers=workers,
             orders_until_ms=self.watch.store_time_of(orders_over_at) or 0,
             counted_to=waiting.counted_to,
+            moved=waiting.moved,
         )
         former_ends = details.lease_ends
         # A holder that is lost before its first renewal does not start the wait anew.
@@ -263,7 +264,7 @@
             env.clock,
             self._on_end,
             self._on_renewed,
-            OtherCells(self._other_loads, self.send_to_holder),
+            OtherCells(self._other_loads, self.send_to_holder, self._is_counted),
             env.advise,
         )
         self.held[vacancy.cell] = runtime
@@ -287,6 +288,10 @@
                 found.append(CellLoads(other, owner.load, owner.epoch, self._kinds.get(other)))
         return found
 
+    def _is_counted(self, cell: str, version: int) -> bool:
+        """Return whether a cell's published count includes a version of the progress rows."""
+        return version <= self.watch.waiting(cell).counted_to
+
     def send_to_holder(self, cell: str, stored: StoredJob) -> None:
         """Send a stored job to a cell's holder, which would else read it later from its feed."""
         runtime = self.held.get(cell)
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -37,6 +37,14 @@
     return min((each for each in times if each is not None), default=None)
 
 
+class JobMove(NamedTuple):
+    """A waiting job of a queue that a row of this version moved to another cell."""
+
+    cell: str
+    version: int
+    queue: str
+
+
 class Bounds(NamedTuple):
     """Platform limits that placement decisions depend on, in seconds."""
 
--- a/src/curranthall/intake/pending.py
+++ b/src/curranthall/intake/pending.py
@@ -23,11 +23,13 @@
     """What a cell adds to a count, and the owner row as this entry knows it.
 
     The `source` of the count is "held" (this entry's own row), "row" or "none". It is complete up
-    to the store version `counted_to`; `added` jobs are known from newer rows. `loaded` is None for
-    a cell that is not held here, `age_ms` for a cell whose row was never read.
+    to the store version `counted_to`; `added` jobs are known from newer rows, `moved` ones are in
+    no other cell's count yet. `loaded` is None for a cell that is not held here, `age_ms` for a
+    cell whose row was never read.
     """
 
     shown: int
+    moved: int
     added: int
     source: str
     holder: str
@@ -76,7 +78,7 @@
         else:
             self._forget()
         counts = self.count_by_cell(queue)
-        shown = sum(count.shown + count.added for count in counts.values())
+        shown = sum(count.shown + count.moved + count.added for count in counts.values())
         if any(count.is_doubtful for count in counts.values()):
             cells = {cell: count._asdict() for cell, count in counts.items()}
             log(Event.PENDING_SHOWN, queue=queue, shown=shown, cells=cells)
@@ -84,13 +86,21 @@
 
     def count_by_cell(self, queue: str) -> dict[str, CellCount]:
         """Return the waiting jobs of a queue by cell, as far as they are known."""
-        old = self._old_counts()
+        published, old = self._published(), self._old_counts()
+        known_to = {cell: each.counted_to for cell, each in published.items()}
+        for cell in old:
+            if self._from is not None and self._from <= known_to[cell]:
+                known_to[cell] = max(known_to[cell], self._to)
         return {
-            cell: self._count(cell, queue, each, cell in old)
-            for cell, each in self._published().items()
+            cell: self._count(
+                cell, queue, each, known_to, self._count_given(cell, queue, each, known_to[cell])
+            )
+            for cell, each in published.items()
         }
 
-    def _count(self, cell: str, queue: str, waiting: WaitingJobs, is_old: bool) -> CellCount:
+    def _count(
+        self, cell: str, queue: str, waiting: WaitingJobs, known_to: dict[str, int], added: int
+    ) -> CellCount:
         watch, runtime = self._succession.watch, self._succession.held.get(cell)
         seen, now = watch.observations.get(cell), self._clock()
         # A released row keeps its epoch.
@@ -98,7 +108,12 @@
         source = "held" if runtime is not None else "row" if owner is not None else "none"
         return CellCount(
             waiting.by_queue.get(queue, 0),
-            self._count_given(cell, queue, waiting.counted_to) if is_old else 0,
+            sum(
+                move.jobs
+                for move in waiting.moved
+                if move.queue == queue and move.version > known_to.get(move.cell, 0)
+            ),
+            added,
             source,
             owner.holder if owner is not None else "",
             owner.epoch if owner is not None else 0,
@@ -109,10 +124,10 @@
             runtime.loaded if runtime is not None else None,
         )
 
-    def _count_given(self, cell: str, queue: str, counted_to: int) -> int:
+    def _count_given(self, cell: str, queue: str, waiting: WaitingJobs, known_to: int) -> int:
         """Count the jobs that were given to a cell after its count was made."""
         return sum(
-            job.cell == cell and job.queue == queue and counted_to < job.version
+            job.cell == cell and job.queue == queue and waiting.counted_to < job.version <= known_to
             for job in self._given.values()
         )
 
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -92,6 +92,36 @@
         self.assertEqual(run(main()), {COUNT})
 
 
+class MovedJobs(Pending):
+    """Waiting jobs move to a cell whose holder counts them, but has not renewed its row yet."""
+
+    def test_they_are_counted_by_every_entry_at_any_time(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await asyncio.sleep(3)
+            cluster.evacuated = frozenset("abc")
+            await asyncio.sleep(1)
+            jobs = await self.submit(cluster, "a-e0", Step(1, Size(1, 1_000), 1_000))
+            await asyncio.sleep(PENDING_S)
+            self.assertEqual(self.cells(cluster, jobs), {"a"})
+            for name in cluster.runners:
+                cluster.withhold("start", name)
+            cluster.evacuated = frozenset("ac")
+            shown = await shown_for(4.0, cluster.entries.values())
+            self.assertEqual(self.cells(cluster, jobs), {"b"})
+            self.assertEqual(cluster.judge.starts, 0)
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+    def cells(self, cluster: Cluster, jobs: list[Job]) -> set[str]:
+        """Return the cells to which the jobs' rows belong."""
+        rows = [cluster.find_progress(job.id) for job in jobs]
+        return {row.cell for row in rows if row is not None}
+
+
 class NewHolder(Pending):
     """A cell's new holder wrote its first row, but has not read the cell's jobs yet."""
 
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -111,7 +111,11 @@
         clock,
         lambda runtime, why: None,
         lambda cell, owner, version: None,
-        OtherCells(lambda cell: [], lambda cell, stored: sent.append(stored)),
+        OtherCells(
+            lambda cell: [],
+            lambda cell, stored: sent.append(stored),
+            lambda cell, version: True,
+        ),
         no_advice,
     )
 
