Send new jobs to cells whose holder an entry has no reason to doubt

Cause: `Intake.choose_cell` counted a holder as live until 2.4 s after its row's version was first read, in a process that had just started from its first read, whatever the row's age; a lost link to the holder counted nothing.

Change: a holder is doubted if the link to it was lost after its row was written (which may be before the row is first read), if the row was written over 1.7 s ago by the store's clock (two intervals and the calls in between), or if the row is of this entry's former process. The best cell that isn't doubted is chosen, the best of all if there is none. `PeerLinks.lost_at` tells the time of the loss; links that are closed on purpose, refused or never opened count as none. CELL_CHOSEN names the doubted cells. No call more to the store or the mesh.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -32,6 +32,8 @@
 RENEW_S = 0.8
 # A holder that has not renewed for this long (three intervals) may be replaced.
 VACANT_S = 2.4
+# New jobs go to other cells once a holder's row is older: two intervals and the calls in between.
+OVERDUE_S = 1.7
 # A holder that cannot renew its row sends no orders after this time, and none of its leases lasts
 # longer. It exceeds the store outages that a cell must survive, and it bounds a successor's wait.
 ORDER_LIMIT_S = 12.0
@@ -377,6 +379,20 @@
         live_holder = owner is not None and now - self.observations[cell].since < VACANT_S
         return owner if live_holder else None
 
+    def is_doubtful(self, cell: str, lost_at: float, now: float) -> bool:
+        """Return whether a holder may be gone: the link to it was lost, or its row is overdue.
+
+        A renewal that was written after the loss shows that it works.
+        """
+        written_at = self._written_at(self.observations[cell])
+        return lost_at > written_at or now - written_at > OVERDUE_S
+
+    def _written_at(self, seen: OwnerObservation) -> float:
+        """Return about when a row was written; at the latest when it was first read."""
+        if seen.owner is None or not seen.owner.written_ms:
+            return seen.first_seen
+        return min(seen.first_seen, self.local_time_of(seen.owner.written_ms))
+
     def vacancy(self, me: Claimant, held: Collection[str], now: float) -> Vacancy | None:
         """Return the cell that this entry may take first, if there is one."""
         found = [
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -218,6 +218,10 @@
             raise PlatformDown(why="no mesh yet")
         return await self._mesh.call(peer, verb, body, timeout)
 
+    def lost_at(self, peer: str) -> float:
+        """Return when a link to a peer was last lost, -inf if never."""
+        return -float("inf") if self._mesh is None else self._mesh.lost_at(peer)
+
     async def _keep_running(self, loop: Callable[[], Awaitable[None]]) -> None:
         """Run a loop until cancelled; after a failure, log it and run the loop again.
 
@@ -237,7 +241,7 @@
         await self.succession.run()
 
     async def _start_mesh(self, key: bytes) -> SocketMesh:
-        mesh = SocketMesh(self.deployment.mesh, key)
+        mesh = SocketMesh(self.deployment.mesh, key, boot_clock)
         mesh.handler = self.intake.handle
         host, _, port = self.deployment.mesh.rpartition(":")
         await mesh.start(host, int(port))
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -7,6 +7,7 @@
 
 from curranthall.cells import records
 from curranthall.cells.load import HOME_BONUS, Load, rate_cell, widest_step
+from curranthall.cells.owner import Owner
 from curranthall.cells.records import PROGRESS_TABLE, StoredJob, decode_stored_job
 from curranthall.cells.succession import Succession
 from curranthall.dag import Job, Phase, Progress, Queue
@@ -57,6 +58,9 @@
     async def call(self, peer: str, verb: str, body: Any, timeout: float) -> Any:
         """Send and return the answer; raise a CurranthallError."""
 
+    def lost_at(self, peer: str) -> float:
+        """Return when a link to a peer was last lost, by the intake's clock; -inf if never."""
+
 
 class _CachedPhase(NamedTuple):
     cell: str
@@ -174,11 +178,15 @@
         self._succession.send_to_holder(cell, stored)
 
     def choose_cell(self, job: Job) -> str:
-        """Return the cell that best fits the job's widest step; add the step to its recent load."""
+        """Return the cell that best fits the job's widest step; add the step to its recent load.
+
+        Cells whose holder may be gone are chosen only if no other cell has workers for it.
+        """
         now, evacuated, step = self._clock(), self._evacuated(), widest_step(job)
         home, cells = self._succession.me.domain, self._succession.watch.cells
-        best, best_score = home, -float("inf")
+        best, best_rank = home, (False, -float("inf"))
         rooms: dict[str, float] = {}
+        doubted: list[str] = []
         self._submissions = [row for row in self._submissions if now - row[0] < SUBMISSION_TTL_S]
         for cell in cells:
             owner = self._succession.watch.live_holder(cell, now)
@@ -190,13 +198,30 @@
             score = rate_cell(load, step, cell, cells, recent) + (
                 HOME_BONUS if cell == home else 0.0
             )
-            if score > best_score:
-                best, best_score = cell, score
+            if self._may_be_gone(cell, owner, now):
+                doubted.append(cell)
+            rank = (cell not in doubted, score)
+            if score > -float("inf") and rank > best_rank:
+                best, best_rank = cell, rank
         cores = step.width * step.size.cores
         self._submissions.append((now, best, cores))
-        log(Event.CELL_CHOSEN, job=job.id, cell=best, cores=round(cores, 1), rooms=rooms)
+        log(
+            Event.CELL_CHOSEN,
+            job=job.id,
+            cell=best,
+            cores=round(cores, 1),
+            rooms=rooms,
+            doubted=doubted,
+        )
         return best
 
+    def _may_be_gone(self, cell: str, owner: Owner, now: float) -> bool:
+        """Return whether a holder may be gone, though its row is too new to replace it."""
+        if owner.address == self._succession.me.address and cell not in self._succession.held:
+            # The row is of this entry's former process, or of a cell that it has given up.
+            return True
+        return self._succession.watch.is_doubtful(cell, self._peers.lost_at(owner.address), now)
+
     # Status
 
     async def phase(self, job_id: str) -> JobStatus:
--- a/src/curranthall/link.py
+++ b/src/curranthall/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import hmac
 import os
+import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any, Protocol
@@ -95,12 +96,17 @@
 class SocketMesh:
     """The mesh over WebSockets; each entry sends its calls over links that it dials."""
 
-    def __init__(self, own_id: str, key: bytes) -> None:
+    def __init__(
+        self, own_id: str, key: bytes, clock: Callable[[], float] = time.monotonic
+    ) -> None:
         self._own_id = own_id
         self._key = key
+        self._clock = clock
         self._links: dict[str, Any] = {}
         self._calls: dict[str, _PendingCalls] = {}
         self._timeouts: dict[str, int] = {}
+        # By dialed peer, when its last link was lost.
+        self._lost_at: dict[str, float] = {}
         self._server: Any = None
         self._dial_tasks: dict[str, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -138,6 +144,7 @@
         """Keep links to exactly these addresses."""
         for address in [address for address in self._dial_tasks if address not in addresses]:
             self._dial_tasks.pop(address).cancel()
+        self._lost_at = {peer: at for peer, at in self._lost_at.items() if peer in addresses}
         for address in addresses:
             self.dial(address)
 
@@ -158,6 +165,10 @@
         """Return the ids of the peers with an open link."""
         return list(self._links)
 
+    def lost_at(self, peer: str) -> float:
+        """Return when a link to a peer was last lost, -inf if never; closing one is no loss."""
+        return self._lost_at.get(peer, -float("inf"))
+
     def cast(self, peer: str, verb: str, body: Any) -> None:
         """Send a message without an answer."""
         link: Any = self._links.get(peer)
@@ -254,6 +265,9 @@
                 frame = await self._receive(link)
                 self._timeouts[peer] = 0
                 calls.resolve(frame.get("n"), "e" not in frame, frame.get("e", frame.get("b")))
+        except Exception:
+            self._lost_at[peer] = self._clock()
+            raise
         finally:
             calls.fail_all()
             if self._links.get(peer) is link:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -332,9 +332,12 @@
             entry.start()
 
     def kill(self, name: str) -> None:
-        """Kill an entry's process."""
+        """Kill an entry's process; the entries that reach it lose their links to it at once."""
         self.judge.note_fault()
         self.entries[name].kill()
+        for entry in self.entries.values():
+            if self.open(entry.name, name):
+                entry.lost[name] = now()
 
     def restart(self, name: str) -> None:
         """Start an entry's process again."""
@@ -429,6 +432,8 @@
         self.cluster = cluster
         self.name = name
         self.dead = False
+        # When this process last lost its link to a killed one, by peer.
+        self.lost: dict[str, float] = {}
         self.operations = Operations()
         self.operations.apply(cluster.catalogue)
         store = FaultyStore(cluster, self)
@@ -485,6 +490,10 @@
         await asyncio.sleep(NET_S)
         return host.name in self.cluster.runners and self.cluster.open(self.name, host.name)
 
+    def lost_at(self, peer: str) -> float:
+        """Return when the last link to a peer was lost, -inf if none ever was."""
+        return self.lost.get(peer, -float("inf"))
+
     def cast(self, peer: str, verb: str, body: Any) -> None:
         """Send a message to a peer without waiting for an answer."""
         asyncio.ensure_future(self._cast(peer, verb, body))
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -62,6 +62,71 @@
             await asyncio.sleep(0.02)
         self.assertEqual(await self.near.call("far", "soon", 0.0, 1.0), "soon")
 
+    async def wait_for_loss(self, peer: str) -> float:
+        """Return when the link to a peer was lost, -inf unless that is within some seconds."""
+        for _ in range(200):
+            if self.near.lost_at(peer) > -float("inf"):
+                break
+            await asyncio.sleep(0.02)
+        return self.near.lost_at(peer)
+
+    async def test_a_link_that_its_peer_closes_is_lost_at_once_and_stays_so(self) -> None:
+        """A killed peer that is back at its address would look as if it had worked all the time."""
+        before = time.monotonic()
+        port = self.far.port
+        with patch("curranthall.link.RECONNECT_DELAY_S", 0.05):
+            await self.far.close()
+            lost_at = await self.wait_for_loss("far")
+            self.assertTrue(before <= lost_at <= before + 1.0, lost_at - before)
+            self.far = SocketMesh("far", KEY)
+            self.far.handler = self.answer
+            await self.far.start(LOOPBACK, port)
+            while "far" not in self.near.peers():
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.near.lost_at("far"), lost_at)
+
+    async def test_a_link_that_is_aborted_after_timeouts_is_lost(self) -> None:
+        for _ in range(MAX_TIMEOUTS):
+            self.assertEqual(self.near.lost_at("far"), -float("inf"))
+            with self.assertRaises(AnswerLost):
+                await self.near.call("far", "never", 30.0, 0.05)
+        self.assertGreater(await self.wait_for_loss("far"), -float("inf"))
+
+    async def test_a_link_that_is_closed_on_purpose_is_not_lost(self) -> None:
+        self.near.retain(set())
+        while "far" in self.near.peers():
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.near.lost_at("far"), -float("inf"))
+
+    async def test_a_link_that_never_opened_is_not_lost(self) -> None:
+        """Refused or rejected attempts are retried twice a second."""
+        stranger = SocketMesh("stranger", b"other" * 8)
+        refused = f"{LOOPBACK}:1"
+        rejected = f"{LOOPBACK}:{await stranger.start(LOOPBACK, 0)}"
+        with patch("curranthall.link.RECONNECT_DELAY_S", 0.02):
+            self.near.dial(refused)
+            self.near.dial(rejected)
+            await asyncio.sleep(0.3)
+        for peer in (refused, rejected, "stranger", "near"):
+            self.assertEqual(self.near.lost_at(peer), -float("inf"))
+        await stranger.close()
+
+    async def test_losses_of_peers_that_are_not_dialed_any_more_are_forgotten(self) -> None:
+        """An entry would keep one for each former holder."""
+        address = f"{LOOPBACK}:{self.far.port}"
+        self.far._own_id = address
+        self.near.retain(set())
+        self.near.retain({address})
+        while address not in self.near.peers():
+            await asyncio.sleep(0.01)
+        await self.far.close()
+        self.assertGreater(await self.wait_for_loss(address), -float("inf"))
+        self.near.retain({address})
+        self.assertGreater(self.near.lost_at(address), -float("inf"))
+        self.near.retain(set())
+        self.assertEqual(self.near.lost_at(address), -float("inf"))
+
     async def test_drain_waits_for_the_pending_answers(self) -> None:
         pending = asyncio.ensure_future(self.near.call("far", "answer", 0.2, 2.0))
         await asyncio.sleep(0.05)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -112,6 +112,7 @@
         self.assertEqual((chosen["cell"], chosen["cores"]), (lines["JOB_STORED"]["cell"], 8))
         self.assertEqual(set(chosen["rooms"]), {"a", "b"})
         self.assertGreaterEqual(chosen["rooms"][chosen["cell"]], 8)
+        self.assertEqual(chosen["doubted"], [])
 
     def test_a_job_whose_worker_was_lost(self) -> None:
         async def scenario(cluster: Cluster) -> None:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -11,6 +11,7 @@
     CELL_TABLE,
     DETAIL_TABLE,
     FEW_CORES_S,
+    GAP_S,
     ORDER_LIMIT_S,
     OTHER_DOMAIN_S,
     RENEW_S,
@@ -84,6 +85,47 @@
         self.read(OTHER)
         self.assertIsNone(self.vacancy())
 
+    def read_written(self, age_s: float, owner: Owner = OTHER) -> None:
+        """Observe 0.8 s after the last read a renewal that was written `age_s` before."""
+        self.now += 0.8
+        self.version += 1
+        owner = owner._replace(written_ms=int((self.now - age_s) * 1000))
+        row = Row(CELL_TABLE, "", "north", owner.encode(), self.version)
+        self.watch.observe(Listing([row], 9, int(self.now * 1000)), self.now)
+
+    def is_doubtful(self, lost_at: float) -> bool:
+        """Return whether the holder may be gone now."""
+        return self.watch.is_doubtful("north", lost_at, self.now)
+
+    def test_a_lost_link_makes_a_holder_doubtful_until_a_renewal_was_written_later(self) -> None:
+        """A row that was written before the holder was killed may be first read after that."""
+        self.read_written(0.1)
+        self.read_written(0.1)
+        self.assertFalse(self.is_doubtful(-float("inf")))
+        lost_at = self.now + 0.3
+        self.assertTrue(self.is_doubtful(lost_at))
+        self.read_written(0.6)
+        self.assertTrue(self.is_doubtful(lost_at))
+        self.read_written(0.6)
+        self.assertFalse(self.is_doubtful(lost_at))
+
+    def test_an_outage_of_the_store_does_not_hide_a_lost_link(self) -> None:
+        """The holder's timeout restarts, but nothing shows that it works."""
+        self.read(OTHER)
+        lost_at = self.now + 0.1
+        self.now += GAP_S - 0.45
+        self.read(OTHER)
+        self.assertFalse(self.is_doubtful(-float("inf")))
+        self.assertTrue(self.is_doubtful(lost_at))
+
+    def test_a_holder_is_doubtful_before_it_may_be_replaced_but_not_between_renewals(self) -> None:
+        self.read_written(0.0)
+        self.now += 2 * RENEW_S
+        self.assertFalse(self.is_doubtful(-float("inf")))
+        self.now += 0.2
+        self.assertTrue(self.is_doubtful(-float("inf")))
+        self.assertIsNotNone(self.watch.live_holder("north", self.now))
+
     def test_a_restarted_process_takes_its_cell_at_once(self) -> None:
         self.read(OTHER._replace(holder="e1", address="e1:1", incarnation=3))
         found = self.vacancy()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -699,6 +699,14 @@
             await asyncio.sleep(0.05)
         self.fail("never held")
 
+    async def test_lost_links_and_renewals_are_timed_by_one_clock(self) -> None:
+        """Of two clocks one may stand still while the machine is suspended."""
+        await self.configure()
+        await self.wait_for_cell()
+        assert self.daemon._mesh is not None
+        self.assertIs(self.daemon._mesh._clock, self.daemon.intake._clock)
+        self.assertEqual(self.daemon.lost_at("e2:1"), -float("inf"))
+
     async def test_odd_entries_end_neither_the_cell_nor_the_watch_of_the_list(self) -> None:
         """A port out of range ended the watch; a host with an empty label ended the cell."""
         await self.configure()
