Move no tasks to a cell whose holder may be gone

Cause: `Succession._other_loads` listed a cell as a target until its holder's row was 2.4 s old, whatever the entry's own link showed.

Change: a cell whose holder is doubted is no target. Tasks wait where they are; a holder that works clears the doubt with its next renewal. The question is now asked by `Succession`, for new jobs and for moves; `lost_at` is part of its `Environment`, no longer of the intake's `PeerLinks`.

--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -56,6 +56,8 @@
     can_reach: Callable[[Host], Awaitable[bool]]
     refresh_hosts: Callable[[], None]
     advise: Callable[[AskAdvice], Awaitable[Advice]]
+    # When a link to another entry was last lost, by its address and the clock above; -inf if never.
+    lost_at: Callable[[str], float]
 
 
 class Succession:
@@ -274,17 +276,29 @@
         return runtime
 
     def _other_loads(self, cell: str) -> list[CellLoads]:
-        """Return the loads of the other cells that have a live holder and are not evacuated."""
+        """Return the loads of the cells to which tasks may be moved.
+
+        They are not evacuated, and their holder is live and not doubted.
+        """
         now, evacuated = self._env.clock(), self._env.evacuated()
         hosts, found = self._env.hosts(), []
         if hosts is not None and hosts is not self._grouped_hosts:
             self._grouped_hosts, self._kinds = hosts, group_kinds(hosts.values())
         for other in self.watch.cells:
             owner = self.watch.live_holder(other, now)
-            if owner is not None and other != cell and other not in evacuated:
+            if owner is None or other == cell or other in evacuated:
+                continue
+            if not self.may_be_gone(other, owner, now):
                 found.append(CellLoads(other, owner.load, owner.epoch, self._kinds.get(other)))
         return found
 
+    def may_be_gone(self, cell: str, owner: Owner, now: float) -> bool:
+        """Return whether a holder may be gone, though its row is too new to replace it."""
+        if owner.address == self.me.address and cell not in self.held:
+            # The row is of this entry's former process, or of a cell that it has given up.
+            return True
+        return self.watch.is_doubtful(cell, self._env.lost_at(owner.address), now)
+
     def send_to_holder(self, cell: str, stored: StoredJob) -> None:
         """Send a stored job to a cell's holder, which would else read it later from its feed."""
         runtime = self.held.get(cell)
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -161,6 +161,7 @@
             is_reachable,
             lambda: self._host_watch.skip_pause(),
             advise,
+            self.lost_at,
         )
         self.succession = Succession(me, deployment.domains, deployment.bounds, environment)
         self.intake = Intake(
@@ -205,7 +206,7 @@
         for cell, runtime in self.succession.held.items():
             yield from _cell_samples(cell, runtime, now)
 
-    # Methods of PeerLinks, called by the intake
+    # Links to other entries, for the intake and the held cells
 
     def cast(self, peer: str, verb: str, body: object) -> None:
         """Send a message to a peer without waiting for an answer."""
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -7,7 +7,6 @@
 
 from curranthall.cells import records
 from curranthall.cells.load import HOME_BONUS, Load, rate_cell, widest_step
-from curranthall.cells.owner import Owner
 from curranthall.cells.records import PROGRESS_TABLE, StoredJob, decode_stored_job
 from curranthall.cells.succession import Succession
 from curranthall.dag import Job, Phase, Progress, Queue
@@ -58,9 +57,6 @@
     async def call(self, peer: str, verb: str, body: Any, timeout: float) -> Any:
         """Send and return the answer; raise a CurranthallError."""
 
-    def lost_at(self, peer: str) -> float:
-        """Return when a link to a peer was last lost, by the intake's clock; -inf if never."""
-
 
 class _CachedPhase(NamedTuple):
     cell: str
@@ -198,7 +194,7 @@
             score = rate_cell(load, step, cell, cells, recent) + (
                 HOME_BONUS if cell == home else 0.0
             )
-            if self._may_be_gone(cell, owner, now):
+            if self._succession.may_be_gone(cell, owner, now):
                 doubted.append(cell)
             rank = (cell not in doubted, score)
             if score > -float("inf") and rank > best_rank:
@@ -215,13 +211,6 @@
         )
         return best
 
-    def _may_be_gone(self, cell: str, owner: Owner, now: float) -> bool:
-        """Return whether a holder may be gone, though its row is too new to replace it."""
-        if owner.address == self._succession.me.address and cell not in self._succession.held:
-            # The row is of this entry's former process, or of a cell that it has given up.
-            return True
-        return self._succession.watch.is_doubtful(cell, self._peers.lost_at(owner.address), now)
-
     # Status
 
     async def phase(self, job_id: str) -> JobStatus:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -451,6 +451,7 @@
             self._reaches,
             lambda: None,
             no_advice,
+            self.lost_at,
         )
         self.succession = Succession(me, cluster.domains, Bounds(), env)
         self.intake = Intake(
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -109,6 +109,38 @@
         self.check(freeze, OVERDUE_S)
 
 
+class Moves(unittest.TestCase):
+    def test_no_task_is_moved_to_the_cell_of_a_killed_holder(self) -> None:
+        """Jobs that were sent to a full cell, as a holder may be gone, were moved there by it."""
+
+        async def main() -> list[float]:
+            cluster = Cluster(1)
+            cluster.evacuated = frozenset("b")
+            cluster.start()
+            await asyncio.sleep(4)
+            fillers = [make_job(number, width=24) for number in (1, 2)]
+            for job in fillers:
+                cluster.work[job.id] = 5.0
+                await cluster.submit("a-e0", job)
+            await asyncio.sleep(0.5)
+            cluster.evacuated = frozenset()
+            await asyncio.sleep(2.0)
+            workers = [name for name in cluster.runners if name[0] == "b"]
+            cluster.cuts = {frozenset((each, w)) for each in cluster.entries for w in workers}
+            cluster.kill(find_holder(cluster, "b"))
+            killed_at = now()
+            jobs = [make_job(number, width=4) for number in range(3, 7)]
+            for job in jobs:
+                await cluster.submit("a-e0", job)
+            await asyncio.sleep(6)
+            cluster.close()
+            self.assertEqual(cluster.judge.broken, [])
+            starts = {task.job: at for task, (_, at) in cluster.judge.sent.items()}
+            return [starts.get(job.id, float("inf")) - killed_at for job in jobs]
+
+        self.assertLess(max(run(main())), 4.0)
+
+
 class Preference(unittest.TestCase):
     """Doubts about a holder decide nothing but the order of the cells."""
 
