--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -174,6 +174,7 @@
             is_reachable,
             lambda: self._host_watch.skip_pause(),
             advise,
+            self.lost_at,
         )
         self.succession = Succession(me, deployment.domains, deployment.bounds, environment)
         self.intake = Intake(
@@ -219,7 +220,7 @@
             yield from _cell_samples(cell, runtime, now)
         yield from _ownership_samples(self.succession, now)
 
-    # Methods of PeerLinks, called by the intake
+    # Links to other entries, for the intake and the held cells
 
     def cast(self, peer: str, verb: str, body: object) -> None:
         """Send a message to a peer without waiting for an answer."""
@@ -232,6 +233,10 @@
             raise PlatformDown(why="no mesh yet")
         return await self._mesh.call(peer, verb, body, timeout)
 
+    def lost_at(self, peer: str) -> float:
+        """Return when a link to a peer was last lost, -inf if never."""
+        return -float("inf") if self._mesh is None else self._mesh.lost_at(peer)
+
     async def _keep_running(self, loop: Callable[[], Awaitable[None]]) -> None:
         """Run a loop until cancelled; after a failure, log it and run the loop again.
 
@@ -251,7 +256,7 @@
         await self.succession.run()
 
     async def _start_mesh(self, key: bytes) -> SocketMesh:
-        mesh = SocketMesh(self.deployment.mesh, key)
+        mesh = SocketMesh(self.deployment.mesh, key, boot_clock)
         mesh.handler = self.intake.handle
         host, _, port = self.deployment.mesh.rpartition(":")
         await mesh.start(host, int(port))
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -185,11 +185,15 @@
         self._succession.send_to_holder(cell, stored)
 
     def choose_cell(self, job: Job) -> str:
-        """Return the cell that best fits the job's widest step; add the step to its recent load."""
+        """Return the cell that best fits the job's widest step; add the step to its recent load.
+
+        Cells whose holder may be gone are chosen only if no other cell has workers for it.
+        """
         now, evacuated, step = self._clock(), self._evacuated(), widest_step(job)
         home, cells = self._succession.me.domain, self._succession.watch.cells
-        best, best_score = home, -float("inf")
+        best, best_rank = home, (False, -float("inf"))
         rooms: dict[str, float] = {}
+        doubted: list[str] = []
         self._submissions = [row for row in self._submissions if now - row[0] < SUBMISSION_TTL_S]
         for cell in cells:
             owner = self._succession.watch.live_holder(cell, now)
@@ -201,11 +205,21 @@
             score = rate_cell(load, step, cell, cells, recent) + (
                 HOME_BONUS if cell == home else 0.0
             )
-            if score > best_score:
-                best, best_score = cell, score
+            if self._succession.may_be_gone(cell, owner, now):
+                doubted.append(cell)
+            rank = (cell not in doubted, score)
+            if score > -float("inf") and rank > best_rank:
+                best, best_rank = cell, rank
         cores = step.width * step.size.cores
         self._submissions.append((now, best, cores))
-        log(Event.CELL_CHOSEN, job=job.id, cell=best, cores=round(cores, 1), rooms=rooms)
+        log(
+            Event.CELL_CHOSEN,
+            job=job.id,
+            cell=best,
+            cores=round(cores, 1),
+            rooms=rooms,
+            doubted=doubted,
+        )
         return best
 
     # Status
