Publish no count beyond a part that is being read

A holder knew the jobs from the feed only, and the part with their rows could not be read by it.

Cause: the part leaves the list of due ones before it is read. A renewal in that time published a count as of the feed's version, which the jobs precede, and kept that version afterwards.

The version now also stays while a part is being read. tests.test_pending PartAway failed before.

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -188,6 +188,7 @@
         self._read_versions: dict[str, int] = {}
         # The parts whose rows have to be read, in this order; a part leaves it as its read begins.
         self._due_parts = dict.fromkeys(PARTS)
+        self._part_in_reading: str | None = None
         self._parts_due = asyncio.Event()
         self._proof_requested = False
         self._resolving = False
@@ -322,7 +323,7 @@
         """
         if not self.loaded:
             return WaitingJobs(self.owner.waiting, self.owner.counted_to, self.owner.moved)
-        if self._due_parts:
+        if self._due_parts or self._part_in_reading is not None:
             # The feed may have passed jobs that are still to be read.
             return self.count_waiting(self.owner.counted_to)
         return self.count_waiting(max(self._fed_to, min(self._read_versions.values())))
@@ -894,7 +895,7 @@
             while not self._due_parts:
                 self._parts_due.clear()
                 await self._parts_due.wait()
-            part = next(iter(self._due_parts))
+            part = self._part_in_reading = next(iter(self._due_parts))
             del self._due_parts[part]
             try:
                 await self._read_rows(part)
@@ -906,6 +907,7 @@
                 failures += 1
                 if failures >= len(self._due_parts):
                     await asyncio.sleep(STORE_RETRY_S)
+            self._part_in_reading = None
             if not is_followed and (self.loaded or failures):
                 # A part that can't be read does not hold up the feed of the others.
                 is_followed = True
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Iterable
 
+from curranthall.cells.records import PROGRESS_TABLE, part_of
 from curranthall.dag import Job, Step
 from curranthall.intake import Verdict
 from curranthall.model import Size
@@ -178,6 +179,32 @@
         self.assertEqual(run(main()), {COUNT})
 
 
+class PartAway(Pending):
+    """A holder renews and follows the feed while it can't read one part of the rows."""
+
+    def test_jobs_of_a_part_that_is_being_read_are_not_taken_for_counted(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await asyncio.sleep(4)
+            holder = cluster.holder("a")
+            assert holder is not None
+            cluster.evacuated = frozenset("bc")
+            await asyncio.sleep(1)
+            # The holder knows the jobs only from the feed, and their rows can't be read.
+            cluster.cuts = {frozenset(("b-e0", holder))}
+            cluster.parts_away = {(holder, part_of(make_job(1, too_large()).id))}
+            for number in range(1, 8 * COUNT, 8):
+                verdict = await cluster.submit("b-e0", make_job(number, too_large()))
+                self.assertIs(verdict, Verdict.ACCEPTED)
+            await asyncio.sleep(PENDING_S)
+            shown = await shown_for(6.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+
 class Reads(Pending):
     """What a count reads from the store."""
 
