Keep a former holder's moves in a cell's count

A new holder starts with the moves in the row that it takes. The former one notes them with the version that gave the job away, also after a lost answer.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -3,7 +3,7 @@
 Does no I/O and never blocks: events come in with the local time, orders leave through `orders`.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
 from typing import NamedTuple
@@ -202,8 +202,8 @@
         self._departures = Departures()
         self._idle_gangs = IdleGangs(cell)
         self.dirty: dict[str, TrackedJob] = {}
-        # Waiting jobs that stored rows moved to other cells, which may not count them yet.
-        self.job_moves: list[JobMove] = []
+        # The number of waiting jobs by the rows that moved them to cells which may not count them.
+        self.job_moves: Counter[JobMove] = Counter()
         self.urgent = False
         # Nothing starts here, because the failure domain is taken out or the cell is released.
         self.closed = False
@@ -547,7 +547,7 @@
         if counts == was_counted:
             return
         if was_counted and tracked.is_waiting:
-            self.job_moves.append(JobMove(to, tracked.version, tracked.job.queue))
+            self.job_moves[JobMove(to, tracked.given_version, tracked.job.queue)] += 1
         log(
             Event.JOB_REASSIGNED,
             job=tracked.job.id,
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, NamedTuple, TypeVar
 
@@ -336,8 +335,10 @@
     def _list_moved(self) -> tuple[MovedJobs, ...]:
         """Return the waiting jobs moved to cells that don't count them yet."""
         moves = self.dispatcher.job_moves
-        moves[:] = [move for move in moves if not self._others.is_counted(move.cell, move.version)]
-        return tuple(MovedJobs(*move, jobs) for move, jobs in Counter(moves).items())
+        for move in list(moves):
+            if self._others.is_counted(move.cell, move.version):
+                del moves[move]
+        return tuple(MovedJobs(*move, jobs) for move, jobs in moves.items())
 
     def wake(self) -> None:
         """Request a planning round."""
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -28,7 +28,7 @@
 from curranthall.cells.ports import AskAdvice, WorkerPort
 from curranthall.cells.records import StoredJob, read_details
 from curranthall.cells.runtime import CellRuntime, OtherCells, TakenCell
-from curranthall.cells.tracking import Bounds
+from curranthall.cells.tracking import Bounds, JobMove
 from curranthall.dag import Job, Queue
 from curranthall.dag.progress import decode_progress
 from curranthall.errors import AnswerLost, PlatformDown
@@ -258,6 +258,8 @@
         dispatcher.take_over(roster, vacancy.proof_at, lease_ends, now)
         dispatcher.interference.import_rows(taken.details.learned)
         dispatcher.closed = vacancy.cell in env.evacuated()
+        for moved in owner.moved:
+            dispatcher.job_moves[JobMove(moved.cell, moved.version, moved.queue)] = moved.jobs
         runtime = CellRuntime(
             dispatcher,
             taken,
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -117,6 +117,31 @@
 
         self.assertEqual(run(main()), {COUNT})
 
+    def test_they_are_counted_after_a_release_before_the_other_cell_counts_them(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await asyncio.sleep(3)
+            cluster.evacuated = frozenset("abc")
+            await asyncio.sleep(1)
+            jobs = await self.submit(cluster, "a-e0", Step(1, Size(1, 1_000), 1_000))
+            await asyncio.sleep(PENDING_S)
+            for name in cluster.runners:
+                cluster.withhold("start", name)
+            cluster.evacuated = frozenset("ac")
+            while self.cells(cluster, jobs) != {"b"}:
+                await asyncio.sleep(0.01)
+            former, other = cluster.holder("a"), cluster.holder("b")
+            assert former is not None and other is not None
+            cluster.kill(other)
+            await asyncio.sleep(0.15)
+            await cluster.entries[former].succession.held["a"].release()
+            shown = await shown_for(6.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
     def cells(self, cluster: Cluster, jobs: list[Job]) -> set[str]:
         """Return the cells to which the jobs' rows belong."""
         rows = [cluster.find_progress(job.id) for job in jobs]
