--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -91,6 +91,8 @@
     finished: int = 0
     # The version of the row that gave the job to its cell; 0 if it is this row.
     given_version: int = 0
+    # The job runs at due times.
+    timed: bool = False
     # Local moves to other cells that no committed row contains yet; not stored.
     uncommitted_moves: dict[TaskKey, str] = field(default_factory=dict)
     uncommitted_job_move: str = ""
@@ -352,6 +354,8 @@
             value["n"] = self.finished
         if self.given_version and not self.phase.is_final:
             value["g"] = self.given_version
+        if self.timed and not self.phase.is_final:
+            value["t"] = True
         if self.queue is not None and not self.phase.is_final:
             value["s"] = list(self.queue)
         if self.moved_to:
@@ -384,6 +388,7 @@
         _queue(value["s"]) if "s" in value else None,
         whole(value.get("n", 0)),
         whole(value.get("g", 0)),
+        value.get("t") is True,
     )
 
 
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -96,7 +96,8 @@
         cell = self.choose_cell(job)
         claims = {cell: self._succession.watch.epoch(cell)}
         queue = self._queue_of(job)
-        progress = Progress(cell, writer=self._succession.me.name, claims=claims, queue=queue)
+        writer, timed = self._succession.me.name, job.is_timed
+        progress = Progress(cell, writer=writer, claims=claims, queue=queue, timed=timed)
         store_job = self._relay if self._store.failing else self._create
         verdict = await store_job(job, progress, until)
         acceptance_seconds.observe(self._clock() - started_at, verdict=verdict.value)
--- a/src/curranthall/intake/pending.py
+++ b/src/curranthall/intake/pending.py
@@ -200,7 +200,7 @@
     def _apply(self, rows: Iterable[Row]) -> None:
         for row in rows:
             progress = decode_progress_row(row)
-            if progress is None or progress.queue is None or _has_begun(progress):
+            if progress is None or progress.queue is None or progress.timed or _has_begun(progress):
                 self._given.pop(row.key, None)
                 continue
             version = progress.given_version or row.version
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -299,6 +299,20 @@
 
         self.assertEqual(run(main()), {COUNT})
 
+    def test_jobs_with_due_times_are_not_added(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await self.lose_holder(cluster)
+            timed = make_job(100, too_large())._replace(first_due_ms=int(now() + 60) * 1000)
+            self.assertIs(await cluster.submit("b-e0", timed), Verdict.ACCEPTED)
+            await asyncio.sleep(PENDING_S)
+            shown = await shown_for(2.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
     def test_the_last_count_is_shown_while_the_store_is_down(self) -> None:
         async def main() -> set[int]:
             cluster = Cluster()
