Share and finish slow reads of a count

A read of the feed for a count was cancelled after 0.6 s, each waiting count then began its own, and a read of all rows started anew each time: with 0.1 s a call entries showed 0 of 6 jobs for good once the store had dropped its history, and 20 questions in 2 s took up to 10.1 s each.

Counts now share one read, wait for it for 0.6 s at most, and a longer one goes on: the next count has what it found. Rows removed during a gap of the history are forgotten. A count is old by the time of the question, not that of the last read of the owner rows. The two new tests of Reads failed before.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -328,7 +328,7 @@
     reachable_since: dict[str, float] = field(default_factory=dict)
     # The counts of waiting jobs as of the last read.
     _waiting: dict[str, WaitingJobs] = field(default_factory=dict)
-    # When the rows were read within MAX_COUNT_AGE_S before the last time, and the store's version.
+    # When the rows were read lately, and the store's version then.
     _reads: deque[tuple[float, int]] = field(default_factory=deque)
     # How long the last read took.
     _read_s: float = 0.0
@@ -435,12 +435,11 @@
     def due_version(self, now: float) -> int:
         """Return the store version that a count of waiting jobs has to include not to be old.
 
-        It is the version of MAX_COUNT_AGE_S ago, or a later one after a gap between two reads.
-        While the rows can't be read, all counts are old.
+        It is the first one that was read within MAX_COUNT_AGE_S. While none can be read, all counts
+        are old.
         """
-        if not self._reads or now - self.read_at > MAX_COUNT_AGE_S:
-            return MAX_WHOLE
-        return self._reads[0][1]
+        recent = (version for read_at, version in self._reads if now - read_at <= MAX_COUNT_AGE_S)
+        return next(recent, MAX_WHOLE)
 
     def row_age_ms(self, cell: str, now: float) -> int | None:
         """Return for how long a cell's row has not changed, or None if none was read yet.
--- a/src/curranthall/intake/pending.py
+++ b/src/curranthall/intake/pending.py
@@ -12,7 +12,7 @@
 from curranthall.events import Event, log
 from curranthall.store import Row, Store
 
-# Limits of reading the feed for one count: its duration, and the least time between two reads.
+# How long a count waits for a read of the feed, and the least time between the starts of two.
 READ_TIMEOUT_S = 0.6
 READ_INTERVAL_S = 0.5
 # The least time between two reads of all rows, if the store no longer keeps the changes.
@@ -66,17 +66,19 @@
         self._succession = succession
         self._store = store
         self._clock = clock
-        self._reading = asyncio.Lock()
-        self._tried_at = self._scanned_at = -float("inf")
-        self._forget()
+        self._reading: asyncio.Future[None] | None = None
+        self._read_at = self._scanned_at = -float("inf")
+        # The versions between which changes were read, and what they show.
+        self._from: int | None = None
+        self._to = 0
+        self._given: dict[str, _GivenJob] = {}
 
     async def count(self, queue: str) -> int:
         """Count the accepted jobs of a queue that have not begun."""
-        if self._old_counts():
-            async with self._reading:
-                await self._read_changes()
-        else:
-            self._forget()
+        if self._old_counts(self._published()):
+            await self._await_changes()
+        elif self._reading is None or self._reading.done():
+            self._from, self._given = None, {}
         counts = self.count_by_cell(queue)
         shown = sum(count.shown + count.moved + count.added for count in counts.values())
         if any(count.is_doubtful for count in counts.values()):
@@ -86,9 +88,9 @@
 
     def count_by_cell(self, queue: str) -> dict[str, CellCount]:
         """Return the waiting jobs of a queue by cell, as far as they are known."""
-        published, old = self._published(), self._old_counts()
+        published = self._published()
         known_to = {cell: each.counted_to for cell, each in published.items()}
-        for cell in old:
+        for cell in self._old_counts(published):
             if self._from is not None and self._from <= known_to[cell]:
                 known_to[cell] = max(known_to[cell], self._to)
         return {
@@ -141,42 +143,43 @@
                 found[cell] = runtime.count_waiting(found[cell].counted_to)
         return found
 
-    def _old_counts(self) -> dict[str, int]:
+    def _old_counts(self, published: dict[str, WaitingJobs]) -> dict[str, int]:
         """Return by cell up to which version its count is complete, where that is too old."""
         due = self._succession.watch.due_version(self._clock())
-        found = self._published().items()
-        return {cell: each.counted_to for cell, each in found if each.counted_to < due}
+        return {cell: each.counted_to for cell, each in published.items() if each.counted_to < due}
 
     # Changes in the store
 
-    def _forget(self) -> None:
-        # The versions between which changes were read, and what they show.
-        self._from: int | None = None
-        self._to = 0
-        self._given: dict[str, _GivenJob] = {}
+    async def _await_changes(self) -> None:
+        """Wait for a read of the changes that all counts share; a long one goes on without them."""
+        if self._reading is None or self._reading.done():
+            now = self._clock()
+            if now - self._read_at < READ_INTERVAL_S or self._store.failing:
+                return
+            self._read_at = now
+            self._reading = asyncio.ensure_future(self._read_changes())
+        await asyncio.wait({self._reading}, timeout=READ_TIMEOUT_S)
 
     async def _read_changes(self) -> None:
-        """Read what has changed since the old counts were made, unless this was done just now."""
-        old, now = self._old_counts(), self._clock()
-        if not old or now - self._tried_at < READ_INTERVAL_S or self._store.failing:
-            return
-        self._tried_at = now
-        start = min(old.values())
+        """Read what has changed since the old counts were made."""
+        start = min(self._old_counts(self._published()).values(), default=self._to)
         if self._from is None or start < self._from:
-            self._forget()
             self._from = self._to = start
+            self._given = {}
         try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
-                await self._follow_feed()
-        except (TimeoutError, PlatformDown, AnswerLost) as exc:
-            log(Event.STORE_FAILED, what="waiting", error=repr(exc))
+            await self._follow_feed()
+        except (PlatformDown, AnswerLost) as exc:
+            log(Event.STORE_FAILED, what="waiting", error=exc)
+        except Exception as exc:
+            # A defect must not end the counting: the next count reads the changes again.
+            log(Event.LOOP_FAILED, where="waiting", error=repr(exc))
 
     async def _follow_feed(self) -> None:
         """Apply the changes up to the version in which the owner rows were last read."""
         try:
             while True:
                 page = await self._store.feed(PROGRESS_TABLE, self._to, 0)
-                self._apply(page.rows)
+                _apply(page.rows, self._given)
                 self._to = max(self._to, page.version)
                 if not page.rows or self._to >= self._succession.watch.epoch_seen:
                     return
@@ -190,21 +193,24 @@
         if now - self._scanned_at < SCAN_INTERVAL_S:
             return
         self._scanned_at = now
+        given: dict[str, _GivenJob] = {}
         versions = []
         for part in PARTS:
             listing = await self._store.scan(PROGRESS_TABLE, part)
-            self._apply(listing.rows)
+            _apply(listing.rows, given)
             versions.append(listing.version)
-        self._to = min(versions)
-
-    def _apply(self, rows: Iterable[Row]) -> None:
-        for row in rows:
-            progress = decode_progress_row(row)
-            if progress is None or progress.queue is None or progress.timed or _has_begun(progress):
-                self._given.pop(row.key, None)
-                continue
+        self._to, self._given = min(versions), given
+
+
+def _apply(rows: Iterable[Row], given: dict[str, _GivenJob]) -> None:
+    """Note in `given` what rows tell about jobs that have not begun."""
+    for row in rows:
+        progress = decode_progress_row(row)
+        if progress is None or progress.queue is None or _has_begun(progress) or progress.timed:
+            given.pop(row.key, None)
+        else:
             version = progress.given_version or row.version
-            self._given[row.key] = _GivenJob(progress.cell, progress.queue.name, version)
+            given[row.key] = _GivenJob(progress.cell, progress.queue.name, version)
 
 
 def _has_begun(progress: Progress) -> bool:
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -299,6 +299,55 @@
 
         self.assertEqual(run(main()), {COUNT})
 
+    def test_a_slow_read_of_all_rows_is_finished(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await self.lose_holder(cluster)
+            cluster.store.drop_history()
+            scan = cluster.store.scan
+
+            async def slow(table: str, part: str, start: str = "", end: str = "") -> Listing:
+                await asyncio.sleep(0.1 if table == PROGRESS_TABLE else 0.0)
+                return await scan(table, part, start, end)
+
+            cluster.store.scan = slow  # type: ignore[method-assign]
+            await asyncio.sleep(PENDING_S)
+            await shown_for(1.0, cluster.entries.values())
+            shown = await shown_for(3.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+    def test_counts_share_a_slow_read(self) -> None:
+        async def main() -> list[float]:
+            cluster = Cluster()
+            cluster.start()
+            await self.lose_holder(cluster)
+            await asyncio.sleep(PENDING_S)
+            feed, entry = cluster.store.feed, cluster.entries[idle_entry(cluster)]
+
+            async def slow(table: str, after: int, wait_ms: int) -> Listing:
+                await asyncio.sleep(0.8)
+                return await feed(table, after, wait_ms)
+
+            cluster.store.feed = slow  # type: ignore[method-assign]
+
+            async def ask(at_s: float) -> float:
+                await asyncio.sleep(at_s)
+                asked_at = now()
+                await count(entry)
+                return now() - asked_at
+
+            waits = await asyncio.gather(*(ask(number / 10) for number in range(20)))
+            shown = await count(entry)
+            cluster.close()
+            self.assertEqual(shown, COUNT)
+            return waits
+
+        self.assertLess(max(run(main())), 0.7)
+
     def test_jobs_with_due_times_are_not_added(self) -> None:
         async def main() -> set[int]:
             cluster = Cluster()
