Count jobs that a holder knows while its feed fails

A count leaves out jobs that were given to the cell after the version that it is as of, as others add them from the feed. They can't while it fails, so the holder then counts all that it knows. If its feed alone fails, a job may count twice until it is back. The new test of tests.test_pending failed before (1 of 6).

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -61,6 +61,7 @@
 from curranthall.events import Event, log
 from curranthall.model import Host
 from curranthall.store import Check, Committed, Put, Row, Stale, Store
+from curranthall.values import MAX_WHOLE
 
 Answer = TypeVar("Answer")
 
@@ -181,8 +182,9 @@
         self._releasing = False
         # The version after which the feed has to be read; None while that is not known.
         self._feed_from: int | None = None
-        # The version up to which the feed was read.
+        # The version up to which the feed was read, and whether the last read of it failed.
         self._fed_to = 0
+        self._feed_failed = False
         # By part, the store version up to which its rows were read.
         self._read_versions: dict[str, int] = {}
         # The parts whose rows have to be read, in this order; a part leaves it as its read begins.
@@ -328,8 +330,11 @@
         return self.count_waiting(max(self._fed_to, min(self._read_versions.values())))
 
     def count_waiting(self, counted_to: int) -> WaitingJobs:
-        """Count the jobs that have not begun, as of a version of the progress rows."""
-        waiting = self.dispatcher.waiting_jobs(counted_to)
+        """Count the jobs that have not begun, as of a version of the progress rows.
+
+        While the feed fails, later ones that came by message count, too: others can't read them.
+        """
+        waiting = self.dispatcher.waiting_jobs(MAX_WHOLE if self._feed_failed else counted_to)
         return WaitingJobs(waiting, counted_to, self._list_moved())
 
     def _list_moved(self) -> tuple[MovedJobs, ...]:
@@ -982,10 +987,11 @@
         except (PlatformDown, AnswerLost) as exc:
             # The page is read again, so no row is missed.
             self._feed_after(after)
+            self._feed_failed = True
             log(Event.STORE_FAILED, what="feed", error=exc)
             await asyncio.sleep(STORE_RETRY_S)
             return
-        self._fed_to = max(self._fed_to, page.version)
+        self._fed_to, self._feed_failed = max(self._fed_to, page.version), False
         self._feed_after(max(after, page.version))
         await asyncio.sleep(FEED_PAUSE_S)
 
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -6,6 +6,7 @@
 
 from curranthall.cells.records import PROGRESS_TABLE, part_of
 from curranthall.dag import Job, Step
+from curranthall.errors import PlatformDown
 from curranthall.intake import Verdict
 from curranthall.model import Size
 from curranthall.store import Listing
@@ -299,6 +300,24 @@
 
         self.assertEqual(run(main()), {COUNT})
 
+    def test_jobs_that_holders_know_are_counted_while_the_feed_fails(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await asyncio.sleep(3)
+
+            async def fail(table: str, after: int, wait_ms: int) -> Listing:
+                raise PlatformDown(why="no feed")
+
+            cluster.store.feed = fail  # type: ignore[method-assign]
+            await self.submit(cluster, "a-e0", too_large())
+            await asyncio.sleep(PENDING_S)
+            shown = await shown_for(5.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
     def test_a_slow_read_of_all_rows_is_finished(self) -> None:
         async def main() -> set[int]:
             cluster = Cluster()
