Name what a count may miss, and fields of moves

CellCount.is_doubtful meant something else than OwnerWatch.is_doubtful. No change of logic; tests.test_pending, test_runtime and test_operations pass.

--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -104,7 +104,7 @@
     orders_until_ms: int = 0
     # The store version up to which progress rows are included in `waiting`; 0 if unknown.
     counted_to: int = 0
-    moved: tuple["MovedJobs", ...] = ()
+    moved: tuple[MovedJobs, ...] = ()
 
     def encode(self) -> bytes:
         """Encode the row's value."""
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -343,7 +343,9 @@
         for move in list(moves):
             if self._others.is_counted(move.cell, move.version):
                 del moves[move]
-        return tuple(MovedJobs(*move, jobs) for move, jobs in moves.items())
+        return tuple(
+            MovedJobs(move.cell, move.version, move.queue, jobs) for move, jobs in moves.items()
+        )
 
     def wake(self) -> None:
         """Request a planning round."""
--- a/src/curranthall/intake/pending.py
+++ b/src/curranthall/intake/pending.py
@@ -41,7 +41,7 @@
     loaded: bool | None
 
     @property
-    def is_doubtful(self) -> bool:
+    def may_miss_jobs(self) -> bool:
         """Return whether jobs of the cell may be missing from the count of its holder."""
         return self.added > 0 or not self.live or self.loaded is False
 
@@ -81,7 +81,7 @@
             self._from, self._given = None, {}
         counts = self.count_by_cell(queue)
         shown = sum(count.shown + count.moved + count.added for count in counts.values())
-        if any(count.is_doubtful for count in counts.values()):
+        if any(count.may_miss_jobs for count in counts.values()):
             cells = {cell: count._asdict() for cell, count in counts.items()}
             log(Event.PENDING_SHOWN, queue=queue, shown=shown, cells=cells)
         return shown
