--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, NamedTuple, TypeVar
 
@@ -188,6 +187,7 @@
         self._read_versions: dict[str, int] = {}
         # The parts whose rows have to be read, in this order; a part leaves it as its read begins.
         self._due_parts = dict.fromkeys(PARTS)
+        self._part_in_reading: str | None = None
         self._parts_due = asyncio.Event()
         self._proof_requested = False
         self._resolving = False
@@ -322,7 +322,7 @@
         """
         if not self.loaded:
             return WaitingJobs(self.owner.waiting, self.owner.counted_to, self.owner.moved)
-        if self._due_parts:
+        if self._due_parts or self._part_in_reading is not None:
             # The feed may have passed jobs that are still to be read.
             return self.count_waiting(self.owner.counted_to)
         return self.count_waiting(max(self._fed_to, min(self._read_versions.values())))
@@ -335,8 +335,10 @@
     def _list_moved(self) -> tuple[MovedJobs, ...]:
         """Return the waiting jobs moved to cells that don't count them yet."""
         moves = self.dispatcher.job_moves
-        moves[:] = [move for move in moves if not self._others.is_counted(move.cell, move.version)]
-        return tuple(MovedJobs(*move, jobs) for move, jobs in Counter(moves).items())
+        for move in list(moves):
+            if self._others.is_counted(move.cell, move.version):
+                del moves[move]
+        return tuple(MovedJobs(*move, jobs) for move, jobs in moves.items())
 
     def wake(self) -> None:
         """Request a planning round."""
@@ -894,7 +896,7 @@
             while not self._due_parts:
                 self._parts_due.clear()
                 await self._parts_due.wait()
-            part = next(iter(self._due_parts))
+            part = self._part_in_reading = next(iter(self._due_parts))
             del self._due_parts[part]
             try:
                 await self._read_rows(part)
@@ -906,6 +908,7 @@
                 failures += 1
                 if failures >= len(self._due_parts):
                     await asyncio.sleep(STORE_RETRY_S)
+            self._part_in_reading = None
             if not is_followed and (self.loaded or failures):
                 # A part that can't be read does not hold up the feed of the others.
                 is_followed = True
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Iterable
 
+from curranthall.cells.records import PROGRESS_TABLE, part_of
 from curranthall.dag import Job, Step
 from curranthall.intake import Verdict
 from curranthall.model import Size
@@ -116,6 +117,31 @@
 
         self.assertEqual(run(main()), {COUNT})
 
+    def test_they_are_counted_after_a_release_before_the_other_cell_counts_them(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await asyncio.sleep(3)
+            cluster.evacuated = frozenset("abc")
+            await asyncio.sleep(1)
+            jobs = await self.submit(cluster, "a-e0", Step(1, Size(1, 1_000), 1_000))
+            await asyncio.sleep(PENDING_S)
+            for name in cluster.runners:
+                cluster.withhold("start", name)
+            cluster.evacuated = frozenset("ac")
+            while self.cells(cluster, jobs) != {"b"}:
+                await asyncio.sleep(0.01)
+            former, other = cluster.holder("a"), cluster.holder("b")
+            assert former is not None and other is not None
+            cluster.kill(other)
+            await asyncio.sleep(0.15)
+            await cluster.entries[former].succession.held["a"].release()
+            shown = await shown_for(6.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
     def cells(self, cluster: Cluster, jobs: list[Job]) -> set[str]:
         """Return the cells to which the jobs' rows belong."""
         rows = [cluster.find_progress(job.id) for job in jobs]
@@ -178,6 +204,32 @@
         self.assertEqual(run(main()), {COUNT})
 
 
+class PartAway(Pending):
+    """A holder renews and follows the feed while it can't read one part of the rows."""
+
+    def test_jobs_of_a_part_that_is_being_read_are_not_taken_for_counted(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await asyncio.sleep(4)
+            holder = cluster.holder("a")
+            assert holder is not None
+            cluster.evacuated = frozenset("bc")
+            await asyncio.sleep(1)
+            # The holder knows the jobs only from the feed, and their rows can't be read.
+            cluster.cuts = {frozenset(("b-e0", holder))}
+            cluster.parts_away = {(holder, part_of(make_job(1, too_large()).id))}
+            for number in range(1, 8 * COUNT, 8):
+                verdict = await cluster.submit("b-e0", make_job(number, too_large()))
+                self.assertIs(verdict, Verdict.ACCEPTED)
+            await asyncio.sleep(PENDING_S)
+            shown = await shown_for(6.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+
 class Reads(Pending):
     """What a count reads from the store."""
 
@@ -247,6 +299,69 @@
 
         self.assertEqual(run(main()), {COUNT})
 
+    def test_a_slow_read_of_all_rows_is_finished(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await self.lose_holder(cluster)
+            cluster.store.drop_history()
+            scan = cluster.store.scan
+
+            async def slow(table: str, part: str, start: str = "", end: str = "") -> Listing:
+                await asyncio.sleep(0.1 if table == PROGRESS_TABLE else 0.0)
+                return await scan(table, part, start, end)
+
+            cluster.store.scan = slow  # type: ignore[method-assign]
+            await asyncio.sleep(PENDING_S)
+            await shown_for(1.0, cluster.entries.values())
+            shown = await shown_for(3.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
+    def test_counts_share_a_slow_read(self) -> None:
+        async def main() -> list[float]:
+            cluster = Cluster()
+            cluster.start()
+            await self.lose_holder(cluster)
+            await asyncio.sleep(PENDING_S)
+            feed, entry = cluster.store.feed, cluster.entries[idle_entry(cluster)]
+
+            async def slow(table: str, after: int, wait_ms: int) -> Listing:
+                await asyncio.sleep(0.8)
+                return await feed(table, after, wait_ms)
+
+            cluster.store.feed = slow  # type: ignore[method-assign]
+
+            async def ask(at_s: float) -> float:
+                await asyncio.sleep(at_s)
+                asked_at = now()
+                await count(entry)
+                return now() - asked_at
+
+            waits = await asyncio.gather(*(ask(number / 10) for number in range(20)))
+            shown = await count(entry)
+            cluster.close()
+            self.assertEqual(shown, COUNT)
+            return waits
+
+        self.assertLess(max(run(main())), 0.7)
+
+    def test_jobs_with_due_times_are_not_added(self) -> None:
+        async def main() -> set[int]:
+            cluster = Cluster()
+            cluster.start()
+            await self.lose_holder(cluster)
+            timed = make_job(100, too_large())._replace(first_due_ms=int(now() + 60) * 1000)
+            self.assertIs(await cluster.submit("b-e0", timed), Verdict.ACCEPTED)
+            await asyncio.sleep(PENDING_S)
+            shown = await shown_for(2.0, cluster.entries.values())
+            cluster.close()
+            return shown
+
+        self.assertEqual(run(main()), {COUNT})
+
     def test_the_last_count_is_shown_while_the_store_is_down(self) -> None:
         async def main() -> set[int]:
             cluster = Cluster()
