--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -33,13 +33,10 @@
 )
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import Load, Waiting, count_slots, measure, measure_cores
+from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.owner import UNKNOWN_WORKER
 from curranthall.cells.pacing import FULL_PACE, adjust_pace, worst_tail_ratio
-from curranthall.cells.placement import (
-    PlacementRequest,
-    Refusal,
-    choose_worker,
-)
+from curranthall.cells.placement import PlacementRequest, Refusal, choose_worker
 from curranthall.cells.poison import (
     ISOLATION_CRASHES,
     PROBATION_S,
@@ -186,10 +183,12 @@
         bounds: Bounds,
         queue_of: Callable[[Job], Queue | None],
         wall_ms: Callable[[], float],
+        options: Options = NO_OPTIONS,
     ) -> None:
         self.cell = cell
         self.epoch = epoch
         self.bounds = bounds
+        self.options = options
         self.members: dict[str, Member] = {}
         # The highest fencing token that is certainly lower than any successor's.
         self._newest_token = epoch
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -9,6 +9,7 @@
 from curranthall.cells.advice import Advice
 from curranthall.cells.balance import CellLoads, WorkerKind, group_kinds
 from curranthall.cells.dispatcher import Dispatcher
+from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.owner import (
     ABSTAIN_S,
     CELL_PART,
@@ -64,9 +65,15 @@
     """Manages the cells that this entry holds, and tracks the holders of the others."""
 
     def __init__(
-        self, me: Claimant, cells: tuple[str, ...], bounds: Bounds, env: Environment
+        self,
+        me: Claimant,
+        cells: tuple[str, ...],
+        bounds: Bounds,
+        env: Environment,
+        options: Options = NO_OPTIONS,
     ) -> None:
         self.me = me
+        self.options = options
         self.watch = OwnerWatch(cells, bounds.max_hold_s)
         self.held: dict[str, CellRuntime] = {}
         self.read_ok_at = 0.0
@@ -254,7 +261,9 @@
             handed_over=len(former_ends),
             waiting=owner.waiting,
         )
-        dispatcher = Dispatcher(vacancy.cell, owner.epoch, self._bounds, env.queue_of, env.wall_ms)
+        dispatcher = Dispatcher(
+            vacancy.cell, owner.epoch, self._bounds, env.queue_of, env.wall_ms, self.options
+        )
         dispatcher.take_over(roster, vacancy.proof_at, lease_ends, now)
         dispatcher.interference.import_rows(taken.details.learned)
         dispatcher.closed = vacancy.cell in env.evacuated()
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -8,6 +8,7 @@
 
 from curranthall.catalogue import Catalogue, Evacuation, Operation, Operations
 from curranthall.cells.advice import Advice
+from curranthall.cells.options import Options
 from curranthall.cells.owner import Claimant
 from curranthall.cells.ports import AskAdvice, WorkerPort
 from curranthall.cells.runtime import CellRuntime
@@ -52,6 +53,7 @@
     advisor: str
     grace_s: float
     bounds: Bounds
+    options: Options = Options()
 
 
 class RowFormat(NamedTuple):
@@ -176,7 +178,9 @@
             advise,
             self.lost_at,
         )
-        self.succession = Succession(me, deployment.domains, deployment.bounds, environment)
+        self.succession = Succession(
+            me, deployment.domains, deployment.bounds, environment, deployment.options
+        )
         self.intake = Intake(
             self.succession,
             store,
--- a/src/curranthall/platform/settings.py
+++ b/src/curranthall/platform/settings.py
@@ -5,11 +5,13 @@
 
 import orjson
 
+from curranthall.cells.options import parse_options
 from curranthall.cells.tracking import Bounds
 from curranthall.daemon import Deployment
 from curranthall.errors import SettingsInvalid
 
 FILE_VARIABLE = "CURRANTHALL_NODE_FILE"
+FEATURES_VARIABLE = "CURRANTHALL_FEATURES"
 
 
 def load_deployment() -> Deployment:
@@ -44,4 +46,5 @@
             early_s=bounds["early_ms"] / 1000,
             status_s=float(bounds["status_s"]),
         ),
+        options=parse_options(os.environ.get(FEATURES_VARIABLE, "")),
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -240,6 +240,7 @@
         self.assertEqual(found.domains, ("north", "south"))
         self.assertEqual(found.cpu_cores, 1.0)
         self.assertEqual(found.bounds.max_hold_s, 6.0)
+        self.assertFalse(any(found.options))
 
     def test_unreadable_settings_raise_settings_invalid(self) -> None:
         previous = os.environ.get(FILE_VARIABLE)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+from curranthall.cells.options import Options, parse_options
 from curranthall.errors import SettingsInvalid
 from curranthall.rows import check_row
 from curranthall.settings import Settings, load_settings, settings_from
@@ -70,3 +71,13 @@
         found = problems({**VALID, "mesh_key": "short"})
         self.assertEqual(len(found), 1)
         self.assertNotIn("short", found[0])
+
+
+class Features(unittest.TestCase):
+    def test_features_are_off_unless_named(self) -> None:
+        self.assertFalse(any(parse_options("")))
+        self.assertEqual(parse_options("copies, preemption"), Options(preemption=True, copies=True))
+
+    def test_an_unknown_feature_is_an_error(self) -> None:
+        with self.assertRaises(ValueError):
+            parse_options("copies,unknown")
