Grant no lease that outlasts the wait of lasting tasks

Cause: a platform that allows leases of 10 s got leases of 10 s. Change: leases last 6 s at most, as on all platforms so far; waits of successors follow.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -837,7 +837,7 @@
         """Process the runs and ends that a worker lists, asked for under a token."""
         if member.born not in (0, snapshot.born):
             self._doubt(member, member.runs.values(), now)
-        reborn = member.note_answer(snapshot, token, now, self.bounds.max_hold_s)
+        reborn = member.note_answer(snapshot, token, now, self.bounds.lease_s)
         if reborn:
             self._keep_deferred_ends(member)
             member.confirmed = False
@@ -1573,7 +1573,7 @@
         if run.step.lasting and member.missing_since is not None:
             # The platform expects a lasting task to run again sooner than that.
             return False
-        return now < late_lease_end(member.used_at, self.bounds.max_hold_s)
+        return now < late_lease_end(member.used_at, self.bounds.lease_s)
 
     def _note_lapsed(self, run: Run, member: Member) -> None:
         """Record when the platform began to expect a new run of a task.
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -453,7 +453,7 @@
 
         It may exit right after this holder is lost, where a successor can't tell that from a cut.
         """
-        longest_s = RENEW_S + longest_lease_s(self.dispatcher.bounds.max_hold_s)
+        longest_s = RENEW_S + longest_lease_s(self.dispatcher.bounds.lease_s)
         found: dict[str, int] = {}
         for member in self.dispatcher.departing_members():
             end = self.dispatcher.lease_end(member, now)
@@ -582,7 +582,7 @@
     async def _hold(self, member: Member) -> float:
         dispatcher, asked_at = self.dispatcher, self._clock()
         # Successors assume that no lease outlasts the time in which this holder may send orders.
-        hold_s = min(dispatcher.bounds.max_hold_s, self._order_time_s())
+        hold_s = min(dispatcher.bounds.lease_s, self._order_time_s())
         # An extension that a silent worker may not receive would only delay the proof of its lapse.
         extend = hold_s > 0 and member.silent_since is None
         limit = self._lease_limit(member)
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -74,7 +74,7 @@
     ) -> None:
         self.me = me
         self.options = options
-        self.watch = OwnerWatch(cells, bounds.max_hold_s)
+        self.watch = OwnerWatch(cells, bounds.lease_s)
         self.held: dict[str, CellRuntime] = {}
         self.read_ok_at = 0.0
         self._bounds = bounds
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -18,6 +18,9 @@
 # work, capped at a multiple of the usual job (the platform's rules).
 BASE_VALUE = 0.3
 MAX_VALUE = 4.0
+# Leases are no longer than this, whatever the platform allows: a lasting task has to run again 9 s
+# after the loss of its worker, and nothing proves the loss before the last lease is over.
+MAX_LEASE_S = 6.0
 # Size classes of jobs: powers of two of their queue's usual work. The first and last class also
 # contain all smaller and larger jobs.
 MIN_CLASS_POWER = -2
@@ -53,6 +56,11 @@
     early_s: float = 0.25
     status_s: float = 120.0
 
+    @property
+    def lease_s(self) -> float:
+        """Return how long a lease lasts at most."""
+        return min(self.max_hold_s, MAX_LEASE_S)
+
 
 @dataclass(slots=True, eq=False)
 class Batch:
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -512,6 +512,25 @@
 
         run(main())
 
+    def test_a_platform_that_allows_longer_leases_does_not_prolong_the_wait_of_lasting_tasks(
+        self,
+    ) -> None:
+        """A lasting task of a lost worker waited for a lease of 10 s, where 9 s are allowed."""
+
+        async def main() -> None:
+            clock = asyncio.get_running_loop().time
+            runtime = make_runtime(LossyStore(), [], clock, lambda host: IdleWorker(clock))
+            runtime.dispatcher.bounds = Bounds(max_hold_s=10.0)
+            runtime.confirmed_at = clock()
+            runtime.on_hosts({"w1": host("w1")})
+            await asyncio.sleep(5.0)
+            runtime.end("test")
+            granted_s = runtime.dispatcher.members["w1"].granted_ms / 1000 - clock()
+            self.assertGreater(granted_s, 0.0)
+            self.assertLessEqual(granted_s, 6.0)
+
+        run(main())
+
     def test_a_holder_past_the_order_limit_polls_its_workers_no_more_often(self) -> None:
         async def main() -> None:
             clock = asyncio.get_running_loop().time
