--- a/src/curranthall/catalogue.py
+++ b/src/curranthall/catalogue.py
@@ -1,7 +1,8 @@
-"""Active configuration: routes to queues, and evacuated failure domains."""
+"""Active configuration: routes to queues, customers, and evacuated failure domains."""
 
 from typing import NamedTuple
 
+from curranthall.customers import NO_CUSTOMERS, Customer, Customers
 from curranthall.dag import Job, Queue
 
 
@@ -11,6 +12,8 @@
     host: str
     prefix: str
     queue: Queue
+    # Callers need no key.
+    public: bool = False
 
 
 class Catalogue(NamedTuple):
@@ -19,6 +22,7 @@
     version: int
     routes: tuple[Route, ...]
     services: frozenset[str]
+    customers: Customers = NO_CUSTOMERS
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of the path."""
@@ -51,6 +55,7 @@
         self.catalogue: Catalogue | None = None
         self.evacuated: frozenset[str] = frozenset()
         self._queues: dict[str, Queue] = {}
+        self._customers: dict[str, Customer] = {}
 
     def apply(self, catalogue: Catalogue) -> bool:
         """Apply a configuration if it is newer; return whether it was."""
@@ -59,8 +64,13 @@
         self.catalogue = catalogue
         for route in catalogue.routes:
             self._queues[route.queue.name] = route.queue._replace(version=catalogue.version)
+        self._customers.update((customer.name, customer) for customer in catalogue.customers)
         return True
 
     def queue_of(self, job: Job) -> Queue | None:
         """Return a job's queue as last read here, also if it was removed; None if it never was."""
         return self._queues.get(job.queue)
+
+    def customer_of(self, name: str) -> Customer | None:
+        """Return a customer as last read here, also if it was removed; None if it never was."""
+        return self._customers.get(name)
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -54,6 +54,8 @@
     grace_s: float
     bounds: Bounds
     options: Options = Options()
+    # Oldest reading of the configuration by which keys are accepted; None accepts any.
+    revoke_s: float | None = None
 
 
 class RowFormat(NamedTuple):
--- a/src/curranthall/dag/model.py
+++ b/src/curranthall/dag/model.py
@@ -104,6 +104,8 @@
     occurrences: int = 1
     first_due_ms: int = 0
     interval_ms: int = 0
+    # Name of the customer whose key the caller sent; empty without one.
+    customer: str = ""
 
     @property
     def is_timed(self) -> bool:
--- a/src/curranthall/platform/decode.py
+++ b/src/curranthall/platform/decode.py
@@ -5,6 +5,7 @@
 import orjson
 
 from curranthall.catalogue import Catalogue, Evacuation, MaintenanceWave, Operation, Route
+from curranthall.customers import Customer, Customers, digest_key
 from curranthall.dag import Job, Queue, Step
 from curranthall.errors import BadInput
 from curranthall.events import Event, log
@@ -86,7 +87,30 @@
     value = fields(row)
     routes = tuple(_decode_route(fields(route)) for route in items(value["routes"]))
     services = frozenset(text(fields(service)["name"]) for service in items(value["services"]))
-    return Catalogue(whole(value["version"]), routes, services)
+    # The platform's word for customers is `tenants`.
+    tenants = items(value.get("tenants", []))
+    customers = Customers(_decode_customer(fields(tenant)) for tenant in tenants)
+    return Catalogue(whole(value["version"]), routes, services, customers)
+
+
+def _decode_customer(value: dict[str, Any]) -> tuple[Customer, list[bytes]]:
+    """Decode a customer and the digests of its keys; no error contains a key."""
+    limit = fields(value.get("max-count", {}))
+    customer = Customer(
+        name=text(value["name"]),
+        weight=number(value.get("weight", 1)),
+        limit=Size(
+            # `cpu` is in thousandths of a core.
+            whole(limit.get("cpu", 0)) / 1000,
+            whole(limit.get("mem-mb", 0)),
+            whole(limit.get("gpus", 0)),
+        ),
+    )
+    if not customer.name:
+        # An empty name stands for jobs without a customer.
+        raise ValueError("a customer without a name")
+    keys = (text(key).encode() for key in items(value.get("api-keys", [])))
+    return customer, [digest_key(key) for key in keys if key]
 
 
 def _decode_route(value: dict[str, Any]) -> Route:
@@ -101,7 +125,11 @@
         # `advisor` holds the advisor's timing; queues without an advisor lack the key.
         advised=bool(value.get("advisor")),
     )
-    return Route(text(value["hostname"]).lower(), text(value["path-prefix"]), queue)
+    public = value.get("public", False)
+    if not isinstance(public, bool):
+        # Another type must not make a route public.
+        raise ValueError(f"{type(public).__name__} instead of a boolean")
+    return Route(text(value["hostname"]).lower(), text(value["path-prefix"]), queue, public)
 
 
 def _decode_wave(row: object) -> MaintenanceWave:
@@ -114,8 +142,8 @@
     )
 
 
-def decode_job(job_id: str, queue: Queue, body: bytes, now_ms: float) -> Job:
-    """Decode a submitted job; raise BadInput."""
+def decode_job(job_id: str, queue: Queue, body: bytes, now_ms: float, customer: str = "") -> Job:
+    """Decode a job that a customer submitted; raise BadInput."""
     try:
         value = fields(orjson.loads(body))
         spec = text(value.get("spec", ""))
@@ -132,6 +160,7 @@
             occurrences=max(1, whole(value.get("repeat-count", 0), MAX_OCCURRENCES)),
             first_due_ms=whole(value.get("start-at-ms", 0)),
             interval_ms=whole(value.get("interval-ms", 0)),
+            customer=customer,
         )
     except DECODE_ERRORS as exc:
         raise BadInput(field="body", found=reason(exc)) from exc
--- a/src/curranthall/platform/settings.py
+++ b/src/curranthall/platform/settings.py
@@ -12,6 +12,8 @@
 
 FILE_VARIABLE = "CURRANTHALL_NODE_FILE"
 FEATURES_VARIABLE = "CURRANTHALL_FEATURES"
+# The platform's own bound on removed keys, used if it is enforced without a figure.
+DEFAULT_REVOKE_MS = 5_000
 
 
 def load_deployment() -> Deployment:
@@ -46,5 +48,13 @@
             early_s=bounds["early_ms"] / 1000,
             status_s=float(bounds["status_s"]),
         ),
+        revoke_s=_decode_revoke_s(bounds),
         options=parse_options(os.environ.get(FEATURES_VARIABLE, "")),
     )
+
+
+def _decode_revoke_s(bounds: dict[str, Any]) -> float | None:
+    enforced = bounds.get("enforce-revocation", False)
+    if not isinstance(enforced, bool):
+        raise ValueError("enforce-revocation is not a boolean")
+    return float(bounds.get("revoke-ms", DEFAULT_REVOKE_MS)) / 1000 if enforced else None
