Limit each customer's running work by parts lent between cells

A customer's limit counts over all workers, while each cell is scheduled by its own holder. A limit is divided into 1,000 parts; a cell may have running at most its parts of each resource. One row in the store holds the parts that differ from the even share, and the requests of cells that miss some. Only a cell's holder changes its parts: each write checks the versions of both the shares' row and the cell's row, so that a deposed holder changes nothing.

The dispatcher asks `Quota` before each start; tasks beyond the parts wait and are not moved. After a takeover, workers that may still obey a former holder count as full, within the parts that it left. Customers below their fair share of a service's cores go first within a priority. The cell's summary moves to `cells/summary.py`.

--- a/src/curranthall/catalogue.py
+++ b/src/curranthall/catalogue.py
@@ -71,6 +71,10 @@
         """Return a job's queue as last read here, also if it was removed; None if it never was."""
         return self._queues.get(job.queue)
 
+    def customers(self) -> Customers | None:
+        """Return the customers in force, None before a configuration was read."""
+        return self.catalogue.customers if self.catalogue is not None else None
+
     def customer_of(self, name: str) -> Customer | None:
         """Return a customer as last read here, also if it was removed; None if it never was."""
         return self._customers.get(name)
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -63,13 +63,16 @@
     StopTask,
     WorkerOrder,
 )
+from curranthall.cells.quota import Quota
 from curranthall.cells.records import PARTS, has_tasks_in, part_of
+from curranthall.cells.shares import SharesKeeper
 from curranthall.cells.spare import (
     MAX_OVERDUE_S,
     OVERDUE_DECAY,
     KeptRoomAccess,
     SpareRoom,
 )
+from curranthall.cells.summary import CellView, log_summary
 from curranthall.cells.tracking import (
     LATE_VALUE,
     Batch,
@@ -78,15 +81,8 @@
     TrackedJob,
     classify,
 )
-from curranthall.cells.waits import (
-    LastingWait,
-    WaitContext,
-    WaitRow,
-    count_lasting,
-    find_longest_waits,
-    list_lasting_waits,
-    summarize,
-)
+from curranthall.cells.waits import LastingWait, WaitContext, WaitRow
+from curranthall.customers import NO_CUSTOMERS
 from curranthall.dag import Job, Phase, Progress, Queue, Step, TaskId
 from curranthall.dag.progress import TaskKey, newest_queue
 from curranthall.events import Event, log
@@ -134,22 +130,10 @@
 SUMMARY_INTERVAL_S = 2.0
 # While this many steps of a job wait in the cell, no further occurrences of it are opened.
 MAX_WAITING_STEPS = 32
-# The most workers that one summary lists as not proven.
-MAX_LISTED_UNPROVEN = 8
 # Differs from every percentage, so that the next snapshot orders the pace again.
 UNKNOWN_PACE = -1
 
 
-def _waiting_cores(batches: list[Batch]) -> dict[str, float]:
-    """Sum the cores that waiting tasks request, by kind of step."""
-    found = {"lasting": 0.0, "filling": 0.0, "plain": 0.0}
-    for batch in batches:
-        step = batch.step
-        kind = "lasting" if step.lasting else "filling" if step.filling else "plain"
-        found[kind] += batch.count_waiting() * step.size.cores
-    return {kind: round(cores, 1) for kind, cores in found.items()}
-
-
 def _without_reserved(step: Step, usable: list[Member], reserved: dict[str, Size]) -> list[Member]:
     """Exclude workers reserved for lasting tasks.
 
@@ -184,11 +168,13 @@
         queue_of: Callable[[Job], Queue | None],
         wall_ms: Callable[[], float],
         options: Options = NO_OPTIONS,
+        quota: Quota | None = None,
     ) -> None:
         self.cell = cell
         self.epoch = epoch
         self.bounds = bounds
         self.options = options
+        self.quota = quota or Quota(SharesKeeper(cell, (cell,)), lambda: NO_CUSTOMERS)
         self.members: dict[str, Member] = {}
         # The highest fencing token that is certainly lower than any successor's.
         self._newest_token = epoch
@@ -461,6 +447,7 @@
         usual = self._usual_work.setdefault(job.queue, tracked.work)
         self._usual_work[job.queue] = usual + USUAL_WORK_GAIN * (tracked.work - usual)
         self._classify(tracked, usual, now)
+        tracked.exceeds_rate = self.quota.exceeds_rate(job)
         if any(not (step.lasting or step.filling) for step in job.steps):
             self._short_seen_at = now
         self.unknown_jobs.discard(job.id)
@@ -558,7 +545,8 @@
         )
 
     def reconfigure(self) -> None:
-        """Apply a new configuration of the queues."""
+        """Apply a new configuration of the queues and customers."""
+        self.quota.reconfigure()
         for tracked in self.tracked.values():
             self._update_queue(tracked)
 
@@ -1119,6 +1107,7 @@
         if not batch.count_waiting():
             batch.waiting_since = None
         member.add(run)
+        self.quota.add(run, batch.tracked.job.customer, member.host.service)
 
     def _confirm_run(self, run: Run, known_at: float) -> None:
         """Record that a worker has the run."""
@@ -1253,6 +1242,7 @@
         member = self.members.get(run.worker)
         if member is not None:
             member.remove(run)
+        self.quota.remove(run)
         if run.moving_to in self.members:
             self.members[run.moving_to].release(run)
         tracked = self.tracked.get(run.task.job)
@@ -1471,71 +1461,27 @@
 
     def _log_summary(self, now: float) -> None:
         """Log a summary of the cell."""
-        waiting = [batch for batch in self._ready.values() if batch.count_waiting()]
-        loads = self.load(now)
-        ctx = self._wait_context(now)
-        self.waits = summarize(waiting, ctx)
-        longest = find_longest_waits(waiting)
-        self.lasting_waits = list_lasting_waits(longest, ctx)
-        log(
-            Event.CELL_STATE,
-            cell=self.cell,
-            epoch=self.epoch,
-            usable=sum(member.is_usable(now) for member in self.members.values()),
-            members=len(self.members),
-            unproven=self.count_unproven(),
-            unproven_workers=self._list_unproven(now),
-            proven=self.proven,
-            closed=self.closed,
-            runs=sum(len(member.runs) for member in self.members.values()),
-            lasting=count_lasting(waiting, self.members.values())._asdict(),
-            lasting_waits=[list(row) for row in self.lasting_waits],
-            kept_room_access=[
-                [batch.tracked.job.id, batch.number, self._kept_room_access(batch, now).value]
-                for _, batch in longest
-            ],
-            spare_cores={name: round(self._spare_room.least(name, now), 1) for name in loads},
-            interference=self.interference.weights(),
-            idle_cores=[round(member.idle_cores, 1) for member in self.members.values()],
-            free_cores=[round(member.room.cores, 1) for member in self.members.values()],
-            lasting_cores=round(sum(m.lasting.cores for m in self.members.values()), 1),
-            waiting_cores=_waiting_cores(waiting),
-            filling_room={name: load.filling for name, load in loads.items()},
-            filling_waits={name: load.waiting.filling for name, load in loads.items()},
-            free_gb=[round(member.room.memory / 1000, 1) for member in self.members.values()],
-            waiting_tasks=sum(batch.count_waiting() for batch in waiting),
-            waits=[list(row) for row in self.waits],
-            waiting_first=[
-                [
-                    batch.tracked.job.id,
-                    batch.number,
-                    batch.count_waiting(),
-                    batch.step.size.cores,
-                    round(batch.step.size.memory / 1000, 1),
-                    batch.step.filling,
-                ]
-                for batch in waiting[:4]
-            ],
-        )
-
-    def _list_unproven(self, now: float) -> list[list[object]]:
-        """Return name, listed state and seconds of silence of some workers not proven yet."""
-        unproven = sorted(self._fencing.unproven)
-        found = [self.members[name] for name in unproven if name in self.members]
-        return [
-            [
-                member.name,
-                member.listed_state,
-                None if member.silent_since is None else round(now - member.silent_since, 2),
-            ]
-            for member in found[:MAX_LISTED_UNPROVEN]
-        ]
-
-    def _wait_context(self, now: float) -> WaitContext:
-        members = self.members.values()
+        loads, members = self.load(now), self.members.values()
         usable = [(member, member.room) for member in members if member.is_usable(now)]
         headroom = self._measure_headroom(now)
-        return WaitContext(usable, self.interference, now, headroom, self.closed, self._is_held)
+        ctx = WaitContext(
+            usable, self.interference, now, headroom, self.closed, self._is_held, self.quota.allows
+        )
+        view = CellView(
+            self.cell,
+            self.epoch,
+            self.members,
+            [batch for batch in self._ready.values() if batch.count_waiting()],
+            loads,
+            ctx,
+            self._fencing.unproven,
+            self.proven,
+            lambda batch: self._kept_room_access(batch, now).value,
+            {name: round(self._spare_room.least(name, now), 1) for name in loads},
+            self.interference,
+            self.quota.states(),
+        )
+        self.waits, self.lasting_waits = log_summary(view)
 
     def _tick_member(self, member: Member, now: float, confirmed_at: float) -> None:
         for run in list(member.runs.values()):
@@ -1722,6 +1668,7 @@
         if self._recheck_held:
             self._free_held(now)
         self._busy_by_service.clear()
+        self.quota.begin_pass(self.members, self._fencing.unproven, self._ready.values(), now)
         if self.closed:
             if not self.releasing:
                 self._move_departing([], {}, now)
@@ -1751,7 +1698,7 @@
         for batch in batches:
             if not batch.count_waiting():
                 del self._ready[batch.tracked.job.id, batch.occurrence, batch.number]
-            elif batch.waiting and not self._is_held(batch, now):
+            elif batch.waiting and not self._is_held(batch, now) and self.quota.admits(batch):
                 if reserved and self._may_use_reserved(batch, now):
                     # Room in which the tasks that it is reserved for do not fit yet is free for it.
                     self._place(batch, usable, [], now)
@@ -1759,7 +1706,7 @@
                     members = _without_reserved(batch.step, usable, reserved)
                     self._place(batch, members, refused, now)
                 self._place_at_last_resort(batch, reserved, now)
-                if batch.step.lasting and batch.waiting:
+                if batch.step.lasting and batch.waiting and self.quota.allows(batch):
                     self._reserve_worker(batch, usable, reserved, now)
 
     def _may_use_reserved(self, batch: Batch, now: float) -> bool:
@@ -1898,21 +1845,21 @@
         if fitting:
             reserved[max(fitting, key=lambda member: member.room.cores).name] = step.size
 
-    def _sort_key(self, batch: Batch, now: float) -> tuple[int, int, float]:
+    def _sort_key(self, batch: Batch, now: float) -> tuple[int, int, int, float]:
         """Return a sort key: lasting tasks first, then priority and value per remaining work.
 
-        Nearly finished jobs come before new ones, late jobs after those in time, and jobs whose
-        value has expired last.
+        Customers below their fair share go before others of the priority. Nearly finished jobs come
+        before new ones, late jobs after those in time, and jobs whose value has expired last.
         """
-        tracked = batch.tracked
+        tracked, fair_rank = batch.tracked, self.quota.fair_rank(batch)
         if batch.step.lasting:
-            return 0, 0, tracked.due
+            return 0, 0, fair_rank, tracked.due
         rank = 2 if now > tracked.expires_at() else 1
         left_s = tracked.critical_paths_s[batch.number]
         late = now + left_s > tracked.objective_at()
         value = tracked.value(self._usual_work.get(tracked.job.queue, 0.0))
         density = value * (LATE_VALUE if late else 1.0) / max(tracked.work_left(), MIN_WORK)
-        return rank, tracked.queue.priority, -density
+        return rank, tracked.queue.priority, fair_rank, -density
 
     def _is_held(self, batch: Batch, now: float) -> bool:
         tracked = batch.tracked
@@ -1980,6 +1927,8 @@
         racks = self._racks(siblings) if step.same_rack else frozenset()
         held_back: tuple[int, PlacementRequest] | None = None
         for index in indexes:
+            if not self.quota.admits(batch):
+                return
             crashes = count_for_placement(batch, index)
             avoid = tracked.avoided_workers(batch.key(index))
             req = PlacementRequest(
@@ -2033,7 +1982,7 @@
         waited_s = now - batch.unplaced_since
         if not batch.step.filling or waited_s < STANDSTILL_S or batch.tracked.active():
             return
-        if self._is_busy(batch.tracked.queue.service, now):
+        if self._is_busy(batch.tracked.queue.service, now) or not self.quota.admits(batch):
             return
         forced = req._replace(
             interference=self.interference,
@@ -2222,7 +2171,7 @@
     def load(self, now: float) -> dict[str, Load]:
         """Return the cell's load by service, once the renewal that publishes it is confirmed."""
         waiting: dict[str, Waiting] = {}
-        for batch in self._ready.values():
+        for batch in filter(self.quota.allows, self._ready.values()):
             service = batch.tracked.queue.service
             cores = batch.count_waiting() * batch.step.size.cores
             waiting[service] = waiting.get(service, Waiting()).plus(cores, batch.step)
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -46,6 +46,7 @@
     read_job,
     read_part,
 )
+from curranthall.cells.share_loop import ShareLoop
 from curranthall.cells.tracking import TrackedJob
 from curranthall.dag import Job, Progress
 from curranthall.dag.progress import decode_progress
@@ -165,6 +166,15 @@
         self._others = others
         self._advise = advise
         self._balancer = Balancer()
+        self._share_loop = ShareLoop(
+            self.cell,
+            dispatcher.quota,
+            store,
+            clock,
+            lambda: self._version,
+            lambda: dispatcher.closed and not dispatcher.releasing,
+            self.wake,
+        )
         self._ports: dict[str, WorkerPort] = {}
         self._holds: dict[str, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -200,7 +210,8 @@
 
     def start(self) -> None:
         """Start the loops."""
-        for loop in (self._renew_loop, self._plan_loop, self._tick_loop, self._load_jobs):
+        loops = (self._renew_loop, self._plan_loop, self._tick_loop, self._load_jobs)
+        for loop in (*loops, self._share_loop.run):
             self._spawn(loop(), is_loop=True)
         for part in PARTS:
             self._spawn(self._record_loop(part), is_loop=True)
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -27,9 +27,12 @@
     guess_roster,
 )
 from curranthall.cells.ports import AskAdvice, WorkerPort
+from curranthall.cells.quota import Quota
 from curranthall.cells.records import StoredJob, read_details
 from curranthall.cells.runtime import CellRuntime, OtherCells, TakenCell
+from curranthall.cells.shares import SharesKeeper
 from curranthall.cells.tracking import Bounds, JobMove
+from curranthall.customers import NO_CUSTOMERS, Customer, Customers
 from curranthall.dag import Job, Queue
 from curranthall.dag.progress import decode_progress
 from curranthall.errors import AnswerLost, PlatformDown
@@ -59,6 +62,9 @@
     advise: Callable[[AskAdvice], Awaitable[Advice]]
     # When a link to another entry was last lost, by its address and the clock above; -inf if never.
     lost_at: Callable[[str], float]
+    # The customers in force, None before a configuration was read; each as it was last read.
+    customers: Callable[[], Customers | None] = lambda: NO_CUSTOMERS
+    customer_of: Callable[[str], Customer | None] = lambda name: None
 
 
 class Succession:
@@ -261,8 +267,15 @@
             handed_over=len(former_ends),
             waiting=owner.waiting,
         )
+        keeper = SharesKeeper(vacancy.cell, self.watch.cells)
         dispatcher = Dispatcher(
-            vacancy.cell, owner.epoch, self._bounds, env.queue_of, env.wall_ms, self.options
+            vacancy.cell,
+            owner.epoch,
+            self._bounds,
+            env.queue_of,
+            env.wall_ms,
+            self.options,
+            Quota(keeper, env.customers, env.customer_of),
         )
         dispatcher.take_over(roster, vacancy.proof_at, lease_ends, now)
         dispatcher.interference.import_rows(taken.details.learned)
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -197,6 +197,8 @@
     pause_until: float = 0.0
     final_at: float | None = None
     size_class: str = "1"
+    # The customer had submitted as many jobs in its time as have a value.
+    exceeds_rate: bool = False
     # Already counted as past `expires_at`.
     expired: bool = False
     # The longest time that one of its tasks waited in this cell for a worker.
--- a/src/curranthall/cells/waits.py
+++ b/src/curranthall/cells/waits.py
@@ -22,6 +22,7 @@
 
     CLOSED = "closed"  # the cell is evacuated or being released
     HELD = "held"  # the job is paused, or its stored row does not name this epoch
+    LIMIT = "limit"  # the customer's limit is used up, or other cells hold the rest of it
     GANG = "gang"  # the gang has not started
     WORKER = "worker"  # no usable worker meets the step's constraints
     TICKET = "ticket"  # no eligible worker has a valid ticket
@@ -80,6 +81,8 @@
     headroom: Headroom
     closed: bool
     is_held: Callable[[Batch, float], bool]
+    # Whether the customer's limit lets a batch start.
+    is_allowed: Callable[[Batch], bool] = lambda batch: True
 
 
 def find_reason(batch: Batch, ctx: WaitContext) -> WaitReason:
@@ -87,6 +90,8 @@
     step, queue, now = batch.step, batch.tracked.queue, ctx.now
     if ctx.closed or ctx.is_held(batch, now):
         return WaitReason.CLOSED if ctx.closed else WaitReason.HELD
+    if not ctx.is_allowed(batch):
+        return WaitReason.LIMIT
     siblings = batch.siblings()
     eligible = [
         (member, room)
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -108,6 +108,12 @@
     yield Sample("workers_unproven", label, dispatcher.count_unproven())
     yield Sample("workers_paced", label, sum(member.pace < 100 for member in members))
     yield Sample("runs", label, sum(len(member.runs) for member in members))
+    for state in dispatcher.quota.states():
+        labels = {**label, "customer": state.customer}
+        yield Sample("customer_parts", labels, state.parts)
+        yield Sample("customer_used_parts", labels, state.used)
+        yield Sample("customer_cores", labels, state.cores)
+        yield Sample("customer_limited_tasks", labels, state.waiting_tasks)
     for queue, count in runtime.waiting_jobs().items():
         yield Sample("queue_waiting_jobs", {**label, "queue": queue}, count)
     for row in dispatcher.waits:
@@ -179,6 +185,8 @@
             lambda: self._host_watch.skip_pause(),
             advise,
             self.lost_at,
+            self.operations.customers,
+            self.operations.customer_of,
         )
         self.succession = Succession(
             me, deployment.domains, deployment.bounds, environment, deployment.options
--- a/src/curranthall/events.py
+++ b/src/curranthall/events.py
@@ -110,6 +110,7 @@
     WORKER_REBORN = 2503
     WORKER_PACED = 2504
     WORKER_GONE = 2505
+    SHARES_WRITTEN = 2601
 
 
 counts: Counter[str] = Counter()
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -452,6 +452,8 @@
             lambda: None,
             no_advice,
             self.lost_at,
+            self.operations.customers,
+            self.operations.customer_of,
         )
         self.succession = Succession(me, cluster.domains, Bounds(), env)
         self.intake = Intake(
