--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -22,7 +22,7 @@
 from curranthall.model import Host
 from curranthall.store import ABSENT, Check, Put, Row, Stale, Store
 from curranthall.telemetry import Sample
-from curranthall.watch import TableWatch
+from curranthall.watch import FEED_WAIT_MS, TableWatch
 
 ENTRY_TABLE = "entries"
 MESH_KEY = "mesh-key"
@@ -37,6 +37,9 @@
 HOLDER_PAUSE_S = 0.7
 OTHER_PAUSE_S = 5.0
 DIAL_INTERVAL_S = 0.5
+# Reads of the configuration within the time after which keys are not accepted any more. A reading
+# counts from when it was sent, so a healthy entry's is up to two reads old.
+READS_PER_REVOCATION = 5
 
 
 class Deployment(NamedTuple):
@@ -132,6 +135,13 @@
                 yield Sample("shown_waiting_jobs", {**label, "queue": queue}, count)
 
 
+def _config_wait_ms(revoke_s: float | None) -> int:
+    """Return how long a read of the configuration's feed waits for a change."""
+    if revoke_s is None:
+        return FEED_WAIT_MS
+    return min(FEED_WAIT_MS, int(revoke_s * 1000) // READS_PER_REVOCATION)
+
+
 class Daemon:
     """Runs one entry on the platform."""
 
@@ -155,7 +165,13 @@
         self._host_decoder = HostDecoder(row_format.decode_host)
         self._tasks: list[asyncio.Task[None]] = []
         self._mesh: SocketMesh | None = None
-        self._operation_watch = TableWatch(store, row_format.operation_table, self._on_operations)
+        self._operation_watch = TableWatch(
+            store,
+            row_format.operation_table,
+            self._on_operations,
+            clock=boot_clock,
+            feed_wait_ms=_config_wait_ms(deployment.revoke_s),
+        )
         self._host_watch = TableWatch(
             store, row_format.host_table, self._on_hosts, pause_s=self._host_pause
         )
@@ -198,6 +214,15 @@
         is_fresh = boot_clock() - self.succession.read_ok_at < MAX_READ_AGE_S
         return self.operations.catalogue is not None and is_fresh and not self.leaving
 
+    @property
+    def config_is_stale(self) -> bool:
+        """Return whether the configuration was read too long ago to accept keys by it."""
+        revoke_s = self.deployment.revoke_s
+        return revoke_s is not None and self._config_age_s() >= revoke_s
+
+    def _config_age_s(self) -> float:
+        return boot_clock() - self._operation_watch.read_at
+
     async def start(self) -> None:
         """Start the loops; those that need the store retry until it answers."""
         for loop in (self._operation_watch.run, self._host_watch.run, self._join, self._dial):
@@ -222,6 +247,10 @@
         yield Sample("ready", {}, float(self.ready))
         yield Sample("store_read_age_seconds", {}, now - self.succession.read_ok_at)
         yield Sample("configuration_version", {}, catalogue.version if catalogue else 0)
+        yield Sample("configuration_age_seconds", {}, self._config_age_s())
+        if catalogue is not None:
+            yield Sample("customers", {}, len(catalogue.customers))
+            yield Sample("customer_keys", {}, catalogue.customers.key_count)
         for cell, runtime in self.succession.held.items():
             yield from _cell_samples(cell, runtime, now)
         yield from _ownership_samples(self.succession, now)
@@ -319,7 +348,15 @@
     def _on_catalogue(self, catalogue: Catalogue) -> None:
         if not self.operations.apply(catalogue):
             return
-        log(Event.CONFIG_IN_FORCE, version=catalogue.version, routes=len(catalogue.routes))
+        customers = catalogue.customers
+        log(
+            Event.CONFIG_IN_FORCE,
+            version=catalogue.version,
+            routes=len(catalogue.routes),
+            customers=len(customers),
+            keys=customers.key_count,
+            ambiguous=sorted(customers.ambiguous),
+        )
         for runtime in self.succession.held.values():
             runtime.dispatcher.reconfigure()
 
--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -173,7 +173,8 @@
             except h11.RemoteProtocolError as exc:
                 if exc.error_status_hint == 431:
                     raise TooLarge(what="head", limit=MAX_HEAD_BYTES) from exc
-                raise MalformedHttp(why=str(exc)) from exc
+                # What follows a colon is part of the request, which may contain a key.
+                raise MalformedHttp(why=str(exc).partition(":")[0]) from exc
             match event:
                 case h11.NEED_DATA:
                     started = head is not None or bool(conn.trailing_data[0])
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -168,6 +168,7 @@
                     Event.JOB_STORED,
                     job=job.id,
                     queue=job.queue,
+                    customer=job.customer,
                     cell=cell,
                     epoch=progress.claims.get(cell, 0),
                     row_age_ms=self._succession.watch.row_age_ms(cell, self._clock()),
--- a/src/curranthall/watch.py
+++ b/src/curranthall/watch.py
@@ -1,6 +1,7 @@
 """Watch a store table: scan it once, then apply changes from the feed in order."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from curranthall.errors import AnswerLost, HistoryLost, PlatformDown
@@ -21,14 +22,20 @@
         table: str,
         on_change: Callable[[], None],
         pause_s: Callable[[], float] = lambda: 0.0,
+        clock: Callable[[], float] = time.monotonic,
+        feed_wait_ms: int = FEED_WAIT_MS,
     ) -> None:
         self.rows: dict[str, Row] = {}
         self.loaded = False
+        # When the last successful read was sent; its answer may have waited in a stopped process.
+        self.read_at = -float("inf")
         self._changed = False
         self._store = store
         self._table = table
         self._on_change = on_change
         self._pause_s = pause_s
+        self._clock = clock
+        self._feed_wait_ms = feed_wait_ms
         self._after = 0
         self._pause_skipped = asyncio.Event()
 
@@ -39,11 +46,13 @@
     async def run(self) -> None:
         """Watch the table until cancelled."""
         while True:
+            started_at = self._clock()
             try:
                 await self._read_once()
                 if self._changed:
                     self._on_change()
                     self._changed = False
+                self.read_at = started_at
                 await self._pause()
             except HistoryLost:
                 log(Event.FEED_RESTARTED, table=self._table, after=self._after)
@@ -72,7 +81,7 @@
             self._after, self.loaded = listing.version, True
             self._changed = True
             return
-        page = await self._store.feed(self._table, self._after, FEED_WAIT_MS)
+        page = await self._store.feed(self._table, self._after, self._feed_wait_ms)
         for row in page.rows:
             if row.value is None:
                 self.rows.pop(row.key, None)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -53,7 +53,14 @@
     "gang-timeout-ms": 3000,
     "early_ms": 250,
     "status_s": 120,
+    "enforce-revocation": True,
+    "revoke-ms": 5000,
 }
+# A removed key is refused by all entries after this, also by those cut off from the store.
+REVOKE_S = BOUNDS["revoke-ms"] / 1000
+PROBE_S = 0.2
+# Statuses of a submission that never runs.
+NOT_RUN = (401, 429, 503)
 
 
 class EntryProcess:
@@ -133,27 +140,27 @@
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.cancelled: set[str] = set()
+        # The customer of each job.
+        self.customers: dict[str, str] = {}
         self.broken: list[str] = []
         self.faults = 0
         self.version = 1
+        # Keys in the configuration, by customer, and the key that its callers send.
+        self.keys = {"acme": ["acme-1"], "birch": ["birch-1"]}
+        self.sent_keys = {customer: keys[0] for customer, keys in self.keys.items()}
+        # When keys were removed.
+        self.removed_keys: dict[str, float] = {}
         self._workers_added = 0
         self.last_body = b""
         self._stop_callers = False
 
     async def play(self) -> list[str]:
         """Run the soak; return the violations."""
-        address = await self.store.start()
-        domains = DOMAINS * ENTRIES_PER_DOMAIN
-        self.entries = [EntryProcess(self, *item) for item in enumerate(domains)]
-        self._write_config()
-        for domain in DOMAINS:
-            for _ in range(WORKERS_PER_DOMAIN):
-                await self._add_worker(domain)
-        for entry in self.entries:
-            await entry.write_settings(address)
-            await entry.start()
-        background = [asyncio.create_task(self._step_workers()), asyncio.create_task(self._watch())]
+        await self.start(DOMAINS * ENTRIES_PER_DOMAIN)
+        loops = (self._step_workers(), self._watch(), self._probe_removed_keys())
+        background = [asyncio.create_task(loop) for loop in loops]
         await asyncio.sleep(START_S)
+        background.append(asyncio.create_task(self._replace_key("birch")))
         callers = [asyncio.create_task(self._run_caller(number)) for number in range(CALLERS)]
         await self._inject_faults()
         self._stop_callers = True
@@ -165,6 +172,18 @@
         await self.close()
         return [*self.judge.broken, *self.broken]
 
+    async def start(self, domains: tuple[str, ...]) -> None:
+        """Start the store, the workers and an entry in each of the domains."""
+        address = await self.store.start()
+        self.entries = [EntryProcess(self, *item) for item in enumerate(domains)]
+        self._write_config()
+        for domain in DOMAINS:
+            for _ in range(WORKERS_PER_DOMAIN):
+                await self._add_worker(domain)
+        for entry in self.entries:
+            await entry.write_settings(address)
+            await entry.start()
+
     async def close(self) -> None:
         """Stop all processes, workers, links and the store."""
         for entry in self.entries:
@@ -182,9 +201,47 @@
     def _write_config(self) -> None:
         # The Host header of a caller is the address of the entry.
         routes = [{**QUEUE, "hostname": entry.ip} for entry in self.entries]
-        config = {"version": self.version, "routes": routes, "services": [{"name": "desk"}]}
+        # The limits exceed all workers, so that they hold up no job.
+        limit = {"cpu": 1_000_000, "mem-mb": 0, "gpus": 0}
+        tenants = [
+            {"name": name, "api-keys": keys, "weight": 1 + at, "max-count": limit, "priority": 0}
+            for at, (name, keys) in enumerate(self.keys.items())
+        ]
+        config = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": "desk"}],
+            "tenants": tenants,
+        }
         self.store.write_as_operator("config", config)
 
+    def replace_keys(self, customer: str, keys: list[str]) -> None:
+        """Write a configuration in which a customer has other keys."""
+        removed = set(self.keys[customer]) - set(keys)
+        self.keys[customer] = keys
+        self.version += 1
+        self._write_config()
+        self.removed_keys |= dict.fromkeys(removed, now())
+
+    async def _replace_key(self, customer: str) -> None:
+        """Add a key, let callers use it, and remove the former one."""
+        former, later = self.keys[customer][0], f"{customer}-2"
+        await asyncio.sleep(self.seconds * 0.2)
+        self.replace_keys(customer, [former, later])
+        await asyncio.sleep(self.seconds * 0.2)
+        self.sent_keys[customer] = later
+        self.replace_keys(customer, [later])
+
+    async def _probe_removed_keys(self) -> None:
+        """Report entries that accept a removed key longer than the bound allows."""
+        while True:
+            await asyncio.sleep(PROBE_S)
+            for key, removed_at in self.removed_keys.items():
+                sent_at = now()
+                status = await self._call_with(self.rng.choice(self.entries), "GET", "", key)
+                if sent_at > removed_at + REVOKE_S and status not in (401, 503, -1):
+                    self.broken.append(f"{key} was answered {status} after its removal")
+
     async def _add_worker(self, domain: str) -> None:
         self._workers_added += 1
         name = f"{domain}-w{self._workers_added}"
@@ -245,6 +302,7 @@
             count += 1
             job = self._make_job(f"{number:04x}{count:012x}", rng)
             self.judge.jobs[job.id] = job
+            self.customers[job.id] = sorted(self.keys)[number % len(self.keys)]
             await self._submit(job, rng)
             if job.id in self.accepted and rng.random() < 0.15:
                 await asyncio.sleep(rng.uniform(0, 1.5))
@@ -276,7 +334,7 @@
                 self.accepted.add(job.id)
                 return
             await asyncio.sleep(rng.uniform(0.1, 0.8))
-        if all(status in (429, 503) for status in outcomes):
+        if all(status in NOT_RUN for status in outcomes):
             self.refused.add(job.id)
 
     async def _cancel(self, job_id: str, rng: random.Random) -> None:
@@ -293,9 +351,15 @@
 
     async def _call_entry(
         self, entry: EntryProcess, method: str, job_id: str, body: bytes = b""
+    ) -> int:
+        key = self.sent_keys[self.customers[job_id]]
+        return await self._call_with(entry, method, job_id, key, body)
+
+    async def _call_with(
+        self, entry: EntryProcess, method: str, job_id: str, key: str, body: bytes = b""
     ) -> int:
         try:
-            headers = (("X-Curranthall-Request-Deadline", "2500"),)
+            headers = (("X-Curranthall-Request-Deadline", "2500"), ("Api-Key", key))
             answer = await entry.caller.call(method, PREFIX + job_id, body, CALL_S, headers)
         except CurranthallError:
             return -1
@@ -430,6 +494,7 @@
         """Check that every entry reports all accepted jobs as completed, and that they are."""
         if not self.accepted:
             self.broken.append("nothing was accepted")
+        await self._check_keys()
         until = now() + SETTLE_S
         for entry in self.entries:
             for job_id in sorted(self.accepted - self.cancelled):
@@ -450,6 +515,21 @@
             if left:
                 self.broken.append(f"cancelled, but runs: {left} on {worker.instance}")
 
+    async def _check_keys(self) -> None:
+        """Check that every entry refuses the removed key, and accepts a customer's present one."""
+        if not self.removed_keys:
+            self.broken.append("no key was removed")
+        for entry in self.entries:
+            expected = [(key, 401) for key in self.removed_keys]
+            expected += [(key, 200) for key in self.sent_keys.values()]
+            for key, status in expected:
+                until, found = now() + SETTLE_S, -1
+                while found != status and now() < until:
+                    found = await self._call_with(entry, "GET", "", key)
+                    await asyncio.sleep(PROBE_S)
+                if found != status:
+                    self.broken.append(f"{key} is answered {found} at {entry.name}")
+
     async def _get_phase(self, entry: EntryProcess, job_id: str) -> Any:
         status = await self._call_entry(entry, "GET", job_id)
         return json.loads(self.last_body).get("phase") if status == 200 else status
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -807,6 +807,17 @@
         other.close()
         await self.wait_for_cell()
 
+    async def test_only_with_a_bound_an_old_configuration_is_stale(self) -> None:
+        """A deployment that does not enforce revocation serves keyed calls in any outage."""
+        await self.configure()
+        bounded = self.daemon.deployment._replace(revoke_s=5.0)
+        with patch.object(self.daemon, "deployment", bounded):
+            self.assertFalse(self.daemon.config_is_stale)
+        self.daemon._operation_watch.read_at -= 5
+        self.assertFalse(self.daemon.config_is_stale)
+        with patch.object(self.daemon, "deployment", bounded):
+            self.assertTrue(self.daemon.config_is_stale)
+
     async def test_a_job_refused_by_the_store_is_never_stored(self) -> None:
         await self.configure()
         self.fake.refuse_next = 1_000
