--- a/src/curranthall/cells/quota.py
+++ b/src/curranthall/cells/quota.py
@@ -133,6 +133,7 @@
         self._runs: dict[Run, tuple[_Account, str, bool]] = {}
         # Size of the workers that may run anything of former holders.
         self._hidden = ZERO_SIZE
+        # No planning pass has measured that since the limits were read.
         self._is_stale = True
         # By service, the customers that use their fair share or more.
         self._above_share: dict[str, set[str]] = {}
@@ -303,7 +304,12 @@
         return False
 
     def needs(self) -> dict[str, Need]:
-        """Return the parts that the cell needs, by customer with a limit."""
+        """Return the parts that the cell needs, by customer with a limit.
+
+        They are not known before a planning pass has counted what former holders may have started.
+        """
+        if self._is_stale:
+            return {}
         return {name: account.need() for name, account in self._limited.items()}
 
     # Weights
--- a/src/curranthall/cells/shares.py
+++ b/src/curranthall/cells/shares.py
@@ -42,13 +42,15 @@
 class Request(NamedTuple):
     """Parts that a cell misses for its next task and for all; the lowest ticket is served first.
 
-    `unit` are the parts that the next task takes by itself.
+    `unit` are the parts that the next task takes by itself. `over` are those by which running work
+    exceeds the cell's parts, as the limit was lowered: others start no more beside it.
     """
 
     first: int
     all: int
     ticket: int
     unit: int
+    over: int = 0
 
 
 class Shares(NamedTuple):
@@ -116,7 +118,7 @@
 
 def _decode_requests(value: object) -> dict[str, Request]:
     return {
-        text(cell): Request(*(whole(each) for each in items(values)[:4]))
+        text(cell): Request(*(whole(each) for each in items(values)[:5]))
         for cell, values in fields(value).items()
     }
 
@@ -159,11 +161,12 @@
 
 def _request(need: Need, held: int, ticket: int) -> Request | None:
     """Return the request of a cell that holds less than it needs."""
-    missing = min(need.all, PARTS_OF_LIMIT) - held
-    if missing <= 0:
+    missing = max(0, min(need.all, PARTS_OF_LIMIT) - held)
+    over = max(0, need.used - held)
+    if not (missing or over):
         return None
     first = max(0, min(need.first, PARTS_OF_LIMIT) - held)
-    return Request(first, missing, ticket, need.first - need.used)
+    return Request(first, missing, ticket, need.first - need.used, over)
 
 
 def _is_news(old: Request | None, new: Request | None) -> bool:
@@ -173,7 +176,8 @@
     """
     if old is None or new is None:
         return old is not new
-    return new.first > old.first or not old.all // 2 <= new.all <= 2 * old.all
+    amounts = (old.all, new.all), (old.over, new.over)
+    return new.first > old.first or any(not a // 2 <= b <= 2 * a for a, b in amounts)
 
 
 def _take(
@@ -248,7 +252,7 @@
     if oldest != cell:
         request, even = requests[oldest], shares.default(oldest)
         donor = max(shares.cells, key=lambda each: (each != oldest, shares.held(customer, each)))
-        if donor == cell and request.unit > even >= shares.held(customer, oldest):
+        if donor == cell and request.unit > max(even, shares.held(customer, oldest)):
             owed = max(owed, request.first - free)
     return max(0, min(owed, held))
 
@@ -297,7 +301,9 @@
         if self.shares is None:
             return 0
         owed = 0 if customer in self._raised else debt(self.shares, customer, self._cell)
-        return self.held(customer) - owed
+        requests = self.shares.requests.get(customer, {})
+        over = sum(request.over for cell, request in requests.items() if cell != self._cell)
+        return self.held(customer) - max(owed, over - self.shares.free(customer))
 
     def inherited(self, customer: str) -> int:
         """Return the parts that the cell held when this holder read the row first."""
