Refuse jobs with more steps than a row holds before decoding them

Cause: a body of the largest legal size may list 87,000 steps. Change: at most 2,340 steps, whose smallest rows fill the 65,536 bytes that a row holds; more are answered 400 before any step is decoded. Result: the new test failed before (87,000 steps were decoded) and passes.

--- a/src/curranthall/platform/decode.py
+++ b/src/curranthall/platform/decode.py
@@ -27,6 +27,9 @@
 OPERATION_TABLE = "op"
 MAX_SPEC_BYTES = 4_000
 MAX_TASKS = 100_000
+# The smallest step takes 28 bytes of a job's row, which holds 65,536. Decoding all steps of a body
+# of the largest size took seconds of the event loop before the store refused the row.
+MAX_STEPS = 2_340
 MAX_OCCURRENCES = 100_000
 HOST_STATES = {"ready": HostState.LIVE, "draining": HostState.LEAVING}
 # No worker is larger; a larger figure is an error of its writer.
@@ -149,7 +152,10 @@
         spec = text(value.get("spec", ""))
         if len(spec.encode()) > MAX_SPEC_BYTES:
             raise BadInput(field="spec", limit=MAX_SPEC_BYTES)
-        steps = tuple(_decode_step(step, number) for number, step in enumerate(value["steps"]))
+        listed = items(value["steps"])
+        if len(listed) > MAX_STEPS:
+            raise BadInput(field="steps", limit=MAX_STEPS)
+        steps = tuple(_decode_step(step, number) for number, step in enumerate(listed))
         job = Job(
             id=job_id,
             queue=queue.name,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -234,6 +234,18 @@
             with self.subTest(body=body[:30]), self.assertRaises(BadInput):
                 decode_job("0" * 16, Queue("r-1", "desk"), body, 5.0)
 
+    def test_a_job_with_more_steps_than_a_row_holds_is_refused_undecoded(self) -> None:
+        """Decoding 87,000 steps of one legal body took the event loop for seconds."""
+        with patch("curranthall.platform.decode._decode_step") as decode_step:
+            with self.assertRaises(BadInput):
+                body = b'{"steps":[' + b",".join([b"{}"] * 87_000) + b"]}"
+                decode_job("0" * 16, Queue("r-1", "desk"), body, 5.0)
+            decode_step.assert_not_called()
+        largest = decode_job(
+            "0" * 16, Queue("r-1", "desk"), json.dumps({"steps": [{}] * 2_340}).encode(), 5.0
+        )
+        self.assertGreater(len(largest.encode()), 65_000)
+
     def test_settings_are_decoded(self) -> None:
         found = decode_deployment(SETTINGS)
         self.assertEqual(found.mesh, "127.0.0.1:7720")
