--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -14,7 +14,10 @@
     StartTask,
     StopTask,
 )
+from curranthall.cells.quota import Quota
+from curranthall.cells.shares import SharesKeeper
 from curranthall.cells.tracking import Bounds, TrackedJob
+from curranthall.customers import NO_CUSTOMERS, Customers
 from curranthall.dag import Job, Progress, Queue, Step, TaskId
 from curranthall.model import Host, HostState, Size
 
@@ -56,11 +59,16 @@
         max_attempts: int = 2,
         settled: bool = True,
         queue_of: Callable[[Job], Queue | None] | None = None,
+        customers: Customers = NO_CUSTOMERS,
+        wall_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.now, self.row_version = 100.0, EPOCH
         self.queue = Queue("q", SERVICE, 0, max_attempts, 2.0, 1_000)
         configured = queue_of or (lambda job: self.queue)
-        self.dispatcher = Dispatcher(CELL, EPOCH, Bounds(), configured, lambda: 0.0)
+        self.keeper = SharesKeeper(CELL, (CELL,))
+        self.keeper.on_read(None, 0)
+        quota = Quota(self.keeper, lambda: customers, customers.find)
+        self.dispatcher = Dispatcher(CELL, EPOCH, Bounds(), configured, wall_ms, quota=quota)
         for each in hosts:
             self.dispatcher.update_host(each)
         if settled:
