Refuse gangs above their customer's whole limit

A gang starts as a whole, so one that exceeds the limit can never run, just as a single task above it. It is refused with 429 instead of waiting for ever.

--- a/src/curranthall/platform/front.py
+++ b/src/curranthall/platform/front.py
@@ -3,6 +3,7 @@
 import re
 
 from curranthall.catalogue import Route
+from curranthall.cells.quota import is_over_limit
 from curranthall.customers import Customer, Denial
 from curranthall.daemon import Daemon, wall_ms
 from curranthall.dag import Job, Phase, Queue
@@ -77,7 +78,7 @@
             job = decode_job(job_id, queue, req.body, wall_ms(), name)
         except BadInput as exc:
             return json_response({"error": str(exc)}, 400)
-        if customer and not all(customer.can_ever_run(step.size) for step in job.steps):
+        if is_over_limit(customer, job):
             return await self._refuse_oversize(job)
         match await self._daemon.intake.submit(job, _wait_s(req)):
             case Verdict.ACCEPTED:
