Bound what a process holds for its clients

Reason: unfinished requests of legal size took a process's memory (183 to 319 MB in tests.test_crowd), and chunks of one byte its event loop: an ordinary request got no answer in 60 s, and leases and links were not served. Change: one budget per process (admission.py, no I/O) over callers, readiness, metrics, operators and the mesh: a quarter of the memory for unfinished requests, connections for another quarter and half of the descriptors (limits.memory-mb, limits.max-fds; memory_mb, max_fds of the product). Over it the largest unfinished body is evicted (503 with Retry-After if its head was read), then the connection idle or unfinished the longest; a request that a handler has is never evicted. Requests in small chunks are parsed in slices of 3 ms, one at a time. Answers have a write timeout, framing a limit, and a peer of the mesh proves the key before a large frame is read. http.py uses a BufferedProtocol in place of StreamReader, which buffers up to 256 KB of one read uncounted. The read limit of 5 s counts only waiting for the client. Metrics client_*, clients_dropped_total; log event CLIENTS_DROPPED, at most one line a second.

--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from typing import NamedTuple
 
+from curranthall.admission import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB, Admission
 from curranthall.catalogue import Catalogue, Evacuation, Operation, Operations
 from curranthall.cells.advice import Advice
 from curranthall.cells.options import Options
@@ -54,6 +55,8 @@
     grace_s: float
     bounds: Bounds
     options: Options = Options()
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
 
 class RowFormat(NamedTuple):
@@ -141,8 +144,10 @@
         connect: Callable[[Host], WorkerPort],
         is_reachable: Callable[[Host], Awaitable[bool]],
         advise: Callable[[AskAdvice], Awaitable[Advice]],
+        admission: Admission | None = None,
     ) -> None:
         self.deployment = deployment
+        self._admission = admission
         self.operations = Operations()
         self.leaving = False
         self._store = store
@@ -223,6 +228,8 @@
         for cell, runtime in self.succession.held.items():
             yield from _cell_samples(cell, runtime, now)
         yield from _ownership_samples(self.succession, now)
+        if self._admission is not None:
+            yield from self._admission.samples()
 
     # Links to other entries, for the intake and the held cells
 
@@ -260,7 +267,7 @@
         await self.succession.run()
 
     async def _start_mesh(self, key: bytes) -> SocketMesh:
-        mesh = SocketMesh(self.deployment.mesh, key, boot_clock)
+        mesh = SocketMesh(self.deployment.mesh, key, boot_clock, self._admission)
         mesh.handler = self.intake.handle
         host, _, port = self.deployment.mesh.rpartition(":")
         await mesh.start(host, int(port))
--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -2,12 +2,23 @@
 
 import asyncio
 import json
+import os
+import socket
+import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any, NamedTuple
 
 import h11
 
+from curranthall.admission import (
+    Admission,
+    Drop,
+    ParseQueue,
+    Slot,
+    State,
+    default_admission,
+)
 from curranthall.errors import (
     AnswerLost,
     BadInput,
@@ -21,12 +32,36 @@
 from curranthall.timeouts import lag_tolerant_timeout
 
 READ_CHUNK_BYTES = 65_536
+SERVER_READ_BYTES = 16_384
+# Bytes of a connection that wait for the parser before its client has to wait.
+INBOX_BYTES = 16_384
 MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 1_048_576
 # Above the largest object that a platform stores.
 MAX_RESPONSE_BYTES = 16 * 1_048_576
 REQUEST_READ_S = 5.0
 IDLE_TIMEOUT_S = 60.0
+WRITE_TIMEOUT_S = 30.0
+# How long a refused client may go on sending before it is reset.
+LINGER_S = 1.0
+# Chunks of one byte take six on the wire.
+MAX_FRAMING_FACTOR = 8
+# Connections accepted in one step of the loop, and those that the kernel keeps until then.
+ACCEPT_BATCH = 64
+LISTEN_BACKLOG = 1_024
+# A request of more events of the parser than these, and one per so many bytes of its body, waits
+# for its turn: an event takes about 10 microseconds whatever its size.
+FREE_EVENTS = 16
+BYTES_PER_FREE_EVENT = 1_024
+# A turn's length, and the time that the loop has for everything else after it.
+PARSE_SLICE_S = 0.003
+PARSE_PAUSE_S = 0.003
+BUSY_BODY = b'{"error": "busy"}'
+BUSY_ANSWER = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\n"
+    b"Curranthall-Outcome: not-run\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s"
+    % (len(BUSY_BODY), BUSY_BODY)
+)
 JSON_TYPE = "application/json"
 
 
@@ -84,15 +119,235 @@
     return {"Curranthall_Outcome": outcome}
 
 
+class _Link(asyncio.BufferedProtocol):
+    """A client's connection: what arrived and is not parsed, the body so far, and its task."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._admission = server.admission
+        self._slot: Slot | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._wakeup: asyncio.Future[None] | None = None
+        self._flushed: asyncio.Future[None] | None = None
+        self._is_paused = False
+        self._is_discarding = False
+        self._inbox = bytearray()
+        self._at_eof = False
+        # Bytes given to the parser that it may still hold.
+        self.fed = 0
+        self.body = bytearray()
+        self.has_head = False
+        self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.transport: asyncio.Transport
+
+    # Called by the transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        # Writing waits until the kernel has all, so that unread answers are counted.
+        transport.set_write_buffer_limits(high=0)
+        self._slot = self._admission.open(self.drop)
+        if self._slot is None:
+            transport.abort()
+            return
+        self._task = self._server.spawn(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        # Shared by all connections: the transport fills it and reports it in one step.
+        return self._server.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self._is_discarding or self._slot is None:
+            return
+        self._inbox += self._server.buffer[:nbytes]
+        if len(self._inbox) > INBOX_BYTES:
+            self._is_paused = True
+            self.transport.pause_reading()
+        _wake(self._wakeup)
+        # Last, as it may drop this connection.
+        self._admission.set_held(self._slot, self._slot.held + nbytes)
+
+    def eof_received(self) -> bool:
+        self._at_eof = True
+        _wake(self._wakeup)
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._at_eof = True
+        _wake(self._wakeup)
+        _wake(self._flushed)
+
+    def pause_writing(self) -> None:
+        self._flushed = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        _wake(self._flushed)
+        self._flushed = None
+
+    # Called by the budget
+
+    def drop(self, reason: Drop) -> None:
+        """Close the connection at once, refusing a request of which the head was read."""
+        if self.has_head:
+            # Lost if the client reads only after it has sent more, which is a refusal too.
+            self.transport.write(BUSY_ANSWER)
+        self._inbox.clear()
+        self.body.clear()
+        self.transport.abort()
+        if self._task is not None:
+            self._task.cancel()
+
+    # Called by the connection's task
+
+    def set_state(self, state: State) -> None:
+        """Tell the budget what the connection does."""
+        assert self._slot is not None
+        self._admission.set_state(self._slot, state)
+
+    def set_held(self, more: int = 0) -> None:
+        """Tell the budget what the connection holds: its buffers and `more` bytes."""
+        assert self._slot is not None
+        held = len(self._inbox) + self.fed + len(self.body) + more
+        self._admission.set_held(self._slot, held)
+
+    def close(self) -> None:
+        """Close the connection; it sends what is left of an answer."""
+        if self._slot is not None:
+            self._admission.close(self._slot)
+            # The slot refers to the connection: without the cycle its buffers are freed at once.
+            self._slot = None
+        self.transport.close()
+
+    @property
+    def has_input(self) -> bool:
+        """Return whether a read returns at once."""
+        return bool(self._inbox) or self._at_eof
+
+    async def read(self) -> bytes:
+        """Return the next bytes that arrive, none at the end."""
+        while not self.has_input:
+            self._wakeup = asyncio.get_running_loop().create_future()
+            await self._wakeup
+        data = bytes(self._inbox[:SERVER_READ_BYTES])
+        del self._inbox[:SERVER_READ_BYTES]
+        if self._is_paused and len(self._inbox) <= INBOX_BYTES:
+            self._is_paused = False
+            self.transport.resume_reading()
+        return data
+
+    async def send(self, response: Response, close: bool) -> None:
+        """Send a response; raise ConnectionError if the client does not read it in time."""
+        headers = [
+            ("Content-Length", str(len(response.body))),
+            ("Content-Type", response.content_type),
+            *response.headers,
+        ]
+        if close:
+            headers.append(("Connection", "close"))
+        with suppress(h11.LocalProtocolError):
+            head = self.conn.send(h11.Response(status_code=response.status, headers=headers))
+            body = self.conn.send(h11.Data(data=response.body)) or b""
+            end = self.conn.send(h11.EndOfMessage()) or b""
+            self.transport.write((head or b"") + body + end)
+        if self._flushed is not None:
+            await self._flush(self._flushed)
+
+    async def _flush(self, flushed: asyncio.Future[None]) -> None:
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                await flushed
+        except TimeoutError as exc:
+            self._admission.note_dropped(Drop.UNREAD)
+            self.transport.abort()
+            raise ConnectionError from exc
+
+    async def linger(self) -> None:
+        """Discard what a refused client still sends, as a reset could hide the answer from it."""
+        self._is_discarding = True
+        self._inbox.clear()
+        self.transport.resume_reading()
+        if self.transport.can_write_eof() and not self.transport.is_closing():
+            self.transport.write_eof()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_S):
+                await self.read()
+
+
+def _wake(fut: asyncio.Future[None] | None) -> bool:
+    """End a wait; return whether anyone waited."""
+    if fut is None or fut.done():
+        return False
+    fut.set_result(None)
+    return True
+
+
+class _ParseTurn:
+    """The parse time of one request, in slices once it needs more than an ordinary one."""
+
+    def __init__(self, queue: ParseQueue) -> None:
+        self._queue = queue
+        self._number = queue.new_number()
+        self._events = 0
+        self._spent_s = 0.0
+        self._began_at: float | None = None
+
+    async def note_event(self, body_bytes: int) -> None:
+        """Count an event of the parser; wait if the request has to let others go on."""
+        self._events += 1
+        if self._events <= FREE_EVENTS + body_bytes // BYTES_PER_FREE_EVENT:
+            return
+        if self._began_at is None:
+            await self._begin()
+        elif time.monotonic() - self._began_at >= PARSE_SLICE_S:
+            slice_s = time.monotonic() - self._began_at
+            try:
+                await asyncio.sleep(PARSE_PAUSE_S)
+            finally:
+                self._end(slice_s)
+            await self._begin()
+
+    def end(self) -> None:
+        """End the turn, if the request has it."""
+        if self._began_at is not None:
+            self._end(time.monotonic() - self._began_at)
+
+    def _end(self, slice_s: float) -> None:
+        self._began_at = None
+        self._spent_s += slice_s
+        self._queue.release(slice_s)
+
+    async def _begin(self) -> None:
+        granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        ticket = self._queue.request(self._number, self._spent_s, lambda: _wake(granted))
+        try:
+            # Without a step of the loop if the turn is free.
+            await granted
+        except asyncio.CancelledError:
+            if granted.done() and not granted.cancelled():
+                self._queue.release(0.0)
+            else:
+                self._queue.withdraw(ticket)
+            raise
+        self._began_at = time.monotonic()
+
+
 class HttpServer:
-    """Serves requests on one port and counts those in flight."""
+    """Serves requests on one port, within a budget, and counts those in flight."""
 
-    def __init__(self, handler: Handler, max_body: int = MAX_BODY_BYTES) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        max_body: int = MAX_BODY_BYTES,
+        admission: Admission | None = None,
+    ) -> None:
         self._handler = handler
         self._max_body = max_body
         self._server: asyncio.Server | None = None
         self._conn_tasks: set[asyncio.Task[None]] = set()
         self._active = 0
+        self.admission = admission or default_admission(max_body)
+        self.buffer = memoryview(bytearray(SERVER_READ_BYTES))
         self.closing = False
         self.port = 0
 
@@ -103,7 +358,14 @@
 
     async def start(self, host: str, port: int) -> int:
         """Listen; return the port in use."""
-        self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
+        loop = asyncio.get_running_loop()
+        # asyncio accepts as many connections at once as its backlog says, before any is admitted.
+        self._server = await loop.create_server(
+            lambda: _Link(self), host, port, backlog=ACCEPT_BATCH
+        )
+        for listener in self._server.sockets:
+            with socket.socket(fileno=os.dup(listener.fileno())) as sock:
+                sock.listen(LISTEN_BACKLOG)
         self.port = self._server.sockets[0].getsockname()[1]
         return self.port
 
@@ -119,37 +381,56 @@
             task.cancel()
         await asyncio.gather(*self._conn_tasks, return_exceptions=True)
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
+    def spawn(self, link: _Link) -> asyncio.Task[None]:
+        """Start serving a connection."""
+        task = asyncio.create_task(self._run(link))
         self._conn_tasks.add(task)
+        task.add_done_callback(self._conn_tasks.discard)
+        # A task that is cancelled before its first step runs no `finally`.
+        task.add_done_callback(lambda _: link.close())
+        return task
+
+    async def _run(self, link: _Link) -> None:
         try:
-            await self._serve(reader, writer)
+            await self._serve(link)
         except (ConnectionError, TimeoutError, asyncio.CancelledError):
             pass
-        finally:
-            self._conn_tasks.discard(task)
-            writer.close()
+        except Exception as exc:
+            # A defect met by one connection must not pass unseen.
+            log(Event.LOOP_FAILED, where="connection", error=repr(exc))
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+    async def _serve(self, link: _Link) -> None:
+        conn = link.conn
         while True:
+            link.set_state(State.IDLE)
             try:
-                req = await self._read(conn, reader)
+                req = await self._read(link)
             except CurranthallError as exc:
                 log(Event.INPUT_REFUSED, error=exc)
-                await _send(conn, writer, error_response(exc), close=True)
+                link.body.clear()
+                link.has_head = False
+                link.set_state(State.WRITING)
+                await link.send(error_response(exc), close=True)
+                await link.linger()
                 return
             if req is None:
                 return
+            # From here on a handler may act on the request: it isn't refused any more.
+            link.set_state(State.SERVING)
             self._active += 1
             try:
                 response = await self._answer(req)
-                await _send(conn, writer, response, close=self.closing)
+                del req
+                link.has_head = False
+                link.set_held(len(response.body))
+                link.set_state(State.WRITING)
+                await link.send(response, close=self.closing)
             finally:
                 self._active -= 1
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
+            link.fed = len(conn.trailing_data[0])
+            link.set_held()
             conn.start_next_cycle()
 
     async def _answer(self, req: Request) -> Response:
@@ -162,45 +443,79 @@
             log(Event.LOOP_FAILED, where=req.path, error=repr(exc))
             return json_response({"error": "internal"}, 500, Curranthall_Outcome="unknown")
 
-    async def _read(self, conn: h11.Connection, reader: asyncio.StreamReader) -> Request | None:
+    async def _read(self, link: _Link) -> Request | None:
+        turn = _ParseTurn(self.admission.parsing)
+        try:
+            return await self._read_request(link, turn)
+        finally:
+            turn.end()
+
+    async def _read_request(self, link: _Link, turn: _ParseTurn) -> Request | None:
         head: h11.Request | None = None
-        body = bytearray()
-        loop = asyncio.get_running_loop()
-        limit = loop.time() + IDLE_TIMEOUT_S
+        # Part of a request may have come with the one before.
+        wire_bytes = link.fed
+        wait_s = REQUEST_READ_S if wire_bytes else IDLE_TIMEOUT_S
         while True:
-            try:
-                event = conn.next_event()
-            except h11.RemoteProtocolError as exc:
-                if exc.error_status_hint == 431:
-                    raise TooLarge(what="head", limit=MAX_HEAD_BYTES) from exc
-                raise MalformedHttp(why=str(exc)) from exc
-            match event:
+            match event := _next_event(link.conn):
                 case h11.NEED_DATA:
-                    started = head is not None or bool(conn.trailing_data[0])
-                    data = await _read_some(reader, limit - loop.time(), started)
+                    if head is not None:
+                        link.fed = 0
+                        link.set_held()
+                    started = head is not None or wire_bytes > 0
+                    if not link.has_input:
+                        turn.end()
+                    began_at = time.monotonic()
+                    data = await _read_some(link, wait_s, started)
                     if not data and not started:
                         return None
-                    if not started:
-                        limit = loop.time() + REQUEST_READ_S
-                    conn.receive_data(data)
+                    if started:
+                        # Only the client's own time counts, not that of parsing and of turns.
+                        wait_s -= time.monotonic() - began_at
+                    else:
+                        wait_s = REQUEST_READ_S
+                        link.set_state(State.READING)
+                    wire_bytes += len(data)
+                    if wire_bytes > MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * self._max_body:
+                        raise TooLarge(what="chunks", limit=self._max_body)
+                    link.fed += len(data)
+                    link.conn.receive_data(data)
                 case h11.Request():
                     head = event
+                    link.has_head = True
                 case h11.Data():
-                    body += event.data
-                    if len(body) > self._max_body:
+                    link.body += event.data
+                    if len(link.body) > self._max_body:
                         raise TooLarge(what="body", limit=self._max_body)
+                    await turn.note_event(len(link.body))
                 case h11.EndOfMessage():
                     assert head is not None
-                    return _build_request(head, bytes(body))
+                    req = _build_request(head, bytes(link.body))
+                    link.body.clear()
+                    link.set_state(State.SERVING)
+                    link.fed = len(link.conn.trailing_data[0])
+                    link.set_held(len(req.body))
+                    return req
                 case _:
                     return None
 
 
-async def _read_some(reader: asyncio.StreamReader, seconds: float, started: bool) -> bytes:
+def _next_event(conn: h11.Connection) -> Any:
+    try:
+        return conn.next_event()
+    except h11.RemoteProtocolError as exc:
+        if exc.error_status_hint == 431:
+            raise TooLarge(what="head", limit=MAX_HEAD_BYTES) from exc
+        raise MalformedHttp(why=str(exc)) from exc
+
+
+async def _read_some(link: _Link, seconds: float, started: bool) -> bytes:
     try:
         async with asyncio.timeout(max(seconds, 0.0)):
-            return await reader.read(READ_CHUNK_BYTES)
+            return await link.read()
     except TimeoutError as exc:
+        # Data that came in the same step of the loop as the timeout counts.
+        if link.has_input:
+            return await link.read()
         if started:
             raise SlowClient(limit_s=REQUEST_READ_S) from exc
         return b""
@@ -212,24 +527,6 @@
     return Request(head.method.decode(), path, query, headers, body)
 
 
-async def _send(
-    conn: h11.Connection, writer: asyncio.StreamWriter, response: Response, close: bool
-) -> None:
-    headers = [
-        ("Content-Length", str(len(response.body))),
-        ("Content-Type", response.content_type),
-        *response.headers,
-    ]
-    if close:
-        headers.append(("Connection", "close"))
-    with suppress(h11.LocalProtocolError):
-        head = conn.send(h11.Response(status_code=response.status, headers=headers))
-        body = conn.send(h11.Data(data=response.body)) or b""
-        end = conn.send(h11.EndOfMessage()) or b""
-        writer.write((head or b"") + body + end)
-        await writer.drain()
-
-
 class _Connection(NamedTuple):
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
--- a/src/curranthall/link.py
+++ b/src/curranthall/link.py
@@ -8,12 +8,15 @@
 from contextlib import suppress
 from typing import Any, Protocol
 
+from curranthall.admission import Admission, Slot, State, default_admission
 from curranthall.errors import AnswerLost, CurranthallError, NotRun, PeerUnreachable, Unknown
 from curranthall.events import Event, log
 from curranthall.timeouts import lag_tolerant_timeout
 from curranthall.values import DECODE_ERRORS, reason
 
 MAX_FRAME_BYTES = 8 * 1_048_576
+# All that a peer may send before it has proved the key: the HTTP upgrade, a hello and a proof.
+MAX_HANDSHAKE_BYTES = 16_384
 HANDSHAKE_TIMEOUT_S = 3.0
 RECONNECT_DELAY_S = 0.5
 NONCE_BYTES = 16
@@ -97,11 +100,16 @@
     """The mesh over WebSockets; each entry sends its calls over links that it dials."""
 
     def __init__(
-        self, own_id: str, key: bytes, clock: Callable[[], float] = time.monotonic
+        self,
+        own_id: str,
+        key: bytes,
+        clock: Callable[[], float] = time.monotonic,
+        admission: Admission | None = None,
     ) -> None:
         self._own_id = own_id
         self._key = key
         self._clock = clock
+        self.admission = admission or default_admission(MAX_HANDSHAKE_BYTES)
         self._links: dict[str, Any] = {}
         self._calls: dict[str, _PendingCalls] = {}
         self._timeouts: dict[str, int] = {}
@@ -130,7 +138,9 @@
             max_size=MAX_FRAME_BYTES,
             compression=None,
             ping_interval=None,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
             close_timeout=0.2,
+            create_connection=_make_connection_type(self.admission),
         )
         self.port = next(iter(self._server.sockets)).getsockname()[1]
         return self.port
@@ -278,8 +288,14 @@
     async def _accept(self, link: Any) -> None:
         from websockets.exceptions import ConnectionClosed
 
-        with suppress(ConnectionClosed, TimeoutError, AnswerLost):
-            peer = await self._accept_handshake(link)
+        with suppress(ConnectionClosed, AnswerLost):
+            try:
+                peer = await self._accept_handshake(link)
+            except TimeoutError:
+                log(Event.PEER_REFUSED, why="no proof in time", side="listening")
+                return
+            if peer is not None:
+                link.mark_proven()
             while peer is not None:
                 frame = await self._receive(link)
                 self._spawn(self._answer(peer, link, frame))
@@ -350,6 +366,60 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _make_connection_type(admission: Admission) -> Any:
+    """Return the type of connections from peers; `websockets` is imported only when needed."""
+    from websockets.asyncio.server import ServerConnection
+
+    class AdmittedConnection(ServerConnection):
+        """A connection that counts in the budget and may send little before it has the key."""
+
+        _slot: Slot | None = None
+        _backlog: bytearray
+        _is_proven = False
+        _unproven_bytes = 0
+
+        def mark_proven(self) -> None:
+            """Let the peer send large frames, and drop it no more for others."""
+            self._is_proven = True
+            if self._slot is not None:
+                admission.set_state(self._slot, State.SERVING)
+                admission.set_held(self._slot, 0)
+            backlog, self._backlog = bytes(self._backlog), bytearray()
+            if backlog:
+                super().data_received(backlog)
+            self.transport.resume_reading()
+
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            super().connection_made(transport)
+            # What a peer sends right behind its proof waits here until the proof is checked.
+            self._backlog = bytearray()
+            self._slot = admission.open(lambda _: self.transport.abort())
+            if self._slot is None:
+                self.transport.abort()
+
+        def data_received(self, data: bytes) -> None:
+            if self._is_proven:
+                super().data_received(data)
+                return
+            allowed = MAX_HANDSHAKE_BYTES - self._unproven_bytes
+            self._unproven_bytes += len(data)
+            self._backlog += data[allowed:] if allowed > 0 else data
+            if self._backlog:
+                self.transport.pause_reading()
+            if allowed > 0:
+                super().data_received(data[:allowed])
+            if self._slot is not None:
+                admission.set_held(self._slot, self._unproven_bytes)
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            if self._slot is not None:
+                admission.close(self._slot)
+                self._slot = None
+            super().connection_lost(exc)
+
+    return AdmittedConnection
+
+
 async def _ignore_lost_answer(coroutine: Any) -> None:
     with suppress(AnswerLost):
         await coroutine
--- a/src/curranthall/metrics.py
+++ b/src/curranthall/metrics.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from curranthall.admission import Admission
 from curranthall.entry import Entry
 
 TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -10,8 +11,9 @@
 class Metrics:
     """Renders the counts of an entry's components as metrics."""
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: Entry, admission: Admission) -> None:
         self._entry = entry
+        self._admission = admission
         self._registry: Any = None
         self._gauges: dict[str, Any] = {}
 
@@ -41,6 +43,8 @@
             self._set("requests", "requests by outcome", {"outcome": outcome}, count)
         for what, count in entry.ledger.counts.items():
             self._set("task_events", "starts and evictions", {"what": what}, count)
+        for sample in self._admission.samples():
+            self._set(sample.name, sample.name.replace("_", " "), sample.labels, sample.value)
 
     def _set(self, name: str, help_text: str, labels: dict[str, str], value: float) -> None:
         from aioprometheus import Gauge
--- a/src/curranthall/operators.py
+++ b/src/curranthall/operators.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from curranthall.access import Access
+from curranthall.admission import Admission
 from curranthall.edits import Edits
 from curranthall.entry import ENTRY_PREFIX, Entry
 from curranthall.errors import BadInput, CurranthallError, UnknownName
@@ -26,12 +27,14 @@
 class Operators:
     """Handles the requests of operators."""
 
-    def __init__(self, entry: Entry, jobs: Jobs, edits: Edits, access: Access) -> None:
+    def __init__(
+        self, entry: Entry, jobs: Jobs, edits: Edits, access: Access, admission: Admission
+    ) -> None:
         self._entry = entry
         self._jobs = jobs
         self._edits = edits
         self._access = access
-        self._metrics = Metrics(entry)
+        self._metrics = Metrics(entry, admission)
 
     async def handle(self, req: Request) -> Response:
         """Handle one request."""
--- a/src/curranthall/platform/__main__.py
+++ b/src/curranthall/platform/__main__.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 
+from curranthall.admission import Admission, derive_limits
 from curranthall.daemon import Daemon, RowFormat
 from curranthall.errors import SettingsInvalid
 from curranthall.events import Event, log, use_json
@@ -22,6 +23,8 @@
 from curranthall.telemetry import Telemetry
 
 MAX_BODY_BYTES = 262_144
+# Probes and scrapes have no body.
+MAX_PROBE_BODY_BYTES = 4_096
 # The platform stops sending connections after two failed probes, one second apart.
 PROBE_WINDOW_S = 2.5
 # Part of the grace period reserved for closing.
@@ -47,16 +50,19 @@
     store = PlatformStore(deployment.store)
     row_format = RowFormat(HOST_TABLE, OPERATION_TABLE, decode_host, decode_operation)
     advisor = PlatformAdvisor(deployment.advisor)
-    daemon = Daemon(deployment, store, row_format, PlatformWorker, is_reachable, advisor.ask)
+    admission = Admission(derive_limits(deployment.memory_mb, deployment.max_fds, MAX_BODY_BYTES))
+    daemon = Daemon(
+        deployment, store, row_format, PlatformWorker, is_reachable, advisor.ask, admission
+    )
     frontend = Frontend(daemon)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload)
-    callers = HttpServer(frontend.handle, MAX_BODY_BYTES)
-    probes = HttpServer(frontend.handle_probe)
-    metrics = HttpServer(_MetricsHandler(daemon).handle)
+    callers = HttpServer(frontend.handle, MAX_BODY_BYTES, admission)
+    probes = HttpServer(frontend.handle_probe, MAX_PROBE_BODY_BYTES, admission)
+    metrics = HttpServer(_MetricsHandler(daemon).handle, MAX_PROBE_BODY_BYTES, admission)
     await metrics.start(deployment.mesh.rpartition(":")[0], METRICS_PORT)
     await callers.start(*_split_address(deployment.frontend))
     await probes.start(*_split_address(deployment.readiness))
--- a/src/curranthall/platform/settings.py
+++ b/src/curranthall/platform/settings.py
@@ -5,6 +5,7 @@
 
 import orjson
 
+from curranthall.admission import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 from curranthall.cells.options import parse_options
 from curranthall.cells.tracking import Bounds
 from curranthall.daemon import Deployment
@@ -47,4 +48,13 @@
             status_s=float(bounds["status_s"]),
         ),
         options=parse_options(os.environ.get(FEATURES_VARIABLE, "")),
+        memory_mb=_decode_limit(limits, "memory-mb", DEFAULT_MEMORY_MB),
+        max_fds=_decode_limit(limits, "max-fds", DEFAULT_MAX_FDS),
     )
+
+
+def _decode_limit(limits: dict[str, Any], name: str, default: int) -> int:
+    value = int(limits.get(name, default))
+    if value < 1:
+        raise ValueError(f"limits.{name} must be at least 1")
+    return value
--- a/src/curranthall/process.py
+++ b/src/curranthall/process.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from curranthall.access import Access
+from curranthall.admission import Admission, derive_limits
 from curranthall.callers import Callers
 from curranthall.edits import Edits
 from curranthall.entry import ENTRY_PREFIX, Entry, Identity
@@ -42,7 +43,9 @@
 
     def __init__(self, cfg: Settings) -> None:
         self.cfg = cfg
-        self.mesh = SocketMesh(cfg.id, cfg.mesh_key.encode())
+        limits = derive_limits(cfg.memory_mb, cfg.max_fds, cfg.max_body_bytes)
+        self._admission = Admission(limits)
+        self.mesh = SocketMesh(cfg.id, cfg.mesh_key.encode(), admission=self._admission)
         self._platform = HttpPlatform(cfg.platform)
         self._callers: HttpServer
         self._operators: HttpServer
@@ -71,9 +74,9 @@
         edits = Edits(self._platform, self.entry.config, time.time, self.entry.new_txn)
         access = Access(cfg.operator_tokens, cfg.customer_tokens)
         callers = Callers(self.entry, jobs, access)
-        operators = Operators(self.entry, jobs, edits, access)
-        self._callers = HttpServer(callers.handle, cfg.max_body_bytes)
-        self._operators = HttpServer(operators.handle, cfg.max_body_bytes)
+        operators = Operators(self.entry, jobs, edits, access, self._admission)
+        self._callers = HttpServer(callers.handle, cfg.max_body_bytes, self._admission)
+        self._operators = HttpServer(operators.handle, cfg.max_body_bytes, self._admission)
         for peer in cfg.peers:
             self.mesh.dial(peer)
         self.entry.start()
--- a/src/curranthall/settings.py
+++ b/src/curranthall/settings.py
@@ -2,6 +2,7 @@
 
 from typing import Any, NamedTuple
 
+from curranthall.admission import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 from curranthall.errors import SettingsInvalid
 
 MIN_KEY_CHARS = 16
@@ -23,6 +24,9 @@
     peers: tuple[str, ...] = ()
     max_body_bytes: int = 1_048_576
     log_decisions: bool = True
+    # Memory and descriptors of the process, of which clients get a part.
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
 
 class Problem(NamedTuple):
@@ -84,6 +88,8 @@
             Optional("peers"): [address],
             Optional("max_body_bytes"): body,
             Optional("log_decisions"): bool,
+            Optional("memory_mb"): All(int, Range(min=64, msg="at least 64")),
+            Optional("max_fds"): All(int, Range(min=64, msg="at least 64")),
         },
         extra=PREVENT_EXTRA,
     )
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -96,13 +96,13 @@
     def __init__(self) -> None:
         self._sockets: list[socket.socket] = []
 
-    async def send(self, crowd: Crowd, address: str) -> None:
-        """Connect all clients and send, until all are done or blocked for long."""
+    async def send(self, crowd: Crowd, address: str, limit_s: float = HUNG_S / 4) -> None:
+        """Connect all clients and send, until all are done or at most `limit_s` seconds."""
         sending = [
             asyncio.create_task(self._send(crowd, address, number))
             for number in range(crowd.clients)
         ]
-        _, blocked = await asyncio.wait(sending, timeout=HUNG_S / 4)
+        _, blocked = await asyncio.wait(sending, timeout=limit_s)
         for task in blocked:
             task.cancel()
         await asyncio.gather(*sending, return_exceptions=True)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -5,9 +5,11 @@
 import threading
 import time
 import unittest
+from contextlib import suppress
 from unittest import mock
 
-from curranthall import timeouts
+from curranthall import http, timeouts
+from curranthall.admission import Admission, Limits
 from curranthall.errors import AnswerLost
 from curranthall.http import HttpClient, HttpServer, Request, Response, json_response
 
@@ -118,5 +120,97 @@
         self.assertLess(time.monotonic() - began, 0.5)
 
 
+class Refusals(unittest.IsolatedAsyncioTestCase):
+    """What a server of a small budget does with clients that exceed it."""
+
+    async def asyncSetUp(self) -> None:
+        self.handled: list[str] = []
+        self.let_go = asyncio.Event()
+        self.server = await self.serve(Limits(100_000, 3))
+
+    async def serve(self, limits: Limits) -> HttpServer:
+        """Start a server."""
+        server = HttpServer(self.answer, 80_000, Admission(limits))
+        await server.start(LOOPBACK, 0)
+        self.addAsyncCleanup(server.drain, 0.0)
+        return server
+
+    async def answer(self, req: Request) -> Response:
+        """Answer; at /hold only when told to."""
+        self.handled.append(req.path)
+        if req.path == "/hold":
+            await self.let_go.wait()
+        return Response(200, b"x" * (32_000_000 if req.path == "/large" else 2))
+
+    async def send(self, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection and send some bytes."""
+        reader, writer = await asyncio.open_connection(LOOPBACK, self.server.port)
+        self.addCleanup(writer.close)
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        return reader, writer
+
+    def make_post(self, path: str, length: int, sent: int) -> bytes:
+        """Return a request of which a part of the body is sent."""
+        head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n"
+        return head.encode() + b"x" * sent
+
+    async def test_an_evicted_request_is_answered_503_and_not_handled(self) -> None:
+        reader, _ = await self.send(self.make_post("/a", 70_000, 69_990))
+        await self.send(self.make_post("/b", 60_000, 59_990))
+        answer = await reader.read()
+        self.assertIn(b"503", answer.splitlines()[0])
+        self.assertIn(b"Retry-After", answer)
+        other, _ = await self.send(self.make_post("/c", 3, 3))
+        self.assertIn(b"200", await other.readline())
+        self.assertEqual(self.handled, ["/c"])
+
+    async def test_a_request_that_a_handler_has_is_answered_whatever_comes(self) -> None:
+        # It may have an effect already, so an answer 503 would not be true.
+        reader, _ = await self.send(self.make_post("/hold", 70_000, 70_000))
+        for _ in range(5):
+            await self.send(self.make_post("/b", 60_000, 59_990))
+        self.let_go.set()
+        self.assertIn(b"200", await reader.readline())
+        self.assertEqual(self.handled, ["/hold"])
+
+    async def test_over_the_limit_the_oldest_idle_connection_is_closed(self) -> None:
+        idle = [await self.send(b"") for _ in range(4)]
+        self.assertEqual(await idle[0][0].read(), b"")
+        self.assertFalse(idle[1][0].at_eof())
+        self.assertEqual(self.server.admission.connections, 3)
+
+    async def test_an_answer_that_is_not_read_ends_the_connection(self) -> None:
+        # A client that never reads would hold the answer's memory and a descriptor for good.
+        self.server = await self.serve(Limits(100_000_000, 3))
+        with mock.patch.object(http, "WRITE_TIMEOUT_S", 0.2):
+            await self.send(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+            async with asyncio.timeout(10):
+                while self.server.admission.connections:
+                    await asyncio.sleep(0.02)
+        self.assertEqual(self.server.admission.dropped, {"unread": 1})
+        self.assertEqual(self.server.admission.held, 0)
+
+    async def test_framing_is_limited_beside_the_body(self) -> None:
+        # Extensions of chunks are no part of the body and would pass its limit.
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        reader, writer = await self.send(head)
+        with suppress(ConnectionError):
+            for _ in range(200):
+                writer.write(b"1;e=" + b"a" * 8_000 + b"\r\nx\r\n")
+                await writer.drain()
+        self.assertIn(b"413", await reader.readline())
+        self.assertEqual(self.handled, [])
+
+    async def test_pipelined_requests_are_answered_in_order(self) -> None:
+        requests = self.make_post("/a", 50_000, 50_000) + self.make_post("/b", 50_000, 50_000)
+        reader, _ = await self.send(requests * 3)
+        for _ in range(6):
+            self.assertIn(b"200", await reader.readuntil(b"\r\n\r\nxx"))
+        self.assertEqual(self.handled, ["/a", "/b"] * 3)
+        self.assertEqual(self.server.admission.held, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -8,7 +8,9 @@
 from unittest.mock import patch
 
 from cbor2 import dumps, loads
+from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
+from websockets.exceptions import ConnectionClosed
 
 from curranthall.errors import AnswerLost, NotRun, PeerUnreachable
 from curranthall.link import MAX_TIMEOUTS, SocketMesh
@@ -43,6 +45,26 @@
             await self.near.call("far", "late", 1.0, 0.1)
         self.assertEqual(await other, "other")
 
+    async def test_a_large_call_right_behind_the_proof_is_answered(self) -> None:
+        # Bytes beyond those of a handshake must wait for the proof's check, not end the link.
+        async with connect(f"ws://{LOOPBACK}:{self.far.port}") as link:
+            await self.near._open_handshake(link)
+            pad = bytes(2_000_000)
+            await self.near._send(link, {"n": 1, "v": "large", "b": 0.0, "pad": pad})
+            async with asyncio.timeout(10):
+                self.assertEqual(await self.near._receive(link), {"n": 1, "b": "large"})
+
+    async def test_a_peer_without_the_key_cannot_send_a_large_frame(self) -> None:
+        # Unproven peers could fill the memory with frames of the legal size.
+        async with connect(f"ws://{LOOPBACK}:{self.far.port}", max_size=None) as link:
+            sending = asyncio.create_task(link.send(bytes(8_000_000)))
+            with self.assertRaises(ConnectionClosed):
+                async with asyncio.timeout(10):
+                    await link.recv()
+            sending.cancel()
+        self.assertLess(self.far.admission.held, 1_000_000)
+        self.assertEqual(self.far.admission.connections, 1)
+
     async def test_the_time_in_which_the_caller_was_busy_does_not_count(self) -> None:
         call = asyncio.ensure_future(self.near.call("far", "soon", 0.0, 0.3))
         await asyncio.sleep(0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -242,6 +242,17 @@
         self.assertEqual(found.bounds.max_hold_s, 6.0)
         self.assertFalse(any(found.options))
 
+    def test_memory_and_descriptors_are_optional(self) -> None:
+        # Processes without them must not hold more than the smallest machines have.
+        found = decode_deployment(SETTINGS)
+        self.assertEqual((found.memory_mb, found.max_fds), (200, 1_024))
+        limits = {"cpu-share": 0.5, "memory-mb": 160, "max-fds": 4_100}
+        found = decode_deployment({**SETTINGS, "limits": limits})
+        self.assertEqual((found.memory_mb, found.max_fds), (160, 4_100))
+        for name, value in (("memory-mb", 0), ("max-fds", "many"), ("max-fds", None)):
+            with self.subTest(name=name, value=value), self.assertRaises((ValueError, TypeError)):
+                decode_deployment({**SETTINGS, "limits": {**limits, name: value}})
+
     def test_unreadable_settings_raise_settings_invalid(self) -> None:
         previous = os.environ.get(FILE_VARIABLE)
         with tempfile.NamedTemporaryFile() as file:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -54,13 +54,15 @@
             **VALID,
             "caller": "nowhere",
             "max_body_bytes": 3,
+            "memory_mb": 0,
+            "max_fds": "many",
             "id": 7,
             "peeers": [],
             "peers": ["x"],
         }
         del invalid["domain"]
         found = problems(invalid)
-        self.assertEqual(len(found), 6, found)
+        self.assertEqual(len(found), 8, found)
         self.assertIn("id: found 7; allowed: a string", found)
         self.assertIn("caller: found 'nowhere'; allowed: host:port", found)
         self.assertIn("domain: found nothing; allowed: a value: this key is required", found)
