Let crowds of unfinished requests come in the soak test

Reason: the budget for clients has to hold beside other faults, and the cells have to go on meanwhile. Change: one more fault, 250 clients with large or finely chunked bodies at one entry for 1 to 6 s.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,6 +23,7 @@
 from curranthall.model import Host, HostState, Size
 from curranthall.standin.runner import Runner, Work
 from tests.cluster import Judge, now
+from tests.crowd import Clients, pieced_bodies, small_chunks, whole_bodies
 from tests.platform_fakes import FakeStore, FakeWorker
 from tests.proxy import Mode, Proxy
 
@@ -38,6 +39,8 @@
 TRIES = 6
 STEP_S = 0.05
 FRESH_SEEDS = 5
+# With bodies of 256 KB more than the budget of an entry.
+CROWD_CLIENTS = 250
 PREFIX = "/cuts/"
 QUEUE = {
     "name": "cuts",
@@ -324,6 +327,7 @@
             self._reconfigure,
             self._drop_history,
             self._evacuate,
+            self._crowd,
         ]
         while now() < until:
             self.faults += 1
@@ -416,6 +420,15 @@
         await asyncio.sleep(self.rng.uniform(1, 6))
         self.store.remove_as_operator(key)
 
+    async def _crowd(self) -> None:
+        """Let clients send large or finely chunked bodies to an entry, most without their end."""
+        crowd = self.rng.choice((whole_bodies, pieced_bodies, small_chunks))(CROWD_CLIENTS)
+        # Not to the queue: the judge knows no jobs of theirs.
+        crowd = crowd._replace(head=crowd.head.replace(PREFIX.encode(), b"/none/"))
+        clients = Clients()
+        await clients.send(crowd, self.rng.choice(self.entries).frontend, self.rng.uniform(1, 6))
+        clients.close()
+
     # End of the run
 
     async def _end_faults(self) -> None:
