Accept fewer connections at a time, and clean the queue of parse turns

Reason: asyncio accepts a batch of connections before the first is admitted, and closes dropped ones some steps later; with batches of 64 one of four runs of tests.test_crowd had 303 descriptors open, 150 above the limit of connections. Waits for a parse turn that were given up stayed in the queue behind newer ones, so a crowd that reconnects all the time could fill the memory with them. Change: batches of 16 (the kernel still keeps 1,024 connections); the queue drops given up waits once they are more than half of it.

--- a/src/curranthall/admission.py
+++ b/src/curranthall/admission.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from enum import Enum
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 from typing import NamedTuple
 
@@ -33,6 +33,8 @@
 REPORT_INTERVAL_S = 1.0
 # Parse time after which a request's priority is lowered for the first time, in seconds.
 FIRST_LEVEL_S = 0.008
+# Waits given up that are kept in the queue before it is cleaned.
+MIN_WITHDRAWN = 64
 
 
 class Limits(NamedTuple):
@@ -90,7 +92,7 @@
 
     def __init__(self, grant: Callable[[], bool]) -> None:
         self.grant = grant
-        self.is_withdrawn = False
+        self.is_waiting = True
 
 
 class ParseQueue:
@@ -103,13 +105,15 @@
     def __init__(self) -> None:
         self._numbers = count()
         self._waiting: list[tuple[int, int, int, ParseTicket]] = []
+        # Tickets in `_waiting` whose wait was given up.
+        self._withdrawn = 0
         self._is_taken = False
         self.spent_s = 0.0
 
     @property
     def waiting(self) -> int:
         """Return the number of requests that wait."""
-        return sum(not ticket.is_withdrawn for *_, ticket in self._waiting)
+        return len(self._waiting) - self._withdrawn
 
     def new_number(self) -> int:
         """Return the number of a new request."""
@@ -126,7 +130,15 @@
 
     def withdraw(self, ticket: ParseTicket) -> None:
         """Give up a wait."""
-        ticket.is_withdrawn = True
+        if not ticket.is_waiting:
+            return
+        ticket.is_waiting = False
+        self._withdrawn += 1
+        # Behind a crowd that reconnects all the time, given up waits would pile up.
+        if self._withdrawn > max(MIN_WITHDRAWN, len(self._waiting) // 2):
+            self._waiting = [item for item in self._waiting if item[-1].is_waiting]
+            heapify(self._waiting)
+            self._withdrawn = 0
 
     def release(self, spent_s: float) -> None:
         """End a turn that took `spent_s` and grant the next one."""
@@ -137,7 +149,11 @@
         self._is_taken = False
         while self._waiting and not self._is_taken:
             *_, ticket = heappop(self._waiting)
-            self._is_taken = not ticket.is_withdrawn and ticket.grant()
+            if ticket.is_waiting:
+                ticket.is_waiting = False
+                self._is_taken = ticket.grant()
+            else:
+                self._withdrawn -= 1
 
 
 class Admission:
--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -46,8 +46,9 @@
 LINGER_S = 1.0
 # Chunks of one byte take six on the wire.
 MAX_FRAMING_FACTOR = 8
-# Connections accepted in one step of the loop, and those that the kernel keeps until then.
-ACCEPT_BATCH = 64
+# Connections accepted in one step of the loop, and those that the kernel keeps until then. Up to
+# four batches have descriptors beyond the limit: asyncio admits, drops and closes in later steps.
+ACCEPT_BATCH = 16
 LISTEN_BACKLOG = 1_024
 # A request of more events of the parser than these, and one per so many bytes of its body, waits
 # for its turn: an event takes about 10 microseconds whatever its size.
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -159,6 +159,18 @@
         self.queue.release(0.0)
         self.assertEqual(self.granted, ["a", "b"])
 
+    def test_waits_that_are_given_up_do_not_pile_up(self) -> None:
+        # A crowd that reconnects all the time could fill the memory with them.
+        self.request("a")
+        self.request("long", spent_s=1.0)
+        for _ in range(10_000):
+            number = self.queue.new_number()
+            self.queue.withdraw(self.queue.request(number, 2.0, lambda: self.fail("granted")))
+        self.assertEqual(self.queue.waiting, 1)
+        self.assertLess(len(self.queue._waiting), 500)
+        self.queue.release(0.0)
+        self.assertEqual(self.granted, ["a", "long"])
+
 
 if __name__ == "__main__":
     unittest.main()
