--- a/src/curranthall/platform/settings.py
+++ b/src/curranthall/platform/settings.py
@@ -5,6 +5,7 @@
 
 import orjson
 
+from curranthall.admission import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB
 from curranthall.cells.options import parse_options
 from curranthall.cells.tracking import Bounds
 from curranthall.daemon import Deployment
@@ -50,6 +51,8 @@
         ),
         revoke_s=_decode_revoke_s(bounds),
         options=parse_options(os.environ.get(FEATURES_VARIABLE, "")),
+        memory_mb=_decode_limit(limits, "memory-mb", DEFAULT_MEMORY_MB),
+        max_fds=_decode_limit(limits, "max-fds", DEFAULT_MAX_FDS),
     )
 
 
@@ -58,3 +61,10 @@
     if not isinstance(enforced, bool):
         raise ValueError("enforce-revocation is not a boolean")
     return float(bounds.get("revoke-ms", DEFAULT_REVOKE_MS)) / 1000 if enforced else None
+
+
+def _decode_limit(limits: dict[str, Any], name: str, default: int) -> int:
+    value = int(limits.get(name, default))
+    if value < 1:
+        raise ValueError(f"limits.{name} must be at least 1")
+    return value
