Test of shutdown: wait until the entry has loaded its cell

Change: the test waits for CELL_LOADED, 60 s at most, and then 3 s as before; its checks are unchanged.

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -10,7 +10,8 @@
 from tests.soak import EntryProcess, Soak
 
 TERM, HUP = signal.SIGTERM, signal.SIGHUP
-# Time for an entry to take its cell and call the store and its workers.
+# Limit for an entry to load its cell, and time to call the store and its workers after that.
+LOAD_LIMIT_S = 60.0
 START_S = 3.0
 END_S = 12.0
 
@@ -32,6 +33,7 @@
             await entry.write_settings(address)
             await entry.start()
             self.addAsyncCleanup(soak.close)
+            await self.wait_until_loaded(soak.folder / f"{entry.name}.log")
             await asyncio.sleep(START_S)
             if cut:
                 await entry.store_link.stop()
@@ -42,6 +44,12 @@
             code = await asyncio.wait_for(entry.process.wait(), END_S)
             return f"exit {code}\n" + (soak.folder / f"{entry.name}.log").read_text()
 
+    async def wait_until_loaded(self, output: Path) -> None:
+        """Wait until an entry has loaded its cell: before, it may not handle signals yet."""
+        async with asyncio.timeout(LOAD_LIMIT_S):
+            while f'"event":{Event.CELL_LOADED.value}' not in output.read_text():
+                await asyncio.sleep(0.1)
+
     async def test_no_connection_is_left_open(self) -> None:
         """Connections that were idle used to print an error each when the process had ended."""
         outputs = await asyncio.gather(
