Keep gangs that can't start from holding back other cells' parts

A request for more parts than can become free, e.g. of a gang beside lasting tasks, reserved all free parts of its customer and drew further ones, so that other cells starved. Parts are reserved for a request only where they suffice for its next task; a cell takes none with which it could start nothing; busy cells give up parts only for tasks of at most half of the limit; a cell asks first for its smallest task; what exceeds the whole limit asks for none.

--- a/src/curranthall/cells/quota.py
+++ b/src/curranthall/cells/quota.py
@@ -69,8 +69,8 @@
     # What runs of former holders that are not listed yet may use, and the most that may run.
     hidden: Size = ZERO_SIZE
     allowed: Size = ZERO_SIZE
-    # What the limit kept from starting in the last planning pass: its first task (or gang), all.
-    first_refused: Size | None = None
+    # What the limit kept from starting in the last planning pass: its smallest task, or gang, all.
+    least_refused: Size | None = None
     refused: Size = ZERO_SIZE
     refused_tasks: int = 0
 
@@ -85,9 +85,9 @@
         """Return the parts needed for running work, the next task and all waiting ones."""
         used = self.running.plus(self.hidden)
         in_use = self.parts_of(used)
-        if self.first_refused is None:
+        if self.least_refused is None:
             return Need(in_use, in_use, in_use)
-        first = self.parts_of(used.plus(self.first_refused))
+        first = self.parts_of(used.plus(self.least_refused))
         return Need(in_use, first, max(first, self.parts_of(used.plus(self.refused))))
 
 
@@ -101,13 +101,6 @@
     return times(step.size, step.width) if step.gang else step.size
 
 
-def is_over_limit(customer: Customer | None, job: Job) -> bool:
-    """Return whether a task, or a gang, of a job exceeds its customer's whole limit."""
-    if customer is None:
-        return False
-    return not all(customer.can_ever_run(unit_size(step)) for step in job.steps)
-
-
 class Quota:
     """Tells which tasks customers' limits let start in a cell, and whose tasks go first.
 
@@ -225,7 +218,7 @@
         if self._limited:
             self._measure_hidden(members, unproven)
         for account in self._limited.values():
-            account.first_refused, account.refused, account.refused_tasks = None, ZERO_SIZE, 0
+            account.least_refused, account.refused, account.refused_tasks = None, ZERO_SIZE, 0
         if now - self._ranked_at >= RANK_INTERVAL_S:
             self._ranked_at = now
             self._rank(members.values(), ready, now)
@@ -296,9 +289,12 @@
             return True
         batch.unplaced_since = None
         account = self._limited.get(batch.tracked.job.customer)
-        if account is not None:
-            count = len(batch.waiting)
-            account.first_refused = account.first_refused or unit_size(batch.step)
+        unit = unit_size(batch.step)
+        # What exceeds the whole limit, e.g. a gang, never starts and needs no parts.
+        if account is not None and account.parts_of(unit) <= PARTS_OF_LIMIT:
+            count, least = len(batch.waiting), account.least_refused
+            if least is None or account.parts_of(unit) < account.parts_of(least):
+                account.least_refused = unit
             account.refused = account.refused.plus(times(batch.step.size, count))
             account.refused_tasks += count
         return False
--- a/src/curranthall/cells/shares.py
+++ b/src/curranthall/cells/shares.py
@@ -22,6 +22,9 @@
 PARTS_OF_LIMIT = 1_000
 # Parts that a cell with work of a customer keeps beyond what runs, for the tasks that come next.
 RESERVE_PARTS = 20
+# Busy cells give up parts for a task, or gang, of at most this size that is stuck elsewhere. Parts
+# for larger ones might never suffice, e.g. beside lasting tasks, and lie idle meanwhile.
+MAX_FAVOURED_PARTS = PARTS_OF_LIMIT // 2
 
 
 class Need(NamedTuple):
@@ -190,22 +193,26 @@
 ) -> int:
     """Return how many free parts a cell takes.
 
-    Up to its even share it leaves what older requests need for their next task; beyond it also
-    what other cells miss of their even shares.
+    While others request parts it takes none with which it could start nothing. Up to its even share
+    it leaves what older requests need for their next task, where that is free; beyond it also what
+    other cells miss of their even shares.
     """
     held, even, free = shares.held(customer, cell), shares.default(cell), shares.free(customer)
     missing = min(need.all, PARTS_OF_LIMIT) - held
     if missing <= 0 or free <= 0:
         return 0
     ticket = own.ticket if own is not None else shares.ticket + 1
-    older = sum(request.first for request in others.values() if request.ticket < ticket)
-    left = max(0, free - older)
+    older = [
+        request for request in others.values() if 0 < request.first and request.ticket < ticket
+    ]
+    left = max(0, free - sum(request.first for request in older if request.first <= free))
+    if others and need.first - held > left:
+        return 0
     taken = min(missing, max(0, even - held), left)
     unmet = _unmet(shares, customer, cell)
     beyond = max(0, min(missing - taken, left - taken - unmet))
     # Its next task may go beyond the even share if no older request waits.
-    is_first = all(request.ticket > ticket for request in others.values())
-    next_task = min(need.first - held - taken, left - taken) if is_first else 0
+    next_task = 0 if older else min(need.first - held - taken, left - taken)
     return taken + max(beyond, next_task, 0)
 
 
@@ -247,7 +254,11 @@
     held, free = shares.held(customer, cell), shares.free(customer)
     unmet = _unmet(shares, customer, cell)
     owed = min(held - shares.default(cell), unmet - free)
-    waiting = [(request.ticket, each) for each, request in requests.items() if request.first > 0]
+    waiting = [
+        (request.ticket, each)
+        for each, request in requests.items()
+        if request.first > 0 and request.unit <= MAX_FAVOURED_PARTS
+    ]
     _, oldest = min(waiting, default=(0, cell))
     if oldest != cell:
         request, even = requests[oldest], shares.default(oldest)
--- a/src/curranthall/platform/front.py
+++ b/src/curranthall/platform/front.py
@@ -3,7 +3,6 @@
 import re
 
 from curranthall.catalogue import Route
-from curranthall.cells.quota import is_over_limit
 from curranthall.customers import Customer, Denial
 from curranthall.daemon import Daemon, wall_ms
 from curranthall.dag import Job, Phase, Queue
@@ -78,7 +77,7 @@
             job = decode_job(job_id, queue, req.body, wall_ms(), name)
         except BadInput as exc:
             return json_response({"error": str(exc)}, 400)
-        if is_over_limit(customer, job):
+        if customer and not all(customer.can_ever_run(step.size) for step in job.steps):
             return await self._refuse_oversize(job)
         match await self._daemon.intake.submit(job, _wait_s(req)):
             case Verdict.ACCEPTED:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -115,6 +115,13 @@
         debts = [debt(shares, NAME, cell) for cell in CELLS]
         self.assertEqual(sorted(debts), [0, 0, 400 - EVEN - 1])
 
+    def test_a_gang_that_needs_too_much_starves_no_other_cell(self) -> None:
+        # Lasting tasks run in `b`, so that the gang of `a` never gets all its parts.
+        gang, lasting, small = Need(0, 900, 900), Need(200, 200, 200), Need(0, 100, 5_000)
+        shares = balance(Shares(CELLS), a=gang, b=lasting, c=small)
+        self.assertGreaterEqual(shares.held(NAME, "c"), EVEN)
+        self.assertEqual(debt(shares, NAME, "c"), 0)
+
     def test_a_closed_cell_gives_back_all_that_it_does_not_use(self) -> None:
         shares = rebalance(Shares(CELLS), "a", {NAME: Need(40, 400, 400)}, closed=True)
         assert shares is not None
