--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -46,6 +46,7 @@
 NAME = "acme"
 EVEN = PARTS_OF_LIMIT // len(CELLS)
 LIMIT = 10.0
+WORKER_CORES = 4
 SETTINGS = settings(
     max_examples=150,
     stateful_step_count=60,
@@ -115,6 +116,13 @@
         debts = [debt(shares, NAME, cell) for cell in CELLS]
         self.assertEqual(sorted(debts), [0, 0, 400 - EVEN - 1])
 
+    def test_a_gang_that_needs_too_much_starves_no_other_cell(self) -> None:
+        # Lasting tasks run in `b`, so that the gang of `a` never gets all its parts.
+        gang, lasting, small = Need(0, 900, 900), Need(200, 200, 200), Need(0, 100, 5_000)
+        shares = balance(Shares(CELLS), a=gang, b=lasting, c=small)
+        self.assertGreaterEqual(shares.held(NAME, "c"), EVEN)
+        self.assertEqual(debt(shares, NAME, "c"), 0)
+
     def test_a_closed_cell_gives_back_all_that_it_does_not_use(self) -> None:
         shares = rebalance(Shares(CELLS), "a", {NAME: Need(40, 400, 400)}, closed=True)
         assert shares is not None
@@ -138,7 +146,7 @@
         self.closed = False
         self.keeper = SharesKeeper(cell, CELLS)
         self.quota = Quota(self.keeper, lambda: Customers([(self.customer, ())]), self.find)
-        self.members = {name: Member(host(name, cores=4)) for name in workers}
+        self.members = {name: Member(host(name, WORKER_CORES)) for name in workers}
         self.unproven = set(workers)
         self.runs: dict[int, Run] = {}
 
@@ -242,6 +250,9 @@
                 # The worker refuses the start, and the holder gives up.
                 self._drop(holder)
                 return
+            if sum(self.real[name].values()) + cores > 2 * WORKER_CORES:
+                # A worker has no room for more, filling tasks included.
+                return
             self.run_number += 1
             self.real[name][self.run_number] = cores
             holder.add(self.run_number, name, cores, RunState.STARTING)
