--- a/src/curranthall/cells/quota.py
+++ b/src/curranthall/cells/quota.py
@@ -126,6 +126,8 @@
         self._runs: dict[Run, tuple[_Account, str, bool]] = {}
         # Size of the workers that may run anything of former holders.
         self._hidden = ZERO_SIZE
+        # Customers with runs of former holders that were listed or removed since the last pass.
+        self._found_changed: set[str] = set()
         # No planning pass has measured that since the limits were read.
         self._is_stale = True
         # By service, the customers that use their fair share or more.
@@ -185,6 +187,7 @@
         account.running = account.running.plus(run.step.size)
         if is_found:
             account.found = account.found.plus(run.step.size)
+            self._found_changed.add(account.name)
         account.cores[service] = account.cores.get(service, 0.0) + run.step.size.cores
 
     def remove(self, run: Run) -> None:
@@ -197,6 +200,7 @@
         account.running = account.running.minus(run.step.size)
         if is_found:
             account.found = account.found.minus(run.step.size)
+            self._found_changed.add(account.name)
         account.cores[service] -= run.step.size.cores
         if not account.runs:
             # Sums of fractions do not return to 0 exactly.
@@ -235,9 +239,13 @@
                 hidden = hidden.plus(size._replace(cores=2 * size.cores))
         if UNKNOWN_WORKER in unproven or any(name not in members for name in unproven):
             hidden = Size(inf, inf, MAX_ACCELERATORS)
-        if self._is_stale or hidden != self._hidden or hidden != ZERO_SIZE:
+        if self._is_stale or hidden != self._hidden:
             self._hidden, self._is_stale = hidden, False
             self.note_shares()
+        elif hidden != ZERO_SIZE:
+            for name in self._found_changed:
+                self._update_allowed(self._accounts[name])
+        self._found_changed.clear()
 
     def _update_allowed(self, account: _Account) -> None:
         """Compute what may run of a customer, without the runs that are not listed yet.
--- a/src/curranthall/cells/shares.py
+++ b/src/curranthall/cells/shares.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from functools import cache
 from typing import Any, NamedTuple
 
 from cbor2 import dumps, loads
@@ -66,7 +67,7 @@
 
     def default(self, cell: str) -> int:
         """Return the parts of a cell where none are stored."""
-        return PARTS_OF_LIMIT // len(self.cells) if cell in self.cells else 0
+        return PARTS_OF_LIMIT // len(self.cells) if cell in _as_set(self.cells) else 0
 
     def held(self, customer: str, cell: str) -> int:
         """Return the parts that a cell holds."""
@@ -74,8 +75,10 @@
 
     def free(self, customer: str) -> int:
         """Return the parts that no cell holds."""
-        cells = {*self.cells, *self.parts.get(customer, ())}
-        return PARTS_OF_LIMIT - sum(self.held(customer, cell) for cell in cells)
+        own, known = self.parts.get(customer, {}), _as_set(self.cells)
+        at_default = len(known) - sum(cell in known for cell in own)
+        even = PARTS_OF_LIMIT // len(known)
+        return PARTS_OF_LIMIT - sum(own.values()) - even * at_default
 
     def replace(self, customer: str, cell: str, held: int, request: Request | None) -> "Shares":
         """Return shares with other parts and another request of a cell."""
@@ -101,6 +104,12 @@
         return dumps([list(self.cells), self.parts, requests, self.ticket])
 
 
+@cache
+def _as_set(cells: tuple[str, ...]) -> frozenset[str]:
+    """Return the cells for quick look-ups; there are few lists of cells in a process's life."""
+    return frozenset(cells)
+
+
 def decode_shares(data: bytes) -> Shares:
     """Decode a row's value; raise one of DECODE_ERRORS when it is invalid."""
     cells, parts, requests, ticket = items(loads(data))[:4]
@@ -299,6 +308,8 @@
         # Customers whose parts the last confirmed write raised: it may use them whatever it owes,
         # or cells that each need more than an even share would pass them on unused for ever.
         self._raised: set[str] = set()
+        # Usable parts by customer, as each planning pass may need them.
+        self._usable: dict[str, int] = {}
 
     def held(self, customer: str) -> int:
         """Return the parts that the holder may use; none before it has read the row."""
@@ -309,6 +320,11 @@
 
     def usable(self, customer: str) -> int:
         """Return the parts within which new tasks may start: what is held, less what is owed."""
+        if customer not in self._usable:
+            self._usable[customer] = self._count_usable(customer)
+        return self._usable[customer]
+
+    def _count_usable(self, customer: str) -> int:
         if self.shares is None:
             return 0
         owed = 0 if customer in self._raised else debt(self.shares, customer, self._cell)
@@ -326,12 +342,28 @@
         shares = self._empty if row is None or row.value is None else _decode_row(row)
         if shares is None or (self.shares is not None and version < self._version):
             return
+        if self._is_raised_by_another(shares):
+            # A successor counts on this holder's parts as of the takeover, not on more.
+            return
+        if version != self._version or self.shares is None or self._unsure:
+            self._usable.clear()
         self.shares, self._version = shares, version
         self.first_read = self.first_read or shares
         self._unsure = [
             each for each in self._unsure if each[1] == version and each[2] == owner_version
         ]
 
+    def _is_raised_by_another(self, shares: Shares) -> bool:
+        """Return whether the row gives the cell parts that no write of this holder gave it."""
+        if self.shares is None:
+            return False
+        known = [self.shares, *(each for each, _, _ in self._unsure)]
+        names = set(shares.parts).union(*(each.parts for each in known))
+        return any(
+            shares.held(name, self._cell) > max(each.held(name, self._cell) for each in known)
+            for name in names
+        )
+
     def propose(self, needs: Mapping[str, Need], closed: bool) -> Shares | None:
         """Return the shares to write, or None if there are none.
 
@@ -339,7 +371,9 @@
         """
         if self.shares is None or self._unsure:
             return None
-        self._raised.clear()
+        if self._raised:
+            self._raised.clear()
+            self._usable.clear()
         return rebalance(self.shares, self._cell, needs, closed)
 
     def send(
@@ -347,6 +381,7 @@
     ) -> tuple[str, list[Check], list[Put], list[Any]]:
         """Apply what a write lowers; return the transaction."""
         self._unsure.append((shares, self._version, owner_version))
+        self._usable.clear()
         checks = [
             Check(SHARE_TABLE, SHARE_KEY, self._version),
             Check(CELL_TABLE, self._cell, owner_version),
@@ -356,6 +391,7 @@
     def on_committed(self, version: int) -> None:
         """Apply the last write: it was confirmed."""
         former, shares = self.shares or self._empty, self._unsure.pop()[0]
+        self._usable.clear()
         self.shares, self._version = shares, version
         self._raised = {
             name
@@ -366,6 +402,7 @@
     def on_refused(self) -> None:
         """Drop the last write: it had no effect and will have none."""
         self._unsure.pop()
+        self._usable.clear()
 
 
 def _decode_row(row: Row) -> Shares | None:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -39,7 +39,7 @@
 from curranthall.dag import Progress, Queue, TaskId
 from curranthall.model import Size
 from curranthall.standin.store import MemoryStore
-from curranthall.store import Check, Committed, Put
+from curranthall.store import Check, Committed, Put, Row
 from tests.cell_fixtures import SERVICE, host, job, step
 
 CELLS = ("a", "b", "c")
@@ -137,6 +137,40 @@
             decode_shares(Shares(CELLS, {NAME: {"a": 900}}).encode())
 
 
+class Writes(unittest.TestCase):
+    """Each test guards against a holder that uses parts which are not its own."""
+
+    def _row(self, version: int, **parts: int) -> Row:
+        data = Shares(CELLS, {NAME: parts}).encode()
+        return Row(SHARE_TABLE, SHARE_PART, SHARE_KEY, data, version)
+
+    def test_a_deposed_holder_does_not_use_parts_that_its_successor_took(self) -> None:
+        keeper = SharesKeeper("a", CELLS)
+        keeper.on_read(self._row(1, a=300), 1)
+        keeper.on_read(self._row(2, a=600, b=0), 1)
+        self.assertEqual(keeper.usable(NAME), 300)
+
+    def test_a_write_without_an_answer_binds_until_it_is_void(self) -> None:
+        keeper = SharesKeeper("a", CELLS)
+        keeper.on_read(self._row(1, a=300), 1)
+        keeper.send(Shares(CELLS, {NAME: {"a": 100}}), 1)
+        # The row is unchanged, but the write may still take effect.
+        keeper.on_read(self._row(1, a=300), 1)
+        self.assertEqual(keeper.usable(NAME), 100)
+        self.assertIsNone(keeper.propose({NAME: Need(0, 500, 500)}, False))
+        # The cell's row was renewed, so the write conflicts.
+        keeper.on_read(self._row(1, a=300), 2)
+        self.assertEqual(keeper.usable(NAME), 300)
+
+    def test_raised_parts_apply_once_they_are_confirmed(self) -> None:
+        keeper = SharesKeeper("a", CELLS)
+        keeper.on_read(self._row(1, a=300, b=0), 1)
+        keeper.send(Shares(CELLS, {NAME: {"a": 600, "b": 0}}), 1)
+        self.assertEqual(keeper.usable(NAME), 300)
+        keeper.on_committed(2)
+        self.assertEqual(keeper.usable(NAME), 600)
+
+
 class _Holder:
     """One holder of a cell, as far as limits are concerned; it may not know its successor."""
 
