Test that nothing starts beside work above a lowered limit

Lasting tasks of 8 cores run in one cell when the limit falls from 10 to 6: other cells with free parts start nothing, and start all once it is raised. The test fails if cells do not count what others run above their parts.

--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -184,20 +184,53 @@
             waited_s = run(self._wait_for_parts(seed))
             self.assertLess(waited_s, 2.0, seed)
 
+    def test_nothing_starts_beside_work_above_a_lowered_limit(self) -> None:
+        run(self._lower())
+
+    def _configure(self, cluster: Cluster, cores: float) -> None:
+        """Write a configuration with another limit, which entries read later."""
+        listed_ones = Customers([(Customer("acme", 1.0, Size(cores, 0, 0)), ())])
+        version = cluster.catalogue.version + 1
+        cluster.catalogue = cluster.catalogue._replace(version=version, customers=listed_ones)
+
+    async def _submit(self, cluster: Cluster, entry: str, number: str, *steps: Step) -> None:
+        job_id = number * 16
+        new = Job(job_id, "q", SERVICE, "spec", steps, int(now() * 1000), customer="acme")
+        cluster.work[job_id] = 30.0
+        await cluster.submit(entry, new)
+
+    async def _lower(self) -> None:
+        random.seed(1)
+        cluster = Cluster(1, entries=2, workers=4)
+        self._configure(cluster, 10)
+        cluster.start()
+        judge = QuotaJudge(cluster)
+        await asyncio.sleep(4)
+        size = Size(1, 1_000)
+        await self._submit(cluster, "a-e0", "1", Step(8, size, 1_000, lasting=True))
+        await asyncio.sleep(4)
+        self.assertEqual(judge.running()["acme"].cores, 8)
+        self._configure(cluster, 6)
+        await asyncio.sleep(3)
+        for number, entry in enumerate(("a-e0", "b-e0", "c-e0"), 2):
+            await self._submit(cluster, entry, str(number), Step(2, size, 1_000))
+        await asyncio.sleep(4)
+        self.assertEqual(judge.running()["acme"].cores, 8)
+        # Somewhat more than all tasks need: each cell's use is rounded up to whole parts.
+        self._configure(cluster, 15)
+        await asyncio.sleep(3)
+        self.assertEqual(judge.running()["acme"].cores, 14)
+        judge.close()
+        cluster.close()
+
     async def _wait_for_parts(self, seed: int) -> float:
         random.seed(seed)
         cluster = Cluster(seed, entries=2, workers=4)
-        configured = Customers([(Customer("acme", 1.0, Size(10, 0, 0)), ())])
-        cluster.catalogue = cluster.catalogue._replace(customers=configured)
-        for entry in cluster.entries.values():
-            entry.operations.catalogue = None
-            entry.operations.apply(cluster.catalogue)
+        self._configure(cluster, 10)
         judge = QuotaJudge(cluster)
         cluster.start()
         await asyncio.sleep(4 + random.random())
-        steps = (Step(1, Size(5, 1_000), 1_000, lasting=True),)
-        new = Job("1" * 16, "q", SERVICE, "spec", steps, int(now() * 1000), customer="acme")
-        await cluster.submit("a-e0", new)
+        await self._submit(cluster, "a-e0", "1", Step(1, Size(5, 1_000), 1_000, lasting=True))
         began = now()
 
         async def runs() -> bool:
