Move the order of waiting tasks to cells/order.py

Reason: customers' shares and deadlines are to enter the order, and the dispatcher must not grow. No other change of behaviour.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -34,6 +34,7 @@
 from curranthall.cells.interference import Interference, Observation
 from curranthall.cells.load import Load, Waiting, count_slots, measure, measure_cores
 from curranthall.cells.options import NO_OPTIONS, Options
+from curranthall.cells.order import Order as PlacementOrder
 from curranthall.cells.owner import UNKNOWN_WORKER
 from curranthall.cells.pacing import FULL_PACE, adjust_pace, worst_tail_ratio
 from curranthall.cells.placement import PlacementRequest, Refusal, choose_worker
@@ -71,7 +72,6 @@
     SpareRoom,
 )
 from curranthall.cells.tracking import (
-    LATE_VALUE,
     Batch,
     Bounds,
     JobMove,
@@ -124,10 +124,6 @@
 # A job may go without a run while this share of its service is in use. The platform requires half
 # and does not define whether reserved or used cores count, so both must reach this share.
 BUSY_SHARE = 0.6
-# Weight of a new job in its queue's moving average of work.
-USUAL_WORK_GAIN = 0.05
-# Lower bound, in core-seconds, of the remaining work that a job's value is divided by.
-MIN_WORK = 0.1
 # The most time that one tick accounts for: the process may have been suspended before it.
 MAX_TICK_S = 0.5
 # Interval between logged summaries of the cell.
@@ -234,8 +230,7 @@
         self._rooms: dict[str, list[Size]] = {}
         self._rooms_as_of: tuple[float, int, bool] | None = None
         self._busy_by_service: dict[str, bool] = {}
-        # Moving average of a job's core-seconds, by queue.
-        self._usual_work: dict[str, float] = {}
+        self._order = PlacementOrder()
         # Wait reasons as of the last summary.
         self.waits: list[WaitRow] = []
         self.lasting_waits: list[LastingWait] = []
@@ -458,9 +453,7 @@
         self.tracked[job.id] = tracked
         self._update_queue(tracked)
         self._poison.note_row(tracked)
-        usual = self._usual_work.setdefault(job.queue, tracked.work)
-        self._usual_work[job.queue] = usual + USUAL_WORK_GAIN * (tracked.work - usual)
-        self._classify(tracked, usual, now)
+        self._classify(tracked, self._order.note_job(tracked), now)
         if any(not (step.lasting or step.filling) for step in job.steps):
             self._short_seen_at = now
         self.unknown_jobs.discard(job.id)
@@ -594,7 +587,7 @@
                 or (batch.unplaced_since is not None and now - batch.unplaced_since >= after_s)
             )
         ]
-        return sorted(found, key=lambda batch: self._sort_key(batch, now))
+        return sorted(found, key=lambda batch: self._order.key(batch, now))
 
     def list_strays(self, now: float) -> list[tuple[Batch, list[int]]]:
         """Return split gangs and their members here that another cell may start now.
@@ -1731,7 +1724,7 @@
         self._relieve_slowed(usable, now)
         refused: list[Refusal] = []
         reserved: dict[str, Size] = {}
-        ready = sorted(self._ready.values(), key=lambda batch: self._sort_key(batch, now))
+        ready = sorted(self._ready.values(), key=lambda batch: self._order.key(batch, now))
         lasting = [batch for batch in ready if batch.step.lasting]
         self._place_all(lasting, usable, refused, reserved, now)
         self._move_departing(usable, reserved, now)
@@ -1898,22 +1891,6 @@
         if fitting:
             reserved[max(fitting, key=lambda member: member.room.cores).name] = step.size
 
-    def _sort_key(self, batch: Batch, now: float) -> tuple[int, int, float]:
-        """Return a sort key: lasting tasks first, then priority and value per remaining work.
-
-        Nearly finished jobs come before new ones, late jobs after those in time, and jobs whose
-        value has expired last.
-        """
-        tracked = batch.tracked
-        if batch.step.lasting:
-            return 0, 0, tracked.due
-        rank = 2 if now > tracked.expires_at() else 1
-        left_s = tracked.critical_paths_s[batch.number]
-        late = now + left_s > tracked.objective_at()
-        value = tracked.value(self._usual_work.get(tracked.job.queue, 0.0))
-        density = value * (LATE_VALUE if late else 1.0) / max(tracked.work_left(), MIN_WORK)
-        return rank, tracked.queue.priority, -density
-
     def _is_held(self, batch: Batch, now: float) -> bool:
         tracked = batch.tracked
         if now < tracked.pause_until or not self._can_start(tracked):
