Order by deadline, and preemption, behind their options

Reason: in short room a job with ample slack goes before one that must start now, and an urgent task waits for cores that a checkpointing run of lower priority could give. Change: with deadline_order, jobs that must start now to be in time, and can be with the capacity at hand, go first within their priority. With preemption, checkpointing runs of lower priority are stopped for a task of priority 0 whose job gains by it, within a budget; the room is held for the task. The plays take options.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -4,7 +4,8 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from functools import partial
 from types import MappingProxyType
 from typing import NamedTuple
 
@@ -36,8 +37,8 @@
 from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.order import Order as PlacementOrder
 from curranthall.cells.owner import UNKNOWN_WORKER
-from curranthall.cells.pacing import FULL_PACE, adjust_pace, worst_tail_ratio
-from curranthall.cells.placement import PlacementRequest, Refusal, choose_worker
+from curranthall.cells.pacing import FULL_PACE, adjust_pace, list_slowed, worst_tail_ratio
+from curranthall.cells.placement import PlacementRequest, Refusal, choose_worker, without_reserved
 from curranthall.cells.poison import (
     ISOLATION_CRASHES,
     PROBATION_S,
@@ -64,6 +65,7 @@
     StopTask,
     WorkerOrder,
 )
+from curranthall.cells.preemption import Preemption, log_preempted
 from curranthall.cells.records import PARTS, has_tasks_in, part_of
 from curranthall.cells.spare import (
     MAX_OVERDUE_S,
@@ -104,9 +106,6 @@
 NO_ROOM_PAUSE_S = 0.5
 # Pause before a job is tried again after a worker rejected its start as malformed.
 MALFORMED_PAUSE_S = 5.0
-# A run paced below this percentage for this long is moved to a free worker.
-RELIEF_PACE = 50
-RELIEF_AFTER_S = 0.5
 # A filling job with no run for this long gets one task started regardless of interference, and
 # after FORCE_START_S even where no core is idle: the platform allows 3 s. A finite job that could
 # not start here by LAST_ROOM_S may use the last room for one of its tasks in another cell.
@@ -146,21 +145,6 @@
     return {kind: round(cores, 1) for kind, cores in found.items()}
 
 
-def _without_reserved(step: Step, usable: list[Member], reserved: dict[str, Size]) -> list[Member]:
-    """Exclude workers reserved for lasting tasks.
-
-    Filling tasks reserve only memory, so they may use a worker with memory for both.
-    """
-    if not reserved:
-        return usable
-    return [
-        member
-        for member in usable
-        if member.name not in reserved
-        or (step.filling and step.reserved.plus(reserved[member.name]).memory <= member.room.memory)
-    ]
-
-
 class _Unsent(NamedTuple):
     """A run whose start is sent once the job's row contains the change that records it."""
 
@@ -230,7 +214,8 @@
         self._rooms: dict[str, list[Size]] = {}
         self._rooms_as_of: tuple[float, int, bool] | None = None
         self._busy_by_service: dict[str, bool] = {}
-        self._order = PlacementOrder()
+        self._order = PlacementOrder(options.deadline_order)
+        self._preemption = Preemption()
         # Wait reasons as of the last summary.
         self.waits: list[WaitRow] = []
         self.lasting_waits: list[LastingWait] = []
@@ -1023,8 +1008,7 @@
         run.has_begun = True
         if run.state is RunState.STARTING:
             self._confirm_run(run, asked_at)
-        if entry.checkpoint:
-            run.checkpoint = entry.checkpoint
+        run.note_checkpoint(entry.checkpoint, now)
         if entry.percent != run.percent:
             run.percent = entry.percent
             run.note_progress(now)
@@ -1658,7 +1642,7 @@
             if member.is_ready and member.is_last_resort(now) and member.name not in failed_on
         ]
         if members:
-            self._place(batch, _without_reserved(batch.step, members, reserved), [], now)
+            self._place(batch, without_reserved(batch.step, members, reserved), [], now)
 
     def _takes_headroom(self, batch: Batch, now: float) -> bool:
         """Return whether a batch may take room kept free for short tasks that they don't use."""
@@ -1724,12 +1708,18 @@
         self._relieve_slowed(usable, now)
         refused: list[Refusal] = []
         reserved: dict[str, Size] = {}
+        self._order.update(self.tracked.values(), usable, now)
         ready = sorted(self._ready.values(), key=lambda batch: self._order.key(batch, now))
         lasting = [batch for batch in ready if batch.step.lasting]
         self._place_all(lasting, usable, refused, reserved, now)
         self._move_departing(usable, reserved, now)
         finite = [batch for batch in ready if not batch.step.lasting]
+        for batch, member, *_ in self._preemption.take_ready(now):
+            if member in usable and not self._is_held(batch, now):
+                self._place(batch, [member], [], now)
         self._place_all(finite, usable, refused, reserved, now)
+        if self.options.preemption:
+            self._preempt(finite, usable, now)
         if any(batch.waiting for batch in lasting):
             self._spare_room.note(self._available_members(now), now)
 
@@ -1749,7 +1739,7 @@
                     # Room in which the tasks that it is reserved for do not fit yet is free for it.
                     self._place(batch, usable, [], now)
                 else:
-                    members = _without_reserved(batch.step, usable, reserved)
+                    members = without_reserved(batch.step, usable, reserved)
                     self._place(batch, members, refused, now)
                 self._place_at_last_resort(batch, reserved, now)
                 if batch.step.lasting and batch.waiting:
@@ -1771,7 +1761,7 @@
             batch = self._get_restartable_batch(run, now)
             if batch is None or batch in unplaced or not self._departures.may_stop(run, batch, now):
                 continue
-            members = _without_reserved(batch.step, usable, reserved)
+            members = without_reserved(batch.step, usable, reserved)
             if batch.tracked.queue.advised:
                 members = self._approved_workers(batch, members, now)
             takes_headroom = self._takes_headroom(batch, now)
@@ -1818,26 +1808,17 @@
     def _relieve_slowed(self, usable: list[Member], now: float) -> None:
         """Stop a slowed run that can resume from its checkpoint at full pace elsewhere."""
         free = [member for member in usable if member.pace == FULL_PACE]
-        for member in usable:
-            if member.pace >= RELIEF_PACE or now - member.pace_changed_at < RELIEF_AFTER_S:
-                continue
-            for run in list(member.runs.values()):
-                if run.pace >= RELIEF_PACE or run.state is not RunState.RUNNING:
-                    continue
-                if (
-                    run.step.checkpointing
-                    and not run.step.gang
-                    and self._can_run_elsewhere(run, free, now)
-                ):
-                    log(
-                        Event.RUN_RELIEVED,
-                        task=run.task,
-                        worker=member.name,
-                        why="slowed",
-                        pace=run.pace,
-                    )
-                    self._stop(run, now)
-                    return
+        for run in list_slowed(usable, now):
+            if self._can_run_elsewhere(run, free, now):
+                log(
+                    Event.RUN_RELIEVED,
+                    task=run.task,
+                    worker=run.worker,
+                    why="slowed",
+                    pace=run.pace,
+                )
+                self._stop(run, now)
+                return
 
     def _can_run_elsewhere(self, run: Run, free: list[Member], now: float) -> bool:
         tracked = self.tracked.get(run.task.job)
@@ -1868,6 +1849,39 @@
         )
         return choose_worker(req, members)
 
+    def _preempt(self, ready: list[Batch], usable: list[Member], now: float) -> None:
+        """Stop runs of lower priority for the first urgent task that gains by it."""
+        for urgent in self._preemption.find_urgent(ready, now):
+            batch, tracked = urgent.batch, urgent.batch.tracked
+            indexes = [
+                index
+                for index in startable(batch)
+                if not count_for_placement(batch, index)
+                and self._find_unanswered(batch, index, now) is None
+            ]
+            if not indexes or self._is_held(batch, now):
+                continue
+            avoid = tracked.avoided_workers(batch.key(indexes[0]))
+            members = [member for member in usable if member.name not in avoid]
+            if tracked.queue.advised:
+                members = batch.tickets.approved(members, now)
+            req = PlacementRequest(tracked.queue.service, batch.step, batch.siblings())
+            may_stop = partial(self._may_preempt, tracked.queue.priority, now)
+            runs = self._preemption.choose(urgent, req, members, may_stop, now)
+            for run in runs:
+                log_preempted(run, batch, self.cell, self.epoch, now)
+                self._stop(run, now)
+            if runs:
+                return
+
+    def _may_preempt(self, priority: int, now: float, run: Run, chosen: Sequence[Run]) -> bool:
+        """Return whether a run may be stopped for a task of a priority, beside the chosen ones."""
+        batch, limit = self._get_restartable_batch(run, now), run.step.max_unavailable
+        if batch is None or batch.tracked.queue.priority <= priority:
+            return False
+        siblings = sum(other.task[:3] == run.task[:3] for other in chosen)
+        return not limit or batch.count_interrupted() + siblings < limit
+
     def _reserve_worker(
         self, batch: Batch, usable: list[Member], reserved: dict[str, Size], now: float
     ) -> None:
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -102,6 +102,8 @@
     state: RunState
     sent_at: float
     checkpoint: str = ""
+    # When an answer first listed the checkpoint; 0 if the run was started with it.
+    checkpointed_at: float = 0.0
     # Fencing token of its start; 0 until that is sent.
     token: int = 0
     # The worker has answered its start or listed the run: no boot executes that start any more.
@@ -168,6 +170,11 @@
         is_finite = not self.step.lasting and not self.step.gang
         return is_finite and self.state is RunState.RUNNING and self.idle_s > STALL_S
 
+    def note_checkpoint(self, checkpoint: str, now: float) -> None:
+        """Record the checkpoint that a worker lists, if any."""
+        if checkpoint and checkpoint != self.checkpoint:
+            self.checkpoint, self.checkpointed_at = checkpoint, now
+
     def note_progress(self, now: float) -> None:
         """Record that a run has started or progressed."""
         self.idle_s, self.idle_as_of = 0.0, now
--- a/src/curranthall/cells/order.py
+++ b/src/curranthall/cells/order.py
@@ -1,14 +1,28 @@
-"""Order in which a cell's waiting tasks are placed."""
+"""Order in which a cell's waiting tasks are placed.
 
-from collections.abc import Callable
+Designed for a cell with up to a few thousand jobs of which a few hundred wait, planned up to 300
+times a second: `key` takes constant time, and `update` does its work at most every REORDER_S.
+"""
+
+import heapq
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from curranthall.cells.fleet import SERVING_USE, Member
 from curranthall.cells.tracking import LATE_VALUE, Batch, TrackedJob
 
 # Weight of a new job in its queue's moving average of work.
 USUAL_WORK_GAIN = 0.05
 # Lower bound, in core-seconds, of the remaining work that a job's value is divided by.
 MIN_WORK = 0.1
+# Interval at which the jobs to be late are chosen again: short beside objectives of seconds.
+REORDER_S = 0.25
+# A job that has to start within this time to be in time goes before denser ones with more slack.
+# In plays, going by slack from further ahead earned less: a capacity that is estimated too high
+# then makes many jobs late at once.
+URGENT_S = 0.1
+# Once tasks have found no worker for this long, the cores in use are the capacity for their kind.
+FULL_AFTER_S = 0.2
 
 
 class SortKey(NamedTuple):
@@ -17,6 +31,24 @@
     rank: int
     priority: int
     fair_rank: float
+    # 0 for jobs that are in time only if they start now, by slack; 1 for the others, by density.
+    lateness: int
+    urgency: float
+
+
+class Kind(NamedTuple):
+    """Work of a service that competes for the same cores."""
+
+    service: str
+    filling: bool
+
+
+class Demand(NamedTuple):
+    """Remaining work of a job and the local time by which it should be done."""
+
+    tracked: TrackedJob
+    due: float
+    work: float
     density: float
 
 
@@ -27,10 +59,18 @@
 class Order:
     """Order of a cell's batches; `fair_rank` ranks a job's customer within a priority."""
 
-    def __init__(self, fair_rank: Callable[[TrackedJob], float] = _no_fair_rank) -> None:
+    def __init__(
+        self,
+        by_deadline: bool = False,
+        fair_rank: Callable[[TrackedJob], float] = _no_fair_rank,
+    ) -> None:
+        self._by_deadline = by_deadline
         self._fair_rank = fair_rank
         # Moving average of a job's core-seconds, by queue.
         self._usual_work: dict[str, float] = {}
+        # Ids of the jobs that are to be late, as of a time.
+        self._late: set[str] = set()
+        self._late_as_of = float("-inf")
 
     def note_job(self, tracked: TrackedJob) -> float:
         """Include a new job in its queue's usual work; return that in core-seconds."""
@@ -40,17 +80,103 @@
         return usual
 
     def key(self, batch: Batch, now: float) -> SortKey:
-        """Return a sort key: lasting tasks first, then priority and value per remaining work.
+        """Return a sort key: lasting tasks first, then priority, then value per remaining work.
 
         Nearly finished jobs come before new ones, late jobs after those in time, and jobs whose
-        value has expired last.
+        value has expired last. By deadline, jobs that must start now to be in time, and can be,
+        come before all others of their priority.
         """
         tracked = batch.tracked
         if batch.step.lasting:
-            return SortKey(0, 0, 0.0, tracked.due)
+            return SortKey(0, 0, 0.0, 0, tracked.due)
         rank = 2 if now > tracked.expires_at() else 1
-        left_s = tracked.critical_paths_s[batch.number]
-        late = now + left_s > tracked.objective_at()
+        latest_start = tracked.objective_at() - tracked.critical_paths_s[batch.number]
+        late = now > latest_start
+        fair_rank, priority = self._fair_rank(tracked), tracked.queue.priority
+        if self._by_deadline and not late and latest_start - now < URGENT_S:
+            if tracked.job.id not in self._late:
+                return SortKey(rank, priority, fair_rank, 0, latest_start)
+        density = self._density(tracked) * (LATE_VALUE if late else 1.0)
+        return SortKey(rank, priority, fair_rank, 1, -density)
+
+    def update(self, jobs: Iterable[TrackedJob], members: Iterable[Member], now: float) -> None:
+        """Choose the jobs to be late, at most once in REORDER_S.
+
+        Of each service and kind of work, jobs are dropped as long as those due by some time need
+        more than the capacity until then: the one that costs least for its remaining work first.
+        """
+        if not self._by_deadline or now - self._late_as_of < REORDER_S:
+            return
+        self._late_as_of = now
+        self._late = set()
+        full: set[Kind] = set()
+        demands: dict[Kind, list[Demand]] = {}
+        for tracked in jobs:
+            demand = self._measure(tracked, now)
+            if demand is not None:
+                filling = all(step.filling for step in tracked.job.steps)
+                demands.setdefault(Kind(tracked.queue.service, filling), []).append(demand)
+                full.update(_list_full(tracked, now))
+        capacities = _measure_capacities(members, full)
+        for kind, found in demands.items():
+            self._late |= choose_late(found, capacities.get(kind, 0.0), now)
+
+    def _measure(self, tracked: TrackedJob, now: float) -> Demand | None:
+        """Return what a job needs to be in time; None if it can't be, or has no objective."""
+        if tracked.final_at is not None or tracked.job.lasting or tracked.job.is_timed:
+            return None
+        due = tracked.objective_at()
+        if now > due:
+            return None
+        return Demand(tracked, due, tracked.work_left(), self._density(tracked))
+
+    def _density(self, tracked: TrackedJob) -> float:
+        """Return a job's value for each core-second of its remaining work."""
         value = tracked.value(self._usual_work.get(tracked.job.queue, 0.0))
-        density = value * (LATE_VALUE if late else 1.0) / max(tracked.work_left(), MIN_WORK)
-        return SortKey(rank, tracked.queue.priority, self._fair_rank(tracked), -density)
+        return value / max(tracked.work_left(), MIN_WORK)
+
+
+def choose_late(demands: list[Demand], capacity: float, now: float) -> set[str]:
+    """Return the ids of the jobs that can't all be in time with a capacity in cores.
+
+    Jobs of a lower priority are dropped first, then those of least value for their work.
+    """
+    late: set[str] = set()
+    kept: list[tuple[int, float, str, float]] = []
+    needed = 0.0
+    for demand in sorted(demands, key=lambda each: each.due):
+        job, priority = demand.tracked.job.id, demand.tracked.queue.priority
+        heapq.heappush(kept, (-priority, demand.density, job, demand.work))
+        needed += demand.work
+        while kept and needed > capacity * (demand.due - now):
+            *_, dropped, work = heapq.heappop(kept)
+            late.add(dropped)
+            needed -= work
+    return late
+
+
+def _list_full(tracked: TrackedJob, now: float) -> list[Kind]:
+    """Return the kinds of work for which tasks of a job have found no room for a while."""
+    return [
+        Kind(tracked.queue.service, batch.step.filling)
+        for batch in tracked.batches.values()
+        if not batch.step.lasting
+        and batch.waiting
+        and batch.unplaced_since is not None
+        and now - batch.unplaced_since > FULL_AFTER_S
+    ]
+
+
+def _measure_capacities(members: Iterable[Member], full: set[Kind]) -> dict[Kind, float]:
+    """Return the cores for finite work: where it is full, those in use, else all."""
+    found: dict[Kind, float] = {}
+    for member in members:
+        service, cores = member.host.service, member.host.size.cores
+        unused = cores - member.used.cores + member.serving_cores * (1 - SERVING_USE)
+        plain, filling = Kind(service, False), Kind(service, True)
+        used = (member.used if plain in full else member.host.size).minus(member.lasting)
+        started = member.filling_cores - member.slowed_cores
+        filled = min(started, unused) if filling in full else unused
+        for kind, amount in ((plain, used.cores), (filling, filled)):
+            found[kind] = found.get(kind, 0.0) + max(amount, 0.0)
+    return found
--- a/src/curranthall/cells/pacing.py
+++ b/src/curranthall/cells/pacing.py
@@ -4,7 +4,7 @@
 lowered further while a report shows one over its target, and raised in steps.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from curranthall.cells.fleet import Member, Run, RunState
 from curranthall.cells.interference import Interference
@@ -30,6 +30,9 @@
 PAUSE_ALL_AFTER_S = 2.4
 # Minimum time between two changes, so that a report shows the effect of each.
 SETTLE_S = 0.7
+# A run paced below this percentage for this long is moved to a free worker.
+RELIEF_PACE = 50
+RELIEF_AFTER_S = 0.5
 
 
 def worst_tail_ratio(member: Member) -> float:
@@ -126,3 +129,15 @@
 
 def _is_running_filling(run: Run) -> bool:
     return run.step.filling and run.state is RunState.RUNNING
+
+
+def list_slowed(members: Iterable[Member], now: float) -> list[Run]:
+    """Return the checkpointing runs that have been paced below RELIEF_PACE for RELIEF_AFTER_S."""
+    return [
+        run
+        for member in members
+        if member.pace < RELIEF_PACE and now - member.pace_changed_at >= RELIEF_AFTER_S
+        for run in member.runs.values()
+        if run.pace < RELIEF_PACE and run.state is RunState.RUNNING
+        if run.step.checkpointing and not run.step.gang
+    ]
--- a/src/curranthall/cells/placement.py
+++ b/src/curranthall/cells/placement.py
@@ -203,6 +203,21 @@
     )
 
 
+def without_reserved(step: Step, usable: list[Member], reserved: dict[str, Size]) -> list[Member]:
+    """Exclude workers reserved for lasting tasks.
+
+    Filling tasks reserve only memory, so they may use a worker with memory for both.
+    """
+    if not reserved:
+        return usable
+    return [
+        member
+        for member in usable
+        if member.name not in reserved
+        or (step.filling and step.reserved.plus(reserved[member.name]).memory <= member.room.memory)
+    ]
+
+
 def _serving(member: Member) -> Iterator[Run]:
     return (run for run in member.runs.values() if run.step.target_ms)
 
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from curranthall.cells.advice import Tickets
-from curranthall.cells.fleet import FormerRun, Run, Wait
+from curranthall.cells.fleet import FormerRun, Run, RunState, Wait
 from curranthall.dag import Job, Phase, Progress, Queue, Step, TaskId
 from curranthall.dag.progress import TaskKey, drop_keys_below
 
@@ -120,6 +120,13 @@
         at_work = [any(run.is_at_work for run in runs) for runs in self.active.values()]
         return self.count_waiting() + len(at_work) - sum(at_work)
 
+    def count_interrupted(self) -> int:
+        """Return how many of the tasks in this cell have no run, or one that is being stopped."""
+        stopping = [
+            all(run.state is RunState.STOPPING for run in runs) for runs in self.active.values()
+        ]
+        return self.count_waiting() + sum(stopping)
+
     def together_with(self, indexes: Iterable[int] | None = None) -> Iterable[int]:
         """Return the given tasks, by default all, and those that only start together with them."""
         if self.step.gang or indexes is None:
--- a/src/curranthall/telemetry.py
+++ b/src/curranthall/telemetry.py
@@ -68,6 +68,7 @@
 store_call_seconds = Histogram("store_call_seconds")
 hold_seconds = Histogram("worker_look_seconds")
 jobs_by_size = LabeledCounter("jobs_by_size_total")
+preempted_runs = LabeledCounter("preempted_runs_total")
 
 
 class Telemetry:
@@ -97,4 +98,5 @@
         for histogram in (acceptance_seconds, completion_seconds, store_call_seconds, hold_seconds):
             yield from histogram.samples()
         yield from jobs_by_size.samples()
+        yield from preempted_runs.samples()
         yield from self._gauges()
--- a/tests/load.py
+++ b/tests/load.py
@@ -11,6 +11,7 @@
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.fleet import Member
 from curranthall.cells.load import Load, rate_cell, widest_step
+from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.placement import PlacementRequest, choose_worker
 from curranthall.cells.ports import (
     Ending,
@@ -76,6 +77,8 @@
     images: int = 1
     lasting: bool = False
     filling: bool = False
+    # Also tasks that are not filling save checkpoints.
+    checkpointing: bool = False
     # Share of the workers' cores that lasting jobs hold at the start.
     initial_share: float = 0.0
     lifetime_s: Lognormal = Lognormal(70, 0.5, 210)
@@ -143,6 +146,7 @@
     cores: float = 64.0
     # One worker in this many is slower, by this factor.
     slow: tuple[int, float] = (0, 1.0)
+    options: Options = NO_OPTIONS
 
 
 @dataclass(slots=True, eq=False)
@@ -317,7 +321,12 @@
         queues = {profile.queue.name: profile.queue for profile in profiles}
         for epoch, cell in enumerate("abc", 1):
             dispatcher = Dispatcher(
-                cell, epoch, Bounds(), lambda job: queues[job.queue], lambda: self.now * 1000
+                cell,
+                epoch,
+                Bounds(),
+                lambda job: queues[job.queue],
+                lambda: self.now * 1000,
+                plan.options,
             )
             self.cells[cell], self.balancers[cell] = dispatcher, Balancer()
             for number in range(plan.workers):
@@ -362,7 +371,7 @@
                     size,
                     int(seconds * 1000 * estimate_factor),
                     (number - 1,) if number else (),
-                    checkpointing=profile.filling,
+                    checkpointing=profile.filling or profile.checkpointing,
                     max_per_worker=2 if limited else 0,
                     lasting=profile.lasting,
                     image=image if profile.images > 1 else "",
