--- a/src/curranthall/cells/quota.py
+++ b/src/curranthall/cells/quota.py
@@ -12,7 +12,7 @@
 from curranthall.cells.fleet import Member, Run, RunState
 from curranthall.cells.owner import UNKNOWN_WORKER
 from curranthall.cells.shares import PARTS_OF_LIMIT, Need, SharesKeeper
-from curranthall.cells.tracking import Batch
+from curranthall.cells.tracking import Batch, TrackedJob
 from curranthall.customers import Customer, Customers
 from curranthall.dag import Job, Step
 from curranthall.model import ZERO_SIZE, Size
@@ -351,11 +351,10 @@
             del self._job_counts[next(iter(self._job_counts))]
         return count > max(1.0, weight)
 
-    def fair_rank(self, batch: Batch) -> int:
-        """Return the rank of a batch among those of its priority; lower ones go first."""
+    def fair_rank(self, tracked: TrackedJob) -> int:
+        """Return the rank of a job among those of its priority; lower ones go first."""
         if not self._is_active:
             return RANK_BELOW_SHARE
-        tracked = batch.tracked
         if tracked.exceeds_rate:
             return RANK_BEYOND_RATE
         above = self._above_share.get(tracked.queue.service, ())
--- a/src/curranthall/telemetry.py
+++ b/src/curranthall/telemetry.py
@@ -69,6 +69,7 @@
 hold_seconds = Histogram("worker_look_seconds")
 jobs_by_size = LabeledCounter("jobs_by_size_total")
 calls_denied = LabeledCounter("calls_denied_total")
+preempted_runs = LabeledCounter("preempted_runs_total")
 
 
 class Telemetry:
@@ -99,4 +100,5 @@
             yield from histogram.samples()
         yield from jobs_by_size.samples()
         yield from calls_denied.samples()
+        yield from preempted_runs.samples()
         yield from self._gauges()
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -149,7 +149,7 @@
         cell.answer("w2", [listed(start) for start in starts if start.worker == "w2"])
         cell.plan()
         ranks = {
-            batch.tracked.job.customer: cell.dispatcher.quota.fair_rank(batch)
+            batch.tracked.job.customer: cell.dispatcher.quota.fair_rank(batch.tracked)
             for batch in cell.dispatcher._ready.values()
         }
         self.assertEqual(ranks["acme"], RANK_ABOVE_SHARE)
@@ -160,7 +160,8 @@
         for number in range(1, 4):
             cell.add(of("acme", number, step(1)))
         ranks = [
-            cell.dispatcher.quota.fair_rank(batch) for batch in cell.dispatcher._ready.values()
+            cell.dispatcher.quota.fair_rank(batch.tracked)
+            for batch in cell.dispatcher._ready.values()
         ]
         self.assertEqual(ranks, [RANK_BELOW_SHARE, RANK_BELOW_SHARE, RANK_BEYOND_RATE])
 
