Start copies of slow runs where the option `copies` is on

Reason: 3 % of the tasks take 7 times as long, and some workers are slow though they answer; a job then waits seconds for one run. Change: `cells/copies.py` chooses the runs that get a copy, its worker, and the copies to stop; the dispatcher starts and stops them. A run gets one if it outlasts comparable runs, its job would miss its objective (or all of its worth) without and not with one, its worker's last answer is fresh, and no waiting task could use the room. Copies take at most 0.05 of the cores. A kind of run whose copies do not help is copied less and less. An end of a task that was done before changes nothing.

--- a/src/curranthall/cells/boot_log.py
+++ b/src/curranthall/cells/boot_log.py
@@ -30,7 +30,7 @@
     """
 
     def __init__(self, cell: str, epoch: int, token: Callable[[str], int]) -> None:
-        self._holder = {"cell": cell, "epoch": epoch}
+        self._holder: dict[str, object] = {"cell": cell, "epoch": epoch}
         self._token = token
         # Runs that were taken for over in the last KEEP_S, the oldest first.
         self._removed: dict[tuple[TaskId, int], RemovedRun] = {}
@@ -61,6 +61,32 @@
             run.worker, why, now, run.sent_at, run.sent_to, run.is_unsure
         )
 
+    def log_unlisted(self, run: Run, why: EndReason, member: Member | None) -> None:
+        """Log a run that is considered over although no worker listed its end."""
+        log(
+            Event.RUN_VANISHED,
+            task=run.task,
+            run=run.number,
+            worker=run.worker,
+            **self._holder,
+            state=run.state.value,
+            why=why.value,
+            unsure=run.is_unsure,
+            **self.boots(run, member),
+        )
+
+    def log_duplicate(self, run: Run, done: bool, others: list[Run]) -> None:
+        """Log a listed run whose task is done or has other runs."""
+        log(
+            Event.RUN_DUPLICATE,
+            task=run.task,
+            run=run.number,
+            worker=run.worker,
+            **self._holder,
+            done=done,
+            others=[[other.number, other.worker] for other in others if other is not run],
+        )
+
     def note_restart(self, member: Member, now: float) -> None:
         """Log a restart, and the unanswered starts that the new boot may execute."""
         self._drop_old(now)
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -10,6 +10,7 @@
 
 from curranthall.cells.advice import Advice
 from curranthall.cells.boot_log import BootLog
+from curranthall.cells.copies import COPY_START_WINDOW_S, Copies, CopyContext
 from curranthall.cells.departure import Departures, departing_runs, has_room_elsewhere
 from curranthall.cells.fencing import Fencing
 from curranthall.cells.fleet import (
@@ -31,7 +32,7 @@
     Headroom,
     keep_headroom,
 )
-from curranthall.cells.interference import Interference, Observation
+from curranthall.cells.interference import Interference
 from curranthall.cells.load import Load, Waiting, count_slots, measure, measure_cores
 from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.owner import UNKNOWN_WORKER
@@ -64,6 +65,7 @@
     WorkerOrder,
 )
 from curranthall.cells.records import PARTS, has_tasks_in, part_of
+from curranthall.cells.reports import find_stalled, learn_interference
 from curranthall.cells.spare import (
     MAX_OVERDUE_S,
     OVERDUE_DECAY,
@@ -198,6 +200,7 @@
         self._poison = PoisonDetector(self.tracked, cell)
         self.orders: deque[Order] = deque()
         self.interference = Interference()
+        self.copies = Copies()
         self._departures = Departures()
         self._idle_gangs = IdleGangs(cell)
         self.dirty: dict[str, TrackedJob] = {}
@@ -841,6 +844,7 @@
         if reborn:
             self._keep_deferred_ends(member)
             member.confirmed = False
+            self.copies.speeds.forget(member.name)
             self._expect_late_starts(member)
             self._boot_log.note_restart(member, now)
         # While the list of ends is incomplete, an unlisted run may have ended as done.
@@ -869,7 +873,7 @@
         self._settle_crashes(member, snapshot.born, now)
         self._end_probations(member, listed, now)
         self._stop_stalled(member, now)
-        self._learn_interference(member)
+        learn_interference(self.interference, member)
         level = member.pace
         self.orders.extend(adjust_pace(member, self.interference, now))
         if member.pace != level:
@@ -989,9 +993,7 @@
         if not member.is_fenced:
             # Runs of a former boot are kept until a late start of their tasks can't have effect.
             return
-        for run in member.runs.values():
-            run.note_idle(member.speed(run), now)
-        stalled = [run for run in member.runs.values() if run.is_stalled]
+        stalled = find_stalled(member, now)
         if not stalled:
             return
         log(Event.WORKER_QUARANTINED, worker=member.name, why="runs stand still", runs=len(stalled))
@@ -1002,25 +1004,6 @@
                 tracked.failed_on.setdefault(run.task[1:], set()).add(member.name)
             self._stop(run, now)
 
-    def _learn_interference(self, member: Member) -> None:
-        """Update the interference model from a worker's reports, using each report once."""
-        serving: dict[str, list[Run]] = {}
-        for run in member.runs.values():
-            if run.step.target_ms and run.gauge and run.state is RunState.RUNNING:
-                serving.setdefault(run.step.image, []).append(run)
-        tails = tuple(run.gauge for runs in serving.values() for run in runs)
-        if tails == member.tails:
-            return
-        member.tails = tails
-        shares = member.used_shares()
-        for image, runs in serving.items():
-            tail_ms = len(runs) / sum(1 / run.gauge for run in runs)
-            tasks = tuple(run.number for run in runs)
-            target_ms = runs[0].step.target_ms
-            self.interference.observe(
-                Observation(image, tail_ms, target_ms, shares, member.name, tasks)
-            )
-
     def _on_listed(self, member: Member, entry: ListedRun, asked_at: float, now: float) -> None:
         run = member.runs.get((entry.task, entry.run))
         if run is None:
@@ -1068,25 +1051,11 @@
             tracked.progress.is_done(*task[1:]) and not batch.step.lasting
         )
         if is_over or (others and not batch.step.copies):
-            self._log_duplicate(tracked, run, others)
+            if not (tracked.progress.phase.is_final or run.step.copies):
+                self._boot_log.log_duplicate(run, tracked.progress.is_done(*task[1:]), others)
             self._stop(run, now)
         return run
 
-    def _log_duplicate(self, tracked: TrackedJob, run: Run, others: list[Run]) -> None:
-        """Log a listed run whose task is done or has another run."""
-        if tracked.progress.phase.is_final or run.step.copies:
-            return
-        log(
-            Event.RUN_DUPLICATE,
-            task=run.task,
-            run=run.number,
-            worker=run.worker,
-            cell=self.cell,
-            epoch=self.epoch,
-            done=tracked.progress.is_done(*run.task[1:]),
-            others=[[other.number, other.worker] for other in others if other is not run],
-        )
-
     def _infer_done(self, tracked: TrackedJob, task: TaskId, now: float) -> bool:
         """Mark a running step's dependencies as done: it was started only after they ended.
 
@@ -1170,7 +1139,13 @@
             if run.is_suspect and ending.kind in (EndKind.DONE, EndKind.FAILED):
                 run.probation_until = 0.0
                 self._clear_crashes(run)
+        was_done = tracked.progress.is_done(*task[1:])
+        if run is not None:
+            self.copies.note_end(self._get_batch(tracked, task), run, ending.kind, was_done, now)
         match ending.kind:
+            case EndKind.DONE | EndKind.FAILED if was_done and step.copies and self.options.copies:
+                # Another run of the task was done first: this end changes nothing.
+                pass
             case EndKind.DONE if not step.lasting:
                 self._on_done(tracked, task, now)
             case EndKind.FAILED if not step.lasting:
@@ -1237,6 +1212,7 @@
     def _remove_run(self, run: Run, now: float, why: EndReason, how: str = "") -> None:
         """Remove a run that is over; its task waits again unless it is done."""
         self._boot_log.note_removed(run, why, now)
+        self.copies.note_removed(run, now)
         batch = self._detach_run(run, why, how)
         if batch is None:
             return
@@ -1249,7 +1225,7 @@
     def _detach_run(self, run: Run, why: EndReason, how: str = "") -> Batch | None:
         """Remove a run that is over; return its batch if its job is tracked and not final."""
         if why in NO_END_LISTED:
-            self._log_unlisted(run, why)
+            self._boot_log.log_unlisted(run, why, self.members.get(run.worker))
         member = self.members.get(run.worker)
         if member is not None:
             member.remove(run)
@@ -1273,21 +1249,6 @@
             tracked.former[run.task[1:]] = FormerRun(text, run.number, run.worker)
         return batch
 
-    def _log_unlisted(self, run: Run, why: EndReason) -> None:
-        """Log a run that is considered over although no worker listed its end."""
-        log(
-            Event.RUN_VANISHED,
-            task=run.task,
-            run=run.number,
-            worker=run.worker,
-            cell=self.cell,
-            epoch=self.epoch,
-            state=run.state.value,
-            why=why.value,
-            unsure=run.is_unsure,
-            **self._boot_log.boots(run, self.members.get(run.worker)),
-        )
-
     def _stop_gang(self, batch: Batch, now: float) -> None:
         """Stop the remaining runs of a gang; it starts again once all of them are over."""
         for runs in list(batch.active.values()):
@@ -1739,6 +1700,28 @@
         self._place_all(finite, usable, refused, reserved, now)
         if any(batch.waiting for batch in lasting):
             self._spare_room.note(self._available_members(now), now)
+        if self.options.copies and self.copies.is_due(now):
+            self._copy_slow_runs(usable, now)
+
+    def _copy_slow_runs(self, usable: list[Member], now: float) -> None:
+        """Stop the copies that do not help, and start copies of slow runs."""
+        ctx = CopyContext(
+            self.tracked,
+            self.members,
+            usable,
+            list(self._ready.values()),
+            lambda run: self._get_restartable_batch(run, now),
+            self.interference,
+            now,
+        )
+        for run in self.copies.find_hopeless(ctx):
+            self._stop(run, now)
+        for batch, run, member in self.copies.choose(ctx):
+            if run.checkpoint and run.step.checkpointing:
+                batch.tracked.checkpoints[run.task[1:]] = run.checkpoint
+            number = self._next_run(batch.tracked)
+            self.copies.note_start(batch, run, number, member.name, now)
+            self._start(batch, run.task.number, member, number, now)
 
     def _place_all(
         self,
@@ -2125,6 +2108,7 @@
         checkpoint = tracked.checkpoints.get(task[1:], "") if batch.step.checkpointing else ""
         run = Run(task, number, member.name, batch.step, RunState.STARTING, now, checkpoint)
         run.probation_until, run.crashes = now + PROBATION_S, count_suspicions(batch, index)
+        run.is_atypical = bool(checkpoint)
         unanswered = self._find_unanswered(batch, index, now)
         if unanswered is not None and unanswered.worker == member.name:
             run.unanswered_at = unanswered.sent_at
@@ -2174,7 +2158,9 @@
         if run.crashes >= ISOLATION_CRASHES:
             # Now, as this holder may be lost before it notices that the worker is silent.
             self._doubt(member, [run], now)
-        deadline_ms = member.clock_now(now) + int(START_WINDOW_S * 1000)
+        is_copy = (task, run.number) in self.copies.open
+        window_s = COPY_START_WINDOW_S if is_copy else START_WINDOW_S
+        deadline_ms = member.clock_now(now) + int(window_s * 1000)
         member.granted_ms = max(member.granted_ms, deadline_ms)
         member.note_used(now)
         run.sent_to, run.token = member.born, member.token
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -130,6 +130,10 @@
     sent_to: int = 0
     # Whether the start got no answer.
     is_unsure: bool = False
+    # It was resumed or slowed, so its run time tells nothing of other runs.
+    is_atypical: bool = False
+    # How many copies were started of it.
+    copies: int = 0
 
     def is_over(self, asked_at: float, token: int) -> bool:
         """Return whether an answer without the run, asked for under a token, proves it over.
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -87,6 +87,8 @@
     tickets: Tickets = field(default_factory=Tickets)
     # How many members of a gang found a worker when it was last tried.
     fitting: int = 0
+    # Run times in seconds of the first runs that ended as done, for a step that allows copies.
+    ended_s: list[float] = field(default_factory=list)
 
     def count_waiting(self) -> int:
         """Return how many tasks wait, held or not."""
--- a/src/curranthall/telemetry.py
+++ b/src/curranthall/telemetry.py
@@ -1,6 +1,5 @@
 """Metrics of a daemon, rendered by aioprometheus at each scrape."""
 
-from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
@@ -51,11 +50,16 @@
 
     def __init__(self, name: str) -> None:
         self._name = name
-        self._series: Counter[tuple[tuple[str, str], ...]] = Counter()
+        self._series: dict[tuple[tuple[str, str], ...], float] = {}
 
     def count(self, **labels: str) -> None:
         """Increment the count of these labels."""
-        self._series[tuple(sorted(labels.items()))] += 1
+        self.add(1, **labels)
+
+    def add(self, amount: float, /, **labels: str) -> None:
+        """Add an amount to the count of these labels."""
+        key = tuple(sorted(labels.items()))
+        self._series[key] = self._series.get(key, 0) + amount
 
     def samples(self) -> Iterator[Sample]:
         """Yield the samples of all labels."""
@@ -68,6 +72,8 @@
 store_call_seconds = Histogram("store_call_seconds")
 hold_seconds = Histogram("worker_look_seconds")
 jobs_by_size = LabeledCounter("jobs_by_size_total")
+copies_total = LabeledCounter("copies_total")
+copied_core_seconds = LabeledCounter("copied_core_seconds_total")
 
 
 class Telemetry:
@@ -96,5 +102,6 @@
             yield Sample("events_total", {"event": name.lower()}, count)
         for histogram in (acceptance_seconds, completion_seconds, store_call_seconds, hold_seconds):
             yield from histogram.samples()
-        yield from jobs_by_size.samples()
+        for counter in (jobs_by_size, copies_total, copied_core_seconds):
+            yield from counter.samples()
         yield from self._gauges()
