--- a/src/curranthall/cells/copies.py
+++ b/src/curranthall/cells/copies.py
@@ -62,7 +62,8 @@
 # The level of a kind of run says how far its copies failed to help: one that did not help raises it
 # by one, one that did lowers it by HELP_LEVELS. At level 0 MAX_OPEN copies of the kind may be
 # without an outcome, at a higher level fewer, at a lower one more. From PAUSE_LEVEL on none starts
-# for a pause that doubles with each level.
+# for a pause that doubles with each level. The cell as a whole has a level, too; kinds that copies
+# have not helped so far also keep its pauses.
 MAX_OPEN = 2
 HELP_LEVELS = 2
 PAUSE_LEVEL = 2
@@ -137,6 +138,7 @@
         # By task and number of the copy's run.
         self.open: dict[tuple[TaskId, int], OpenCopy] = {}
         self._records: OrderedDict[RunKind, _Record] = OrderedDict()
+        self._overall = _Record()
         self._checked_at = -CHECK_INTERVAL_S
 
     # Learning
@@ -168,7 +170,7 @@
             copy = self.open.pop((run.task, run.number), None)
             if copy is not None:
                 helped = run is done
-                self._record(copy.kind).note(helped, now)
+                self._note_outcome(copy.kind, helped, now)
                 self._report(run, copy, "won" if helped else "lost", now)
 
     def note_removed(self, run: Run, now: float) -> None:
@@ -177,6 +179,10 @@
         if copy is not None:
             self._report(run, copy, "dropped", now)
 
+    def _note_outcome(self, kind: RunKind, helped: bool, now: float) -> None:
+        for record in (self._record(kind), self._overall):
+            record.note(helped, now)
+
     def _record(self, kind: RunKind) -> _Record:
         record = self._records.setdefault(kind, _Record())
         self._records.move_to_end(kind)
@@ -275,7 +281,7 @@
                 continue
             if self.remaining_s(copy, ctx.now) >= self.remaining_s(original, ctx.now):
                 opened = self.open.pop((task, number))
-                self._record(opened.kind).note(False, ctx.now)
+                self._note_outcome(opened.kind, False, ctx.now)
                 self._report(copy, opened, "hopeless", ctx.now)
                 found.append(copy)
         return found
@@ -387,6 +393,8 @@
         kind = kind_of(batch.tracked.queue.name, batch.number, batch.step)
         record = self._records.get(kind, _Record())
         running = sum(copy.kind == kind for copy in self.open.values())
+        if record.level >= 0 and now < self._overall.paused_until:
+            return False
         return now >= record.paused_until and running < max(1, MAX_OPEN - record.level)
 
     def _find_free(self, ctx: CopyContext, survey: _Survey) -> list[Member]:
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -106,6 +106,7 @@
     yield Sample("workers_unproven", label, dispatcher.count_unproven())
     yield Sample("workers_paced", label, sum(member.pace < 100 for member in members))
     yield Sample("runs", label, sum(len(member.runs) for member in members))
+    yield Sample("copies", label, len(dispatcher.copies.open))
     for queue, count in runtime.waiting_jobs().items():
         yield Sample("queue_waiting_jobs", {**label, "queue": queue}, count)
     for row in dispatcher.waits:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -24,6 +24,8 @@
 DEPARTURE_SEEDS = (0, 1, 2)
 # Seeds in which tasks waited longer with each holder that was lost.
 SERIES_SEEDS = (2, 4, 8, 11, 32, 97, 521, 614)
+# Seeds in which many tasks have two runs while holders, workers and the store fail.
+COPIES_SEEDS = (0, 1, 2)
 # Seeds in which parts of the store are away while a cell loses its holders.
 PARTS_SEEDS = (0, 1, 2)
 
@@ -463,6 +465,13 @@
             with self.subTest(seed=seed):
                 self.assertEqual(takeover.play(seed, takeover.Departure), [])
 
+    def test_copies_end_with_their_tasks_whatever_fails(self) -> None:
+        """A run was left over, started after its task was done, or failed its job too early."""
+        for kind in (takeover.Copies, takeover.OverloadedCopies):
+            for seed in COPIES_SEEDS:
+                with self.subTest(kind=kind.__name__, seed=seed):
+                    self.assertEqual(takeover.play(seed, kind), [])
+
     def test_no_task_runs_twice_while_parts_of_the_store_are_away(self) -> None:
         for seed in PARTS_SEEDS:
             with self.subTest(seed=seed):
