Test each condition of copies by itself

Change: a test for each of these conditions (probation, due times, approval, proven workers, idle cores, resumed runs, slow and restarted workers).

--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -1,18 +1,16 @@
 """Copies of slow runs: which runs get one, which run is stopped, and what failures leave behind."""
 
 import unittest
+from collections import Counter
 from typing import Any
 
 from curranthall.cells import copies
 from curranthall.cells.options import Options
-from curranthall.cells.ports import Ending, EndKind, ListedRun, StartResult, StartTask
-from curranthall.cells.run_times import MIN_SAMPLES
+from curranthall.cells.ports import EndKind, ListedRun, StartResult, StartTask
 from curranthall.dag import Phase, Step
 from curranthall.telemetry import copies_total
 from tests.cell_fixtures import (
-    CELL,
     EPOCH,
-    SERVICE,
     Cell,
     claimed_progress,
     ended,
@@ -161,8 +159,68 @@
             cell.dispatcher.copies.speeds.observe(others[2], 3.0)
         self.assertEqual(cell.plan(), [])
         cell = SlowCell()
-        cell.tracked.failed_on[cell.slow.task[1:]] = set(others) - {others[0]}
-        self.assertEqual(cell.copy().worker, others[0])
+        cell.tracked.failed_on[cell.slow.task[1:]] = set(others) - {others[2]}
+        self.assertEqual(cell.copy().worker, others[2])
+
+    def test_a_worker_with_several_slow_runs_gets_none(self) -> None:
+        cell = SlowCell()
+        ctx = copies.CopyContext(
+            cell.dispatcher.tracked,
+            cell.dispatcher.members,
+            list(cell.dispatcher.members.values()),
+            [],
+            lambda run: None,
+            cell.dispatcher.interference,
+            cell.now,
+        )
+        survey = copies._Survey(slow_on=Counter(w2=copies.MAX_SLOW_RUNS, w3=5))
+        free = cell.dispatcher.copies._find_free(ctx, survey)
+        self.assertEqual([member.name for member in free], ["w1", "w2", "w4"])
+
+    def test_a_copy_takes_no_cores_that_filling_tasks_use(self) -> None:
+        cell = SlowCell()
+        for member in cell.dispatcher.members.values():
+            member.filling_cores = 39.5
+        self.assertEqual(cell.plan(), [])
+
+    def test_workers_need_the_advisors_approval(self) -> None:
+        cell = SlowCell()
+        cell.tracked.queue = cell.queue._replace(advised=True)
+        self.assertEqual(cell.plan(), [])
+
+    def test_a_run_that_is_new_being_stopped_or_another_cells_gets_none(self) -> None:
+        cell = SlowCell()
+        run = cell.tracked.batches[0, 0].active[cell.slow.task.number][0]
+        run.probation_until = cell.now
+        self.assertEqual(cell.plan(), [])
+        cell = SlowCell()
+        run = cell.tracked.batches[0, 0].active[cell.slow.task.number][0]
+        cell.dispatcher._stop(run, cell.now)
+        self.assertEqual(cell.plan(), [])
+        cell = SlowCell()
+        cell.tracked.progress.moved_to[cell.slow.task[1:]] = "south"
+        self.assertEqual(cell.plan(), [])
+
+    def test_jobs_that_run_at_due_times_get_none(self) -> None:
+        cell = SlowCell()
+        cell.tracked.job = cell.tracked.job._replace(first_due_ms=1)
+        self.assertEqual(cell.plan(), [])
+
+    def test_a_run_that_is_almost_done_gets_none(self) -> None:
+        """Its objective lies between its own predicted end and a copy's, 0.1 s apart."""
+        cell = SlowCell()
+        cell.tracked.due += 0.35
+        cell.answer(cell.slow.worker, [listed(cell.slow, 55)])
+        self.assertEqual(cell.plan(), [])
+
+    def test_a_run_on_a_slow_worker_is_slow_sooner(self) -> None:
+        """Its own run times say little: a high quantile of them would be as slow."""
+        found, batch = copies.Copies(), SlowCell().tracked.batches[0, 0]
+        batch.ended_s[:] = [1.0, 1.0, 3.0]
+        self.assertEqual(found.slow_after_s(batch, "w1"), 3.0)
+        for _ in range(3):
+            found.speeds.observe("w1", 3.0)
+        self.assertEqual(found.slow_after_s(batch, "w1"), copies.SLOW_FACTOR)
 
     def test_a_copy_resumes_from_the_last_checkpoint_of_the_slow_run(self) -> None:
         cell = SlowCell(WIDE._replace(checkpointing=True))
@@ -308,6 +366,12 @@
         self.assertEqual(self.stopped(), {self.copy.run})
         self.assertEqual(self.outcomes(), {"hopeless": 1})
 
+    def test_a_copy_that_is_behind_but_not_slow_goes_on(self) -> None:
+        self.cell.answer(self.cell.slow.worker, [listed(self.cell.slow, 18)])
+        self.cell.answer(self.copy.worker, [listed(self.copy, 3)])
+        self.assertEqual(self.cell.plan(), [])
+        self.assertEqual(self.stopped(), set())
+
     def test_a_copy_that_overtakes_the_first_run_goes_on(self) -> None:
         cell = self.cell
         cell.now += 2.0
@@ -358,18 +422,65 @@
 
     def test_a_successor_makes_no_copy_before_the_workers_are_proven(self) -> None:
         """A copy of the former holder may run on a worker that has not answered yet."""
+        former = SlowCell()
+        hosts = [host(f"w{n}", 40) for n in range(1, 5)]
+        for waits, starts in ((True, 0), (False, 1)):
+            cell = Cell(*hosts, settled=False, options=Options(copies=True))
+            if waits:
+                cell.dispatcher.take_over(hosts, cell.now + 50.0)
+            done = claimed_progress(EPOCH - 1, phase=Phase.RUNNING, done={(0, 0): 0b0111})
+            cell.dispatcher.adopt(job(JOB, WIDE), done, 5, cell.now)
+            for percent in (2, 3, 4, 5):
+                cell.now += 1.3
+                for each in hosts:
+                    if not waits or each.name != "w4":
+                        here = each.name == former.slow.worker
+                        cell.answer(each.name, [listed(former.slow, percent)] if here else [])
+                cell.record()
+            self.assertNotEqual(former.slow.worker, "w4")
+            self.assertEqual(len(cell.plan()), starts)
+
+    def test_runs_of_unknown_age_are_not_learned(self) -> None:
         cell, first, _ = self.take_over()
-        cell.now += 3.0
-        cell.answer(first.worker, [listed(first, 45)])
-        self.assertEqual(cell.plan(), [])
-
-    def test_runs_of_unknown_age_and_resumed_runs_are_not_learned(self) -> None:
-        cell, first, _ = self.take_over()
-        for number in range(MIN_SAMPLES):
-            cell.answer(first.worker, [], [Ending(number + 1, first.task, 1, EndKind.DONE, "")])
+        cell.now += 1.0
+        cell.answer(first.worker, [], [ended(1, first, EndKind.DONE)])
         self.assertEqual(len(cell.dispatcher.copies.times), 0)
-        self.assertEqual(cell.dispatcher.cell, CELL)
-        self.assertEqual(cell.queue.service, SERVICE)
+
+
+class Learning(unittest.TestCase):
+    def end_one(self, worker_gap_s: float = 0.0, checkpoint: str = "") -> copies.Copies:
+        """Let one run end as done; return what was learned."""
+        cell = Cell(host("w1"))
+        cell.add(job(JOB, step(1, checkpointing=True)))
+        if checkpoint:
+            cell.dispatcher.tracked[JOB].checkpoints[0, 0, 0] = checkpoint
+        (order,) = cell.plan()
+        cell.started(order)
+        cell.now += 1.0 + worker_gap_s
+        cell.answer("w1", [], [ended(1, order, EndKind.DONE)])
+        return cell.dispatcher.copies
+
+    def test_a_run_that_ends_as_done_is_learned_also_without_the_option(self) -> None:
+        self.assertEqual(len(self.end_one().times), 1)
+
+    def test_resumed_runs_and_ends_of_unknown_time_are_not_learned(self) -> None:
+        self.assertEqual(len(self.end_one(checkpoint="c1").times), 0)
+        self.assertEqual(len(self.end_one(worker_gap_s=9.0).times), 0)
+
+    def test_runs_on_slow_workers_tell_only_of_the_worker(self) -> None:
+        cell = SlowCell()
+        for _ in range(3):
+            cell.dispatcher.copies.speeds.observe(cell.slow.worker, 9.0)
+        before = len(cell.tracked.batches[0, 0].ended_s)
+        cell.end(cell.slow, EndKind.DONE)
+        self.assertEqual(len(cell.tracked.batches[0, 0].ended_s), before)
+
+    def test_a_restarted_worker_is_not_known_to_be_slow(self) -> None:
+        cell = SlowCell()
+        for _ in range(3):
+            cell.dispatcher.copies.speeds.observe("w4", 9.0)
+        cell.answer("w4", born=9)
+        self.assertFalse(cell.dispatcher.copies.speeds.is_slow("w4"))
 
 
 class Feedback(unittest.TestCase):
