--- a/src/curranthall/cells/copies.py
+++ b/src/curranthall/cells/copies.py
@@ -39,9 +39,9 @@
 # of the run may be on its way.
 FRESH_S = 0.5
 # A run is slow once it lasts longer than this share of comparable runs did, and than this multiple
-# of their median: run times of one step differ by a third where nothing is wrong.
+# of their median. With a multiple of 1.5 fewer jobs were in time (docs/design/stragglers.md).
 SLOW_SHARE = 0.9
-SLOW_FACTOR = 1.5
+SLOW_FACTOR = 1.25
 # With this many ended runs of the same step they are the comparable ones: they share the error of
 # the step's estimate. With fewer, all runs of the kind are.
 MIN_SIBLINGS = 3
@@ -54,7 +54,7 @@
 # A copy is made only if it is predicted to end within this share of the run's remaining time.
 MAX_REMAINING_SHARE = 0.8
 # Share of the cores of a service's usable workers that copies may take at a time.
-MAX_COPY_SHARE = 0.05
+MAX_COPY_SHARE = 0.08
 # Copies started for one run: a second one if the first was refused or lost.
 MAX_COPIES = 2
 # A worker with this many slow runs at a time gets no copy.
