--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -117,6 +117,7 @@
         yield Sample("customer_used_parts", labels, state.used)
         yield Sample("customer_cores", labels, state.cores)
         yield Sample("customer_limited_tasks", labels, state.waiting_tasks)
+    yield Sample("copies", label, len(dispatcher.copies.open))
     for queue, count in runtime.waiting_jobs().items():
         yield Sample("queue_waiting_jobs", {**label, "queue": queue}, count)
     for row in dispatcher.waits:
