Choose cells by predicted finish, move and refuse jobs early (options)

Entries rated cells by free cores alone and could not tell a short queue from a long one, and callers of jobs that come too late in every cell waited for nothing.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -5,11 +5,13 @@
 from typing import NamedTuple
 
 from curranthall.cells.dispatcher import Dispatcher
+from curranthall.cells.early_moves import EarlyMove, EarlyMoves
 from curranthall.cells.load import MIN_CORES, ROUNDING, Load
 from curranthall.cells.tracking import Batch
 from curranthall.dag import Step
 from curranthall.events import Event, log
 from curranthall.model import Host, HostState, Size
+from curranthall.telemetry import early_moves
 
 # A task is moved after it has found no worker for this long; a closed cell moves tasks at once.
 STRANDED_S = 0.4
@@ -92,6 +94,10 @@
         for move in moves:
             self.subtract(move)
 
+    def can_run(self, service: str, step: Step) -> bool:
+        """Return whether the cell, if it is empty, can run a task of a step, or a whole gang."""
+        return self._can_run(service, step)
+
     def subtract(self, move: _Move) -> None:
         """Subtract a move if it went to this cell."""
         if move.service not in self.published or move.cell != self.cell:
@@ -103,7 +109,7 @@
         """Return the cores that tasks of a batch may use here, all of them if it must start."""
         service, step = batch.tracked.queue.service, batch.step
         load, cores = self.left.get(service), max(step.size.cores, MIN_CORES)
-        if load is None or not self._can_run(service, step):
+        if load is None or not self.can_run(service, step):
             return 0.0
         if must_start and step.lasting:
             # They start before all others that wait there, so they may use each whole room.
@@ -132,6 +138,7 @@
 
     def __init__(self) -> None:
         self._moves: list[_Move] = []
+        self._early = EarlyMoves()
         # By lasting batch that no cell has room for, when that was last logged.
         self._logged_at: dict[Batch, float] = {}
 
@@ -159,6 +166,23 @@
                 dispatcher.other_cell_rooms = _by_service(target.left for target in targets)
             elif batch.step.lasting:
                 self._log_refusal(batch, targets, batch in must_start, now)
+        if dispatcher.options.projected_load and not dispatcher.closed and self._early.is_due(now):
+            self._move_early(dispatcher, targets, now)
+
+    def _move_early(self, dispatcher: Dispatcher, targets: list[_Target], now: float) -> None:
+        """Move whole jobs that have not begun to cells where they would be done earlier."""
+        by_cell = {target.cell: target for target in targets}
+        waiting = dispatcher.stranded(0.0, now)
+        for early in self._early.choose(dispatcher, waiting, targets, now):
+            batch, target = early.batch, by_cell[early.cell]
+            service, step = batch.tracked.queue.service, batch.step
+            move = _Move(now, target.cell, service, step, step.width)
+            self._moves.append(move)
+            target.subtract(move)
+            dispatcher.move(batch.tracked, batch, None, target.cell, now, target.epoch)
+            early_moves.count(cell=dispatcher.cell, to=target.cell)
+            _log_early_move(dispatcher, early)
+        dispatcher.other_cell_rooms = _by_service(target.left for target in targets)
 
     def _move_batch(
         self,
@@ -234,6 +258,19 @@
     _log_move(dispatcher, batch, len(numbers), target.cell, whole)
 
 
+def _log_early_move(dispatcher: Dispatcher, early: EarlyMove) -> None:
+    log(
+        Event.JOB_MOVED_EARLY,
+        job=early.batch.tracked.job.id,
+        to=early.cell,
+        cell=dispatcher.cell,
+        epoch=dispatcher.epoch,
+        version=early.batch.tracked.version,
+        finish_s=round(early.here.finish_s, 2),
+        finish_there_s=round(early.there.finish_s, 2),
+    )
+
+
 def _log_move(
     dispatcher: Dispatcher, batch: Batch, tasks: int, to: str, whole: bool = False
 ) -> None:
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -9,8 +9,9 @@
 from typing import NamedTuple
 
 from curranthall.cells.advice import Advice
+from curranthall.cells.backlog import sum_waiting, with_backlogs
 from curranthall.cells.boot_log import BootLog
-from curranthall.cells.departure import Departures, departing_runs, has_room_elsewhere
+from curranthall.cells.departure import Departures, has_room_elsewhere
 from curranthall.cells.fencing import Fencing
 from curranthall.cells.fleet import (
     LATE_CALL_S,
@@ -24,6 +25,7 @@
     RunState,
     late_lease_end,
 )
+from curranthall.cells.forecast import CALLER_ESTIMATES, Estimates
 from curranthall.cells.gangs import IdleGangs
 from curranthall.cells.headroom import (
     FILLING_HEADROOM,
@@ -32,7 +34,7 @@
     keep_headroom,
 )
 from curranthall.cells.interference import Interference, Observation
-from curranthall.cells.load import Load, Waiting, count_slots, measure, measure_cores
+from curranthall.cells.load import Load, count_slots, measure, measure_cores
 from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.owner import UNKNOWN_WORKER
 from curranthall.cells.pacing import FULL_PACE, adjust_pace, worst_tail_ratio
@@ -189,6 +191,8 @@
         self.epoch = epoch
         self.bounds = bounds
         self.options = options
+        # The source of run times for what is published and predicted.
+        self.estimates: Estimates = CALLER_ESTIMATES
         self.members: dict[str, Member] = {}
         # The highest fencing token that is certainly lower than any successor's.
         self._newest_token = epoch
@@ -2221,20 +2225,15 @@
 
     def load(self, now: float) -> dict[str, Load]:
         """Return the cell's load by service, once the renewal that publishes it is confirmed."""
-        waiting: dict[str, Waiting] = {}
-        for batch in self._ready.values():
-            service = batch.tracked.queue.service
-            cores = batch.count_waiting() * batch.step.size.cores
-            waiting[service] = waiting.get(service, Waiting()).plus(cores, batch.step)
-        for run in departing_runs(self.members.values()):
-            service = self.members[run.worker].host.service
-            needed = waiting.get(service, Waiting())
-            waiting[service] = needed.plus(run.step.size.cores, run.step)
+        waiting = sum_waiting(self._ready.values(), self.members)
         open_members = [] if self.closed else list(self.members.values())
         usable = self._available_members(now)
         quarantined = [member for member in open_members if member.is_last_resort(now)]
         headroom = self._measure_headroom(now)
-        return measure(usable, waiting, self.interference, headroom, quarantined)
+        loads = measure(usable, waiting, self.interference, headroom, quarantined)
+        if not self.options.needs_backlog:
+            return loads
+        return with_backlogs(loads, self.cell, self.tracked.values(), usable, self.estimates, now)
 
     def _available_members(self, now: float) -> list[Member]:
         """Return the workers that count in the published load; none if the cell is closed."""
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import math
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterable
 from typing import Any, NamedTuple
@@ -10,7 +11,7 @@
 from curranthall.cells.headroom import NO_HEADROOM, Headroom
 from curranthall.cells.interference import Interference
 from curranthall.dag import Job, Step
-from curranthall.values import checked, fields, figures, finite, items, text, whole
+from curranthall.values import checked, fields, figures, finite, integer, items, text, whole
 
 # Serving tasks of one image prefer one cell, so that filling images that interfere with it find
 # room in other cells.
@@ -25,6 +26,8 @@
 BOUNDS_PER_POWER = 8
 # Tolerance of sums and quotients of cores, so that rounding errors hide no room.
 ROUNDING = 1e-9
+# Lower bound of a job's value relative to a usual one, by which its work is divided.
+MIN_VALUE = 0.01
 # Lower bound of the weight by which the room for a filling image is divided.
 MIN_WEIGHT = 0.05
 
@@ -46,6 +49,66 @@
         return self._replace(plain=self.plain + cores)
 
 
+# Priority under which the work of running tasks counts: it goes before all that waits.
+RUNNING = -1
+# Less urgent priorities count as this one, so that the row stays small.
+LEAST_PRIORITY = 3
+# Bounds of the ranks of waiting work, in core-seconds for the value of a usual job: holders start
+# first what is worth most for its work. Few, so that the row stays small.
+RANK_BOUNDS = (1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 256.0)
+# The rank of jobs whose value has expired, which start after all others.
+LAST_RANK = len(RANK_BOUNDS) + 1
+
+
+class Work(NamedTuple):
+    """Core-seconds of running work, or of waiting work of one priority and rank."""
+
+    priority: int
+    rank: int
+    core_seconds: float
+
+
+class Backlog(NamedTuple):
+    """Core-seconds that running and waiting finite work still needs, and the cores for it.
+
+    `cores` are those not reserved by lasting tasks, `filling_cores` those that filling tasks use or
+    may use.
+    """
+
+    cores: float = 0.0
+    filling_cores: float = 0.0
+    plain: tuple[Work, ...] = ()
+    filling: tuple[Work, ...] = ()
+
+    def cores_for(self, step: Step) -> float:
+        """Return the cores that tasks of a finite step can use."""
+        return self.filling_cores if step.filling else self.cores
+
+    def ahead(self, step: Step, priority: int, rank: int) -> float:
+        """Return the core-seconds that go before a new job of a finite step.
+
+        Of the work of the same rank, half goes before it on average.
+        """
+        place = min(priority, LEAST_PRIORITY), rank
+        work = self.filling if step.filling else self.plain
+        return sum(
+            each.core_seconds * (0.5 if each[:2] == place else 1.0)
+            for each in work
+            if each[:2] <= place
+        )
+
+    def total(self, step: Step, priority: int) -> float:
+        """Return the core-seconds of all work that is as urgent as a priority or more so."""
+        work = self.filling if step.filling else self.plain
+        least = min(priority, LEAST_PRIORITY)
+        return sum(each.core_seconds for each in work if each.priority <= least)
+
+
+def rank_work(work: float, value: float) -> int:
+    """Return the rank of a job by its remaining core-seconds and what it is worth."""
+    return bisect_left(RANK_BOUNDS, work / max(value, MIN_VALUE))
+
+
 class Load(NamedTuple):
     """Cores of the usable workers of one service.
 
@@ -55,6 +118,7 @@
     of it on one worker; `largest` holds the free cores of the LISTED_ROOMS workers with the most,
     `quarantined` those of quarantined ones, which count nowhere else. `others` counts the workers
     with fewer free cores by lower bounds of these, for gangs that need many rooms at once.
+    `backlog` is None in rows of earlier code and while no feature needs it.
     """
 
     cores: float = 0.0
@@ -68,6 +132,7 @@
     largest: tuple[float, ...] = ()
     quarantined: tuple[float, ...] = ()
     others: tuple[tuple[float, int], ...] = ()
+    backlog: Backlog | None = None
 
     def room(self, step: Step) -> float:
         """Return the cores available to tasks of a step, less those requested by waiting tasks."""
@@ -334,5 +399,21 @@
             largest=tuple(map(finite, load.largest)),
             quarantined=tuple(map(finite, load.quarantined)),
             others=tuple((finite(room), whole(count)) for room, count in load.others),
+            backlog=_decode_backlog(load.backlog),
         )
     )
+
+
+def _decode_backlog(value: object) -> Backlog | None:
+    if value is None:
+        return None
+    # A later version may add fields.
+    cores, filling_cores, plain, filling = items(value)[: len(Backlog._fields)]
+    return Backlog(finite(cores), finite(filling_cores), _decode_work(plain), _decode_work(filling))
+
+
+def _decode_work(value: object) -> tuple[Work, ...]:
+    return tuple(
+        Work(integer(priority), whole(rank), finite(core_seconds))
+        for priority, rank, core_seconds in map(items, items(value))
+    )
--- a/src/curranthall/cells/options.py
+++ b/src/curranthall/cells/options.py
@@ -17,6 +17,11 @@
     # Choose cells by predicted finish, and move jobs before they wait.
     projected_load: bool = False
 
+    @property
+    def needs_backlog(self) -> bool:
+        """Return whether cells have to publish the work that they still have to do."""
+        return self.early_refusal or self.projected_load
+
 
 NO_OPTIONS = Options()
 
--- a/src/curranthall/cells/records.py
+++ b/src/curranthall/cells/records.py
@@ -8,11 +8,14 @@
 from curranthall.dag.model import decode_job
 from curranthall.dag.progress import decode_progress
 from curranthall.events import Event, log
-from curranthall.store import ABSENT, Check, Committed, Put, Row, Stale, Store
+from curranthall.store import ABSENT, Check, Committed, Drop, Put, Row, Stale, Store
 from curranthall.values import DECODE_ERRORS, items, reason, whole
 
 JOB_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
+REFUSAL_TABLE = "refusals"
+# The value of a refusal's row, of which only the version counts.
+REFUSAL = b"\x01"
 # The store runs the transactions of a part one after another. With eight parts, a store that takes
 # 0.3 s per transaction (60 times the usual latency, the example in its documentation) still does
 # 26 per second.
@@ -45,19 +48,57 @@
     return PARTS[int(job_id[-1], 16) % len(PARTS)]
 
 
-async def create_job(store: Store, job: Job, progress: Progress) -> Committed | Stale:
-    """Insert both rows of a job; return Stale when the job already exists."""
+async def create_job(
+    store: Store, job: Job, progress: Progress, refusal_version: int = ABSENT
+) -> Committed | Stale:
+    """Insert both rows of a job; return Stale when the job exists or its refusal has changed.
+
+    The row of an earlier refusal, of the given version, is removed.
+    """
     return await store.commit(
         part_of(job.id),
-        [Check(PROGRESS_TABLE, job.id, ABSENT)],
+        [
+            Check(PROGRESS_TABLE, job.id, ABSENT),
+            # A creation that was sent before a refusal was recorded must never take effect.
+            Check(REFUSAL_TABLE, job.id, refusal_version),
+        ],
         [
             Put(JOB_TABLE, job.id, job.encode()),
             Put(PROGRESS_TABLE, job.id, progress.encode()),
         ],
+        [] if refusal_version == ABSENT else [Drop(REFUSAL_TABLE, job.id)],
+    )
+
+
+async def refuse_job(store: Store, job_id: str) -> Committed | Stale:
+    """Record that a job is refused, so that no creation sent before can take effect.
+
+    Return Stale when the job exists.
+    """
+    return await store.commit(
+        part_of(job_id),
+        [Check(PROGRESS_TABLE, job_id, ABSENT)],
+        [Put(REFUSAL_TABLE, job_id, REFUSAL)],
         [],
     )
 
 
+async def find_conflict(store: Store, job_id: str, answer: Stale) -> int | None:
+    """Return why a creation was stale: the version of the job's refusal, or None if it exists.
+
+    The version is ABSENT if both rows are gone. The store is read unless the answer tells.
+    """
+    if any(row.table == PROGRESS_TABLE and row.value is not None for row in answer.rows):
+        return None
+    # Read in this order: if the refusal goes in between, it does so as the job is created.
+    listing = await store.scan(REFUSAL_TABLE, part_of(job_id), job_id, job_id + "\0")
+    versions = [row.version for row in listing.rows if row.value is not None]
+    stored = await store.scan(PROGRESS_TABLE, part_of(job_id), job_id, job_id + "\0")
+    if any(row.value is not None for row in stored.rows):
+        return None
+    return max(versions, default=ABSENT)
+
+
 async def read_progress(store: Store, job_id: str) -> tuple[Progress, int] | None:
     """Return a job's progress and its version, or None when the job does not exist."""
     listing = await store.scan(PROGRESS_TABLE, part_of(job_id), job_id, job_id + "\0")
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -295,9 +295,8 @@
         They are not evacuated, and their holder is live and not doubted.
         """
         now, evacuated = self._env.clock(), self._env.evacuated()
-        hosts, found = self._env.hosts(), []
-        if hosts is not None and hosts is not self._grouped_hosts:
-            self._grouped_hosts, self._kinds = hosts, group_kinds(hosts.values())
+        self._group_hosts()
+        found = []
         for other in self.watch.cells:
             owner = self.watch.live_holder(other, now)
             if owner is None or other == cell or other in evacuated:
@@ -306,6 +305,20 @@
                 found.append(CellLoads(other, owner.load, owner.epoch, self._kinds.get(other)))
         return found
 
+    def _group_hosts(self) -> bool:
+        """Group the listed workers by kind; return whether they are known."""
+        hosts = self._env.hosts()
+        if hosts is not None and hosts is not self._grouped_hosts:
+            self._grouped_hosts, self._kinds = hosts, group_kinds(hosts.values())
+        return hosts is not None
+
+    def can_run(self, cell: str, job: Job) -> bool:
+        """Return whether a cell, if it is empty, can run all steps of a job; True if unknown."""
+        if not self._group_hosts():
+            return True
+        listed = CellLoads(cell, {}, 0, self._kinds.get(cell, Counter()))
+        return all(listed.can_run(job.service, step) for step in job.steps)
+
     def _is_counted(self, cell: str, version: int) -> bool:
         """Return whether a cell's published count includes a version of the progress rows."""
         return version <= self.watch.waiting(cell).counted_to
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -35,6 +35,13 @@
     return f"{2.0 ** min(max(power, MIN_CLASS_POWER), MAX_CLASS_POWER):g}"
 
 
+def relative_value(work: float, usual_work: float) -> float:
+    """Return the value of a job by its core-seconds, relative to a usual job of its queue."""
+    if usual_work <= 0:
+        return 1.0
+    return min(MAX_VALUE, BASE_VALUE + (1 - BASE_VALUE) * work / usual_work)
+
+
 def _earliest(*times: float | None) -> float | None:
     """Return the earliest of the known times."""
     return min((each for each in times if each is not None), default=None)
@@ -286,9 +293,7 @@
 
     def value(self, usual_work: float) -> float:
         """Return the job's value relative to a usual job of its queue."""
-        if usual_work <= 0:
-            return 1.0
-        return min(MAX_VALUE, BASE_VALUE + (1 - BASE_VALUE) * self.work / usual_work)
+        return relative_value(self.work, usual_work)
 
     def outcome(self) -> str:
         """Return the outcome of a finished job, relative to its objective if it has one."""
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -1,11 +1,30 @@
 """Accept, show and cancel jobs at any entry; the store's row is authoritative."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from enum import Enum
+from math import isfinite
 from typing import Any, NamedTuple, Protocol
 
 from curranthall.cells import records
+from curranthall.cells.forecast import (
+    CALLER_ESTIMATES,
+    MIN_RETRY_AFTER_S,
+    NEVER,
+    NOTHING_SENT,
+    Estimates,
+    Prediction,
+    Sent,
+    UsualWork,
+    is_predictable,
+    latest_equal_s,
+    measure_job,
+    objective_s,
+    predict,
+    refusal_delay_s,
+    retry_after_s,
+)
 from curranthall.cells.load import HOME_BONUS, Load, rate_cell, widest_step
 from curranthall.cells.records import PROGRESS_TABLE, StoredJob, decode_stored_job
 from curranthall.cells.succession import Succession
@@ -13,8 +32,8 @@
 from curranthall.errors import AnswerLost, CurranthallError, PeerUnreachable, PlatformDown
 from curranthall.events import Event, log
 from curranthall.intake.pending import PendingJobs
-from curranthall.store import Check, Committed, Put, Row, Stale, Store
-from curranthall.telemetry import acceptance_seconds
+from curranthall.store import ABSENT, Check, Committed, Put, Row, Stale, Store
+from curranthall.telemetry import acceptance_seconds, early_refusals, predicted_finish_seconds
 from curranthall.values import checked, items, reason, text, whole
 
 # Time limit for the phase request to the cell's holder, before the store is read instead.
@@ -33,6 +52,8 @@
 RELAY_TIMEOUT_S = 1.5
 # A submission adds to a cell's load for this long, as the cell's report is up to two renewals old.
 SUBMISSION_TTL_S = 1.8
+# Time limit for recording a refusal; a slow store takes 0.3 s. The job is then submitted as usual.
+REFUSAL_TIMEOUT_S = 0.6
 
 
 class Verdict(Enum):
@@ -41,6 +62,15 @@
     ACCEPTED = "accepted"
     REFUSED = "refused"
     UNKNOWN = "unknown"
+    # Refused, as it would be done too late in every cell.
+    TOO_LATE = "too-late"
+
+
+class Answer(NamedTuple):
+    """Answer to a submission; `retry_after_s` counts for a job that would be done too late."""
+
+    verdict: Verdict
+    retry_after_s: int = MIN_RETRY_AFTER_S
 
 
 class JobStatus(NamedTuple):
@@ -59,12 +89,41 @@
         """Send and return the answer; raise a CurranthallError."""
 
 
+class _Submission(NamedTuple):
+    """What was sent to a cell lately."""
+
+    at: float
+    cell: str
+    service: str
+    filling: bool
+    cores: float
+    work: float
+
+
+class Choice(NamedTuple):
+    """The cell chosen for a job, and why: room in cores and prediction by cell."""
+
+    cell: str
+    rooms: dict[str, float]
+    doubted: list[str]
+    # Of all cells that are not evacuated; None where nothing is known.
+    predictions: dict[str, Prediction | None]
+
+
 class _CachedPhase(NamedTuple):
     cell: str
     phase: Phase
     cached_at: float
 
 
+def _finishes(predictions: dict[str, Prediction | None]) -> dict[str, float | str]:
+    """Return predicted finishes in seconds for a log line."""
+    return {
+        cell: "unknown" if each is None else "never" if each == NEVER else round(each.finish_s, 2)
+        for cell, each in predictions.items()
+    }
+
+
 class Intake:
     """Handles jobs for the callers of one entry."""
 
@@ -84,31 +143,81 @@
         self._evacuated = evacuated
         self._queue_of = queue_of
         self._phases: dict[str, _CachedPhase] = {}
-        self._submissions: list[tuple[float, str, float]] = []
+        self._submissions: list[_Submission] = []
+        # The source of run times for predictions.
+        self.estimates: Estimates = CALLER_ESTIMATES
+        self._usual_work = UsualWork()
         self._pending = PendingJobs(succession, store, clock)
 
     # Submission
 
     async def submit(self, job: Job, wait_s: float) -> Verdict:
-        """Store a job; ACCEPTED means it is committed, REFUSED that it will never run."""
+        """Store a job; ACCEPTED means it is committed, REFUSED and TOO_LATE that it never runs."""
+        return (await self.accept(job, wait_s)).verdict
+
+    async def accept(self, job: Job, wait_s: float) -> Answer:
+        """Store a job as `submit` does; tell when a job that would be late may come back."""
         started_at = self._clock()
         until = started_at + min(wait_s - ANSWER_MARGIN_S, wait_s * UNSURE_SHARE)
+        # A refusal with a later version may be of a later attempt, whose caller knows of it.
+        seen = self._succession.watch.epoch_seen
+        self._usual_work.observe(job)
+        delay_s = self._refusal_delay_s(job)
+        verdict = None if delay_s is None else await self._refuse(job, until)
+        if verdict is None:
+            verdict = await self._store_job(job, until, seen)
+        acceptance_seconds.observe(self._clock() - started_at, verdict=verdict.value)
+        if delay_s is None or verdict is not Verdict.TOO_LATE:
+            return Answer(verdict)
+        return Answer(verdict, retry_after_s(delay_s, random.random()))
+
+    async def _store_job(self, job: Job, until: float, seen: int) -> Verdict:
         cell = self.choose_cell(job)
         claims = {cell: self._succession.watch.epoch(cell)}
         queue = self._queue_of(job)
         writer, timed = self._succession.me.name, job.is_timed
         progress = Progress(cell, writer=writer, claims=claims, queue=queue, timed=timed)
         store_job = self._relay if self._store.failing else self._create
-        verdict = await store_job(job, progress, until)
-        acceptance_seconds.observe(self._clock() - started_at, verdict=verdict.value)
-        return verdict
+        return await store_job(job, progress, until, seen)
+
+    def _refusal_delay_s(self, job: Job) -> float | None:
+        """Return after how many seconds a job would be in time if it is to be refused now."""
+        queue = self._queue_of(job)
+        if not self._succession.options.early_refusal or queue is None or self._store.failing:
+            return None
+        predictions = self._predict_all(job).values()
+        return refusal_delay_s(predictions, objective_s(job, queue))
+
+    async def _refuse(self, job: Job, until: float) -> Verdict | None:
+        """Record a refusal; return None if it may not be recorded and the job is to be stored."""
+        try:
+            async with asyncio.timeout(min(REFUSAL_TIMEOUT_S, until - self._clock())):
+                answer = await records.refuse_job(self._store, job.id)
+        except (TimeoutError, PlatformDown, AnswerLost) as exc:
+            log(Event.REFUSAL_UNSURE, job=job.id, queue=job.queue, error=exc or "timeout")
+            early_refusals.count(outcome="unsure")
+            return None
+        match answer:
+            case Committed(version):
+                log(Event.JOB_TOO_LATE, job=job.id, queue=job.queue, version=version)
+                early_refusals.count(outcome="refused")
+                return Verdict.TOO_LATE
+            case Stale():
+                log(Event.JOB_KNOWN, job=job.id, queue=job.queue)
+                early_refusals.count(outcome="known")
+                return Verdict.ACCEPTED
 
-    async def _create(self, job: Job, progress: Progress, until: float) -> Verdict:
+    async def _create(self, job: Job, progress: Progress, until: float, seen: int) -> Verdict:
         may_be_stored = False
+        refusal_version = ABSENT
         while True:
             try:
                 async with asyncio.timeout(until - self._clock()):
-                    answer = await records.create_job(self._store, job, progress)
+                    answer = await records.create_job(self._store, job, progress, refusal_version)
+                    if isinstance(answer, Stale):
+                        # Before the store tells why, a refusal would be a guess.
+                        may_be_stored = True
+                        conflict = await records.find_conflict(self._store, job.id, answer)
             except TimeoutError:
                 log(Event.JOB_UNSURE, job=job.id, queue=job.queue)
                 return Verdict.UNKNOWN
@@ -121,12 +230,19 @@
                 may_be_stored = True
                 log(Event.STORE_FAILED, what="accept", job=job.id, error=exc)
             else:
-                return self._handle_commit(job, progress, answer)
+                if isinstance(answer, Committed) or conflict is None:
+                    return self._handle_commit(job, progress, answer)
+                if conflict > seen:
+                    # It ends all creations that were sent before, so nothing of them gets stored.
+                    log(Event.JOB_TOO_LATE, job=job.id, queue=job.queue, version=conflict)
+                    return Verdict.TOO_LATE
+                refusal_version = conflict
+                continue
             await asyncio.sleep(STORE_RETRY_S)
 
-    async def _relay(self, job: Job, progress: Progress, until: float) -> Verdict:
+    async def _relay(self, job: Job, progress: Progress, until: float, seen: int) -> Verdict:
         """Store a job through a peer, while the store is unreachable from this entry."""
-        body = [job.encode(), progress.encode(), 0]
+        body = StoredJob(job, progress, seen).encode()
         for address in self._holder_addresses():
             left_s = until - self._clock()
             try:
@@ -157,7 +273,9 @@
         # The sender, cut off from the store, may not know about a takeover yet.
         known_epoch = self._succession.watch.epoch(progress.cell)
         progress.claims[progress.cell] = max(known_epoch, progress.claims.get(progress.cell, 0))
-        return await self._create(stored.job, progress, self._clock() + RELAY_TIMEOUT_S)
+        # The version is the newest one that the sender had seen when the submission began.
+        until = self._clock() + RELAY_TIMEOUT_S
+        return await self._create(stored.job, progress, until, stored.version)
 
     def _handle_commit(self, job: Job, progress: Progress, answer: Committed | Stale) -> Verdict:
         match answer:
@@ -186,42 +304,90 @@
         self._succession.send_to_holder(cell, stored)
 
     def choose_cell(self, job: Job) -> str:
-        """Return the cell that best fits the job's widest step; add the step to its recent load.
+        """Return the cell that best fits a job; add the job to what the cell was sent."""
+        now, step = self._clock(), widest_step(job)
+        choice = self.rank_cells(job)
+        cores = step.width * step.size.cores
+        needed = measure_job(job, self.estimates)
+        self._submissions.append(
+            _Submission(now, choice.cell, job.service, step.filling, cores, needed.work)
+        )
+        fields: dict[str, object] = {}
+        if choice.predictions:
+            fields["finish_s"] = _finishes(choice.predictions)
+            chosen = choice.predictions.get(choice.cell)
+            if chosen is not None and isfinite(chosen.finish_s):
+                predicted_finish_seconds.observe(chosen.finish_s)
+        log(
+            Event.CELL_CHOSEN,
+            job=job.id,
+            cell=choice.cell,
+            cores=round(cores, 1),
+            rooms=choice.rooms,
+            doubted=choice.doubted,
+            **fields,
+        )
+        return choice.cell
 
-        Cells whose holder may be gone are chosen only if no other cell has workers for it.
+    def rank_cells(self, job: Job) -> Choice:
+        """Return the cell that best fits the job's widest step.
+
+        Cells whose holder may be gone are chosen only if no other cell has workers for it. With
+        projected load, the cells with about the earliest predicted finish go before the others.
         """
         now, evacuated, step = self._clock(), self._evacuated(), widest_step(job)
         home, cells = self._succession.me.domain, self._succession.watch.cells
-        best, best_rank = home, (False, -float("inf"))
+        best, best_rank = home, (False, False, -float("inf"))
         rooms: dict[str, float] = {}
         doubted: list[str] = []
-        self._submissions = [row for row in self._submissions if now - row[0] < SUBMISSION_TTL_S]
-        for cell in cells:
-            owner = self._succession.watch.live_holder(cell, now)
-            if owner is None or cell in evacuated:
-                continue
-            recent = sum(cores for _, target, cores in self._submissions if target == cell)
+        self._submissions = [row for row in self._submissions if now - row.at < SUBMISSION_TTL_S]
+        uses_predictions = self._succession.options.projected_load
+        predictions = self._predict_all(job) if uses_predictions else {}
+        owners = {cell: self._succession.watch.live_holder(cell, now) for cell in cells}
+        live = {c: owner for c, owner in owners.items() if owner is not None and c not in evacuated}
+        doubted = [c for c, owner in live.items() if self._succession.may_be_gone(c, owner, now)]
+        finishes = {c: each.finish_s for c, each in predictions.items() if each is not None}
+        trusted = [finishes[c] for c in live if c in finishes and c not in doubted]
+        latest_s = latest_equal_s(trusted or finishes.values())
+        for cell, owner in live.items():
+            recent = sum(row.cores for row in self._submissions if row.cell == cell)
             load = owner.load.get(job.service, Load())
             rooms[cell] = round(load.room(step) - recent, 1)
             score = rate_cell(load, step, cell, cells, recent) + (
                 HOME_BONUS if cell == home else 0.0
             )
-            if self._succession.may_be_gone(cell, owner, now):
-                doubted.append(cell)
-            rank = (cell not in doubted, score)
+            is_early = finishes.get(cell, float("inf")) <= latest_s
+            rank = (cell not in doubted, is_early, score)
             if score > -float("inf") and rank > best_rank:
                 best, best_rank = cell, rank
-        cores = step.width * step.size.cores
-        self._submissions.append((now, best, cores))
-        log(
-            Event.CELL_CHOSEN,
-            job=job.id,
-            cell=best,
-            cores=round(cores, 1),
-            rooms=rooms,
-            doubted=doubted,
-        )
-        return best
+        return Choice(best, rooms, doubted, predictions)
+
+    def _predict_all(self, job: Job) -> dict[str, Prediction | None]:
+        """Predict a job's finish in all cells that are not evacuated; empty if that's impossible.
+
+        Rows that are too old tell nothing, unless the cell has no worker for the job.
+        """
+        queue, now, evacuated = self._queue_of(job), self._clock(), self._evacuated()
+        if queue is None or not is_predictable(job):
+            return {}
+        needed, place = measure_job(job, self.estimates), self._usual_work.place(job, queue)
+        found: dict[str, Prediction | None] = {}
+        for cell in self._succession.watch.cells:
+            if cell not in evacuated:
+                owner = self._succession.watch.live_holder(cell, now)
+                load = None if owner is None else owner.load.get(job.service)
+                sent = self._sent_to(cell, job.service, needed.step.filling, now)
+                can_run = self._succession.can_run(cell, job)
+                found[cell] = predict(load, needed, place, sent, can_run)
+        return found
+
+    def _sent_to(self, cell: str, service: str, filling: bool, now: float) -> Sent:
+        sent = NOTHING_SENT
+        for row in self._submissions:
+            is_recent = now - row.at < SUBMISSION_TTL_S
+            if is_recent and (row.cell, row.service, row.filling) == (cell, service, filling):
+                sent = sent.plus(row.cores, row.work)
+        return sent
 
     # Status
 
--- a/src/curranthall/platform/front.py
+++ b/src/curranthall/platform/front.py
@@ -64,7 +64,11 @@
             job = decode_job(job_id, queue, req.body, wall_ms())
         except BadInput as exc:
             return json_response({"error": str(exc)}, 400)
-        match await self._daemon.intake.submit(job, _wait_s(req)):
+        answer = await self._daemon.intake.accept(job, _wait_s(req))
+        match answer.verdict:
+            case Verdict.TOO_LATE:
+                error = {"error": "the job would be too late; it was not accepted"}
+                return json_response(error, 429, Retry_After=str(answer.retry_after_s))
             case Verdict.ACCEPTED:
                 return json_response({})
             case Verdict.REFUSED:
--- a/src/curranthall/telemetry.py
+++ b/src/curranthall/telemetry.py
@@ -67,7 +67,10 @@
 completion_seconds = Histogram("completion_seconds")
 store_call_seconds = Histogram("store_call_seconds")
 hold_seconds = Histogram("worker_look_seconds")
+predicted_finish_seconds = Histogram("predicted_finish_seconds")
 jobs_by_size = LabeledCounter("jobs_by_size_total")
+early_moves = LabeledCounter("early_moves_total")
+early_refusals = LabeledCounter("early_refusals_total")
 
 
 class Telemetry:
@@ -94,7 +97,14 @@
     def _samples(self) -> Iterator[Sample]:
         for name, count in counts.items():
             yield Sample("events_total", {"event": name.lower()}, count)
-        for histogram in (acceptance_seconds, completion_seconds, store_call_seconds, hold_seconds):
+        for histogram in (
+            acceptance_seconds,
+            completion_seconds,
+            store_call_seconds,
+            hold_seconds,
+            predicted_finish_seconds,
+        ):
             yield from histogram.samples()
-        yield from jobs_by_size.samples()
+        for counter in (jobs_by_size, early_moves, early_refusals):
+            yield from counter.samples()
         yield from self._gauges()
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -8,6 +8,7 @@
 
 from curranthall.catalogue import Catalogue, Operations, Route
 from curranthall.cells.advice import Advice
+from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.owner import CELL_PART, CELL_TABLE, Claimant, Owner, decode_owner
 from curranthall.cells.ports import (
     AskAdvice,
@@ -182,7 +183,10 @@
 class Cluster:
     """Three failure domains with entries and workers; `cuts` has the pairs of names cut apart."""
 
-    def __init__(self, seed: int = 1, entries: int = 2, workers: int = 3) -> None:
+    def __init__(
+        self, seed: int = 1, entries: int = 2, workers: int = 3, options: Options = NO_OPTIONS
+    ) -> None:
+        self.options = options
         self.rng = random.Random(seed)
         self.store = MemoryStore(now)
         self.judge = Judge(self.find_progress)
@@ -453,7 +457,7 @@
             no_advice,
             self.lost_at,
         )
-        self.succession = Succession(me, cluster.domains, Bounds(), env)
+        self.succession = Succession(me, cluster.domains, Bounds(), env, cluster.options)
         self.intake = Intake(
             self.succession,
             store,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -145,11 +145,11 @@
 class Preference(unittest.TestCase):
     """Doubts about a holder decide nothing but the order of the cells."""
 
-    def play(self, scene: Callable[[Cluster], Coroutine[Any, Any, None]], **sizes: int) -> None:
+    def play(self, scene: Callable[[Cluster], Coroutine[Any, Any, None]], workers: int = 3) -> None:
         """Run a scene in a cluster that has held its cells for a while."""
 
         async def main() -> None:
-            cluster = Cluster(1, **sizes)
+            cluster = Cluster(1, workers=workers)
             # More workers of one cell make it the best one.
             for number in range(6):
                 cluster.add_worker(f"b-x{number}", "b")
