--- a/src/curranthall/platform/front.py
+++ b/src/curranthall/platform/front.py
@@ -80,7 +80,11 @@
             return json_response({"error": str(exc)}, 400)
         if is_over_limit(customer, job):
             return await self._refuse_oversize(job)
-        match await self._daemon.intake.submit(job, _wait_s(req)):
+        answer = await self._daemon.intake.accept(job, _wait_s(req))
+        match answer.verdict:
+            case Verdict.TOO_LATE:
+                error = {"error": "the job would be too late; it was not accepted"}
+                return json_response(error, 429, Retry_After=str(answer.retry_after_s))
             case Verdict.ACCEPTED:
                 return json_response({})
             case Verdict.REFUSED:
