Test preemption: its rules, lost holders and late ends

Reason: a stopped run must neither run twice nor be lost when its holder is killed right after the stop, or its end comes late.

--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -4,6 +4,7 @@
 
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.fleet import Member, RunState
+from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.ports import (
     Ending,
     EndKind,
@@ -56,11 +57,12 @@
         max_attempts: int = 2,
         settled: bool = True,
         queue_of: Callable[[Job], Queue | None] | None = None,
+        options: Options = NO_OPTIONS,
     ) -> None:
         self.now, self.row_version = 100.0, EPOCH
         self.queue = Queue("q", SERVICE, 0, max_attempts, 2.0, 1_000)
         configured = queue_of or (lambda job: self.queue)
-        self.dispatcher = Dispatcher(CELL, EPOCH, Bounds(), configured, lambda: 0.0)
+        self.dispatcher = Dispatcher(CELL, EPOCH, Bounds(), configured, lambda: 0.0, options)
         for each in hosts:
             self.dispatcher.update_host(each)
         if settled:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -8,6 +8,7 @@
 
 from curranthall.catalogue import Catalogue, Operations, Route
 from curranthall.cells.advice import Advice
+from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.owner import CELL_PART, CELL_TABLE, Claimant, Owner, decode_owner
 from curranthall.cells.ports import (
     AskAdvice,
@@ -182,8 +183,16 @@
 class Cluster:
     """Three failure domains with entries and workers; `cuts` has the pairs of names cut apart."""
 
-    def __init__(self, seed: int = 1, entries: int = 2, workers: int = 3) -> None:
+    def __init__(
+        self,
+        seed: int = 1,
+        entries: int = 2,
+        workers: int = 3,
+        options: Options = NO_OPTIONS,
+        queues: tuple[Queue, ...] = (),
+    ) -> None:
         self.rng = random.Random(seed)
+        self.options = options
         self.store = MemoryStore(now)
         self.judge = Judge(self.find_progress)
         self.store_down = False
@@ -224,7 +233,8 @@
         self.dead: set[str] = set()
         self.domains = ("a", "b", "c")
         queue = Queue("q", SERVICE, 0, 3, 3.0, 2_000)
-        self.catalogue = Catalogue(1, (Route("h", "/q/", queue),), frozenset((SERVICE,)))
+        routes = [Route("h", f"/{each.name}/", each) for each in (queue, *queues)]
+        self.catalogue = Catalogue(1, tuple(routes), frozenset((SERVICE,)))
         # Tasks whose runs fail.
         self.failing: set[TaskId] = set()
         self.evacuated: frozenset[str] = frozenset()
@@ -453,7 +463,7 @@
             no_advice,
             self.lost_at,
         )
-        self.succession = Succession(me, cluster.domains, Bounds(), env)
+        self.succession = Succession(me, cluster.domains, Bounds(), env, cluster.options)
         self.intake = Intake(
             self.succession,
             store,
--- a/tests/load.py
+++ b/tests/load.py
@@ -147,6 +147,8 @@
     # One worker in this many is slower, by this factor.
     slow: tuple[int, float] = (0, 1.0)
     options: Options = NO_OPTIONS
+    # Time until a stopped run is over.
+    stop_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -199,6 +201,7 @@
     pace: float = 1.0
     used_cores: float = 0.0
     tail_ms: float = 0.0
+    stop_at: float = math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -229,6 +232,12 @@
         checkpoint = checkpoint if kind is not EndKind.DONE else ""
         self.ends.append(Ending(self.end_count, run.order.task, run.order.run, kind, checkpoint))
 
+    def end_stopped(self, now: float) -> None:
+        """End the runs whose stop takes effect by now."""
+        for run in list(self.runs.values()):
+            if now >= run.stop_at:
+                self.end(run, EndKind.STOPPED)
+
     def advance(self, now: float, weights: dict[tuple[str, str], float]) -> None:
         """Advance all runs by one time step; filling tasks share the cores left by the others."""
         cores = self.host.size.cores
@@ -450,7 +459,8 @@
         worker = self.workers[order.worker]
         run = worker.runs.get(order.task)
         if run is not None and run.order.run == order.run:
-            worker.end(run, EndKind.STOPPED)
+            run.stop_at = min(run.stop_at, self.now + self.plan.stop_s)
+            worker.end_stopped(self.now)
         dispatcher.on_stop_answered(order, self.now)
 
     def _execute_orders(self, dispatcher: Dispatcher) -> None:
@@ -572,6 +582,7 @@
         self._cancel_lasting_jobs()
         for worker in self.workers.values():
             worker.advance(self.now, self.weights)
+            worker.end_stopped(self.now)
             self._send_snapshot(worker)
         for name, dispatcher in self.cells.items():
             dispatcher.tick(self.now, self.now)
--- a/tests/order_plays.py
+++ b/tests/order_plays.py
@@ -1,8 +1,9 @@
 """What decisions in short room are worth: plays of `tests.load` with and without options.
 
-`python -m tests.order_plays [FIRST [COUNT [OPTIONS]]]` plays COUNT seeds from FIRST of each load,
-without options and with OPTIONS (comma-separated), and prints for each queue the earned share of
-its worth and the served shares of its largest tenth and of all its jobs, summed over the seeds.
+`python -m tests.order_plays [FIRST [COUNT [OPTIONS [LOADS]]]]` plays COUNT seeds from FIRST of
+LOADS (separated by semicolons, by default all), without options and with OPTIONS (separated by
+commas), and prints for each queue the mean earned share of its worth, and the served shares of its
+largest tenth and of all its jobs.
 """
 
 import sys
@@ -33,6 +34,10 @@
     BATCHES._replace(queue=BATCHES.queue._replace(priority=0), filling=False),
     PROFILES[2],
 )
+# Two priorities whose tasks both reserve cores; those of the lower one save checkpoints.
+PRIORITIES = (PROOFS, BATCHES._replace(filling=False, checkpointing=True), PROFILES[2])
+# Stops take half of the time that the platform allows.
+STOP_S = 0.45
 PLAYS = {
     "normal": Play(Plan()),
     "x 1.3": Play(overload(1.3)),
@@ -42,6 +47,10 @@
     "half the workers": Play(SHORT_OF_WORKERS, PROFILES[1:]),
     "half, no filling": Play(Plan(workers=4), ONE_PRIORITY),
     "half, burst": Play(overload(2.6, 10, 14)._replace(workers=4)),
+    "priorities": Play(Plan(workers=6, stop_s=STOP_S), PRIORITIES),
+    "priorities, x 1.6": Play(overload(1.6)._replace(workers=6, stop_s=STOP_S), PRIORITIES),
+    "priorities, burst": Play(overload(2.6, 10, 14)._replace(workers=6, stop_s=STOP_S), PRIORITIES),
+    "priorities, outage": Play(Plan(workers=6, outage=(10, 20), stop_s=STOP_S), PRIORITIES),
 }
 
 
@@ -71,10 +80,12 @@
 
 def main() -> None:
     """Play all loads and print a line for each queue."""
-    defaults = ["1", "6", "deadline_order"]
-    first, count, names = (sys.argv[1:] + defaults[len(sys.argv) - 1 :])[:3]
+    defaults = ["1", "6", "deadline_order", ""]
+    first, count, names, loads = (sys.argv[1:] + defaults[len(sys.argv) - 1 :])[:4]
     seeds = range(int(first), int(first) + int(count))
-    for load, each in PLAYS.items():
+    chosen = loads.split(";") if loads else list(PLAYS)
+    for load in chosen:
+        each = PLAYS[load]
         before = play(each, NO_OPTIONS, seeds)
         after = play(each, parse_options(names), seeds)
         for queue, found in before.items():
--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -1,8 +1,8 @@
 """Random simulations of takeovers in which the former holder is unaware of its successor.
 
 `python -m tests.takeover [FIRST [COUNT [KIND]]]` simulates COUNT seeds and prints the broken rules;
-KIND is `takeover`, `restarts`, `overload`, `departure`, `lasting`, `series`, `parts`, `gangs` or
-`reborn`.
+KIND is `takeover`, `restarts`, `overload`, `departure`, `lasting`, `series`, `parts`, `gangs`,
+`reborn` or `preemption`.
 """
 
 import asyncio
@@ -707,13 +707,14 @@
 
 def main() -> None:
     """Simulate a range of seeds."""
-    # It builds on this module.
+    # They build on this module.
+    from tests.preempting import Preempting
     from tests.reborn import Reborn
 
     first, count, kind = (sys.argv[1:] + ["0", "100", "takeover"][len(sys.argv) - 1 :])[:3]
     wrong = 0
     for seed in range(int(first), int(first) + int(count)):
-        broken = play(seed, {**KINDS, "reborn": Reborn}[kind])
+        broken = play(seed, {**KINDS, "reborn": Reborn, "preemption": Preempting}[kind])
         wrong += bool(broken)
         if broken:
             print(f"seed {seed}: {len(broken)} broken, first: {broken[0]}", flush=True)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -145,7 +145,7 @@
 class Preference(unittest.TestCase):
     """Doubts about a holder decide nothing but the order of the cells."""
 
-    def play(self, scene: Callable[[Cluster], Coroutine[Any, Any, None]], **sizes: int) -> None:
+    def play(self, scene: Callable[[Cluster], Coroutine[Any, Any, None]], **sizes: Any) -> None:
         """Run a scene in a cluster that has held its cells for a while."""
 
         async def main() -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -11,7 +11,7 @@
 from curranthall.intake import Verdict
 from curranthall.model import Size
 from curranthall.store import Put
-from tests import takeover
+from tests import preempting, takeover
 from tests.cluster import CALM_S, SERVICE, Cluster, now
 from tests.virtual import run
 
@@ -26,6 +26,8 @@
 SERIES_SEEDS = (2, 4, 8, 11, 32, 97, 521, 614)
 # Seeds in which parts of the store are away while a cell loses its holders.
 PARTS_SEEDS = (0, 1, 2)
+# Seeds in which holders are lost right after they stopped runs for urgent tasks.
+PREEMPTION_SEEDS = (0, 1)
 
 
 def make_job(number: int, step: Step) -> Job:
@@ -468,6 +470,11 @@
             with self.subTest(seed=seed):
                 self.assertEqual(takeover.play(seed, takeover.Parts), [])
 
+    def test_no_task_runs_twice_or_is_lost_when_its_run_was_stopped_for_another(self) -> None:
+        for seed in PREEMPTION_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(takeover.play(seed, preempting.Preempting), [])
+
     def test_holders_lost_in_series_do_not_prolong_the_wait_of_lasting_tasks(self) -> None:
         for seed in SERIES_SEEDS:
             with self.subTest(seed=seed):
