Limit deadline_order to plain tasks, and stops to tasks that get in time

Reason: going by slack cost filling queues under overload, since what they can run depends on interference, and stops for jobs that were late anyway cost more than those jobs earned. Change: only plain tasks go first when they must start now; a stop needs a job that is in time with it and not without it.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -214,7 +214,7 @@
         self._rooms: dict[str, list[Size]] = {}
         self._rooms_as_of: tuple[float, int, bool] | None = None
         self._busy_by_service: dict[str, bool] = {}
-        self._order = PlacementOrder(options.deadline_order)
+        self.order = PlacementOrder(options.deadline_order, cell=cell)
         self._preemption = Preemption()
         # Wait reasons as of the last summary.
         self.waits: list[WaitRow] = []
@@ -438,7 +438,7 @@
         self.tracked[job.id] = tracked
         self._update_queue(tracked)
         self._poison.note_row(tracked)
-        self._classify(tracked, self._order.note_job(tracked), now)
+        self._classify(tracked, self.order.note_job(tracked), now)
         if any(not (step.lasting or step.filling) for step in job.steps):
             self._short_seen_at = now
         self.unknown_jobs.discard(job.id)
@@ -572,7 +572,7 @@
                 or (batch.unplaced_since is not None and now - batch.unplaced_since >= after_s)
             )
         ]
-        return sorted(found, key=lambda batch: self._order.key(batch, now))
+        return sorted(found, key=lambda batch: self.order.key(batch, now))
 
     def list_strays(self, now: float) -> list[tuple[Batch, list[int]]]:
         """Return split gangs and their members here that another cell may start now.
@@ -1708,8 +1708,8 @@
         self._relieve_slowed(usable, now)
         refused: list[Refusal] = []
         reserved: dict[str, Size] = {}
-        self._order.update(self.tracked.values(), usable, now)
-        ready = sorted(self._ready.values(), key=lambda batch: self._order.key(batch, now))
+        self.order.update(self.tracked.values(), usable, now)
+        ready = sorted(self._ready.values(), key=lambda batch: self.order.key(batch, now))
         lasting = [batch for batch in ready if batch.step.lasting]
         self._place_all(lasting, usable, refused, reserved, now)
         self._move_departing(usable, reserved, now)
--- a/src/curranthall/cells/order.py
+++ b/src/curranthall/cells/order.py
@@ -8,8 +8,9 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from curranthall.cells.fleet import SERVING_USE, Member
+from curranthall.cells.fleet import Member
 from curranthall.cells.tracking import LATE_VALUE, Batch, TrackedJob
+from curranthall.events import Event, log
 
 # Weight of a new job in its queue's moving average of work.
 USUAL_WORK_GAIN = 0.05
@@ -17,11 +18,15 @@
 MIN_WORK = 0.1
 # Interval at which the jobs to be late are chosen again: short beside objectives of seconds.
 REORDER_S = 0.25
+# Up to so many open jobs; with more, the interval grows, so that the cost a second does not.
+JOBS_PER_INTERVAL = 500
+# Interval between log lines on the jobs to be late.
+LOG_INTERVAL_S = 2.0
 # A job that has to start within this time to be in time goes before denser ones with more slack.
 # In plays, going by slack from further ahead earned less: a capacity that is estimated too high
 # then makes many jobs late at once.
 URGENT_S = 0.1
-# Once tasks have found no worker for this long, the cores in use are the capacity for their kind.
+# Once tasks have found no worker for this long, the cores in use are their service's capacity.
 FULL_AFTER_S = 0.2
 
 
@@ -36,13 +41,6 @@
     urgency: float
 
 
-class Kind(NamedTuple):
-    """Work of a service that competes for the same cores."""
-
-    service: str
-    filling: bool
-
-
 class Demand(NamedTuple):
     """Remaining work of a job and the local time by which it should be done."""
 
@@ -63,14 +61,16 @@
         self,
         by_deadline: bool = False,
         fair_rank: Callable[[TrackedJob], float] = _no_fair_rank,
+        cell: str = "",
     ) -> None:
+        self._cell = cell
         self._by_deadline = by_deadline
         self._fair_rank = fair_rank
         # Moving average of a job's core-seconds, by queue.
         self._usual_work: dict[str, float] = {}
-        # Ids of the jobs that are to be late, as of a time.
+        # Ids of the jobs that are to be late, and when to choose them again.
         self._late: set[str] = set()
-        self._late_as_of = float("-inf")
+        self._update_at = self._log_at = float("-inf")
 
     def note_job(self, tracked: TrackedJob) -> float:
         """Include a new job in its queue's usual work; return that in core-seconds."""
@@ -84,7 +84,8 @@
 
         Nearly finished jobs come before new ones, late jobs after those in time, and jobs whose
         value has expired last. By deadline, jobs that must start now to be in time, and can be,
-        come before all others of their priority.
+        come before all others of their priority. Filling tasks are left out: how many of them can
+        run depends on what their images do to serving ones, so their capacity is not known.
         """
         tracked = batch.tracked
         if batch.step.lasting:
@@ -93,7 +94,8 @@
         latest_start = tracked.objective_at() - tracked.critical_paths_s[batch.number]
         late = now > latest_start
         fair_rank, priority = self._fair_rank(tracked), tracked.queue.priority
-        if self._by_deadline and not late and latest_start - now < URGENT_S:
+        may_hurry = self._by_deadline and not (late or batch.step.filling)
+        if may_hurry and latest_start - now < URGENT_S:
             if tracked.job.id not in self._late:
                 return SortKey(rank, priority, fair_rank, 0, latest_start)
         density = self._density(tracked) * (LATE_VALUE if late else 1.0)
@@ -102,28 +104,47 @@
     def update(self, jobs: Iterable[TrackedJob], members: Iterable[Member], now: float) -> None:
         """Choose the jobs to be late, at most once in REORDER_S.
 
-        Of each service and kind of work, jobs are dropped as long as those due by some time need
+        Of each service's jobs that don't fill, some are dropped as long as those due by a time need
         more than the capacity until then: the one that costs least for its remaining work first.
         """
-        if not self._by_deadline or now - self._late_as_of < REORDER_S:
+        if not self._by_deadline or now < self._update_at:
             return
-        self._late_as_of = now
         self._late = set()
-        full: set[Kind] = set()
-        demands: dict[Kind, list[Demand]] = {}
+        full: set[str] = set()
+        demands: dict[str, list[Demand]] = {}
         for tracked in jobs:
             demand = self._measure(tracked, now)
             if demand is not None:
-                filling = all(step.filling for step in tracked.job.steps)
-                demands.setdefault(Kind(tracked.queue.service, filling), []).append(demand)
-                full.update(_list_full(tracked, now))
+                demands.setdefault(tracked.queue.service, []).append(demand)
+                if _has_no_room(tracked, now):
+                    full.add(tracked.queue.service)
+        count = sum(map(len, demands.values()))
+        self._update_at = now + REORDER_S * max(1.0, count / JOBS_PER_INTERVAL)
         capacities = _measure_capacities(members, full)
-        for kind, found in demands.items():
-            self._late |= choose_late(found, capacities.get(kind, 0.0), now)
+        for service, found in demands.items():
+            self._late |= choose_late(found, capacities.get(service, 0.0), now)
+        if self._late and now >= self._log_at:
+            self._log_at = now + LOG_INTERVAL_S
+            cores = {name: round(capacities.get(name, 0.0), 1) for name in demands}
+            log(
+                Event.LATE_JOBS_CHOSEN,
+                cell=self._cell,
+                jobs=count,
+                late=len(self._late),
+                work=round(sum(each.work for found in demands.values() for each in found), 1),
+                cores=cores,
+            )
+
+    def count_late(self) -> int:
+        """Return how many open jobs are to be late because not all can be in time."""
+        return len(self._late)
 
     def _measure(self, tracked: TrackedJob, now: float) -> Demand | None:
         """Return what a job needs to be in time; None if it can't be, or has no objective."""
-        if tracked.final_at is not None or tracked.job.lasting or tracked.job.is_timed:
+        job = tracked.job
+        if tracked.final_at is not None or job.lasting or job.is_timed:
+            return None
+        if all(step.filling for step in job.steps):
             return None
         due = tracked.objective_at()
         if now > due:
@@ -155,28 +176,22 @@
     return late
 
 
-def _list_full(tracked: TrackedJob, now: float) -> list[Kind]:
-    """Return the kinds of work for which tasks of a job have found no room for a while."""
-    return [
-        Kind(tracked.queue.service, batch.step.filling)
-        for batch in tracked.batches.values()
-        if not batch.step.lasting
-        and batch.waiting
+def _has_no_room(tracked: TrackedJob, now: float) -> bool:
+    """Return whether tasks of a job have found no worker for a while."""
+    return any(
+        batch.waiting
+        and not (batch.step.lasting or batch.step.filling)
         and batch.unplaced_since is not None
         and now - batch.unplaced_since > FULL_AFTER_S
-    ]
+        for batch in tracked.batches.values()
+    )
 
 
-def _measure_capacities(members: Iterable[Member], full: set[Kind]) -> dict[Kind, float]:
-    """Return the cores for finite work: where it is full, those in use, else all."""
-    found: dict[Kind, float] = {}
+def _measure_capacities(members: Iterable[Member], full: set[str]) -> dict[str, float]:
+    """Return the cores for finite work by service: those in use where it is full, else all."""
+    found: dict[str, float] = {}
     for member in members:
-        service, cores = member.host.service, member.host.size.cores
-        unused = cores - member.used.cores + member.serving_cores * (1 - SERVING_USE)
-        plain, filling = Kind(service, False), Kind(service, True)
-        used = (member.used if plain in full else member.host.size).minus(member.lasting)
-        started = member.filling_cores - member.slowed_cores
-        filled = min(started, unused) if filling in full else unused
-        for kind, amount in ((plain, used.cores), (filling, filled)):
-            found[kind] = found.get(kind, 0.0) + max(amount, 0.0)
+        service = member.host.service
+        cores = (member.used if service in full else member.host.size).minus(member.lasting).cores
+        found[service] = found.get(service, 0.0) + max(cores, 0.0)
     return found
--- a/src/curranthall/cells/preemption.py
+++ b/src/curranthall/cells/preemption.py
@@ -10,7 +10,7 @@
 
 from curranthall.cells.fleet import Member, Run, RunState
 from curranthall.cells.placement import PlacementRequest, fits
-from curranthall.cells.tracking import LATE_VALUE, Batch
+from curranthall.cells.tracking import Batch
 from curranthall.events import Event, log
 from curranthall.model import ZERO_SIZE, Size
 from curranthall.telemetry import preempted_runs
@@ -18,9 +18,9 @@
 # A task is urgent once it has found no worker for this share of the time that its job has: less
 # would stop runs for waits that end by themselves, more would use up the slack.
 WAIT_SHARE = 0.1
-# Time until a stopped run's end is listed; the platform allows 0.9 s. Room that becomes free by
-# itself within it is waited for.
-STOP_S = 0.9
+# Expected time until a stopped run's end is listed; the platform allows 0.9 s. Room that becomes
+# free by itself within it is waited for.
+STOP_S = 0.45
 # Work that a stopped run loses besides that since its checkpoint: a restore takes up to this.
 RESTORE_S = 0.6
 # A run is stopped only this long after its start, so that it gets to its next checkpoint.
@@ -146,16 +146,13 @@
 
 
 def gains(batch: Batch, wait_s: float, now: float) -> bool:
-    """Return whether a job is worth more if a task starts after a stop than after a wait."""
-    tracked = batch.tracked
-    left_s = tracked.critical_paths_s[batch.number]
-
-    def worth(done_at: float) -> float:
-        if done_at <= tracked.objective_at():
-            return 1.0
-        return LATE_VALUE if done_at <= tracked.expires_at() else 0.0
+    """Return whether a job is in time if a task starts after a stop, and not after a wait.
 
-    return worth(now + STOP_S + left_s) > worth(now + wait_s + left_s)
+    In plays, stops for jobs that were late anyway cost more than those jobs earned.
+    """
+    tracked = batch.tracked
+    left_s, due = tracked.critical_paths_s[batch.number], tracked.objective_at()
+    return now + STOP_S + left_s <= due < now + wait_s + left_s
 
 
 def predict_wait(req: PlacementRequest, members: Iterable[Member], ahead: int, now: float) -> float:
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -105,6 +105,7 @@
     yield Sample("workers", {**label, "state": "other"}, len(members) - usable)
     yield Sample("workers_unproven", label, dispatcher.count_unproven())
     yield Sample("workers_paced", label, sum(member.pace < 100 for member in members))
+    yield Sample("jobs_chosen_late", label, dispatcher.order.count_late())
     yield Sample("runs", label, sum(len(member.runs) for member in members))
     for queue, count in runtime.waiting_jobs().items():
         yield Sample("queue_waiting_jobs", {**label, "queue": queue}, count)
--- a/tests/order_plays.py
+++ b/tests/order_plays.py
@@ -36,6 +36,14 @@
 )
 # Two priorities whose tasks both reserve cores; those of the lower one save checkpoints.
 PRIORITIES = (PROOFS, BATCHES._replace(filling=False, checkpointing=True), PROFILES[2])
+# Two queues of one priority, with the same tasks, of which one has objectives far away.
+PATIENT = BATCHES._replace(
+    queue=BATCHES.queue._replace(priority=0, objective_ms=15_000),
+    cores=PROOFS.cores,
+    memory=PROOFS.memory,
+    filling=False,
+)
+OBJECTIVES = (PROOFS, PATIENT, PROFILES[2])
 # Stops take half of the time that the platform allows.
 STOP_S = 0.45
 PLAYS = {
@@ -47,6 +55,10 @@
     "half the workers": Play(SHORT_OF_WORKERS, PROFILES[1:]),
     "half, no filling": Play(Plan(workers=4), ONE_PRIORITY),
     "half, burst": Play(overload(2.6, 10, 14)._replace(workers=4)),
+    "objectives": Play(Plan(workers=6), OBJECTIVES),
+    "objectives, x 1.6": Play(overload(1.6)._replace(workers=6), OBJECTIVES),
+    "objectives, burst": Play(overload(2.6, 10, 14)._replace(workers=6), OBJECTIVES),
+    "objectives, half, burst": Play(overload(2.6, 10, 14)._replace(workers=4), OBJECTIVES),
     "priorities": Play(Plan(workers=6, stop_s=STOP_S), PRIORITIES),
     "priorities, x 1.6": Play(overload(1.6)._replace(workers=6, stop_s=STOP_S), PRIORITIES),
     "priorities, burst": Play(overload(2.6, 10, 14)._replace(workers=6, stop_s=STOP_S), PRIORITIES),
