--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -206,10 +206,15 @@
     """Three failure domains with entries and workers; `cuts` has the pairs of names cut apart."""
 
     def __init__(
-        self, seed: int = 1, entries: int = 2, workers: int = 3, options: Options = NO_OPTIONS
+        self,
+        seed: int = 1,
+        entries: int = 2,
+        workers: int = 3,
+        options: Options = NO_OPTIONS,
+        queues: tuple[Queue, ...] = (),
     ) -> None:
-        self.options = options
         self.rng = random.Random(seed)
+        self.options = options
         self.store = MemoryStore(now)
         self.judge = Judge(self.find_progress)
         self.store_down = False
@@ -250,7 +255,8 @@
         self.dead: set[str] = set()
         self.domains = ("a", "b", "c")
         queue = Queue("q", SERVICE, 0, 3, 3.0, 2_000)
-        self.catalogue = Catalogue(1, (Route("h", "/q/", queue),), frozenset((SERVICE,)))
+        routes = [Route("h", f"/{each.name}/", each) for each in (queue, *queues)]
+        self.catalogue = Catalogue(1, tuple(routes), frozenset((SERVICE,)))
         # Tasks whose runs fail.
         self.failing: set[TaskId] = set()
         self.evacuated: frozenset[str] = frozenset()
--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -2,7 +2,7 @@
 
 `python -m tests.takeover [FIRST [COUNT [KIND]]]` simulates COUNT seeds and prints the broken rules;
 KIND is `takeover`, `restarts`, `overload`, `departure`, `lasting`, `series`, `parts`, `gangs`,
-`reborn`, `quota`, `copies`, `overloaded-copies` or `no-copies` (for comparison).
+`reborn`, `quota`, `preemption`, `copies`, `overloaded-copies` or `no-copies` (for comparison).
 """
 
 import asyncio
@@ -812,13 +812,15 @@
 def main() -> None:
     """Simulate a range of seeds."""
     # They build on this module.
+    from tests.preempting import Preempting
     from tests.quota_plays import QuotaPlay
     from tests.reborn import Reborn
 
     first, count, kind = (sys.argv[1:] + ["0", "100", "takeover"][len(sys.argv) - 1 :])[:3]
     wrong = 0
     for seed in range(int(first), int(first) + int(count)):
-        broken = play(seed, {**KINDS, "reborn": Reborn, "quota": QuotaPlay}[kind])
+        kinds = {**KINDS, "reborn": Reborn, "quota": QuotaPlay, "preemption": Preempting}
+        broken = play(seed, kinds[kind])
         wrong += bool(broken)
         if broken:
             print(f"seed {seed}: {len(broken)} broken, first: {broken[0]}", flush=True)
