--- /dev/null
+++ b/tests/test_refusal.py
@@ -0,0 +1,330 @@
+"""Refusals of jobs that would be too late: a refused job is stored by no earlier attempt."""
+
+import asyncio
+import itertools
+import unittest
+from collections.abc import Callable, Iterator
+from functools import partial
+from typing import Any, NamedTuple
+from unittest.mock import Mock
+
+from curranthall.cells.options import Options
+from curranthall.cells.owner import VACANT_S
+from curranthall.cells.records import PROGRESS_TABLE, REFUSAL_TABLE, part_of
+from curranthall.dag import Job, Phase, Step
+from curranthall.errors import AnswerLost
+from curranthall.intake import Intake, Verdict
+from curranthall.intake.intake import STORE_RETRY_S
+from curranthall.model import Size
+from curranthall.standin.store import MemoryStore
+from curranthall.store import Put
+from tests.cluster import SERVICE, Cluster, now
+from tests.virtual import run
+
+JOB = Job("1" * 16, "q", SERVICE, "spec", (Step(1, Size(1, 1), 1_000),), 0)
+WAIT_S = 60.0
+# How many answers get lost in one order of events, by the number of attempts; each transaction may
+# take effect later.
+MAX_LOST = {2: 2, 3: 1}
+
+
+class Op(NamedTuple):
+    """A call to the store that waits for its turn."""
+
+    attempt: int
+    effect: Callable[[], Any]
+    answer: asyncio.Future[Any]
+
+
+class OrderedStore:
+    """One attempt's view of the store, whose calls take effect when the test says so."""
+
+    failing = False
+
+    def __init__(self, play: "Play", attempt: int) -> None:
+        self._play, self._attempt = play, attempt
+
+    async def commit(self, *transaction: Any) -> Any:
+        """Wait for the turn of a transaction."""
+        return await self._wait(partial(self._play.store.apply, *transaction))
+
+    async def scan(self, *rows: Any) -> Any:
+        """Read at once: the order against transactions is that of the events before and after."""
+        return await self._play.store.scan(*rows)
+
+    async def feed(self, *rows: Any) -> Any:
+        """Follow the store's changes; no attempt does."""
+        return await self._play.store.feed(*rows)
+
+    async def _wait(self, effect: Callable[[], Any]) -> Any:
+        op = Op(self._attempt, effect, asyncio.get_running_loop().create_future())
+        self._play.ops.append(op)
+        return await op.answer
+
+
+class Play:
+    """Attempts to submit one job, each at another entry; `choose` picks the next event.
+
+    The caller gives up an attempt before it begins the next one.
+    """
+
+    def __init__(self, is_late: tuple[bool, ...], is_fresh: bool, choose: Callable[[int], int]):
+        self.is_late, self.is_fresh, self.choose = is_late, is_fresh, choose
+        self.store = MemoryStore(now)
+        self.ops: list[Op] = []
+        self.attempts: list[asyncio.Task[Verdict]] = []
+        # Lost transactions that may still take effect.
+        self.late: list[Op] = []
+        self.lost = 0
+        self.refused_up_to = -1
+        self.seen_answers: set[int] = set()
+        self.verdicts: list[Verdict] = []
+
+    def begin(self) -> None:
+        """Begin the next attempt at an entry that has read the rows just now, or never."""
+        number = len(self.attempts)
+        succession = Mock()
+        succession.watch.epoch_seen = self.store.version if self.is_fresh else 0
+        succession.watch.epoch.return_value = 1
+        succession.watch.row_age_ms.return_value = 0
+        succession.me.name = f"e{number}"
+        intake = Intake(
+            succession, OrderedStore(self, number), Mock(), now, frozenset, lambda job: None
+        )
+        delay_s = 5.0 if self.is_late[number] else None
+        intake._refusal_delay_s = lambda job: delay_s  # type: ignore[method-assign]
+        intake.choose_cell = lambda job: "a"  # type: ignore[method-assign]
+        self.attempts.append(asyncio.ensure_future(intake.submit(JOB, WAIT_S)))
+
+    def is_stored(self) -> bool:
+        """Return whether the job is stored."""
+        return self.store.find(PROGRESS_TABLE, part_of(JOB.id), JOB.id) is not None
+
+    def apply(self, op: Op) -> Any:
+        """Let a transaction take effect; fail if it stores a job that it must not store."""
+        was_stored = self.is_stored()
+        answer = op.effect()
+        if self.is_stored() and not was_stored:
+            assert op.attempt > self.refused_up_to, "a refused job was stored"
+        return answer
+
+    def events(self) -> Iterator[Callable[[], None]]:
+        """Yield the events that may happen next."""
+        # A call that timed out may still take effect.
+        self.late += [op for op in self.ops if op.answer.done()]
+        self.ops = [op for op in self.ops if not op.answer.done()]
+        for op in self.ops:
+            yield partial(self._answer, op)
+            if self.lost < MAX_LOST[len(self.is_late)]:
+                yield partial(self._lose, op, True)
+                yield partial(self._lose, op, False)
+        for op in self.late:
+            yield partial(self._apply_late, op)
+        if len(self.attempts) < len(self.is_late):
+            yield self.begin
+
+    def _answer(self, op: Op) -> None:
+        self.ops.remove(op)
+        op.answer.set_result(self.apply(op))
+
+    def _lose(self, op: Op, is_applied: bool) -> None:
+        self.ops.remove(op)
+        self.lost += 1
+        if is_applied:
+            self.apply(op)
+        else:
+            self.late.append(op)
+        op.answer.set_exception(AnswerLost(why="lost"))
+
+    def _apply_late(self, op: Op) -> None:
+        self.late.remove(op)
+        self.apply(op)
+
+    async def _settle(self) -> None:
+        """Let the attempts go on to their next call; check the answer that the caller sees."""
+        await asyncio.sleep(STORE_RETRY_S * 1.5)
+        last = len(self.attempts) - 1
+        if last in self.seen_answers or not self.attempts[last].done():
+            return
+        self.seen_answers.add(last)
+        verdict = self.attempts[last].result()
+        self.verdicts.append(verdict)
+        match verdict:
+            case Verdict.TOO_LATE | Verdict.REFUSED:
+                assert not self.is_stored(), "a refused job is stored"
+                self.refused_up_to = last
+            case Verdict.ACCEPTED:
+                assert self.is_stored(), "an accepted job is not stored"
+
+    async def run(self) -> None:
+        """Play until nothing can happen."""
+        self.begin()
+        await self._settle()
+        while events := list(self.events()):
+            events[self.choose(len(events))]()
+            await self._settle()
+        for attempt in self.attempts:
+            attempt.cancel()
+
+
+def explore(is_late: tuple[bool, ...], is_fresh: bool) -> list[list[Verdict]]:
+    """Play all orders of events; return the answers that the caller saw in each."""
+    found, path = [], list[tuple[int, int]]()
+    while True:
+        depth = itertools.count()
+
+        def choose(count: int, depth: Iterator[int] = depth) -> int:
+            at = next(depth)
+            if at == len(path):
+                path.append((0, count))
+            return path[at][0]
+
+        async def main(choose: Callable[[int], int] = choose) -> Play:
+            play = Play(is_late, is_fresh, choose)
+            await play.run()
+            return play
+
+        found.append(run(main()).verdicts)
+        while path and path[-1][0] + 1 == path[-1][1]:
+            path.pop()
+        if not path:
+            return found
+        path[-1] = path[-1][0] + 1, path[-1][1]
+
+
+class Orders(unittest.TestCase):
+    """A refusal, lost answers, late writes and retries with the same id, in every order."""
+
+    def test_a_refused_job_is_stored_by_no_attempt_before_the_refusal(self) -> None:
+        """An earlier creation without an answer could take effect after the caller got 429."""
+        orders, seen = 0, set[Verdict]()
+        for is_late in itertools.product((False, True), repeat=2):
+            for is_fresh in (False, True):
+                found = explore(is_late, is_fresh)
+                orders += len(found)
+                seen.update(itertools.chain(*found))
+        self.assertGreater(orders, 100)
+        self.assertEqual(seen, {Verdict.ACCEPTED, Verdict.TOO_LATE})
+
+    def test_three_attempts(self) -> None:
+        """A creation must not survive a refusal, a removal of its row and another refusal."""
+        for is_late in ((False, True, False), (True, False, True)):
+            with self.subTest(is_late):
+                self.assertGreater(len(explore(is_late, is_fresh=True)), 100)
+
+
+def make_job(number: int, width: int = 8, estimate_ms: int = 1_000) -> Job:
+    """Build a job of tasks of two cores."""
+    step = Step(width, Size(2, 1_000), estimate_ms)
+    return Job(f"{number:016x}", "q", SERVICE, "spec", (step,), int(now() * 1000))
+
+
+class Entries(unittest.TestCase):
+    """Entries of a cluster with work for a minute."""
+
+    def play(self, scene: Callable[[Cluster], Any], options: Options, jobs: int = 60) -> None:
+        """Run a scene in a cluster that has got jobs."""
+
+        async def main() -> None:
+            cluster = Cluster(1, options=options)
+            cluster.start()
+            await asyncio.sleep(4)
+            self.stored: list[int] = []
+            for number in range(1, jobs + 1):
+                job = make_job(number, estimate_ms=4_000)
+                cluster.work[job.id] = 4.0
+                if await cluster.submit("a-e0", job) is Verdict.ACCEPTED:
+                    self.stored.append(number)
+            await asyncio.sleep(2)
+            await scene(cluster)
+            cluster.close()
+            self.assertEqual(cluster.judge.broken, [])
+
+        run(main())
+
+    def test_a_job_without_prospects_is_refused_and_told_when_to_come_back(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            job = make_job(1_000, width=40)
+            cluster.judge.jobs[job.id] = job
+            answer = await cluster.entries["b-e0"].intake.accept(job, 2.0)
+            self.assertIs(answer.verdict, Verdict.TOO_LATE)
+            self.assertGreater(answer.retry_after_s, 1)
+            self.assertIsNone(cluster.find_progress(job.id))
+            self.assertIsNotNone(cluster.store.find(REFUSAL_TABLE, part_of(job.id), job.id))
+            # Once the work is done, a retry is stored, and the refusal's row is gone.
+            for _ in range(300):
+                await asyncio.sleep(1)
+                if all(
+                    (row := cluster.find_progress(f"{n:016x}")) and row.phase is Phase.COMPLETED
+                    for n in self.stored
+                ):
+                    break
+            await asyncio.sleep(2)
+            self.assertIs(await cluster.submit("c-e0", job), Verdict.ACCEPTED)
+            self.assertIsNone(cluster.store.find(REFUSAL_TABLE, part_of(job.id), job.id))
+            await asyncio.sleep(10)
+            self.assertIs(await cluster.phase("a-e0", job.id), Phase.COMPLETED)
+
+        self.play(scene, Options(early_refusal=True))
+
+    def test_nothing_is_refused_with_the_option_off(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            job = make_job(1_000, width=40)
+            self.assertIs(await cluster.submit("b-e0", job), Verdict.ACCEPTED)
+
+        self.play(scene, Options(projected_load=True))
+
+    def test_a_stored_job_is_accepted_again(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            for number in (self.stored[0], self.stored[-1]):
+                again = make_job(number, width=40)
+                verdict = await cluster.entries["b-e0"].intake.submit(again, 2.0)
+                self.assertIs(verdict, Verdict.ACCEPTED)
+
+        self.play(scene, Options(early_refusal=True))
+
+    def test_nothing_is_refused_while_a_cell_is_not_known(self) -> None:
+        """A cell whose holder is lost may have room for all."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = cluster.holder("a")
+            assert holder is not None
+            workers = [name for name in cluster.runners if name[0] == "a"]
+            cluster.cuts = {frozenset((each, w)) for each in cluster.entries for w in workers}
+            cluster.kill(holder)
+            await asyncio.sleep(VACANT_S + 1)
+            entry = next(name for name, each in cluster.entries.items() if not each.dead)
+            self.assertIs(await cluster.submit(entry, make_job(1_000, 40)), Verdict.ACCEPTED)
+
+        self.play(scene, Options(early_refusal=True))
+
+    def test_a_refusal_that_is_not_confirmed_is_none(self) -> None:
+        """The store is away: the job is submitted as usual, and answered as without the option."""
+
+        async def scene(cluster: Cluster) -> None:
+            cluster.store_down = True
+            verdict = await cluster.submit("b-e0", make_job(1_000, 40))
+            self.assertIn(verdict, (Verdict.REFUSED, Verdict.UNKNOWN))
+            cluster.store_down = False
+            cluster.lose_answers = 1.0
+            verdict = await cluster.submit("b-e1", make_job(1_001, 40))
+            self.assertIn(verdict, (Verdict.ACCEPTED, Verdict.UNKNOWN))
+
+        self.play(scene, Options(early_refusal=True))
+
+    def test_rows_that_cannot_be_told_apart_are_read(self) -> None:
+        """An answer of the store that names no tables is no proof that the job exists."""
+
+        async def scene(cluster: Cluster) -> None:
+            job = make_job(1_000)
+            puts = [Put(REFUSAL_TABLE, job.id, b"x")]
+            cluster.store.apply(part_of(job.id), [], puts, [])
+            await asyncio.sleep(2)
+            self.assertIs(await cluster.submit("b-e0", job), Verdict.ACCEPTED)
+            self.assertIsNotNone(cluster.find_progress(job.id))
+
+        self.play(scene, Options(), jobs=0)
+
+
+if __name__ == "__main__":
+    unittest.main()
