--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -11,6 +11,7 @@
 from curranthall.intake import Verdict
 from curranthall.model import Size
 from curranthall.store import Put
+from curranthall.telemetry import early_moves
 from tests import preempting, takeover
 from tests.cluster import CALM_S, SERVICE, Cluster, now
 from tests.virtual import run
@@ -30,6 +31,8 @@
 PARTS_SEEDS = (0, 1, 2)
 # Seeds in which holders are lost right after they stopped runs for urgent tasks.
 PREEMPTION_SEEDS = (0, 1)
+# Seeds in which holders are killed while jobs are moved early, and submissions are refused.
+EARLY_SEEDS = (0, 1, 2, 3)
 
 
 def make_job(number: int, step: Step) -> Job:
@@ -474,6 +477,12 @@
                 with self.subTest(kind=kind.__name__, seed=seed):
                     self.assertEqual(takeover.play(seed, kind), [])
 
+    def test_nothing_is_lost_or_miscounted_while_jobs_move_early(self) -> None:
+        for seed in EARLY_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(takeover.play(seed, takeover.Early), [])
+        self.assertGreater(sum(sample.value for sample in early_moves.samples()), 0)
+
     def test_no_task_runs_twice_while_parts_of_the_store_are_away(self) -> None:
         for seed in PARTS_SEEDS:
             with self.subTest(seed=seed):
