--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -4,13 +4,16 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from functools import partial
 from types import MappingProxyType
 from typing import NamedTuple
 
 from curranthall.cells.advice import Advice
+from curranthall.cells.backlog import sum_waiting, with_backlogs
 from curranthall.cells.boot_log import BootLog
-from curranthall.cells.departure import Departures, departing_runs, has_room_elsewhere
+from curranthall.cells.copies import COPY_START_WINDOW_S, Copies, CopyContext
+from curranthall.cells.departure import Departures, has_room_elsewhere
 from curranthall.cells.fencing import Fencing
 from curranthall.cells.fleet import (
     LATE_CALL_S,
@@ -24,6 +27,7 @@
     RunState,
     late_lease_end,
 )
+from curranthall.cells.forecast import CALLER_ESTIMATES, Estimates
 from curranthall.cells.gangs import IdleGangs
 from curranthall.cells.headroom import (
     FILLING_HEADROOM,
@@ -31,12 +35,13 @@
     Headroom,
     keep_headroom,
 )
-from curranthall.cells.interference import Interference, Observation
-from curranthall.cells.load import Load, Waiting, count_slots, measure, measure_cores
+from curranthall.cells.interference import Interference
+from curranthall.cells.load import Load, count_slots, measure, measure_cores
 from curranthall.cells.options import NO_OPTIONS, Options
+from curranthall.cells.order import Order as PlacementOrder
 from curranthall.cells.owner import UNKNOWN_WORKER
-from curranthall.cells.pacing import FULL_PACE, adjust_pace, worst_tail_ratio
-from curranthall.cells.placement import PlacementRequest, Refusal, choose_worker
+from curranthall.cells.pacing import FULL_PACE, adjust_pace, list_slowed, worst_tail_ratio
+from curranthall.cells.placement import PlacementRequest, Refusal, choose_worker, without_reserved
 from curranthall.cells.poison import (
     ISOLATION_CRASHES,
     PROBATION_S,
@@ -63,8 +68,10 @@
     StopTask,
     WorkerOrder,
 )
+from curranthall.cells.preemption import Preemption, log_preempted
 from curranthall.cells.quota import Quota
 from curranthall.cells.records import PARTS, has_tasks_in, part_of
+from curranthall.cells.reports import find_stalled, learn_interference
 from curranthall.cells.shares import SharesKeeper
 from curranthall.cells.spare import (
     MAX_OVERDUE_S,
@@ -74,7 +81,6 @@
 )
 from curranthall.cells.summary import CellView, log_summary
 from curranthall.cells.tracking import (
-    LATE_VALUE,
     Batch,
     Bounds,
     JobMove,
@@ -100,9 +106,6 @@
 NO_ROOM_PAUSE_S = 0.5
 # Pause before a job is tried again after a worker rejected its start as malformed.
 MALFORMED_PAUSE_S = 5.0
-# A run paced below this percentage for this long is moved to a free worker.
-RELIEF_PACE = 50
-RELIEF_AFTER_S = 0.5
 # A filling job with no run for this long gets one task started regardless of interference, and
 # after FORCE_START_S even where no core is idle: the platform allows 3 s. A finite job that could
 # not start here by LAST_ROOM_S may use the last room for one of its tasks in another cell.
@@ -120,10 +123,6 @@
 # A job may go without a run while this share of its service is in use. The platform requires half
 # and does not define whether reserved or used cores count, so both must reach this share.
 BUSY_SHARE = 0.6
-# Weight of a new job in its queue's moving average of work.
-USUAL_WORK_GAIN = 0.05
-# Lower bound, in core-seconds, of the remaining work that a job's value is divided by.
-MIN_WORK = 0.1
 # The most time that one tick accounts for: the process may have been suspended before it.
 MAX_TICK_S = 0.5
 # Interval between logged summaries of the cell.
@@ -134,21 +133,6 @@
 UNKNOWN_PACE = -1
 
 
-def _without_reserved(step: Step, usable: list[Member], reserved: dict[str, Size]) -> list[Member]:
-    """Exclude workers reserved for lasting tasks.
-
-    Filling tasks reserve only memory, so they may use a worker with memory for both.
-    """
-    if not reserved:
-        return usable
-    return [
-        member
-        for member in usable
-        if member.name not in reserved
-        or (step.filling and step.reserved.plus(reserved[member.name]).memory <= member.room.memory)
-    ]
-
-
 class _Unsent(NamedTuple):
     """A run whose start is sent once the job's row contains the change that records it."""
 
@@ -175,6 +159,8 @@
         self.bounds = bounds
         self.options = options
         self.quota = quota or Quota(SharesKeeper(cell, (cell,)), lambda: NO_CUSTOMERS)
+        # The source of run times for what is published and predicted.
+        self.estimates: Estimates = CALLER_ESTIMATES
         self.members: dict[str, Member] = {}
         # The highest fencing token that is certainly lower than any successor's.
         self._newest_token = epoch
@@ -184,6 +170,7 @@
         self._poison = PoisonDetector(self.tracked, cell)
         self.orders: deque[Order] = deque()
         self.interference = Interference()
+        self.copies = Copies()
         self._departures = Departures()
         self._idle_gangs = IdleGangs(cell)
         self.dirty: dict[str, TrackedJob] = {}
@@ -220,8 +207,8 @@
         self._rooms: dict[str, list[Size]] = {}
         self._rooms_as_of: tuple[float, int, bool] | None = None
         self._busy_by_service: dict[str, bool] = {}
-        # Moving average of a job's core-seconds, by queue.
-        self._usual_work: dict[str, float] = {}
+        self.order = PlacementOrder(options.deadline_order, self.quota.fair_rank, cell)
+        self._preemption = Preemption()
         # Wait reasons as of the last summary.
         self.waits: list[WaitRow] = []
         self.lasting_waits: list[LastingWait] = []
@@ -444,9 +431,7 @@
         self.tracked[job.id] = tracked
         self._update_queue(tracked)
         self._poison.note_row(tracked)
-        usual = self._usual_work.setdefault(job.queue, tracked.work)
-        self._usual_work[job.queue] = usual + USUAL_WORK_GAIN * (tracked.work - usual)
-        self._classify(tracked, usual, now)
+        self._classify(tracked, self.order.note_job(tracked), now)
         tracked.exceeds_rate = self.quota.exceeds_rate(job)
         if any(not (step.lasting or step.filling) for step in job.steps):
             self._short_seen_at = now
@@ -582,7 +567,7 @@
                 or (batch.unplaced_since is not None and now - batch.unplaced_since >= after_s)
             )
         ]
-        return sorted(found, key=lambda batch: self._sort_key(batch, now))
+        return sorted(found, key=lambda batch: self.order.key(batch, now))
 
     def list_strays(self, now: float) -> list[tuple[Batch, list[int]]]:
         """Return split gangs and their members here that another cell may start now.
@@ -829,6 +814,7 @@
         if reborn:
             self._keep_deferred_ends(member)
             member.confirmed = False
+            self.copies.speeds.forget(member.name)
             self._expect_late_starts(member)
             self._boot_log.note_restart(member, now)
         # While the list of ends is incomplete, an unlisted run may have ended as done.
@@ -857,7 +843,7 @@
         self._settle_crashes(member, snapshot.born, now)
         self._end_probations(member, listed, now)
         self._stop_stalled(member, now)
-        self._learn_interference(member)
+        learn_interference(self.interference, member)
         level = member.pace
         self.orders.extend(adjust_pace(member, self.interference, now))
         if member.pace != level:
@@ -977,9 +963,7 @@
         if not member.is_fenced:
             # Runs of a former boot are kept until a late start of their tasks can't have effect.
             return
-        for run in member.runs.values():
-            run.note_idle(member.speed(run), now)
-        stalled = [run for run in member.runs.values() if run.is_stalled]
+        stalled = find_stalled(member, now)
         if not stalled:
             return
         log(Event.WORKER_QUARANTINED, worker=member.name, why="runs stand still", runs=len(stalled))
@@ -990,25 +974,6 @@
                 tracked.failed_on.setdefault(run.task[1:], set()).add(member.name)
             self._stop(run, now)
 
-    def _learn_interference(self, member: Member) -> None:
-        """Update the interference model from a worker's reports, using each report once."""
-        serving: dict[str, list[Run]] = {}
-        for run in member.runs.values():
-            if run.step.target_ms and run.gauge and run.state is RunState.RUNNING:
-                serving.setdefault(run.step.image, []).append(run)
-        tails = tuple(run.gauge for runs in serving.values() for run in runs)
-        if tails == member.tails:
-            return
-        member.tails = tails
-        shares = member.used_shares()
-        for image, runs in serving.items():
-            tail_ms = len(runs) / sum(1 / run.gauge for run in runs)
-            tasks = tuple(run.number for run in runs)
-            target_ms = runs[0].step.target_ms
-            self.interference.observe(
-                Observation(image, tail_ms, target_ms, shares, member.name, tasks)
-            )
-
     def _on_listed(self, member: Member, entry: ListedRun, asked_at: float, now: float) -> None:
         run = member.runs.get((entry.task, entry.run))
         if run is None:
@@ -1018,8 +983,7 @@
         run.has_begun = True
         if run.state is RunState.STARTING:
             self._confirm_run(run, asked_at)
-        if entry.checkpoint:
-            run.checkpoint = entry.checkpoint
+        run.note_checkpoint(entry.checkpoint, now)
         if entry.percent != run.percent:
             run.percent = entry.percent
             run.note_progress(now)
@@ -1056,25 +1020,11 @@
             tracked.progress.is_done(*task[1:]) and not batch.step.lasting
         )
         if is_over or (others and not batch.step.copies):
-            self._log_duplicate(tracked, run, others)
+            if not (tracked.progress.phase.is_final or run.step.copies):
+                self._boot_log.log_duplicate(run, tracked.progress.is_done(*task[1:]), others)
             self._stop(run, now)
         return run
 
-    def _log_duplicate(self, tracked: TrackedJob, run: Run, others: list[Run]) -> None:
-        """Log a listed run whose task is done or has another run."""
-        if tracked.progress.phase.is_final or run.step.copies:
-            return
-        log(
-            Event.RUN_DUPLICATE,
-            task=run.task,
-            run=run.number,
-            worker=run.worker,
-            cell=self.cell,
-            epoch=self.epoch,
-            done=tracked.progress.is_done(*run.task[1:]),
-            others=[[other.number, other.worker] for other in others if other is not run],
-        )
-
     def _infer_done(self, tracked: TrackedJob, task: TaskId, now: float) -> bool:
         """Mark a running step's dependencies as done: it was started only after they ended.
 
@@ -1159,7 +1109,13 @@
             if run.is_suspect and ending.kind in (EndKind.DONE, EndKind.FAILED):
                 run.probation_until = 0.0
                 self._clear_crashes(run)
+        was_done = tracked.progress.is_done(*task[1:])
+        if run is not None:
+            self.copies.note_end(self._get_batch(tracked, task), run, ending.kind, was_done, now)
         match ending.kind:
+            case EndKind.DONE | EndKind.FAILED if was_done and step.copies and self.options.copies:
+                # Another run of the task was done first: this end changes nothing.
+                pass
             case EndKind.DONE if not step.lasting:
                 self._on_done(tracked, task, now)
             case EndKind.FAILED if not step.lasting:
@@ -1226,6 +1182,7 @@
     def _remove_run(self, run: Run, now: float, why: EndReason, how: str = "") -> None:
         """Remove a run that is over; its task waits again unless it is done."""
         self._boot_log.note_removed(run, why, now)
+        self.copies.note_removed(run, now)
         batch = self._detach_run(run, why, how)
         if batch is None:
             return
@@ -1238,7 +1195,7 @@
     def _detach_run(self, run: Run, why: EndReason, how: str = "") -> Batch | None:
         """Remove a run that is over; return its batch if its job is tracked and not final."""
         if why in NO_END_LISTED:
-            self._log_unlisted(run, why)
+            self._boot_log.log_unlisted(run, why, self.members.get(run.worker))
         member = self.members.get(run.worker)
         if member is not None:
             member.remove(run)
@@ -1263,21 +1220,6 @@
             tracked.former[run.task[1:]] = FormerRun(text, run.number, run.worker)
         return batch
 
-    def _log_unlisted(self, run: Run, why: EndReason) -> None:
-        """Log a run that is considered over although no worker listed its end."""
-        log(
-            Event.RUN_VANISHED,
-            task=run.task,
-            run=run.number,
-            worker=run.worker,
-            cell=self.cell,
-            epoch=self.epoch,
-            state=run.state.value,
-            why=why.value,
-            unsure=run.is_unsure,
-            **self._boot_log.boots(run, self.members.get(run.worker)),
-        )
-
     def _stop_gang(self, batch: Batch, now: float) -> None:
         """Stop the remaining runs of a gang; it starts again once all of them are over."""
         for runs in list(batch.active.values()):
@@ -1611,7 +1553,7 @@
             if member.is_ready and member.is_last_resort(now) and member.name not in failed_on
         ]
         if members:
-            self._place(batch, _without_reserved(batch.step, members, reserved), [], now)
+            self._place(batch, without_reserved(batch.step, members, reserved), [], now)
 
     def _takes_headroom(self, batch: Batch, now: float) -> bool:
         """Return whether a batch may take room kept free for short tasks that they don't use."""
@@ -1678,14 +1620,44 @@
         self._relieve_slowed(usable, now)
         refused: list[Refusal] = []
         reserved: dict[str, Size] = {}
-        ready = sorted(self._ready.values(), key=lambda batch: self._sort_key(batch, now))
+        self.order.update(self.tracked.values(), usable, now)
+        ready = sorted(self._ready.values(), key=lambda batch: self.order.key(batch, now))
         lasting = [batch for batch in ready if batch.step.lasting]
         self._place_all(lasting, usable, refused, reserved, now)
         self._move_departing(usable, reserved, now)
         finite = [batch for batch in ready if not batch.step.lasting]
+        for batch, member, *_ in self._preemption.take_ready(now):
+            if member in usable and not self._is_held(batch, now):
+                self._place(batch, [member], [], now)
         self._place_all(finite, usable, refused, reserved, now)
+        if self.options.preemption:
+            self._preempt(finite, usable, now)
         if any(batch.waiting for batch in lasting):
             self._spare_room.note(self._available_members(now), now)
+        if self.options.copies and self.copies.is_due(now):
+            self._copy_slow_runs(usable, now)
+
+    def _copy_slow_runs(self, usable: list[Member], now: float) -> None:
+        """Stop the copies that do not help, and start copies of slow runs."""
+        ctx = CopyContext(
+            self.tracked,
+            self.members,
+            usable,
+            list(self._ready.values()),
+            lambda run: self._get_restartable_batch(run, now),
+            self.interference,
+            now,
+        )
+        for run in self.copies.find_hopeless(ctx):
+            self._stop(run, now)
+        for batch, run, member in self.copies.choose(ctx):
+            if not self.quota.allows(batch):
+                continue
+            if run.checkpoint and run.step.checkpointing:
+                batch.tracked.checkpoints[run.task[1:]] = run.checkpoint
+            number = self._next_run(batch.tracked)
+            self.copies.note_start(batch, run, number, member.name, now)
+            self._start(batch, run.task.number, member, number, now)
 
     def _place_all(
         self,
@@ -1703,7 +1675,7 @@
                     # Room in which the tasks that it is reserved for do not fit yet is free for it.
                     self._place(batch, usable, [], now)
                 else:
-                    members = _without_reserved(batch.step, usable, reserved)
+                    members = without_reserved(batch.step, usable, reserved)
                     self._place(batch, members, refused, now)
                 self._place_at_last_resort(batch, reserved, now)
                 if batch.step.lasting and batch.waiting and self.quota.allows(batch):
@@ -1725,7 +1697,7 @@
             batch = self._get_restartable_batch(run, now)
             if batch is None or batch in unplaced or not self._departures.may_stop(run, batch, now):
                 continue
-            members = _without_reserved(batch.step, usable, reserved)
+            members = without_reserved(batch.step, usable, reserved)
             if batch.tracked.queue.advised:
                 members = self._approved_workers(batch, members, now)
             takes_headroom = self._takes_headroom(batch, now)
@@ -1772,26 +1744,17 @@
     def _relieve_slowed(self, usable: list[Member], now: float) -> None:
         """Stop a slowed run that can resume from its checkpoint at full pace elsewhere."""
         free = [member for member in usable if member.pace == FULL_PACE]
-        for member in usable:
-            if member.pace >= RELIEF_PACE or now - member.pace_changed_at < RELIEF_AFTER_S:
-                continue
-            for run in list(member.runs.values()):
-                if run.pace >= RELIEF_PACE or run.state is not RunState.RUNNING:
-                    continue
-                if (
-                    run.step.checkpointing
-                    and not run.step.gang
-                    and self._can_run_elsewhere(run, free, now)
-                ):
-                    log(
-                        Event.RUN_RELIEVED,
-                        task=run.task,
-                        worker=member.name,
-                        why="slowed",
-                        pace=run.pace,
-                    )
-                    self._stop(run, now)
-                    return
+        for run in list_slowed(usable, now):
+            if self._can_run_elsewhere(run, free, now):
+                log(
+                    Event.RUN_RELIEVED,
+                    task=run.task,
+                    worker=run.worker,
+                    why="slowed",
+                    pace=run.pace,
+                )
+                self._stop(run, now)
+                return
 
     def _can_run_elsewhere(self, run: Run, free: list[Member], now: float) -> bool:
         tracked = self.tracked.get(run.task.job)
@@ -1822,6 +1785,39 @@
         )
         return choose_worker(req, members)
 
+    def _preempt(self, ready: list[Batch], usable: list[Member], now: float) -> None:
+        """Stop runs of lower priority for the first urgent task that gains by it."""
+        for urgent in self._preemption.find_urgent(ready, now):
+            batch, tracked = urgent.batch, urgent.batch.tracked
+            indexes = [
+                index
+                for index in startable(batch)
+                if not count_for_placement(batch, index)
+                and self._find_unanswered(batch, index, now) is None
+            ]
+            if not indexes or self._is_held(batch, now):
+                continue
+            avoid = tracked.avoided_workers(batch.key(indexes[0]))
+            members = [member for member in usable if member.name not in avoid]
+            if tracked.queue.advised:
+                members = batch.tickets.approved(members, now)
+            req = PlacementRequest(tracked.queue.service, batch.step, batch.siblings())
+            may_stop = partial(self._may_preempt, tracked.queue.priority, now)
+            runs = self._preemption.choose(urgent, req, members, may_stop, now)
+            for run in runs:
+                log_preempted(run, batch, self.cell, self.epoch, now)
+                self._stop(run, now)
+            if runs:
+                return
+
+    def _may_preempt(self, priority: int, now: float, run: Run, chosen: Sequence[Run]) -> bool:
+        """Return whether a run may be stopped for a task of a priority, beside the chosen ones."""
+        batch, limit = self._get_restartable_batch(run, now), run.step.max_unavailable
+        if batch is None or batch.tracked.queue.priority <= priority:
+            return False
+        siblings = sum(other.task[:3] == run.task[:3] for other in chosen)
+        return not limit or batch.count_interrupted() + siblings < limit
+
     def _reserve_worker(
         self, batch: Batch, usable: list[Member], reserved: dict[str, Size], now: float
     ) -> None:
@@ -1845,22 +1841,6 @@
         if fitting:
             reserved[max(fitting, key=lambda member: member.room.cores).name] = step.size
 
-    def _sort_key(self, batch: Batch, now: float) -> tuple[int, int, int, float]:
-        """Return a sort key: lasting tasks first, then priority and value per remaining work.
-
-        Customers below their fair share go before others of the priority. Nearly finished jobs come
-        before new ones, late jobs after those in time, and jobs whose value has expired last.
-        """
-        tracked, fair_rank = batch.tracked, self.quota.fair_rank(batch)
-        if batch.step.lasting:
-            return 0, 0, fair_rank, tracked.due
-        rank = 2 if now > tracked.expires_at() else 1
-        left_s = tracked.critical_paths_s[batch.number]
-        late = now + left_s > tracked.objective_at()
-        value = tracked.value(self._usual_work.get(tracked.job.queue, 0.0))
-        density = value * (LATE_VALUE if late else 1.0) / max(tracked.work_left(), MIN_WORK)
-        return rank, tracked.queue.priority, fair_rank, -density
-
     def _is_held(self, batch: Batch, now: float) -> bool:
         tracked = batch.tracked
         if now < tracked.pause_until or not self._can_start(tracked):
@@ -2074,6 +2054,7 @@
         checkpoint = tracked.checkpoints.get(task[1:], "") if batch.step.checkpointing else ""
         run = Run(task, number, member.name, batch.step, RunState.STARTING, now, checkpoint)
         run.probation_until, run.crashes = now + PROBATION_S, count_suspicions(batch, index)
+        run.is_atypical = bool(checkpoint)
         unanswered = self._find_unanswered(batch, index, now)
         if unanswered is not None and unanswered.worker == member.name:
             run.unanswered_at = unanswered.sent_at
@@ -2123,7 +2104,9 @@
         if run.crashes >= ISOLATION_CRASHES:
             # Now, as this holder may be lost before it notices that the worker is silent.
             self._doubt(member, [run], now)
-        deadline_ms = member.clock_now(now) + int(START_WINDOW_S * 1000)
+        is_copy = (task, run.number) in self.copies.open
+        window_s = COPY_START_WINDOW_S if is_copy else START_WINDOW_S
+        deadline_ms = member.clock_now(now) + int(window_s * 1000)
         member.granted_ms = max(member.granted_ms, deadline_ms)
         member.note_used(now)
         run.sent_to, run.token = member.born, member.token
@@ -2170,20 +2153,15 @@
 
     def load(self, now: float) -> dict[str, Load]:
         """Return the cell's load by service, once the renewal that publishes it is confirmed."""
-        waiting: dict[str, Waiting] = {}
-        for batch in filter(self.quota.allows, self._ready.values()):
-            service = batch.tracked.queue.service
-            cores = batch.count_waiting() * batch.step.size.cores
-            waiting[service] = waiting.get(service, Waiting()).plus(cores, batch.step)
-        for run in departing_runs(self.members.values()):
-            service = self.members[run.worker].host.service
-            needed = waiting.get(service, Waiting())
-            waiting[service] = needed.plus(run.step.size.cores, run.step)
+        waiting = sum_waiting(filter(self.quota.allows, self._ready.values()), self.members)
         open_members = [] if self.closed else list(self.members.values())
         usable = self._available_members(now)
         quarantined = [member for member in open_members if member.is_last_resort(now)]
         headroom = self._measure_headroom(now)
-        return measure(usable, waiting, self.interference, headroom, quarantined)
+        loads = measure(usable, waiting, self.interference, headroom, quarantined)
+        if not self.options.needs_backlog:
+            return loads
+        return with_backlogs(loads, self.cell, self.tracked.values(), usable, self.estimates, now)
 
     def _available_members(self, now: float) -> list[Member]:
         """Return the workers that count in the published load; none if the cell is closed."""
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from curranthall.cells.advice import Tickets
-from curranthall.cells.fleet import FormerRun, Run, Wait
+from curranthall.cells.fleet import FormerRun, Run, RunState, Wait
 from curranthall.dag import Job, Phase, Progress, Queue, Step, TaskId
 from curranthall.dag.progress import TaskKey, drop_keys_below
 
@@ -35,6 +35,13 @@
     return f"{2.0 ** min(max(power, MIN_CLASS_POWER), MAX_CLASS_POWER):g}"
 
 
+def relative_value(work: float, usual_work: float) -> float:
+    """Return the value of a job by its core-seconds, relative to a usual job of its queue."""
+    if usual_work <= 0:
+        return 1.0
+    return min(MAX_VALUE, BASE_VALUE + (1 - BASE_VALUE) * work / usual_work)
+
+
 def _earliest(*times: float | None) -> float | None:
     """Return the earliest of the known times."""
     return min((each for each in times if each is not None), default=None)
@@ -87,6 +94,8 @@
     tickets: Tickets = field(default_factory=Tickets)
     # How many members of a gang found a worker when it was last tried.
     fitting: int = 0
+    # Run times in seconds of the first runs that ended as done, for a step that allows copies.
+    ended_s: list[float] = field(default_factory=list)
 
     def count_waiting(self) -> int:
         """Return how many tasks wait, held or not."""
@@ -120,6 +129,13 @@
         at_work = [any(run.is_at_work for run in runs) for runs in self.active.values()]
         return self.count_waiting() + len(at_work) - sum(at_work)
 
+    def count_interrupted(self) -> int:
+        """Return how many of the tasks in this cell have no run, or one that is being stopped."""
+        stopping = [
+            all(run.state is RunState.STOPPING for run in runs) for runs in self.active.values()
+        ]
+        return self.count_waiting() + sum(stopping)
+
     def together_with(self, indexes: Iterable[int] | None = None) -> Iterable[int]:
         """Return the given tasks, by default all, and those that only start together with them."""
         if self.step.gang or indexes is None:
@@ -288,9 +304,7 @@
 
     def value(self, usual_work: float) -> float:
         """Return the job's value relative to a usual job of its queue."""
-        if usual_work <= 0:
-            return 1.0
-        return min(MAX_VALUE, BASE_VALUE + (1 - BASE_VALUE) * self.work / usual_work)
+        return relative_value(self.work, usual_work)
 
     def outcome(self) -> str:
         """Return the outcome of a finished job, relative to its objective if it has one."""
--- a/tests/cell_fixtures.py
+++ b/tests/cell_fixtures.py
@@ -4,6 +4,7 @@
 
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.fleet import Member, RunState
+from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.ports import (
     Ending,
     EndKind,
@@ -59,6 +60,7 @@
         max_attempts: int = 2,
         settled: bool = True,
         queue_of: Callable[[Job], Queue | None] | None = None,
+        options: Options = NO_OPTIONS,
         customers: Customers = NO_CUSTOMERS,
         wall_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
@@ -68,7 +70,9 @@
         self.keeper = SharesKeeper(CELL, (CELL,))
         self.keeper.on_read(None, 0)
         quota = Quota(self.keeper, lambda: customers, customers.find)
-        self.dispatcher = Dispatcher(CELL, EPOCH, Bounds(), configured, wall_ms, quota=quota)
+        self.dispatcher = Dispatcher(
+            CELL, EPOCH, Bounds(), configured, wall_ms, options, quota=quota
+        )
         for each in hosts:
             self.dispatcher.update_host(each)
         if settled:
--- a/tests/load.py
+++ b/tests/load.py
@@ -11,6 +11,7 @@
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.fleet import Member
 from curranthall.cells.load import Load, rate_cell, widest_step
+from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.placement import PlacementRequest, choose_worker
 from curranthall.cells.ports import (
     Ending,
@@ -76,6 +77,8 @@
     images: int = 1
     lasting: bool = False
     filling: bool = False
+    # Also tasks that are not filling save checkpoints.
+    checkpointing: bool = False
     # Share of the workers' cores that lasting jobs hold at the start.
     initial_share: float = 0.0
     lifetime_s: Lognormal = Lognormal(70, 0.5, 210)
@@ -143,6 +146,9 @@
     cores: float = 64.0
     # One worker in this many is slower, by this factor.
     slow: tuple[int, float] = (0, 1.0)
+    options: Options = NO_OPTIONS
+    # Time until a stopped run is over.
+    stop_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -195,6 +201,7 @@
     pace: float = 1.0
     used_cores: float = 0.0
     tail_ms: float = 0.0
+    stop_at: float = math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -225,6 +232,12 @@
         checkpoint = checkpoint if kind is not EndKind.DONE else ""
         self.ends.append(Ending(self.end_count, run.order.task, run.order.run, kind, checkpoint))
 
+    def end_stopped(self, now: float) -> None:
+        """End the runs whose stop takes effect by now."""
+        for run in list(self.runs.values()):
+            if now >= run.stop_at:
+                self.end(run, EndKind.STOPPED)
+
     def advance(self, now: float, weights: dict[tuple[str, str], float]) -> None:
         """Advance all runs by one time step; filling tasks share the cores left by the others."""
         cores = self.host.size.cores
@@ -317,7 +330,12 @@
         queues = {profile.queue.name: profile.queue for profile in profiles}
         for epoch, cell in enumerate("abc", 1):
             dispatcher = Dispatcher(
-                cell, epoch, Bounds(), lambda job: queues[job.queue], lambda: self.now * 1000
+                cell,
+                epoch,
+                Bounds(),
+                lambda job: queues[job.queue],
+                lambda: self.now * 1000,
+                plan.options,
             )
             self.cells[cell], self.balancers[cell] = dispatcher, Balancer()
             for number in range(plan.workers):
@@ -362,7 +380,7 @@
                     size,
                     int(seconds * 1000 * estimate_factor),
                     (number - 1,) if number else (),
-                    checkpointing=profile.filling,
+                    checkpointing=profile.filling or profile.checkpointing,
                     max_per_worker=2 if limited else 0,
                     lasting=profile.lasting,
                     image=image if profile.images > 1 else "",
@@ -441,7 +459,8 @@
         worker = self.workers[order.worker]
         run = worker.runs.get(order.task)
         if run is not None and run.order.run == order.run:
-            worker.end(run, EndKind.STOPPED)
+            run.stop_at = min(run.stop_at, self.now + self.plan.stop_s)
+            worker.end_stopped(self.now)
         dispatcher.on_stop_answered(order, self.now)
 
     def _execute_orders(self, dispatcher: Dispatcher) -> None:
@@ -563,6 +582,7 @@
         self._cancel_lasting_jobs()
         for worker in self.workers.values():
             worker.advance(self.now, self.weights)
+            worker.end_stopped(self.now)
             self._send_snapshot(worker)
         for name, dispatcher in self.cells.items():
             dispatcher.tick(self.now, self.now)
--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -2,7 +2,8 @@
 
 `python -m tests.takeover [FIRST [COUNT [KIND]]]` simulates COUNT seeds and prints the broken rules;
 KIND is `takeover`, `restarts`, `overload`, `departure`, `lasting`, `series`, `parts`, `gangs`,
-`reborn` or `quota`.
+`reborn`, `quota`, `preemption`, `early`, `copies`, `overloaded-copies` or `no-copies` (for
+comparison).
 """
 
 import asyncio
@@ -11,8 +12,9 @@
 import sys
 from collections.abc import Callable
 
+from curranthall.cells.options import Options
 from curranthall.cells.records import JOB_TABLE, PARTS, PROGRESS_TABLE, part_of
-from curranthall.dag import Job, Phase, Progress, Step
+from curranthall.dag import Job, Phase, Progress, Step, TaskId
 from curranthall.errors import CurranthallError
 from curranthall.intake import Verdict
 from curranthall.model import Size
@@ -25,6 +27,8 @@
 
 JOBS = 24
 FAULTS = 6
+# Failed runs of a task that end its job, as the cluster's queue has it.
+MAX_ATTEMPTS = 3
 # Time after the last fault until every lease is over and all delayed tasks have started.
 SETTLE_S = 25.0
 
@@ -44,6 +48,9 @@
 class Simulation:
     """One random simulation."""
 
+    # Run times of a job's tasks, drawn by job.
+    work_s: tuple[float, ...] = (0.5, 1.0, 1.0, 3.0, 8.0)
+
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
         self.cluster = Cluster(seed, entries=2, workers=4)
@@ -83,7 +90,7 @@
         rng, cluster = self.rng, self.cluster
         await asyncio.sleep(rng.uniform(0, 16))
         job = Job(f"{number:016x}", "q", SERVICE, "spec", self._random_steps(), int(now() * 1000))
-        cluster.work[job.id] = rng.choice((0.5, 1.0, 1.0, 3.0, 8.0))
+        cluster.work[job.id] = rng.choice(self.work_s)
         alive = [name for name, entry in cluster.entries.items() if not entry.dead]
         if alive:
             await cluster.submit(rng.choice(alive), job)
@@ -683,6 +690,194 @@
                 self.gangs.broken.append(f"{now():.3f} steps {idle} do not run: {job.id}")
 
 
+class Copies(Restarts):
+    """A simulation of steps with copies, of which many runs are slow and some fail.
+
+    Half of the seeds have no orderly restarts. `is_on` switches copies on.
+    """
+
+    is_on = True
+    work_s = (0.5, 1.0, 1.5)
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        random.seed(seed)
+        cluster = self.cluster = Cluster(seed, entries=2, workers=5)
+        cluster.options = Options(copies=self.is_on)
+        cluster.slow_share, cluster.fail_share = 0.15, 0.05
+
+    async def run(self) -> list[str]:
+        """Run the simulation; return the broken rules."""
+        watch = asyncio.ensure_future(self._watch_rows())
+        try:
+            return await super().run() + self._check_ends()
+        finally:
+            watch.cancel()
+
+    async def _watch_rows(self) -> None:
+        """Note when the rows tell that a task is done."""
+        recorded = self.cluster.judge.recorded
+        while True:
+            for job in self.accepted:
+                progress = self.cluster.find_progress(job.id)
+                for (occurrence, step), mask in progress.done.items() if progress else ():
+                    for index in range(mask.bit_length()):
+                        if mask >> index & 1:
+                            recorded.setdefault(TaskId(job.id, occurrence, step, index), now())
+            await asyncio.sleep(0.05)
+
+    def _check_ends(self) -> list[str]:
+        """Report jobs without an end, runs that are left over, and more failures than allowed."""
+        cluster, broken = self.cluster, []
+        phases = {}
+        for job in self.accepted:
+            progress = cluster.find_progress(job.id)
+            if progress is None:
+                continue
+            phases[job.id] = progress.phase
+            if not progress.phase.is_final:
+                broken.append(f"not ended: {job.id}")
+            failed = max(map(len, progress.failures.values()), default=0)
+            if progress.phase is Phase.FAILED and failed < MAX_ATTEMPTS:
+                broken.append(f"failed after {failed} failed runs: {job.id}")
+        for name, runner in cluster.runners.items():
+            broken += [
+                f"left over on {name}: {task}"
+                for task in runner.running
+                if phases.get(task.job, Phase.QUEUED).is_final
+            ]
+        for task, runs in cluster.judge.failed.items():
+            if len(runs) > MAX_ATTEMPTS:
+                broken.append(f"{len(runs)} failed runs: {task}")
+        return broken
+
+    def _random_steps(self) -> tuple[Step, ...]:
+        rng, size = self.rng, Size(1, 1_000)
+        one = Step(rng.randint(3, 12), size, 1_000, copies=True)
+        match rng.randrange(4):
+            case 0:
+                return (one, one._replace(width=rng.randint(1, 4), after=(0,)))
+            case 1:
+                return (one._replace(max_per_worker=2), Step(2, size, 1_000))
+            case _:
+                return (one,)
+
+    async def _submit_later(self, number: int) -> None:
+        await super()._submit_later(number)
+        job = next((job for job in self.accepted if job.id == f"{number:016x}"), None)
+        if job is not None and self.rng.random() < 0.2:
+            # Some of its tasks may have two runs then.
+            await asyncio.sleep(self.rng.uniform(1.0, 4.0))
+            await self._cancel(job)
+
+    async def _restart_in_turn(self) -> None:
+        if self.rng.random() < 0.5:
+            await super()._restart_in_turn()
+
+
+class OverloadedCopies(Copies, Overload):
+    """The same with the faults of `Overload`."""
+
+
+class NoCopies(Copies):
+    """The same without copies, for comparison."""
+
+    is_on = False
+
+
+class Early(Simulation):
+    """Waves of jobs that are moved early, while holders are killed and the store loses answers."""
+
+    waves = 3
+    jobs_per_wave = 45
+    # By then all leases are over and all jobs of a wave have run.
+    settle_s = 60.0
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        random.seed(seed)
+        options = Options(projected_load=True, early_refusal=True)
+        self.cluster = Cluster(seed, entries=2, workers=4, options=options)
+        self.refused: list[Job] = []
+        self.count = 0
+
+    async def run(self) -> list[str]:
+        """Run the simulation; return the broken rules."""
+        cluster = self.cluster
+        cluster.start()
+        await asyncio.sleep(3)
+        for _ in range(self.waves):
+            cluster.lose_answers = self.rng.choice((0.0, 0.1, 0.3))
+            await asyncio.gather(self._wave(self.rng.uniform(0.5, 3.0)), self._kill_holders())
+        cluster.lose_answers = 0.0
+        self._end_faults()
+        await asyncio.sleep(self.settle_s)
+        broken = [*cluster.judge.broken, *self._check_all_done()]
+        # Of one task each: a job that another cell has begun a part of counts as waiting here,
+        # with and without the options.
+        await self._wave(60.0, lambda: Step(1, Size(4, 1_000), 1_000))
+        await asyncio.sleep(8.0)
+        broken += await self._check_counts()
+        cluster.close()
+        return broken
+
+    def _small_step(self) -> Step:
+        return Step(self.rng.randint(1, 4), Size(self.rng.choice((1, 2)), 1_000), 1_000)
+
+    async def _wave(self, seconds: float, draw: Callable[[], Step] | None = None) -> None:
+        """Submit jobs while all but one cell are taken out, then give the others back."""
+        rng, cluster = self.rng, self.cluster
+        cluster.evacuated = frozenset(rng.sample(cluster.domains, 2))
+        for _ in range(self.jobs_per_wave):
+            await asyncio.sleep(rng.uniform(0.0, 0.03))
+            self.count += 1
+            step = (draw or self._small_step)()
+            job = Job(f"{self.count:016x}", "q", SERVICE, "spec", (step,), int(now() * 1000))
+            cluster.work[job.id] = seconds
+            alive = [name for name, entry in cluster.entries.items() if not entry.dead]
+            verdict = await cluster.submit(rng.choice(alive), job)
+            if verdict is Verdict.ACCEPTED:
+                self.accepted.append(job)
+            elif verdict is not Verdict.UNKNOWN:
+                self.refused.append(job)
+        cluster.evacuated = frozenset()
+
+    async def _kill_holders(self) -> None:
+        """Kill holders at random while jobs are moved; start them again."""
+        rng, cluster = self.rng, self.cluster
+        for _ in range(3):
+            await asyncio.sleep(rng.uniform(0.2, 2.0))
+            holder = cluster.holder(rng.choice(cluster.domains))
+            if holder is not None:
+                cluster.kill(holder)
+                await asyncio.sleep(rng.uniform(0.1, 3.0))
+                cluster.restart(holder)
+
+    def _check_all_done(self) -> list[str]:
+        """Report accepted jobs that are not done, and refused ones that are stored."""
+        found = {job.id: self.cluster.find_progress(job.id) for job in self.accepted}
+        lost = [
+            f"{job_id} was accepted and is not done: {row and row.phase}"
+            for job_id, row in found.items()
+            if row is None or row.phase is not Phase.COMPLETED
+        ]
+        stored = [job.id for job in self.refused if self.cluster.find_progress(job.id)]
+        return lost + [f"{job_id} was refused and is stored" for job_id in stored]
+
+    async def _check_counts(self) -> list[str]:
+        """Compare the waiting jobs that entries show with those that had no start."""
+        cluster = self.cluster
+        started = {task.job for task in cluster.judge.last_start}
+        rows = [(job.id, cluster.find_progress(job.id)) for job in cluster.judge.jobs.values()]
+        stored = {job_id for job_id, row in rows if row is not None and not row.phase.is_final}
+        wanted, broken = len(stored - started), []
+        for name, entry in cluster.entries.items():
+            shown = await entry.intake.count_pending("q")
+            if shown != wanted:
+                broken.append(f"{name} shows {shown} waiting jobs instead of {wanted}")
+        return broken if wanted else [*broken, "no job waits"]
+
+
 KINDS = {
     "takeover": Simulation,
     "restarts": Restarts,
@@ -692,6 +887,10 @@
     "series": Series,
     "parts": Parts,
     "gangs": Gangs,
+    "early": Early,
+    "copies": Copies,
+    "overloaded-copies": OverloadedCopies,
+    "no-copies": NoCopies,
 }
 
 
@@ -708,13 +907,15 @@
 def main() -> None:
     """Simulate a range of seeds."""
     # They build on this module.
+    from tests.preempting import Preempting
     from tests.quota_plays import QuotaPlay
     from tests.reborn import Reborn
 
     first, count, kind = (sys.argv[1:] + ["0", "100", "takeover"][len(sys.argv) - 1 :])[:3]
     wrong = 0
     for seed in range(int(first), int(first) + int(count)):
-        broken = play(seed, {**KINDS, "reborn": Reborn, "quota": QuotaPlay}[kind])
+        kinds = {**KINDS, "reborn": Reborn, "quota": QuotaPlay, "preemption": Preempting}
+        broken = play(seed, kinds[kind])
         wrong += bool(broken)
         if broken:
             print(f"seed {seed}: {len(broken)} broken, first: {broken[0]}", flush=True)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -11,7 +11,8 @@
 from curranthall.intake import Verdict
 from curranthall.model import Size
 from curranthall.store import Put
-from tests import takeover
+from curranthall.telemetry import early_moves
+from tests import preempting, takeover
 from tests.cluster import CALM_S, SERVICE, Cluster, now
 from tests.virtual import run
 
@@ -24,8 +25,14 @@
 DEPARTURE_SEEDS = (0, 1, 2)
 # Seeds in which tasks waited longer with each holder that was lost.
 SERIES_SEEDS = (2, 4, 8, 11, 32, 97, 521, 614)
+# Seeds in which many tasks have two runs while holders, workers and the store fail.
+COPIES_SEEDS = (0, 1, 2)
 # Seeds in which parts of the store are away while a cell loses its holders.
 PARTS_SEEDS = (0, 1, 2)
+# Seeds in which holders are lost right after they stopped runs for urgent tasks.
+PREEMPTION_SEEDS = (0, 1)
+# Seeds in which holders are killed while jobs are moved early, and submissions are refused.
+EARLY_SEEDS = (0, 1, 2, 3)
 
 
 def make_job(number: int, step: Step) -> Job:
@@ -463,11 +470,29 @@
             with self.subTest(seed=seed):
                 self.assertEqual(takeover.play(seed, takeover.Departure), [])
 
+    def test_copies_end_with_their_tasks_whatever_fails(self) -> None:
+        """A run was left over, started after its task was done, or failed its job too early."""
+        for kind in (takeover.Copies, takeover.OverloadedCopies):
+            for seed in COPIES_SEEDS:
+                with self.subTest(kind=kind.__name__, seed=seed):
+                    self.assertEqual(takeover.play(seed, kind), [])
+
+    def test_nothing_is_lost_or_miscounted_while_jobs_move_early(self) -> None:
+        for seed in EARLY_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(takeover.play(seed, takeover.Early), [])
+        self.assertGreater(sum(sample.value for sample in early_moves.samples()), 0)
+
     def test_no_task_runs_twice_while_parts_of_the_store_are_away(self) -> None:
         for seed in PARTS_SEEDS:
             with self.subTest(seed=seed):
                 self.assertEqual(takeover.play(seed, takeover.Parts), [])
 
+    def test_no_task_runs_twice_or_is_lost_when_its_run_was_stopped_for_another(self) -> None:
+        for seed in PREEMPTION_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(takeover.play(seed, preempting.Preempting), [])
+
     def test_holders_lost_in_series_do_not_prolong_the_wait_of_lasting_tasks(self) -> None:
         for seed in SERIES_SEEDS:
             with self.subTest(seed=seed):
