Let plays of copies show runs that are left over

Change: `copies` has runs of up to 21 s, twice as many failures and a longer quiet end, and reports runs that go on 4 s after their task was recorded as done without a fault.

--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -18,7 +18,7 @@
 from curranthall.intake import Verdict
 from curranthall.model import Size
 from curranthall.store import Put
-from tests.cluster import SERVICE, Cluster, now
+from tests.cluster import CALM_S, SERVICE, Cluster, now
 from tests.gang_judge import GangJudge
 from tests.lease_judge import LeaseJudge
 from tests.virtual import run
@@ -26,6 +26,8 @@
 
 JOBS = 24
 FAULTS = 6
+# Without a fault, runs of a task that is done are stopped within this time, takeovers included.
+STOP_S = 4.0
 # Failed runs of a task that end its job, as the cluster's queue has it.
 MAX_ATTEMPTS = 3
 # Time after the last fault until every lease is over and all delayed tasks have started.
@@ -49,6 +51,7 @@
 
     # Run times of a job's tasks, drawn by job.
     work_s: tuple[float, ...] = (0.5, 1.0, 1.0, 3.0, 8.0)
+    settle_s = SETTLE_S
 
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
@@ -66,7 +69,7 @@
         await asyncio.gather(self._faults(), self._faults())
         await asyncio.gather(*callers)
         self._end_faults()
-        await asyncio.sleep(SETTLE_S)
+        await asyncio.sleep(self.settle_s)
         for job in self.accepted:
             if any(step.lasting for step in job.steps):
                 await self._cancel(job)
@@ -696,14 +699,16 @@
     """
 
     is_on = True
-    work_s = (0.5, 1.0, 1.5)
+    # Slow runs take up to 21 s, so that one that is left over is seen after the last fault.
+    work_s = (0.5, 1.0, 3.0)
+    settle_s = 45.0
 
     def __init__(self, seed: int) -> None:
         super().__init__(seed)
         random.seed(seed)
         cluster = self.cluster = Cluster(seed, entries=2, workers=5)
         cluster.options = Options(copies=self.is_on)
-        cluster.slow_share, cluster.fail_share = 0.15, 0.05
+        cluster.slow_share, cluster.fail_share = 0.15, 0.1
 
     async def run(self) -> list[str]:
         """Run the simulation; return the broken rules."""
@@ -714,9 +719,17 @@
             watch.cancel()
 
     async def _watch_rows(self) -> None:
-        """Note when the rows tell that a task is done."""
-        recorded = self.cluster.judge.recorded
+        """Note when the rows tell that a task is done, and report runs that go on for long then."""
+        judge, recorded = self.cluster.judge, self.cluster.judge.recorded
+        reported: set[tuple[str, TaskId]] = set()
         while True:
+            calm_since = judge.fault_at + CALM_S
+            for name, runner in self.cluster.runners.items():
+                for task in runner.running:
+                    done_at = max(recorded.get(task, now()), calm_since)
+                    if now() - done_at > STOP_S and (name, task) not in reported:
+                        reported.add((name, task))
+                        judge.broken.append(f"{now():.3f} runs on though done: {task} on {name}")
             for job in self.accepted:
                 progress = self.cluster.find_progress(job.id)
                 for (occurrence, step), mask in progress.done.items() if progress else ():
