Tests of held room and of starts under way for preemption

Change: tests of the free room that is held, of its release, and of an unanswered start; a condition that another one implies is gone.

--- a/src/curranthall/cells/preemption.py
+++ b/src/curranthall/cells/preemption.py
@@ -96,8 +96,7 @@
         Returns no runs if the task gains nothing.
         """
         batch, ahead = urgent
-        wait_s = predict_wait(req, members, ahead, now)
-        if wait_s <= STOP_S or not gains(batch, wait_s, now):
+        if not gains(batch, predict_wait(req, members, ahead, now), now):
             return []
         while self._stopped and now - self._stopped[0][0] >= WINDOW_S:
             self._stopped.popleft()
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -2,12 +2,23 @@
 
 import unittest
 
+from curranthall.cells.fleet import Run, RunState
 from curranthall.cells.options import Options
 from curranthall.cells.ports import EndKind, StartTask
 from curranthall.cells.preemption import HOLD_S, MAX_STOPPED_SHARE, WINDOW_S, is_urgent
 from curranthall.cells.tracking import Batch, TrackedJob
 from curranthall.dag import Job, Queue, Step
-from tests.cell_fixtures import SERVICE, Cell, claimed_progress, ended, host, job, listed, step
+from tests.cell_fixtures import (
+    SERVICE,
+    Cell,
+    claimed_progress,
+    ended,
+    host,
+    job,
+    listed,
+    step,
+    task,
+)
 
 # Objectives are 1 s and twice the chain of 1 s.
 URGENT, BULK = Queue("q", SERVICE, 0, 2, 2.0, 1_000), Queue("bulk", SERVICE, 2, 2, 2.0, 60_000)
@@ -130,15 +141,18 @@
         self.assertEqual(self.wait(job("a" * 16, step(1, 4))), [])
 
     def test_stops_nothing_while_a_start_of_the_task_may_be_under_way(self) -> None:
-        urgent = job("a" * 16, step(1, 8))
+        # A later boot of the worker may still execute the task's unanswered start.
+        (order,) = self.start(bulk("b" * 16, 8))
+        urgent = job("a" * 16, step(1, 4))
         self.cell.add(urgent)
-        (order,) = self.cell.plan()
-        # The worker does not answer the start, and answers a list without the run.
-        self.cell.dispatcher.on_start_unanswered(order, self.cell.now)
-        self.start(bulk("b" * 16, 8))
-        self.tick(0.6)
+        former = Run(task("a" * 16), 1, "w1", urgent.steps[0], RunState.STARTING, self.cell.now)
+        self.cell.dispatcher.tracked[urgent.id].unanswered[0, 0, 0] = former
+        self.assertEqual(self.wait(urgent), [])
+        del self.cell.dispatcher.tracked[urgent.id].unanswered[0, 0, 0]
+        self.tick(0.2)
+        self.cell.answer("w1", [listed(order, 6)])
         self.cell.plan()
-        self.assertNotIn("b" * 16, [each.task.job for each in self.cell.stops()])
+        self.assertEqual([each.task.job for each in self.cell.stops()], ["b" * 16])
 
     def test_room_is_held_until_the_late_end_is_listed_and_then_used(self) -> None:
         (order,) = self.start(bulk("b" * 16, 8))
@@ -161,12 +175,20 @@
         (again,) = self.cell.plan()
         self.assertEqual((again.task, again.checkpoint), (order.task, "9"))
 
+    def test_free_room_is_held_besides_that_of_the_stopped_run(self) -> None:
+        self.start(bulk("b" * 16, 6))
+        self.assertEqual(self.wait(job("a" * 16, step(1, 8))), ["b" * 16])
+        self.assertEqual(self.cell.member("w1").room.cores, 0)
+        # It would fit beside the run that is being stopped.
+        self.cell.add(job("d" * 16, step(1, 2)))
+        self.assertEqual(self.cell.plan(), [])
+
     def test_room_is_released_if_the_end_never_comes(self) -> None:
-        self.start(bulk("b" * 16, 8))
-        self.wait(job("a" * 16, step(1, 6)))
+        self.start(bulk("b" * 16, 6))
+        self.wait(job("a" * 16, step(1, 8)))
         self.tick(HOLD_S)
         self.cell.plan()
-        self.assertEqual(self.cell.member("w1").used, step(1, 8).size)
+        self.assertEqual(self.cell.member("w1").used, step(1, 6).size)
 
     def test_a_successor_starts_the_stopped_task_once_its_end_is_listed(self) -> None:
         # The holder is lost after the stop; the next one finds the run or its end listed.
