--- a/src/curranthall/cells/early_moves.py
+++ b/src/curranthall/cells/early_moves.py
@@ -23,17 +23,20 @@
 from curranthall.cells.tracking import Batch
 from curranthall.dag import Step
 
-# A pass takes about as long as a planning pass, so it is not made more often than this.
-PASS_INTERVAL_S = 0.2
+# A pass takes milliseconds in a cell with hundreds of jobs, so it is not made more often than this.
+PASS_INTERVAL_S = 0.4
 # A move is a commit in the store, which does 26 a second while it is slow; ends need them, too.
-MOVES_PER_PASS = 2
+MOVES_PER_PASS = 4
+# So many jobs are considered in a pass, those that go last: they gain the most.
+MAX_CANDIDATES = 32
 # A move takes a commit (0.1 s to 0.3 s); the gain exceeds it, and this share of the prediction.
 MARGIN_S = 0.5
 MARGIN_SHARE = 0.25
 # A job that was moved here stays for this long: more than the age of any published load.
 STAY_S = 4.0
-# Published loads are up to two renewals old, so work that was moved counts for this long.
-MOVED_S = 1.8
+# Work that was moved counts for this long: a commit, and two renewals until the load that has it is
+# read.
+MOVED_S = 2.4
 
 
 class Target(Protocol):
@@ -112,21 +115,24 @@
         if not jobs or not targets:
             return
         own, count = dispatcher.load(now), 0
-        needs = [measure_remaining(each.tracked, dispatcher.estimates) for each in jobs.values()]
         # The published work includes these jobs; only those that go first are ahead of a job.
         listed: dict[_Kind, dict[int, float]] = {}
         passed = defaultdict[_Kind, float](float)
-        for batch, needed in zip(jobs.values(), needs, strict=True):
+        for batch in jobs.values():
             queue = batch.tracked.queue
-            work = listed.setdefault((queue.service, needed.step.filling), {})
-            work[queue.priority] = work.get(queue.priority, 0.0) + needed.work
-        for batch, needed in zip(jobs.values(), needs, strict=True):
+            work = listed.setdefault((queue.service, batch.step.filling), {})
+            work[queue.priority] = work.get(queue.priority, 0.0) + batch.tracked.work_left()
+        first_candidate = len(jobs) - MAX_CANDIDATES
+        for at, batch in enumerate(jobs.values()):
             queue = batch.tracked.queue
-            kind = queue.service, needed.step.filling
+            kind = queue.service, batch.step.filling
             load, first = own.get(queue.service), passed[kind]
-            passed[kind] += needed.work
-            if load is None or load.backlog is None or not may_move(dispatcher, batch, now):
+            passed[kind] += batch.tracked.work_left()
+            if at < first_candidate or load is None or load.backlog is None:
                 continue
+            if not may_move(dispatcher, batch, now):
+                continue
+            needed = measure_remaining(batch.tracked, dispatcher.estimates)
             behind = sum(
                 core_seconds
                 for priority, core_seconds in listed[kind].items()
@@ -149,13 +155,15 @@
                 return
 
     def _best(
-        self, batch: Batch, needed: Remaining, rank: int, targets: Iterable[Target]
+        self, batch: Batch, needed: Remaining, rank: int, targets: Sequence[Target]
     ) -> tuple[str, Prediction] | None:
         """Return the cell with the earliest predicted finish of a job, if any is known."""
         queue, found = batch.tracked.queue, []
         for target in targets:
             fits = all(target.can_run(queue.service, step) for step in batch.tracked.job.steps)
             sent = self._sent_to(target.cell, queue.service, needed.step)
+            # The other cells see the same load, and may move as much there.
+            sent = sent._replace(work=sent.work * len(targets))
             load = target.left.get(queue.service)
             # Which jobs of its rank go first there is not known: all, lest it is moved to and fro.
             place = Place(queue.priority, rank, rank, share=1.0)
--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -106,6 +106,12 @@
     yield Sample("workers_unproven", label, dispatcher.count_unproven())
     yield Sample("workers_paced", label, sum(member.pace < 100 for member in members))
     yield Sample("runs", label, sum(len(member.runs) for member in members))
+    for service, load in runtime.owner.load.items():
+        if load.backlog is not None:
+            labels = {**label, "service": service}
+            for kind, work in (("plain", load.backlog.plain), ("filling", load.backlog.filling)):
+                total = sum(each.core_seconds for each in work)
+                yield Sample("backlog_core_seconds", {**labels, "kind": kind}, total)
     for queue, count in runtime.waiting_jobs().items():
         yield Sample("queue_waiting_jobs", {**label, "queue": queue}, count)
     for row in dispatcher.waits:
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import defaultdict
 from collections.abc import Callable
 from enum import Enum
 from math import isfinite
@@ -12,7 +13,6 @@
     CALLER_ESTIMATES,
     MIN_RETRY_AFTER_S,
     NEVER,
-    NOTHING_SENT,
     Estimates,
     Prediction,
     Sent,
@@ -372,23 +372,21 @@
             return {}
         needed, place = measure_job(job, self.estimates), self._usual_work.place(job, queue)
         found: dict[str, Prediction | None] = {}
+        sent_cores, sent_work = defaultdict[str, float](float), defaultdict[str, float](float)
+        for row in self._submissions:
+            is_recent = now - row.at < SUBMISSION_TTL_S
+            if is_recent and (row.service, row.filling) == (job.service, needed.step.filling):
+                sent_cores[row.cell] += row.cores
+                sent_work[row.cell] += row.work
         for cell in self._succession.watch.cells:
             if cell not in evacuated:
                 owner = self._succession.watch.live_holder(cell, now)
                 load = None if owner is None else owner.load.get(job.service)
-                sent = self._sent_to(cell, job.service, needed.step.filling, now)
+                sent = Sent(sent_cores[cell], sent_work[cell])
                 can_run = self._succession.can_run(cell, job)
                 found[cell] = predict(load, needed, place, sent, can_run)
         return found
 
-    def _sent_to(self, cell: str, service: str, filling: bool, now: float) -> Sent:
-        sent = NOTHING_SENT
-        for row in self._submissions:
-            is_recent = now - row.at < SUBMISSION_TTL_S
-            if is_recent and (row.cell, row.service, row.filling) == (cell, service, filling):
-                sent = sent.plus(row.cores, row.work)
-        return sent
-
     # Status
 
     async def phase(self, job_id: str) -> JobStatus:
--- a/tests/test_refusal.py
+++ b/tests/test_refusal.py
@@ -6,16 +6,18 @@
 from collections.abc import Callable, Iterator
 from functools import partial
 from typing import Any, NamedTuple
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock, patch
 
 from curranthall.cells.options import Options
 from curranthall.cells.owner import VACANT_S
 from curranthall.cells.records import PROGRESS_TABLE, REFUSAL_TABLE, part_of
 from curranthall.dag import Job, Phase, Step
 from curranthall.errors import AnswerLost
+from curranthall.http import Request
 from curranthall.intake import Intake, Verdict
-from curranthall.intake.intake import STORE_RETRY_S
+from curranthall.intake.intake import STORE_RETRY_S, Answer
 from curranthall.model import Size
+from curranthall.platform.front import Frontend
 from curranthall.standin.store import MemoryStore
 from curranthall.store import Put
 from tests.cluster import SERVICE, Cluster, now
@@ -219,6 +221,19 @@
     return Job(f"{number:016x}", "q", SERVICE, "spec", (step,), int(now() * 1000))
 
 
+class Callers(unittest.IsolatedAsyncioTestCase):
+    async def test_a_refused_caller_gets_429_and_the_delay(self) -> None:
+        """A 503 would be retried at once, at another entry."""
+        daemon = Mock()
+        daemon.intake.accept = AsyncMock(return_value=Answer(Verdict.TOO_LATE, 7))
+        with patch("curranthall.platform.front.decode_job", return_value=JOB):
+            daemon.operations.catalogue.find.return_value.prefix = "/q/"
+            req = Request("POST", "/q/" + JOB.id, "", {"host": "h"}, b"")
+            response = await Frontend(daemon).handle(req)
+        self.assertEqual(response.status, 429)
+        self.assertEqual(dict(response.headers)["Retry-After"], "7")
+
+
 class Entries(unittest.TestCase):
     """Entries of a cluster with work for a minute."""
 
