--- a/src/curranthall/daemon.py
+++ b/src/curranthall/daemon.py
@@ -122,6 +122,12 @@
         yield Sample("customer_cores", labels, state.cores)
         yield Sample("customer_limited_tasks", labels, state.waiting_tasks)
     yield Sample("copies", label, len(dispatcher.copies.open))
+    for service, load in runtime.owner.load.items():
+        if load.backlog is not None:
+            labels = {**label, "service": service}
+            for kind, work in (("plain", load.backlog.plain), ("filling", load.backlog.filling)):
+                total = sum(each.core_seconds for each in work)
+                yield Sample("backlog_core_seconds", {**labels, "kind": kind}, total)
     for queue, count in runtime.waiting_jobs().items():
         yield Sample("queue_waiting_jobs", {**label, "queue": queue}, count)
     for row in dispatcher.waits:
