Test of customers: follow the intake's answer to a submission

The front calls Intake.accept since submissions may be refused with a time to come back; the stub of the test had only submit. All checks are as before.

--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -21,7 +21,7 @@
 from curranthall.events import counts
 from curranthall.http import HttpServer, Request, Response
 from curranthall.intake import Verdict
-from curranthall.intake.intake import JobStatus
+from curranthall.intake.intake import Answer, JobStatus
 from curranthall.model import Size
 from curranthall.platform.decode import decode_operation
 from curranthall.platform.front import Frontend
@@ -144,9 +144,9 @@
         self.stored: Phase | None = None
         self.is_down = False
 
-    async def submit(self, job: Job, wait_s: float) -> Verdict:
+    async def accept(self, job: Job, wait_s: float) -> Answer:
         self.jobs.append(job)
-        return Verdict.ACCEPTED
+        return Answer(Verdict.ACCEPTED)
 
     async def phase(self, job_id: str) -> JobStatus:
         if self.is_down:
