Play preemption beside long runs of lower priority

Reason: preemption is meant for lower priorities whose runs take long, and the other plays have runs of 1.7 s.

--- a/tests/order_plays.py
+++ b/tests/order_plays.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from curranthall.cells.options import NO_OPTIONS, Options, parse_options
-from tests.load import BATCHES, PROFILES, PROOFS, JobProfile, Plan, Simulation
+from tests.load import BATCHES, PROFILES, PROOFS, JobProfile, Lognormal, Plan, Simulation
 
 
 class Play(NamedTuple):
@@ -44,6 +44,15 @@
     filling=False,
 )
 OBJECTIVES = (PROOFS, PATIENT, PROFILES[2])
+# A lower priority with tasks of 12 s on average.
+LONG_RUNS = BATCHES._replace(
+    queue=BATCHES.queue._replace(objective_ms=10_000),
+    rate=0.9,
+    steps=Lognormal(1, 0, 1),
+    seconds=Lognormal(12, 0.3, 20),
+    filling=False,
+    checkpointing=True,
+)
 # Stops take half of the time that the platform allows.
 STOP_S = 0.45
 PLAYS = {
@@ -62,6 +71,10 @@
     "priorities": Play(Plan(workers=6, stop_s=STOP_S), PRIORITIES),
     "priorities, x 1.6": Play(overload(1.6)._replace(workers=6, stop_s=STOP_S), PRIORITIES),
     "priorities, burst": Play(overload(2.6, 10, 14)._replace(workers=6, stop_s=STOP_S), PRIORITIES),
+    "long runs, burst": Play(
+        overload(2.6, 10, 14)._replace(workers=6, stop_s=STOP_S),
+        (PROOFS, LONG_RUNS, PROFILES[2]),
+    ),
     "priorities, outage": Play(Plan(workers=6, outage=(10, 20), stop_s=STOP_S), PRIORITIES),
 }
 
