--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -263,7 +263,6 @@
         self.work: dict[str, float] = {}
         # Shares of the runs of steps with copies that take 7 times as long, and that fail.
         self.slow_share = self.fail_share = 0.0
-        self.options = NO_OPTIONS
         self.runners: dict[str, Runner] = {}
         self.entries: dict[str, Entry] = {}
         self.gone: set[str] = set()
