--- a/src/curranthall/cells/shares.py
+++ b/src/curranthall/cells/shares.py
@@ -192,6 +192,21 @@
     return new.first > old.first or any(not a // 2 <= b <= 2 * a for a, b in amounts)
 
 
+def _rank(request: Request) -> tuple[bool, int]:
+    """Return the order in which requests are served.
+
+    Those for a task that others give up no parts for come last: an older one would keep parts that
+    the cell can't use from tasks that fit.
+    """
+    return request.unit > MAX_FAVOURED_PARTS, request.ticket
+
+
+def _own_rank(shares: Shares, need: Need, own: Request | None) -> tuple[bool, int]:
+    """Return the rank of a cell's request, stored or not."""
+    ticket = own.ticket if own is not None else shares.ticket + 1
+    return need.first - need.used > MAX_FAVOURED_PARTS, ticket
+
+
 def _take(
     shares: Shares,
     customer: str,
@@ -210,10 +225,8 @@
     missing = min(need.all, PARTS_OF_LIMIT) - held
     if missing <= 0 or free <= 0:
         return 0
-    ticket = own.ticket if own is not None else shares.ticket + 1
-    older = [
-        request for request in others.values() if 0 < request.first and request.ticket < ticket
-    ]
+    rank = _own_rank(shares, need, own)
+    older = [request for request in others.values() if 0 < request.first and _rank(request) < rank]
     left = max(0, free - sum(request.first for request in older if request.first <= free))
     if others and need.first - held > left:
         return 0
@@ -245,8 +258,8 @@
     given = max(given, min(held - need.used, owed))
     if need.first > held - owed:
         # The cell can start nothing with its parts, e.g. as a task needs more than an even share.
-        ticket = own.ticket if own is not None else shares.ticket + 1
-        older = sum(request.first for request in others.values() if request.ticket < ticket)
+        rank = _own_rank(shares, need, own)
+        older = sum(request.first for request in others.values() if _rank(request) < rank)
         given = max(given, min(held - need.used, older - free))
     return max(0, given)
 
