Repeat refused writes of parts soon, and pause less beside a quick store

A refused write was repeated after five times its duration, as all holders did: the same cell lost each time, and its requests starved. The pause is twice the duration now, and random after a refusal; beside a store that takes 0.3 s it stays at five times.

--- a/src/curranthall/cells/share_loop.py
+++ b/src/curranthall/cells/share_loop.py
@@ -1,6 +1,7 @@
 """Reads and writes the parts of customers' limits for one held cell."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from curranthall.cells.owner import RENEW_S
@@ -16,9 +17,13 @@
 # have none to spare, or that the whole limit is in use.
 SHORT_READ_S = 0.2
 SHORT_READS_FOR_S = 2.4
-# The pause after a read or a write, as a multiple of its duration: lending leaves the part of a
-# slow store to the renewals of the cells.
-PAUSE_FACTOR = 5.0
+# The pause after a read, and its write if any, as a multiple of their duration: lending leaves most
+# of the part's time to the renewals of the cells. With 5 beside a store that takes 0.1 s, a lasting
+# task waited longer than the 3 s in which it has to start.
+PAUSE_FACTOR = 2.0
+# A store with which both take as long is slow, and gets longer pauses.
+SLOW_STEP_S = 0.5
+SLOW_PAUSE_FACTOR = 5.0
 
 
 class ShareLoop:
@@ -62,9 +67,13 @@
                 log(Event.STORE_FAILED, what="customer shares", cell=self._cell, error=exc)
                 is_refused = False
             now = self._clock()
-            pause_s = PAUSE_FACTOR * (now - began)
-            self._may_read_at = now + max(POLL_S if is_refused else SHORT_READ_S, pause_s)
-            self._read_by = self._may_read_at if is_refused else now + max(RENEW_S, pause_s)
+            took_s = now - began
+            pause_s = took_s * (PAUSE_FACTOR if took_s < SLOW_STEP_S else SLOW_PAUSE_FACTOR)
+            if is_refused:
+                self._may_read_at = self._read_by = now + random.uniform(POLL_S, POLL_S + took_s)
+            else:
+                self._may_read_at = now + max(SHORT_READ_S, pause_s)
+                self._read_by = now + max(RENEW_S, pause_s)
 
     def _is_short(self, now: float) -> bool:
         """Return whether a limit has kept tasks from starting, for a short time so far."""
