Test of a cut-off cell's request, which keeps parts free

The oldest request of a cell that can't read the row keeps up to its next task's parts free, and cells that can start nothing give theirs up for it.

--- a/tests/test_quota_review.py
+++ b/tests/test_quota_review.py
@@ -66,5 +66,25 @@
         self.assertEqual(found.held("acme", "b"), 667)
 
 
+class CutOff(unittest.TestCase):
+    """Guards against parts that stay free for a cell that is cut off from the store."""
+
+    # Fails: listed in KNOWN-RED.txt.
+    def test_its_request_does_not_keep_parts_from_others(self) -> None:
+        # Cell a is cut off after its request; its next task takes 400 parts.
+        shares = self._rebalance(Shares(("a", "b", "c")), "a", Need(100, 500, 500))
+        for _ in range(30):
+            shares = self._rebalance(shares, "b", Need(0, 400, 400))
+            # Tasks of 100 parts run in cell c, as many as it has parts for.
+            used = shares.held("acme", "c") // 100 * 100
+            shares = self._rebalance(shares, "c", Need(used, used + 100, used + 400))
+            shares = self._rebalance(shares, "b", Need(0, 400, 400))
+            shares = self._rebalance(shares, "c", Need(used - 100, used, used + 300))
+        self.assertGreaterEqual(shares.held("acme", "b"), 400)
+
+    def _rebalance(self, shares: Shares, cell: str, need: Need) -> Shares:
+        return rebalance(shares, cell, {"acme": need}) or shares
+
+
 if __name__ == "__main__":
     unittest.main()
