Test four rules of limits that no test detected

Taken away one at a time on a scratch copy, these left tests.test_shares and tests.test_quota.Limits without a failure: full workers with runs of unknown jobs, twice the cores for filling tasks, the check of the cell's row in a write. A batch at its limit that was unplaced before was tested against tests.test_quota.Limits only.

--- a/tests/test_quota_review.py
+++ b/tests/test_quota_review.py
@@ -2,7 +2,14 @@
 
 import unittest
 
-from curranthall.cells.shares import Need, Request, Shares, rebalance
+from curranthall.cells.owner import CELL_TABLE
+from curranthall.cells.ports import ListedRun
+from curranthall.cells.shares import Need, Request, Shares, SharesKeeper, rebalance
+from curranthall.customers import Customer, Customers
+from curranthall.dag import TaskId
+from curranthall.model import Size
+from curranthall.store import Check
+from tests.cell_fixtures import Cell, host, job, step
 from tests.quota_waits import QuotaWaits
 from tests.virtual import run
 
@@ -37,6 +44,43 @@
         return waits.worst_s
 
 
+class Guards(unittest.TestCase):
+    """Each test guards a rule that no other test detected when it was taken away."""
+
+    def _starts(self, limit: float, has_unknown_run: bool) -> int:
+        customers = Customers([(Customer("acme", 1.0, Size(limit, 0, 0)), ())])
+        cell = Cell(host("w1"), host("w2"), customers=customers)
+        if has_unknown_run:
+            run_of_unknown_job = ListedRun(TaskId("f" * 16, 0, 0, 0), 1, "", 0, 0)
+            cell.answer("w1", [run_of_unknown_job])
+        cell.add(job("1" * 16, step(8))._replace(customer="acme"))
+        return len(cell.plan())
+
+    def test_a_worker_with_runs_of_unknown_jobs_counts_as_full(self) -> None:
+        self.assertEqual(self._starts(3, False), 3)
+        self.assertEqual(self._starts(3, True), 0)
+
+    def test_such_a_worker_may_run_twice_its_cores(self) -> None:
+        self.assertEqual(self._starts(20, True), 4)
+
+    def test_a_batch_that_no_worker_had_room_for_is_not_stranded_at_the_limit(self) -> None:
+        customers = Customers([(Customer("acme", 1.0, Size(1, 0, 0)), ())])
+        cell = Cell(host("w1"), customers=customers)
+        cell.add(job("1" * 16, step(5))._replace(customer="acme"))
+        cell.started(*cell.plan())
+        for batch in cell.dispatcher._ready.values():
+            batch.unplaced_since = cell.now
+        cell.now += 0.6
+        cell.plan()
+        self.assertEqual(cell.dispatcher.stranded(0.0, cell.now), [])
+
+    def test_a_write_checks_the_row_of_the_cell(self) -> None:
+        keeper = SharesKeeper("a", ("a", "b"))
+        keeper.on_read(None, 7)
+        _, checks, _, _ = keeper.send(Shares(("a", "b")), 7)
+        self.assertIn(Check(CELL_TABLE, "a", 7), checks)
+
+
 class LargeRequests(unittest.TestCase):
     """Guards against a request above half of the limit that keeps parts idle for ever."""
 
