Copies: waiting filling tasks do not prevent them

Cause: a worker got no copy if any waiting task could run on it when empty. Change: only tasks that reserve cores count. A copy still takes only cores that the planning pass before it left idle.

--- a/src/curranthall/cells/copies.py
+++ b/src/curranthall/cells/copies.py
@@ -398,10 +398,14 @@
         return now >= record.paused_until and running < max(1, MAX_OPEN - record.level)
 
     def _find_free(self, ctx: CopyContext, survey: _Survey) -> list[Member]:
-        """Return the workers that are not slow, and on which no waiting task could run."""
+        """Return the workers that are not slow, and on which no waiting task could run.
+
+        Filling tasks that still wait after a planning pass do not wait for the cores that it left
+        idle, so they keep no copy from these.
+        """
         waiting: dict[tuple[str, str, Size], Step] = {}
         for batch in ctx.waiting:
-            if batch.count_waiting():
+            if batch.count_waiting() and not batch.step.filling:
                 step = batch.step
                 waiting[batch.tracked.queue.service, step.requires, step.size] = step
         wanted = [(service, step) for (service, _, _), step in waiting.items()]
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -184,6 +184,21 @@
             member.filling_cores = 39.5
         self.assertEqual(cell.plan(), [])
 
+    def test_waiting_filling_tasks_do_not_prevent_copies_on_idle_cores(self) -> None:
+        """Beside a steady backlog of filling work no run ever got a copy."""
+        cell = SlowCell()
+        for member in cell.dispatcher.members.values():
+            member.filling_cores = 21
+        cell.add(job("1" * 16, step(1, 39, filling=True)))
+        self.assertEqual(cell.copy().task, cell.slow.task)
+
+    def test_waiting_tasks_that_reserve_cores_prevent_copies(self) -> None:
+        cell = SlowCell()
+        for member in cell.dispatcher.members.values():
+            member.used = member.used._replace(cores=20)
+        cell.add(job("1" * 16, step(1, 30)))
+        self.assertEqual(cell.plan(), [])
+
     def test_workers_need_the_advisors_approval(self) -> None:
         cell = SlowCell()
         cell.tracked.queue = cell.queue._replace(advised=True)
