--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -336,6 +336,7 @@
             dispatcher=cell.dispatcher,
             confirmed_at=cell.now,
             waiting_jobs=cell.dispatcher.waiting_jobs,
+            owner=SimpleNamespace(load={}),
         )
         found = {sample.name: sample for sample in _cell_samples("north", runtime, cell.now)}  # type: ignore[arg-type]
         labels = {"cell": "north", "queue": "q", "size": "1"}
