--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1626,7 +1626,7 @@
         self._place_all(lasting, usable, refused, reserved, now)
         self._move_departing(usable, reserved, now)
         finite = [batch for batch in ready if not batch.step.lasting]
-        for batch, member, *_ in self._preemption.take_ready(now):
+        for batch, member, *_ in self._preemption.take_ready(self.members, now):
             if member in usable and not self._is_held(batch, now):
                 self._place(batch, [member], [], now)
         self._place_all(finite, usable, refused, reserved, now)
--- a/src/curranthall/cells/preemption.py
+++ b/src/curranthall/cells/preemption.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from curranthall.cells.fleet import Member, Run, RunState
@@ -110,16 +110,18 @@
             self._hold(Reservation(batch, member, tuple(runs), now + HOLD_S))
         return runs
 
-    def take_ready(self, now: float) -> list[Reservation]:
+    def take_ready(self, members: Mapping[str, Member], now: float) -> list[Reservation]:
         """Release the room of reservations whose runs are over, and return them.
 
-        Those whose batch waits no more, or that took too long, are dropped.
+        Those whose batch waits no more, whose worker is gone, or that took too long, are dropped.
         """
         held, self._held, ready = self._held, [], []
         for reservation, size in held:
             batch, member, runs, until = reservation
             member.used = member.used.minus(size)
-            if not batch.waiting or now >= until:
+            # The record of a worker that is gone keeps its runs.
+            is_gone = members.get(member.name) is not member
+            if not batch.waiting or is_gone or now >= until:
                 continue
             if any((run.task, run.number) in member.runs for run in runs):
                 self._hold(reservation)
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -68,6 +68,30 @@
         self.cell.plan()
         return [order.task.job for order in self.cell.stops()]
 
+    def fill(self, *names: str, cores: float = 4) -> dict[str, StartTask]:
+        """Run a task on each of some workers of 4 cores for 2 s; return the starts by worker."""
+        self.cell = Cell(
+            *(host(name, 4) for name in names),
+            *OTHERS,
+            queue_of=lambda each: {"q": URGENT, "bulk": BULK}[each.queue],
+            options=Options(preemption=True),
+        )
+        for number in range(len(names)):
+            self.cell.add(bulk(f"{number:016x}", cores))
+        orders = self.cell.plan()
+        self.cell.started(*orders)
+        self.go_on(2.0)
+        return {order.worker: order for order in orders}
+
+    def go_on(self, seconds: float) -> list[StartTask]:
+        """Plan after a time in which all workers answer and all runs go on."""
+        self.cell.now += seconds
+        for member in self.cell.dispatcher.members.values():
+            member.answered_at = self.cell.now
+            for run in member.runs.values():
+                run.percent += 1
+        return self.cell.plan()
+
     def test_stops_a_run_of_lower_priority_for_an_urgent_task(self) -> None:
         self.start(bulk("b" * 16, 8))
         self.assertEqual(self.wait(job("a" * 16, step(1, 4))), ["b" * 16])
@@ -190,6 +214,18 @@
         self.cell.plan()
         self.assertEqual(self.cell.member("w1").used, step(1, 6).size)
 
+    def test_a_worker_that_is_gone_holds_no_room_for_a_task(self) -> None:
+        """Its task would count as provided for, and cause no other stop, for HOLD_S."""
+        self.fill("w1", "w6")
+        self.cell.add(job("a" * 16, step(1, 4, estimate_ms=3_000)))
+        self.cell.plan()
+        self.go_on(0.7)
+        (first,) = self.cell.stops()
+        self.cell.dispatcher.on_gone(first.worker, self.cell.now)
+        self.go_on(0.3)
+        (second,) = self.cell.stops()
+        self.assertNotEqual(second.worker, first.worker)
+
     def test_a_successor_starts_the_stopped_task_once_its_end_is_listed(self) -> None:
         # The holder is lost after the stop; the next one finds the run or its end listed.
         (order,) = self.start(bulk("b" * 16, 8))
