--- a/src/curranthall/cells/preemption.py
+++ b/src/curranthall/cells/preemption.py
@@ -113,16 +113,19 @@
     def take_ready(self, members: Mapping[str, Member], now: float) -> list[Reservation]:
         """Release the room of reservations whose runs are over, and return them.
 
-        Those whose batch waits no more, whose worker is gone, or that took too long, are dropped.
+        Those beyond a batch's waiting tasks, whose worker is gone, or that took too long, are
+        dropped.
         """
-        held, self._held, ready = self._held, [], []
+        held, self._held, ready = self._held, [], list[Reservation]()
+        counts = Counter[Batch]()
         for reservation, size in held:
             batch, member, runs, until = reservation
             member.used = member.used.minus(size)
             # The record of a worker that is gone keeps its runs.
             is_gone = members.get(member.name) is not member
-            if not batch.waiting or is_gone or now >= until:
+            if counts[batch] == len(batch.waiting) or is_gone or now >= until:
                 continue
+            counts[batch] += 1
             if any((run.task, run.number) in member.runs for run in runs):
                 self._hold(reservation)
             else:
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -226,6 +226,23 @@
         (second,) = self.cell.stops()
         self.assertNotEqual(second.worker, first.worker)
 
+    def test_no_room_is_held_for_more_tasks_than_wait(self) -> None:
+        """A task that started elsewhere would leave room idle for HOLD_S."""
+        orders = self.fill("w1", "w6", "w7", cores=3)
+        self.cell.add(job("a" * 16, step(2, 4, estimate_ms=3_000)))
+        self.cell.plan()
+        for seconds in (0.7, 0.3):
+            self.go_on(seconds)
+        stopped = {order.worker for order in self.cell.stops()}
+        self.assertEqual(len(stopped), 2)
+        (free,) = set(orders) - stopped
+        self.cell.answer(free, [], [ended(1, orders[free], EndKind.DONE)])
+        (start,) = self.go_on(0.1)
+        self.assertEqual((start.task.job, start.worker), ("a" * 16, free))
+        self.go_on(0.1)
+        room = sum(self.cell.member(name).room.cores for name in stopped)
+        self.assertEqual(room, 1, "that of one worker is held, that of the other is free")
+
     def test_a_successor_starts_the_stopped_task_once_its_end_is_listed(self) -> None:
         # The holder is lost after the stop; the next one finds the run or its end listed.
         (order,) = self.start(bulk("b" * 16, 8))
