Preemption: stop nothing for a customer at its limit

Another task of the customer that starts in the same pass may take what is left of the limit. The stop was for nothing then, and the room held for HOLD_S.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1795,7 +1795,7 @@
                 if not count_for_placement(batch, index)
                 and self._find_unanswered(batch, index, now) is None
             ]
-            if not indexes or self._is_held(batch, now):
+            if not indexes or self._is_held(batch, now) or not self.quota.allows(batch):
                 continue
             avoid = tracked.avoided_workers(batch.key(indexes[0]))
             members = [member for member in usable if member.name not in avoid]
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -7,7 +7,9 @@
 from curranthall.cells.ports import EndKind, StartTask
 from curranthall.cells.preemption import HOLD_S, MAX_STOPPED_SHARE, WINDOW_S, is_urgent
 from curranthall.cells.tracking import Batch, TrackedJob
+from curranthall.customers import Customer, Customers
 from curranthall.dag import Job, Queue, Step
+from curranthall.model import Size
 from tests.cell_fixtures import (
     SERVICE,
     Cell,
@@ -243,6 +245,26 @@
         room = sum(self.cell.member(name).room.cores for name in stopped)
         self.assertEqual(room, 1, "that of one worker is held, that of the other is free")
 
+    def test_stops_nothing_for_a_customer_at_its_limit(self) -> None:
+        """The stop would be for nothing, as the task can't start in the room that it leaves."""
+        limited = Customer("acme", 4.0, Size(4, 100_000))
+        self.cell = Cell(
+            host("w1", 8),
+            *OTHERS,
+            queue_of=lambda each: {"q": URGENT, "bulk": BULK}[each.queue],
+            options=Options(preemption=True),
+            customers=Customers([(limited, ())]),
+        )
+        self.start(bulk("b" * 16, 7))
+        self.cell.add(job("a" * 16, step(1, 4))._replace(customer="acme"))
+        self.cell.plan()
+        self.tick(0.6)
+        # It starts in the same pass and leaves 3 cores of the limit.
+        self.cell.add(job("c" * 16, step(1, 1, estimate_ms=20_000))._replace(customer="acme"))
+        (start,) = self.cell.plan()
+        self.assertEqual(start.task.job, "c" * 16)
+        self.assertEqual(self.cell.stops(), [])
+
     def test_a_successor_starts_the_stopped_task_once_its_end_is_listed(self) -> None:
         # The holder is lost after the stop; the next one finds the run or its end listed.
         (order,) = self.start(bulk("b" * 16, 8))
