--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1626,7 +1626,7 @@
         self._place_all(lasting, usable, refused, reserved, now)
         self._move_departing(usable, reserved, now)
         finite = [batch for batch in ready if not batch.step.lasting]
-        for batch, member, *_ in self._preemption.take_ready(now):
+        for batch, member, *_ in self._preemption.take_ready(self.members, now):
             if member in usable and not self._is_held(batch, now):
                 self._place(batch, [member], [], now)
         self._place_all(finite, usable, refused, reserved, now)
@@ -1795,7 +1795,7 @@
                 if not count_for_placement(batch, index)
                 and self._find_unanswered(batch, index, now) is None
             ]
-            if not indexes or self._is_held(batch, now):
+            if not indexes or self._is_held(batch, now) or not self.quota.allows(batch):
                 continue
             avoid = tracked.avoided_workers(batch.key(indexes[0]))
             members = [member for member in usable if member.name not in avoid]
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -7,7 +7,9 @@
 from curranthall.cells.ports import EndKind, StartTask
 from curranthall.cells.preemption import HOLD_S, MAX_STOPPED_SHARE, WINDOW_S, is_urgent
 from curranthall.cells.tracking import Batch, TrackedJob
+from curranthall.customers import Customer, Customers
 from curranthall.dag import Job, Queue, Step
+from curranthall.model import Size
 from tests.cell_fixtures import (
     SERVICE,
     Cell,
@@ -68,6 +70,30 @@
         self.cell.plan()
         return [order.task.job for order in self.cell.stops()]
 
+    def fill(self, *names: str, cores: float = 4) -> dict[str, StartTask]:
+        """Run a task on each of some workers of 4 cores for 2 s; return the starts by worker."""
+        self.cell = Cell(
+            *(host(name, 4) for name in names),
+            *OTHERS,
+            queue_of=lambda each: {"q": URGENT, "bulk": BULK}[each.queue],
+            options=Options(preemption=True),
+        )
+        for number in range(len(names)):
+            self.cell.add(bulk(f"{number:016x}", cores))
+        orders = self.cell.plan()
+        self.cell.started(*orders)
+        self.go_on(2.0)
+        return {order.worker: order for order in orders}
+
+    def go_on(self, seconds: float) -> list[StartTask]:
+        """Plan after a time in which all workers answer and all runs go on."""
+        self.cell.now += seconds
+        for member in self.cell.dispatcher.members.values():
+            member.answered_at = self.cell.now
+            for run in member.runs.values():
+                run.percent += 1
+        return self.cell.plan()
+
     def test_stops_a_run_of_lower_priority_for_an_urgent_task(self) -> None:
         self.start(bulk("b" * 16, 8))
         self.assertEqual(self.wait(job("a" * 16, step(1, 4))), ["b" * 16])
@@ -190,6 +216,55 @@
         self.cell.plan()
         self.assertEqual(self.cell.member("w1").used, step(1, 6).size)
 
+    def test_a_worker_that_is_gone_holds_no_room_for_a_task(self) -> None:
+        """Its task would count as provided for, and cause no other stop, for HOLD_S."""
+        self.fill("w1", "w6")
+        self.cell.add(job("a" * 16, step(1, 4, estimate_ms=3_000)))
+        self.cell.plan()
+        self.go_on(0.7)
+        (first,) = self.cell.stops()
+        self.cell.dispatcher.on_gone(first.worker, self.cell.now)
+        self.go_on(0.3)
+        (second,) = self.cell.stops()
+        self.assertNotEqual(second.worker, first.worker)
+
+    def test_no_room_is_held_for_more_tasks_than_wait(self) -> None:
+        """A task that started elsewhere would leave room idle for HOLD_S."""
+        orders = self.fill("w1", "w6", "w7", cores=3)
+        self.cell.add(job("a" * 16, step(2, 4, estimate_ms=3_000)))
+        self.cell.plan()
+        for seconds in (0.7, 0.3):
+            self.go_on(seconds)
+        stopped = {order.worker for order in self.cell.stops()}
+        self.assertEqual(len(stopped), 2)
+        (free,) = set(orders) - stopped
+        self.cell.answer(free, [], [ended(1, orders[free], EndKind.DONE)])
+        (start,) = self.go_on(0.1)
+        self.assertEqual((start.task.job, start.worker), ("a" * 16, free))
+        self.go_on(0.1)
+        room = sum(self.cell.member(name).room.cores for name in stopped)
+        self.assertEqual(room, 1, "that of one worker is held, that of the other is free")
+
+    def test_stops_nothing_for_a_customer_at_its_limit(self) -> None:
+        """The stop would be for nothing, as the task can't start in the room that it leaves."""
+        limited = Customer("acme", 4.0, Size(4, 100_000))
+        self.cell = Cell(
+            host("w1", 8),
+            *OTHERS,
+            queue_of=lambda each: {"q": URGENT, "bulk": BULK}[each.queue],
+            options=Options(preemption=True),
+            customers=Customers([(limited, ())]),
+        )
+        self.start(bulk("b" * 16, 7))
+        self.cell.add(job("a" * 16, step(1, 4))._replace(customer="acme"))
+        self.cell.plan()
+        self.tick(0.6)
+        # It starts in the same pass and leaves 3 cores of the limit.
+        self.cell.add(job("c" * 16, step(1, 1, estimate_ms=20_000))._replace(customer="acme"))
+        (start,) = self.cell.plan()
+        self.assertEqual(start.task.job, "c" * 16)
+        self.assertEqual(self.cell.stops(), [])
+
     def test_a_successor_starts_the_stopped_task_once_its_end_is_listed(self) -> None:
         # The holder is lost after the stop; the next one finds the run or its end listed.
         (order,) = self.start(bulk("b" * 16, 8))
