--- a/src/curranthall/admission.py
+++ b/src/curranthall/admission.py
@@ -240,7 +240,8 @@
         allowed = int(self.limits.held_bytes * (1 - EVICTED_SHARE))
         # Equal ones stay in their order: the longest unfinished first.
         for slot in sorted(self._droppable, key=lambda slot: slot.held, reverse=True):
-            if self.held <= allowed:
+            # Idle connections hold nothing: to drop them frees nothing.
+            if self.held <= allowed or not slot.held:
                 return
             self._drop(slot, Drop.BODY)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -56,6 +56,13 @@
         self.assertEqual(self.admission.dropped[Drop.REFUSED.value], 1)
         self.assertEqual(self.admission.connections, LIMITS.connections)
 
+    def test_connections_that_hold_nothing_are_kept_when_handlers_hold_the_budget(self) -> None:
+        # Else the pooled connections of all callers are closed, which frees no byte.
+        self.open("idle", State.IDLE)
+        self.open("served", State.SERVING, held=950)
+        self.open("reading", held=100)
+        self.assertEqual(self.dropped, [("reading", Drop.BODY)])
+
     def test_the_longest_idle_or_unfinished_connection_gives_way_to_a_new_one(self) -> None:
         slots = [self.open(name) for name in "abcd"]
         self.admission.set_state(slots[0], State.IDLE)
