Place, move and accept filling jobs as without predictions

Sums of filling work don't tell when a filling task starts: interference and the load of serving tasks do. Cells without room for an image were preferred to cells with room, and early moves restarted the wait after which a filling job starts regardless of interference.

--- a/src/curranthall/cells/forecast.py
+++ b/src/curranthall/cells/forecast.py
@@ -94,9 +94,13 @@
 
 
 def is_predictable(job: Job) -> bool:
-    """Return whether a job has a finish that can be predicted: all steps have estimates."""
-    has_estimates = all(step.estimate_ms > 0 for step in job.steps)
-    return has_estimates and not job.is_timed and not job.lasting
+    """Return whether a job has a finish that can be predicted: all steps have estimates.
+
+    Filling tasks have none: interference and the load of serving tasks, not the work ahead, decide
+    when they start and how fast they run.
+    """
+    is_known = all(step.estimate_ms > 0 and not step.filling for step in job.steps)
+    return is_known and not job.is_timed and not job.lasting
 
 
 def measure_job(job: Job, estimates: Estimates = CALLER_ESTIMATES) -> Remaining:
