--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -253,9 +253,11 @@
                 log(Event.JOB_UNSURE, job=job.id, queue=job.queue, via=address, error=exc)
                 return Verdict.UNKNOWN
             log(Event.JOB_RELAYED, job=job.id, via=address, verdict=verdict.value)
-            if verdict is not Verdict.REFUSED:
+            if verdict is Verdict.REFUSED:
+                continue
+            if verdict is not Verdict.TOO_LATE:
                 self._phases[job.id] = _CachedPhase(progress.cell, Phase.QUEUED, self._clock())
-                return verdict
+            return verdict
         log(Event.JOB_REFUSED, job=job.id, queue=job.queue, why="the store is away")
         return Verdict.REFUSED
 
--- a/tests/test_refusal.py
+++ b/tests/test_refusal.py
@@ -327,6 +327,21 @@
 
         self.play(scene, Options(early_refusal=True))
 
+    def test_a_job_refused_through_a_peer_is_not_shown_as_queued(self) -> None:
+        """The entry that relayed the submission must not show a job that nobody has."""
+
+        async def scene(cluster: Cluster) -> None:
+            intake, job = cluster.entries["b-e0"].intake, make_job(1_000)
+            too_late = AsyncMock(return_value=Verdict.TOO_LATE.value)
+            with (
+                patch.object(intake, "_store", Mock(failing=True)),
+                patch.object(intake, "_peers", Mock(call=too_late)),
+            ):
+                self.assertIs(await intake.submit(job, 2.5), Verdict.TOO_LATE)
+            self.assertIsNone((await intake.phase(job.id)).phase)
+
+        self.play(scene, Options(), jobs=0)
+
     def test_rows_that_cannot_be_told_apart_are_read(self) -> None:
         """An answer of the store that names no tables is no proof that the job exists."""
 
