Compare clamped priorities when an early move is weighed

Published work counts all priorities beyond 3 as 3. Jobs of such priorities counted less urgent work as ahead of them and were moved although they would have started next.

--- a/src/curranthall/cells/early_moves.py
+++ b/src/curranthall/cells/early_moves.py
@@ -19,7 +19,7 @@
     predict,
     predict_waiting,
 )
-from curranthall.cells.load import Load
+from curranthall.cells.load import LEAST_PRIORITY, Load
 from curranthall.cells.tracking import Batch
 from curranthall.dag import Step
 
@@ -121,7 +121,8 @@
         for batch in jobs.values():
             queue = batch.tracked.queue
             work = listed.setdefault((queue.service, batch.step.filling), {})
-            work[queue.priority] = work.get(queue.priority, 0.0) + batch.tracked.work_left()
+            priority = min(queue.priority, LEAST_PRIORITY)
+            work[priority] = work.get(priority, 0.0) + batch.tracked.work_left()
         first_candidate = len(jobs) - MAX_CANDIDATES
         for at, batch in enumerate(jobs.values()):
             queue = batch.tracked.queue
@@ -136,7 +137,7 @@
             behind = sum(
                 core_seconds
                 for priority, core_seconds in listed[kind].items()
-                if priority <= queue.priority
+                if priority <= min(queue.priority, LEAST_PRIORITY)
             )
             ahead = load.backlog.total(needed.step, queue.priority) - behind + first
             here = predict_waiting(load, needed, ahead)
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -21,6 +21,7 @@
     retry_after_s,
 )
 from curranthall.cells.load import (
+    LEAST_PRIORITY,
     RANK_BOUNDS,
     RUNNING,
     Backlog,
@@ -220,6 +221,14 @@
         self.add()
         self.assertEqual(self.move(busy(30)), [])
 
+    def test_work_of_the_least_priorities_is_not_ahead_of_more_urgent_jobs(self) -> None:
+        """Published work counts them as one; jobs that start next were moved away."""
+        self.fill()
+        for priority, estimate_ms in ((LEAST_PRIORITY + 1, 1_000), (LEAST_PRIORITY + 2, 40_000)):
+            tracked = self.cell.dispatcher.tracked[self.add(step(estimate_ms=estimate_ms))]
+            tracked.queue = tracked.queue._replace(priority=priority)
+        self.assertEqual(self.move(busy(30)), [])
+
     def test_nothing_is_moved_with_the_option_off(self) -> None:
         self.cell.dispatcher.options = Options()
         self.fill()
