Leave work beyond a customer's limit out of the published backlog

It waits for the limit, not for cores, but counted as ahead of all other customers' jobs, which could then be refused although they would have started soon.

--- a/src/curranthall/cells/backlog.py
+++ b/src/curranthall/cells/backlog.py
@@ -1,7 +1,7 @@
 """Sums of a cell's waiting cores and of the work that its jobs still need."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from curranthall.cells.departure import departing_runs
 from curranthall.cells.fleet import Member, Run
@@ -49,8 +49,12 @@
     usable: Iterable[Member],
     estimates: Estimates,
     now: float,
+    allows: Callable[[Batch], bool],
 ) -> dict[str, Load]:
-    """Return loads with the work that the cell's finite tasks still need."""
+    """Return loads with the work that the cell's finite tasks still need.
+
+    `allows` tells whether the limit of a batch's customer lets its next task start.
+    """
     cores, filling_cores = defaultdict[str, float](float), defaultdict[str, float](float)
     for member in usable:
         service = member.host.service
@@ -59,7 +63,10 @@
     work = _Work(float)
     for tracked in jobs:
         if not tracked.progress.phase.is_final:
-            _add_work(work, cell, tracked, rank_job(tracked, now), estimates, now)
+            # Work that a customer's limit keeps waiting goes before no other customer's work.
+            may_start = all(allows(batch) for batch in tracked.batches.values())
+            rank = rank_job(tracked, now)
+            _add_work(work, cell, tracked, rank, estimates, now, may_start)
     return {
         service: load._replace(
             backlog=Backlog(
@@ -108,9 +115,15 @@
 
 
 def _add_work(
-    work: _Work, cell: str, tracked: TrackedJob, rank: int, estimates: Estimates, now: float
+    work: _Work,
+    cell: str,
+    tracked: TrackedJob,
+    rank: int,
+    estimates: Estimates,
+    now: float,
+    may_start: bool,
 ) -> None:
-    """Add the work of a job's finite tasks in this cell."""
+    """Add the work of a job's finite tasks in this cell, the waiting ones if they may start."""
     job, progress = tracked.job, tracked.progress
     service = tracked.queue.service
     priority = max(0, min(tracked.queue.priority, LEAST_PRIORITY))
@@ -128,7 +141,7 @@
             left_s = max(_left_s(run, expected_s, now) for run in runs) if runs else 0.0
             work[service, batch.step.filling, RUNNING, 0] += left_s * batch.step.size.cores
     for number, step in enumerate(job.steps):
-        if step.lasting:
+        if step.lasting or not may_start:
             continue
         waiting = tasks[number]
         if is_whole:
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -2161,7 +2161,8 @@
         loads = measure(usable, waiting, self.interference, headroom, quarantined)
         if not self.options.needs_backlog:
             return loads
-        return with_backlogs(loads, self.cell, self.tracked.values(), usable, self.estimates, now)
+        jobs, allows = self.tracked.values(), self.quota.allows
+        return with_backlogs(loads, self.cell, jobs, usable, self.estimates, now, allows)
 
     def _available_members(self, now: float) -> list[Member]:
         """Return the workers that count in the published load; none if the cell is closed."""
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -31,7 +31,9 @@
     encode_loads,
 )
 from curranthall.cells.options import Options
+from curranthall.customers import Customer, Customers
 from curranthall.dag import Job, Step
+from curranthall.model import Size
 from tests.cell_fixtures import CELL, SERVICE, Cell, host, job, step
 
 PLACE = Place(0, 1)
@@ -160,6 +162,22 @@
         self.assertEqual(running, Work(RUNNING, 0, 1.0))
         self.assertEqual((waiting.priority, waiting.core_seconds), (0, 6.0))
 
+    def test_work_that_a_limit_keeps_waiting_is_ahead_of_no_other(self) -> None:
+        """A burst beyond one customer's limit must not get other customers' jobs refused."""
+        customers = Customers([(Customer("acme", 1.0, Size(1, 0, 0)), ())])
+        options = Options(early_refusal=True)
+        cell = Cell(host("w1", cores=2), customers=customers, options=options)
+        cell.dispatcher.reconfigure()
+        cell.add(job("1" * 16, step(1), customer="acme"))
+        cell.started(*cell.plan())
+        cell.add(job("2" * 16, step(500), customer="acme"))
+        cell.add(job("3" * 16, step(4)))
+        cell.plan()
+        backlog = cell.dispatcher.load(cell.now)[SERVICE].backlog
+        assert backlog is not None
+        waiting = [each.core_seconds for each in backlog.plain if each.priority != RUNNING]
+        self.assertEqual(sum(waiting), 3.0)
+
     def test_nothing_is_published_unless_it_is_needed(self) -> None:
         cell = self.make(Options())
         self.assertIsNone(cell.dispatcher.load(cell.now)[SERVICE].backlog)
