--- a/tests/test_projected_load.py
+++ b/tests/test_projected_load.py
@@ -25,7 +25,10 @@
 
 
 class Choices(unittest.TestCase):
-    def choose(self, options: Options, filling: bool = False, **loads: Load | None) -> Choice:
+    # Whether the job to submit has filling tasks.
+    filling = False
+
+    def choose(self, options: Options, **loads: Load | None) -> Choice:
         """Return the choice of an entry of domain c; a cell without a load has an old row."""
 
         async def main() -> Choice:
@@ -40,18 +43,18 @@
                 patch.object(OwnerWatch, "live_holder", lambda watch, cell, now: owners[cell]),
                 patch.object(succession, "may_be_gone", return_value=False),
             ):
-                choice = entry.intake.rank_cells(self.make_job(filling))
+                choice = entry.intake.rank_cells(self.make_job())
             cluster.close()
             return choice
 
         found: Choice = run(main())
         return found
 
-    def make_job(self, filling: bool = False) -> Job:
+    def make_job(self) -> Job:
         """Build the job to submit."""
         made = make_job(1, width=8)
-        steps = tuple(step._replace(filling=filling, image="x") for step in made.steps)
-        return made._replace(steps=steps) if filling else made
+        steps = tuple(step._replace(filling=self.filling, image="x") for step in made.steps)
+        return made._replace(steps=steps) if self.filling else made
 
     def test_equal_cells_are_ranked_as_without_predictions(self) -> None:
         """The home cell is preferred, then the one with the most room."""
@@ -80,9 +83,10 @@
         running = Backlog(24, 24, (), (Work(RUNNING, 0, 40),))
         roomy = load(24, 0)._replace(filling={"x": 6.0}, backlog=running)
         loads = {"a": excluded, "b": roomy, "c": excluded}
+        self.filling = True
         for options in (Options(), ON):
             with self.subTest(options):
-                self.assertEqual(self.choose(options, filling=True, **loads).cell, "b")
+                self.assertEqual(self.choose(options, **loads).cell, "b")
 
     def test_without_predictions_the_cell_is_chosen_as_before(self) -> None:
         loads = {"a": load(6, None), "b": load(24, None), "c": load(12, None)}
