--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -138,6 +138,8 @@
         self.fed = 0
         self.body = bytearray()
         self.has_head = False
+        # Whether the request being read or served has the method HEAD.
+        self.is_head = False
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.transport: asyncio.Transport
 
@@ -248,7 +250,9 @@
             headers.append(("Connection", "close"))
         with suppress(h11.LocalProtocolError):
             head = self.conn.send(h11.Response(status_code=response.status, headers=headers))
-            body = self.conn.send(h11.Data(data=response.body)) or b""
+            # The answer to HEAD has the length of the body, but no body.
+            content = b"" if self.is_head else response.body
+            body = self.conn.send(h11.Data(data=content)) or b""
             end = self.conn.send(h11.EndOfMessage()) or b""
             self.transport.write((head or b"") + body + end)
         if self._flushed is not None:
@@ -483,6 +487,7 @@
                 case h11.Request():
                     head = event
                     link.has_head = True
+                    link.is_head = event.method == b"HEAD"
                 case h11.Data():
                     link.body += event.data
                     if len(link.body) > self._max_body:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -203,6 +203,14 @@
         self.assertIn(b"413", await reader.readline())
         self.assertEqual(self.handled, [])
 
+    async def test_a_head_request_is_answered_without_a_body(self) -> None:
+        # The body was refused by the parser, and with it the whole answer was lost.
+        reader, writer = await self.send(b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b"content-length: 2\r\n", (await reader.readuntil(b"\r\n\r\n")).lower())
+        writer.write(self.make_post("/b", 2, 2))
+        head, _, body = (await reader.readuntil(b"\r\n\r\nxx")).partition(b"\r\n\r\n")
+        self.assertEqual((head[9:12], body), (b"200", b"xx"))
+
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         requests = self.make_post("/a", 50_000, 50_000) + self.make_post("/b", 50_000, 50_000)
         reader, _ = await self.send(requests * 3)
