--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -258,6 +258,12 @@
         if self._flushed is not None:
             await self._flush(self._flushed)
 
+    def send_continue(self) -> None:
+        """Tell a client that waits for it to send its body."""
+        if self.conn.they_are_waiting_for_100_continue:
+            event = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
+            self.transport.write(self.conn.send(event) or b"")
+
     async def _flush(self, flushed: asyncio.Future[None]) -> None:
         try:
             async with asyncio.timeout(WRITE_TIMEOUT_S):
@@ -466,6 +472,7 @@
                     if head is not None:
                         link.fed = 0
                         link.set_held()
+                        link.send_continue()
                     started = head is not None or wire_bytes > 0
                     if not link.has_input:
                         turn.end()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -211,6 +211,17 @@
         head, _, body = (await reader.readuntil(b"\r\n\r\nxx")).partition(b"\r\n\r\n")
         self.assertEqual((head[9:12], body), (b"200", b"xx"))
 
+    async def test_a_client_that_waits_to_send_its_body_is_told_to(self) -> None:
+        # Else it waits for a second, or until the limit of the time to read a request.
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        reader, writer = await self.send(head)
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertIn(b" 100 ", await reader.readuntil(b"\r\n\r\n"))
+        writer.write(b"xx")
+        self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\nxx"))
+        writer.write(self.make_post("/b", 2, 2))
+        self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\nxx"))
+
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         requests = self.make_post("/a", 50_000, 50_000) + self.make_post("/b", 50_000, 50_000)
         reader, _ = await self.send(requests * 3)
