--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -463,6 +463,7 @@
 
     async def _read_request(self, link: _Link, turn: _ParseTurn) -> Request | None:
         head: h11.Request | None = None
+        link.is_head = False
         # Part of a request may have come with the one before.
         wire_bytes = link.fed
         wait_s = REQUEST_READ_S if wire_bytes else IDLE_TIMEOUT_S
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -211,6 +211,14 @@
         head, _, body = (await reader.readuntil(b"\r\n\r\nxx")).partition(b"\r\n\r\n")
         self.assertEqual((head[9:12], body), (b"200", b"xx"))
 
+    async def test_a_malformed_request_after_head_is_answered(self) -> None:
+        # The method of the request before must not take the body from the answer.
+        reader, writer = await self.send(b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"nonsense\r\n\r\n")
+        self.assertIn(b" 400 ", await reader.readuntil(b"\r\n\r\n"))
+        self.assertIn(b"malformed", await reader.read())
+
     async def test_a_client_that_waits_to_send_its_body_is_told_to(self) -> None:
         # Else it waits for a second, or until the limit of the time to read a request.
         head = b"POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
