--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -180,6 +180,10 @@
         self._at_eof = True
         _wake(self._wakeup)
         _wake(self._flushed)
+        is_reading = self._slot is not None and self._slot.state is State.READING
+        if exc is not None and is_reading and self._task is not None:
+            # No answer can reach the client, so its request takes no more parse time.
+            self._task.cancel()
 
     def pause_writing(self) -> None:
         self._flushed = asyncio.get_running_loop().create_future()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 import threading
 import time
 import unittest
@@ -230,6 +231,20 @@
         writer.write(self.make_post("/b", 2, 2))
         self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\nxx"))
 
+    async def test_a_client_that_resets_gives_up_its_wait_for_a_turn(self) -> None:
+        # Else a crowd that resets keeps its connections, and its requests are parsed before others.
+        admission = self.server.admission
+        admission.parsing.request(admission.parsing.new_number(), 0.0, lambda: True)
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        _, writer = await self.send(head + b"1\r\nx\r\n" * 1_000 + b"0\r\n\r\n")
+        self.assertEqual((admission.connections, admission.parsing.waiting), (1, 1))
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        self.assertEqual((admission.connections, admission.parsing.waiting), (0, 0))
+        self.assertEqual((admission.held, self.handled), (0, []))
+
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         requests = self.make_post("/a", 50_000, 50_000) + self.make_post("/b", 50_000, 50_000)
         reader, _ = await self.send(requests * 3)
