--- a/src/curranthall/http.py
+++ b/src/curranthall/http.py
@@ -138,6 +138,8 @@
         self.fed = 0
         self.body = bytearray()
         self.has_head = False
+        # Whether the request being read or served has the method HEAD.
+        self.is_head = False
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.transport: asyncio.Transport
 
@@ -178,6 +180,10 @@
         self._at_eof = True
         _wake(self._wakeup)
         _wake(self._flushed)
+        is_reading = self._slot is not None and self._slot.state is State.READING
+        if exc is not None and is_reading and self._task is not None:
+            # No answer can reach the client, so its request takes no more parse time.
+            self._task.cancel()
 
     def pause_writing(self) -> None:
         self._flushed = asyncio.get_running_loop().create_future()
@@ -248,12 +254,20 @@
             headers.append(("Connection", "close"))
         with suppress(h11.LocalProtocolError):
             head = self.conn.send(h11.Response(status_code=response.status, headers=headers))
-            body = self.conn.send(h11.Data(data=response.body)) or b""
+            # The answer to HEAD has the length of the body, but no body.
+            content = b"" if self.is_head else response.body
+            body = self.conn.send(h11.Data(data=content)) or b""
             end = self.conn.send(h11.EndOfMessage()) or b""
             self.transport.write((head or b"") + body + end)
         if self._flushed is not None:
             await self._flush(self._flushed)
 
+    def send_continue(self) -> None:
+        """Tell a client that waits for it to send its body."""
+        if self.conn.they_are_waiting_for_100_continue:
+            event = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
+            self.transport.write(self.conn.send(event) or b"")
+
     async def _flush(self, flushed: asyncio.Future[None]) -> None:
         try:
             async with asyncio.timeout(WRITE_TIMEOUT_S):
@@ -453,6 +467,7 @@
 
     async def _read_request(self, link: _Link, turn: _ParseTurn) -> Request | None:
         head: h11.Request | None = None
+        link.is_head = False
         # Part of a request may have come with the one before.
         wire_bytes = link.fed
         wait_s = REQUEST_READ_S if wire_bytes else IDLE_TIMEOUT_S
@@ -462,6 +477,7 @@
                     if head is not None:
                         link.fed = 0
                         link.set_held()
+                        link.send_continue()
                     started = head is not None or wire_bytes > 0
                     if not link.has_input:
                         turn.end()
@@ -483,6 +499,7 @@
                 case h11.Request():
                     head = event
                     link.has_head = True
+                    link.is_head = event.method == b"HEAD"
                 case h11.Data():
                     link.body += event.data
                     if len(link.body) > self._max_body:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 import threading
 import time
 import unittest
@@ -203,6 +204,47 @@
         self.assertIn(b"413", await reader.readline())
         self.assertEqual(self.handled, [])
 
+    async def test_a_head_request_is_answered_without_a_body(self) -> None:
+        # The body was refused by the parser, and with it the whole answer was lost.
+        reader, writer = await self.send(b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b"content-length: 2\r\n", (await reader.readuntil(b"\r\n\r\n")).lower())
+        writer.write(self.make_post("/b", 2, 2))
+        head, _, body = (await reader.readuntil(b"\r\n\r\nxx")).partition(b"\r\n\r\n")
+        self.assertEqual((head[9:12], body), (b"200", b"xx"))
+
+    async def test_a_malformed_request_after_head_is_answered(self) -> None:
+        # The method of the request before must not take the body from the answer.
+        reader, writer = await self.send(b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"nonsense\r\n\r\n")
+        self.assertIn(b" 400 ", await reader.readuntil(b"\r\n\r\n"))
+        self.assertIn(b"malformed", await reader.read())
+
+    async def test_a_client_that_waits_to_send_its_body_is_told_to(self) -> None:
+        # Else it waits for a second, or until the limit of the time to read a request.
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        reader, writer = await self.send(head)
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertIn(b" 100 ", await reader.readuntil(b"\r\n\r\n"))
+        writer.write(b"xx")
+        self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\nxx"))
+        writer.write(self.make_post("/b", 2, 2))
+        self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\nxx"))
+
+    async def test_a_client_that_resets_gives_up_its_wait_for_a_turn(self) -> None:
+        # Else a crowd that resets keeps its connections, and its requests are parsed before others.
+        admission = self.server.admission
+        admission.parsing.request(admission.parsing.new_number(), 0.0, lambda: True)
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        _, writer = await self.send(head + b"1\r\nx\r\n" * 1_000 + b"0\r\n\r\n")
+        self.assertEqual((admission.connections, admission.parsing.waiting), (1, 1))
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        self.assertEqual((admission.connections, admission.parsing.waiting), (0, 0))
+        self.assertEqual((admission.held, self.handled), (0, []))
+
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         requests = self.make_post("/a", 50_000, 50_000) + self.make_post("/b", 50_000, 50_000)
         reader, _ = await self.send(requests * 3)
