--- a/tests/preempting.py
+++ b/tests/preempting.py
@@ -1,6 +1,7 @@
 """Random simulations in which runs are stopped for urgent tasks and holders are lost meanwhile.
 
-`python -m tests.takeover FIRST COUNT preemption` simulates COUNT seeds.
+`python -m tests.takeover FIRST COUNT preemption` simulates COUNT seeds; with `preempted-copies`
+slow runs also get copies, some runs fail, and holders restart in turn.
 """
 
 import asyncio
@@ -12,13 +13,15 @@
 from curranthall.dag import Job, Phase, Queue, Step
 from curranthall.model import Size
 from tests.cluster import SERVICE, Cluster, now
-from tests.takeover import Overload
+from tests.takeover import Copies, Overload
 
 OPTIONS = Options(preemption=True, deadline_order=True)
 LOW = Queue("low", SERVICE, 2, 3, 3.0, 60_000)
 # Tasks of one core: three times as many as all cores.
 LOW_JOBS, LOW_WIDTH = 12, 24
 LOW_SECONDS = 10.0
+# Numbers of the urgent jobs; `Overload` uses lower ones for those that it adds.
+NUMBERS = range(500, 559)
 # The time in which all jobs are done once the faults are over.
 DONE_S = 60.0
 POLL_S = 0.01
@@ -46,7 +49,7 @@
             await cluster.submit(self.rng.choice(sorted(cluster.entries)), job)
             self.accepted.append(job)
         await asyncio.sleep(2)
-        callers = [asyncio.ensure_future(self._submit_later(number)) for number in range(1, 60)]
+        callers = [asyncio.ensure_future(self._submit_later(number)) for number in NUMBERS]
         losses = [asyncio.ensure_future(self._lose_preempting()) for _ in range(2)]
         await asyncio.gather(self._faults(), *callers)
         for loss in losses:
@@ -113,6 +116,26 @@
             broken.append("no run was stopped for an urgent task")
 
 
+class PreemptedCopies(Copies, Preempting):
+    """The same with copies of slow runs, failures, cancelled jobs and orderly restarts."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        options = OPTIONS._replace(copies=True)
+        cluster = Cluster(seed, entries=2, workers=4, options=options, queues=(LOW,))
+        cluster.slow_share, cluster.fail_share = 0.15, 0.1
+        self.cluster = cluster
+
+    async def _are_done(self) -> bool:
+        found = [self.cluster.find_progress(job.id) for job in self.accepted]
+        return all(row is None or row.phase.is_final for row in found)
+
+    def _check_done(self) -> None:
+        """Leave the ends to `Copies`: a job may fail or be cancelled here."""
+        if not self.stops:
+            self.cluster.judge.broken.append("no run was stopped for an urgent task")
+
+
 def _has_stopped(dispatcher: Dispatcher) -> bool:
     """Return whether a cell's holder is stopping a run of low priority."""
     return any(
--- a/tests/takeover.py
+++ b/tests/takeover.py
@@ -920,14 +920,20 @@
 def main() -> None:
     """Simulate a range of seeds."""
     # They build on this module.
-    from tests.preempting import Preempting
+    from tests.preempting import PreemptedCopies, Preempting
     from tests.quota_plays import QuotaPlay
     from tests.reborn import Reborn
 
     first, count, kind = (sys.argv[1:] + ["0", "100", "takeover"][len(sys.argv) - 1 :])[:3]
     wrong = 0
     for seed in range(int(first), int(first) + int(count)):
-        kinds = {**KINDS, "reborn": Reborn, "quota": QuotaPlay, "preemption": Preempting}
+        kinds = {
+            **KINDS,
+            "reborn": Reborn,
+            "quota": QuotaPlay,
+            "preemption": Preempting,
+            "preempted-copies": PreemptedCopies,
+        }
         broken = play(seed, kinds[kind])
         wrong += bool(broken)
         if broken:
