--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -8,9 +8,10 @@
 from curranthall.cells.preemption import HOLD_S, MAX_STOPPED_SHARE, WINDOW_S, is_urgent
 from curranthall.cells.tracking import Batch, TrackedJob
 from curranthall.customers import Customer, Customers
-from curranthall.dag import Job, Queue, Step
+from curranthall.dag import Job, Phase, Queue, Step
 from curranthall.model import Size
 from tests.cell_fixtures import (
+    BORN,
     SERVICE,
     Cell,
     claimed_progress,
@@ -265,6 +266,40 @@
         self.assertEqual(start.task.job, "c" * 16)
         self.assertEqual(self.cell.stops(), [])
 
+    def test_used_cores_are_right_after_a_worker_is_replaced_under_its_name(self) -> None:
+        """Room held on the former record must not be released on the new one."""
+        self.start(bulk("b" * 16, 6))
+        self.assertEqual(self.wait(job("a" * 16, step(1, 8))), ["b" * 16])
+        self.cell.dispatcher.on_gone("w1", self.cell.now)
+        self.cell.dispatcher.update_host(host("w1", 8))
+        self.cell.answer("w1", born=BORN + 1)
+        for _ in range(5):
+            self.go_on(1.0)
+            member = self.cell.member("w1")
+            self.assertEqual(
+                member.used.cores, sum(run.step.size.cores for run in member.runs.values())
+            )
+
+    def test_used_cores_are_right_after_the_cell_was_closed(self) -> None:
+        """No planning pass releases room while a cell is closed."""
+        self.start(bulk("b" * 16, 6))
+        self.assertEqual(self.wait(job("a" * 16, step(1, 8))), ["b" * 16])
+        self.cell.dispatcher.closed = True
+        self.go_on(HOLD_S)
+        self.cell.dispatcher.closed = False
+        self.go_on(0.1)
+        self.assertEqual(self.cell.member("w1").used, step(1, 6).size)
+
+    def test_used_cores_are_right_after_the_waiting_job_was_cancelled(self) -> None:
+        """Room would be held for a job that starts nothing any more."""
+        self.start(bulk("b" * 16, 6))
+        urgent = job("a" * 16, step(1, 8))
+        self.assertEqual(self.wait(urgent), ["b" * 16])
+        cancelled = claimed_progress(phase=Phase.CANCELLED)
+        self.cell.dispatcher.refresh(urgent.id, cancelled, 9, self.cell.now)
+        self.go_on(0.1)
+        self.assertEqual(self.cell.member("w1").used, step(1, 6).size)
+
     def test_a_successor_starts_the_stopped_task_once_its_end_is_listed(self) -> None:
         # The holder is lost after the stop; the next one finds the run or its end listed.
         (order,) = self.start(bulk("b" * 16, 8))
