Preemption: search only for tasks that a stop leaves in time

By deadline, jobs with less slack than a stop takes come first. Two of them used up each search, so that nothing was stopped for the tasks after them.

--- a/src/curranthall/cells/preemption.py
+++ b/src/curranthall/cells/preemption.py
@@ -75,7 +75,8 @@
         held, ahead = Counter(each.batch for each, _ in self._held), Counter[str]()
         for batch in ready:
             count, service = len(batch.waiting) - held[batch], batch.tracked.queue.service
-            if count > 0 and is_urgent(batch, now):
+            # Those that are late even with a stop would use up the search: some come first.
+            if count > 0 and is_urgent(batch, now) and is_in_time(batch, now):
                 self._searched_at = now
                 found.append(Urgent(batch, ahead[service]))
                 if len(found) == MAX_SEARCHED:
@@ -155,9 +156,14 @@
 
     In plays, stops for jobs that were late anyway cost more than those jobs earned.
     """
+    left_s, due = batch.tracked.critical_paths_s[batch.number], batch.tracked.objective_at()
+    return is_in_time(batch, now) and due < now + wait_s + left_s
+
+
+def is_in_time(batch: Batch, now: float) -> bool:
+    """Return whether a job is in time if a task starts after a stop."""
     tracked = batch.tracked
-    left_s, due = tracked.critical_paths_s[batch.number], tracked.objective_at()
-    return now + STOP_S + left_s <= due < now + wait_s + left_s
+    return now + STOP_S + tracked.critical_paths_s[batch.number] <= tracked.objective_at()
 
 
 def predict_wait(req: PlacementRequest, members: Iterable[Member], ahead: int, now: float) -> float:
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -4,6 +4,7 @@
 
 from curranthall.cells.fleet import Run, RunState
 from curranthall.cells.options import Options
+from curranthall.cells.order import Order
 from curranthall.cells.ports import EndKind, StartTask
 from curranthall.cells.preemption import HOLD_S, MAX_STOPPED_SHARE, WINDOW_S, is_urgent
 from curranthall.cells.tracking import Batch, TrackedJob
@@ -300,6 +301,16 @@
         self.go_on(0.1)
         self.assertEqual(self.cell.member("w1").used, step(1, 6).size)
 
+    def test_tasks_that_no_stop_helps_do_not_use_up_the_search(self) -> None:
+        """By deadline, jobs come first that are in time only without the time of a stop."""
+        self.cell.dispatcher.order = Order(by_deadline=True)
+        self.start(bulk("b" * 16, 8))
+        for number in range(2):
+            self.cell.add(job(f"{number:016x}", step(1, 1), accepted_ms=-1_100))
+        self.cell.plan()
+        other = job("a" * 16, step(1, 4, estimate_ms=3_000))
+        self.assertEqual(self.wait(other, 0.75), ["b" * 16])
+
     def test_a_successor_starts_the_stopped_task_once_its_end_is_listed(self) -> None:
         # The holder is lost after the stop; the next one finds the run or its end listed.
         (order,) = self.start(bulk("b" * 16, 8))
