Copies: let a run's last report be as old as a call waits

Change: a report may be 1.2 s old. As an end is answered at once, a copy's start is executed at most 1 s after it was listed (0.2 s and the start's 0.8 s).

--- a/src/curranthall/cells/copies.py
+++ b/src/curranthall/cells/copies.py
@@ -35,9 +35,9 @@
 # A worker refuses the start of a copy that it processes later than this, by its own clock: once its
 # task is recorded as done, no run of it may start more than 1 s later.
 COPY_START_WINDOW_S = 0.8
-# A run gets a copy only if its worker's last answer, which listed it, is at most this old: the end
-# of the run may be on its way.
-FRESH_S = 0.5
+# A run gets a copy only if its worker's last answer, which listed it, is at most this old. A worker
+# answers at once when a run ends, and otherwise within the 1 s that a call waits for that.
+FRESH_S = 1.2
 # A run is slow once it lasts longer than this share of comparable runs did, and than this multiple
 # of their median. With a multiple of 1.5 fewer jobs were in time (docs/design/stragglers.md).
 SLOW_SHARE = 0.9
