Logs tell which unanswered start was open when its task left the worker

Where two runs of a task overlap, the log showed the reason that the first was taken for over (after, RUN_VANISHED), but not that its start could still be executed by a later boot, nor what had kept the second start from the same worker. A move, a release and a wait that was given up left no trace of it.

RUN_PLACED has the task's earlier open starts with their age and the path. STARTS_LEFT is written only where a moved task or a lost cell leaves such starts behind. RUN_VANISHED has late_ms, lasting and listed, which together show a lasting task that did not wait. CELL_PROVEN names the workers that a lapse proved. No decision reads any of it.

--- a/src/curranthall/cells/boot_log.py
+++ b/src/curranthall/cells/boot_log.py
@@ -1,15 +1,18 @@
 """Log of what workers' restarts leave open: unanswered starts, skipped ends, runs that reappear."""
 
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Any, NamedTuple
 
-from curranthall.cells.fleet import EndReason, Member, Run
+from curranthall.cells.fleet import LATE_CALL_S, NO_EFFECT, EndReason, Member, Run
 from curranthall.cells.ports import Ending
 from curranthall.dag import TaskId
+from curranthall.dag.progress import TaskKey
 from curranthall.events import Event, log
 
 # A call without an answer may be executed seconds later; what it starts lasts for one lease.
 KEEP_S = 20.0
+# A line names at most this many starts.
+MAX_LISTED = 20
 
 
 class RemovedRun(NamedTuple):
@@ -21,6 +24,42 @@
     sent_at: float
     sent_to: int
     is_unsure: bool
+    # A later boot may still execute its start.
+    is_open: bool
+    # The task's start before this one was left without an answer by the same worker.
+    is_second: bool
+
+
+def _has_open_start(run: Run, why: EndReason) -> bool:
+    return run.may_begin and why not in NO_EFFECT
+
+
+def _why_left(former: RemovedRun, run: Run, member: Member | None, now: float) -> str:
+    """Return what kept a task from the worker of a former run when its next run was placed."""
+    if run.worker == former.worker:
+        return "same"
+    if former.is_second:
+        return "second"
+    if run.step.gang:
+        return "gang"
+    if member is None:
+        return "gone"
+    if not member.is_listed_live:
+        return member.listed_state
+    if member.silent_since is not None:
+        return "silent"
+    if not member.is_ready:
+        return "unfenced"
+    if member.is_quarantined(now):
+        return "quarantined"
+    if not member.is_usable(now):
+        return "paused"
+    step = run.step
+    if not step.reserved.fits(member.room) or (
+        step.filling and step.size.cores > member.idle_cores
+    ):
+        return "full"
+    return "other"
 
 
 class BootLog:
@@ -34,6 +73,8 @@
         self._token = token
         # Runs that were taken for over in the last KEEP_S, the oldest first.
         self._removed: dict[tuple[TaskId, int], RemovedRun] = {}
+        # Those with open starts, by job.
+        self._open: dict[str, dict[tuple[TaskId, int], RemovedRun]] = {}
 
     def boots(self, run: Run, member: Member | None) -> dict[str, object]:
         """Return fields with the boot that a start was sent to, and the boot that answers now."""
@@ -56,10 +97,86 @@
         """Note a run that is taken for over."""
         self._drop_old(now)
         key = run.task, run.number
-        self._removed.pop(key, None)
-        self._removed[key] = RemovedRun(
-            run.worker, why, now, run.sent_at, run.sent_to, run.is_unsure
+        self._forget(key)
+        removed = self._removed[key] = RemovedRun(
+            run.worker,
+            why,
+            now,
+            run.sent_at,
+            run.sent_to,
+            run.is_unsure,
+            _has_open_start(run, why),
+            run.unanswered_at > 0,
         )
+        if removed.is_open:
+            self._open.setdefault(run.task.job, {})[key] = removed
+
+    def open_starts(
+        self, run: Run, members: Mapping[str, Member], now: float
+    ) -> list[list[Any]] | None:
+        """Return a task's earlier starts that a later boot may still execute, or None.
+
+        Each has its number, worker, age in ms, why the run is over and why the task left.
+        """
+        rows = [
+            [
+                number,
+                former.worker,
+                round((now - former.sent_at) * 1000),
+                former.why.value,
+                _why_left(former, run, members.get(former.worker), now),
+            ]
+            for (task, number), former in self._list_open(run.task.job, now)
+            if task == run.task
+        ]
+        return rows or None
+
+    def log_moved(self, job: str, keys: Collection[TaskKey] | None, to: str, now: float) -> None:
+        """Log the open starts of tasks that move to another cell, of all if `keys` is None."""
+        found = [
+            (key, former)
+            for key, former in self._list_open(job, now)
+            if keys is None or key[0][1:] in keys
+        ]
+        self._log_left("moved", to, map(self._open_row, found), now)
+
+    def log_lost(self, why: str, members: Iterable[Member], now: float) -> None:
+        """Log the open starts that a successor in the cell does not know of."""
+        rows = [
+            [run.sent_at, run.task, run.number, run.worker, run.sent_to, run.state.value]
+            for member in members
+            for run in member.runs.values()
+            if run.may_begin
+        ]
+        found = (each for job in list(self._open) for each in self._list_open(job, now))
+        rows.extend(map(self._open_row, found))
+        self._log_left(why, None, rows, now)
+
+    def _open_row(self, item: tuple[tuple[TaskId, int], RemovedRun]) -> list[Any]:
+        (task, number), former = item
+        return [former.sent_at, task, number, former.worker, former.sent_to, former.why.value]
+
+    def _log_left(self, why: str, to: str | None, rows: Iterable[list[Any]], now: float) -> None:
+        newest = sorted(rows, key=lambda row: -row[0])
+        if newest:
+            log(
+                Event.STARTS_LEFT,
+                **self._holder,
+                why=why,
+                to=to,
+                starts=len(newest),
+                newest=[
+                    [str(task), number, worker, round((now - sent_at) * 1000), sent_to, state]
+                    for sent_at, task, number, worker, sent_to, state in newest[:MAX_LISTED]
+                ],
+            )
+
+    def _list_open(self, job: str, now: float) -> list[tuple[tuple[TaskId, int], RemovedRun]]:
+        return [
+            (key, former)
+            for key, former in self._open.get(job, {}).items()
+            if now < former.sent_at + LATE_CALL_S
+        ]
 
     def log_unlisted(self, run: Run, why: EndReason, member: Member | None) -> None:
         """Log a run that is considered over although no worker listed its end."""
@@ -72,9 +189,20 @@
             state=run.state.value,
             why=why.value,
             unsure=run.is_unsure,
+            lasting=run.step.lasting,
+            listed=member.listed_state if member is not None else None,
+            late_ms=self._late_ms(run),
             **self.boots(run, member),
         )
 
+    def _late_ms(self, run: Run) -> int:
+        """Return for how long the start of a removed run, or the one before, may be executed."""
+        removed = self._removed.get((run.task, run.number))
+        if removed is None or not (removed.is_open or removed.is_second):
+            return 0
+        sent_at = run.sent_at if removed.is_open else run.unanswered_at
+        return max(0, round((sent_at + LATE_CALL_S - removed.removed_at) * 1000))
+
     def log_duplicate(self, run: Run, done: bool, others: list[Run]) -> None:
         """Log a listed run whose task is done or has other runs."""
         log(
@@ -122,7 +250,7 @@
     ) -> None:
         """Log a listed run, or its end, if the run was taken for over before."""
         self._drop_old(now)
-        removed = self._removed.pop((task, number), None)
+        removed = self._forget((task, number))
         if removed is None:
             return
         log(
@@ -146,4 +274,12 @@
             key = next(iter(self._removed))
             if now - self._removed[key].removed_at <= KEEP_S:
                 return
-            del self._removed[key]
+            self._forget(key)
+
+    def _forget(self, key: tuple[TaskId, int]) -> RemovedRun | None:
+        removed, job = self._removed.pop(key, None), key[0].job
+        if removed is not None and removed.is_open:
+            del self._open[job][key]
+            if not self._open[job]:
+                del self._open[job]
+        return removed
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -362,6 +362,10 @@
         """Return the workers that may run tasks of this cell, as stored for a successor."""
         return [member.host._replace(remaining_ms=0) for member in self.members.values()]
 
+    def log_open_starts(self, why: str, now: float) -> None:
+        """Log the starts that a successor does not know of; `why` this holder ends."""
+        self._boot_log.log_lost(why, self.members.values(), now)
+
     def token(self, worker: str) -> int:
         """Return the fencing token of calls to a worker."""
         member = self.members.get(worker)
@@ -601,13 +605,14 @@
 
         Only tasks that this cell owns move; with one member of a gang, so do all others here.
         """
-        progress = tracked.progress
+        progress, own = tracked.progress, None
         if numbers is None:
             progress.move_job(cell, epoch)
         else:
             keys = [batch.key(index) for index in batch.together_with(numbers)]
             own = [key for key in keys if progress.owner(key) == self.cell]
             progress.move_tasks(own, cell, epoch)
+        self._boot_log.log_moved(tracked.job.id, own, cell, now)
         progress.highest_run = max(progress.highest_run, self._last_run)
         self._mark_dirty(tracked, urgent=True)
         for each in tracked.batches.values():
@@ -1377,6 +1382,7 @@
                 cell=self.cell,
                 by="lapse",
                 workers=len(lapsed),
+                names=sorted(lapsed),
                 left=self.count_unproven(),
             )
             self._recheck_held = True
@@ -2136,6 +2142,7 @@
             prior=tracked.prior,
             fenced=self.is_fully_fenced,
             after=list(tracked.former.pop(task[1:], ())) or None,
+            open=self._boot_log.open_starts(run, self.members, now),
             born=member.born,
             token=self.token(member.name),
         )
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -229,6 +229,7 @@
         for port in self._ports.values():
             port.close()
         self._on_end(self, why)
+        self.dispatcher.log_open_starts(why, self._clock())
 
     async def release(self) -> None:
         """Write pending progress, then release the owner row for another entry to take."""
