Logs show a listed run of a task that another cell has

A late start that a boot executes after its task moved is listed to the former cell's holder, or a successor of it. It tracks the run as its own without a line, as no other run of the task is in this cell: RUN_DUPLICATE looks at this cell's runs only. RUN_MISPLACED names the run and the owning cell. The run is not stopped there, as before. The test fails on the code before (no such line).

--- a/src/curranthall/cells/boot_log.py
+++ b/src/curranthall/cells/boot_log.py
@@ -215,6 +215,20 @@
             others=[[other.number, other.worker] for other in others if other is not run],
         )
 
+    def check_owner(self, run: Run, owner: str, member: Member) -> None:
+        """Log a run found on a worker here if another cell is to run its task."""
+        if owner != self._holder["cell"]:
+            log(
+                Event.RUN_MISPLACED,
+                task=run.task,
+                run=run.number,
+                worker=run.worker,
+                **self._holder,
+                owner=owner,
+                born=member.born,
+                token=self._token(run.worker),
+            )
+
     def note_restart(self, member: Member, now: float) -> None:
         """Log a restart, and the unanswered starts that the new boot may execute."""
         self._drop_old(now)
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1014,6 +1014,7 @@
             if other.state is RunState.RECORDING:
                 self._stop(other, now)
         run = Run(task, entry.run, member.name, batch.step, RunState.RUNNING, now)
+        self._boot_log.check_owner(run, tracked.progress.owner(task[1:]), member)
         if run.step.filling:
             # A former holder may have slowed or paused it.
             run.pace = UNKNOWN_PACE
--- a/tests/test_late_calls_log.py
+++ b/tests/test_late_calls_log.py
@@ -431,6 +431,27 @@
         self.assertEqual(line["names"], ["w1", "w3"])
 
 
+class Misplaced(BootLogTestCase):
+    def test_a_run_of_a_task_that_another_cell_has(self) -> None:
+        (start,) = self.place()
+        self.cell.dispatcher.on_start_result(start, StartResult.TOO_LATE, self.cell.now)
+        tracked = self.cell.dispatcher.tracked["0" * 16]
+        self.cell.dispatcher.move(tracked, tracked.batches[0, 0], [0], "south", self.cell.now)
+        for _ in range(2):
+            self.answer(listed(start), born=NEXT)
+        line = self.line("RUN_MISPLACED")
+        self.assertEqual(
+            (line["task"], line["run"], line["worker"]), (str(start.task), start.run, "w1")
+        )
+        self.assertEqual((line["cell"], line["epoch"], line["owner"]), (CELL, EPOCH, "south"))
+        self.assertEqual(line["born"], NEXT)
+
+    def test_a_run_of_a_task_of_this_cell_is_none(self) -> None:
+        (start,) = self.place()
+        self.answer(listed(start), listed(start._replace(run=start.run + 1)))
+        self.assertEqual(self.lines.named("RUN_MISPLACED"), [])
+
+
 class SkippedEnds(BootLogTestCase):
     def test_a_gap_is_logged(self) -> None:
         first, second, third = self.place(3)
