explain: a run listed after the task's second start is a suspect pair

A run that was taken for over and is listed as running after the second start was no suspect pair, as a RUN_VANISHED before that start counts as its end; only a listed end of it made it one, which a worker that is cut off never sends. The test fails on the code before: no pair found.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -134,6 +134,18 @@
         vanished = line(4.0, "RUN_VANISHED", task="ab.0.0.0", run=1, worker="w1", why="gone")
         self.assertEqual(self.find_kinds(self.first, vanished, self.second), [])
 
+    def test_a_run_that_reappears_after_the_second_start_is_suspect(self) -> None:
+        fields = {"task": "ab.0.0.0", "run": 1, "worker": "w1"}
+        vanished = line(4.0, "RUN_VANISHED", **fields, why="lapsed")
+        for at, listed, expected in (
+            (6.0, "running", ["first run listed after the second start"]),
+            (4.5, "running", []),
+            (6.0, "lapsed", []),
+        ):
+            seen = line(at, "RUN_REAPPEARED", **fields, listed=listed)
+            found = self.find_kinds(self.first, vanished, self.second, seen)
+            self.assertEqual(found, expected)
+
     def test_an_end_that_the_second_start_names_needs_no_line(self) -> None:
         fields = {"task": "ab.0.0.0", "run": 2, "worker": "w2"}
         for why, expected in (("ended failed", []), ("ended done", ["started after done"])):
--- a/tools/explain.py
+++ b/tools/explain.py
@@ -226,15 +226,24 @@
     """Yield starts of a task while an earlier run may still be running, or after it was done."""
     tasks: dict[str, list[dict[str, Any]]] = defaultdict(list)
     for event in sorted(events, key=lambda event: float(event["t"])):
-        if event["name"] == "RUN_PLACED" or event["name"] in END_EVENTS:
+        if event["name"] in ("RUN_PLACED", "RUN_REAPPEARED") or event["name"] in END_EVENTS:
             tasks[str(event["task"])].append(event)
     for lines in tasks.values():
         starts = [line for line in lines if line["name"] == "RUN_PLACED"]
         for first, second in zip(starts, starts[1:], strict=False):
             ends = [e for e in lines if e["name"] in END_EVENTS and e.get("run") == first["run"]]
+            seen = [e for e in lines if _is_sighting(e, first, second)]
             kind = _classify_pair(ends, first, second)
-            if kind:
-                yield SuspectPair(kind, first, second, ends)
+            if kind or seen:
+                kind = kind or "first run listed after the second start"
+                yield SuspectPair(kind, first, second, [*ends, *seen])
+
+
+def _is_sighting(event: dict[str, Any], first: dict[str, Any], second: dict[str, Any]) -> bool:
+    """Return whether the first run was listed as running after the second start."""
+    if event["name"] != "RUN_REAPPEARED" or event["run"] != first["run"]:
+        return False
+    return event["listed"] == "running" and float(event["t"]) > float(second["t"])
 
 
 def _classify_pair(
