--- a/src/curranthall/cells/boot_log.py
+++ b/src/curranthall/cells/boot_log.py
@@ -34,12 +34,10 @@
     return run.may_begin and why not in NO_EFFECT
 
 
-def _why_left(former: RemovedRun, run: Run, member: Member | None, now: float) -> str:
-    """Return what kept a task from the worker of a former run when its next run was placed."""
-    if run.worker == former.worker:
+def _why_left(worker: str, run: Run, member: Member | None, now: float) -> str:
+    """Return what kept a task's next run from the worker of a former run."""
+    if run.worker == worker:
         return "same"
-    if former.is_second:
-        return "second"
     if run.step.gang:
         return "gang"
     if member is None:
@@ -118,16 +116,27 @@
 
         Each has its number, worker, age in ms, why the run is over and why the task left.
         """
+        found = [
+            (number, former)
+            for (task, number), former in self._list_open(run.task.job, now)
+            if task == run.task
+        ]
+        left = {
+            former.worker: _why_left(former.worker, run, members.get(former.worker), now)
+            for _, former in found
+        }
+        for _, former in found:
+            if former.is_second and former.worker != run.worker:
+                left[former.worker] = "second"
         rows = [
             [
                 number,
                 former.worker,
                 round((now - former.sent_at) * 1000),
                 former.why.value,
-                _why_left(former, run, members.get(former.worker), now),
+                left[former.worker],
             ]
-            for (task, number), former in self._list_open(run.task.job, now)
-            if task == run.task
+            for number, former in found
         ]
         return rows or None
 
--- a/tests/test_late_calls_log.py
+++ b/tests/test_late_calls_log.py
@@ -241,7 +241,7 @@
         self.cell.now = self.cell.now + 0.5
         self.cell.dispatcher.update_host(host(first.worker, state=HostState.LEAVING))
         expected = [
-            [first.run, first.worker, 700, "vanished", "leaving"],
+            [first.run, first.worker, 700, "vanished", "second"],
             [second.run, second.worker, 600, "vanished", "second"],
         ]
         self.assertEqual(self.place_again(), expected)
