Log which worker a held lasting task waits for, and tasks that wait for an answer

A summary said that lasting tasks are held and which workers are not proven, not which of them holds up which task; and a task that waits until a worker shows whether it crashed with it was reported as 'order', like one that waits for a reserved worker.

CELL_STATE has held_by now, and waits the reason 'answer'.

--- a/src/curranthall/cells/summary.py
+++ b/src/curranthall/cells/summary.py
@@ -14,6 +14,7 @@
     WaitRow,
     count_lasting,
     find_longest_waits,
+    list_held,
     list_lasting_waits,
     summarize,
 )
@@ -61,6 +62,7 @@
         runs=sum(len(member.runs) for member in members),
         lasting=count_lasting(waiting, members)._asdict(),
         lasting_waits=[list(row) for row in lasting_waits],
+        held_by=[list(row) for row in list_held(longest)],
         kept_room_access=[
             [batch.tracked.job.id, batch.number, view.kept_room_access(batch)]
             for _, batch in longest
--- a/src/curranthall/cells/waits.py
+++ b/src/curranthall/cells/waits.py
@@ -1,5 +1,6 @@
 """Why waiting tasks have not started, summarized by queue and size of job."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from enum import Enum
 from typing import NamedTuple
@@ -8,6 +9,7 @@
 from curranthall.cells.headroom import Headroom
 from curranthall.cells.interference import Interference
 from curranthall.cells.placement import FILLING_SHARE, PlacementRequest, fits, has_room
+from curranthall.cells.poison import startable
 from curranthall.cells.tracking import Batch
 from curranthall.model import Size
 
@@ -15,6 +17,8 @@
 MAX_SAMPLED_BATCHES = 40
 # The most lasting batches that one summary lists, those that waited longest.
 MAX_LASTING_WAITS = 32
+# The most rows of held lasting tasks that one summary lists.
+MAX_HELD_ROWS = 16
 
 
 class WaitReason(Enum):
@@ -23,6 +27,7 @@
     CLOSED = "closed"  # the cell is evacuated or being released
     HELD = "held"  # the job is paused, or its stored row does not name this epoch
     LIMIT = "limit"  # the customer's limit is used up, or other cells hold the rest of it
+    ANSWER = "answer"  # a worker may have crashed with the task, or a task before it is isolated
     GANG = "gang"  # the gang has not started
     WORKER = "worker"  # no usable worker meets the step's constraints
     TICKET = "ticket"  # no eligible worker has a valid ticket
@@ -72,6 +77,18 @@
     why: str
 
 
+class HeldTasks(NamedTuple):
+    """Tasks of a lasting step that wait until the worker of their last start is proven.
+
+    `worker` is empty if the job's row does not name it.
+    """
+
+    job: str
+    step: int
+    worker: str
+    tasks: int
+
+
 class WaitContext(NamedTuple):
     """State of a cell that wait reasons are derived from."""
 
@@ -92,6 +109,8 @@
         return WaitReason.CLOSED if ctx.closed else WaitReason.HELD
     if not ctx.is_allowed(batch):
         return WaitReason.LIMIT
+    if not startable(batch):
+        return WaitReason.ANSWER
     siblings = batch.siblings()
     eligible = [
         (member, room)
@@ -235,3 +254,15 @@
         for since, batch in found
         for why, tasks in _count_by_reason(batch, ctx).items()
     ][:MAX_LASTING_WAITS]
+
+
+def list_held(found: Iterable[tuple[float, Batch]]) -> list[HeldTasks]:
+    """Return the held tasks of lasting batches by the worker that holds them up."""
+    rows = []
+    for _, batch in found:
+        places = batch.tracked.progress.places or {}
+        held = (places.get(batch.key(index)) for index in sorted(batch.held))
+        workers = Counter(place.worker if place is not None else "" for place in held)
+        job = batch.tracked.job.id
+        rows += [HeldTasks(job, batch.number, *each) for each in workers.items()]
+    return rows[:MAX_HELD_ROWS]
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -7,14 +7,27 @@
 from curranthall import telemetry
 from curranthall.cells.balance import Balancer, CellLoads
 from curranthall.cells.load import Load
+from curranthall.cells.poison import MAX_AMBIGUOUS_CRASHES
 from curranthall.cells.ports import EndKind, ListedRun
 from curranthall.cells.tracking import classify
 from curranthall.cells.waits import MAX_SAMPLED_BATCHES, WaitReason, idle_jobs
 from curranthall.daemon import _cell_samples
 from curranthall.dag import Progress, Step
+from curranthall.dag.progress import Doubt, Place
 from curranthall.model import Host, HostState
 from curranthall.telemetry import LabeledCounter, Telemetry
-from tests.cell_fixtures import SERVICE, Cell, ended, host, job, step
+from tests.cell_fixtures import (
+    BORN,
+    CELL,
+    EPOCH,
+    SERVICE,
+    Cell,
+    claimed_progress,
+    ended,
+    host,
+    job,
+    step,
+)
 from tests.test_events import CATALOGUE
 from tests.test_traces import LogTestCase
 
@@ -220,6 +233,27 @@
         (line,) = self.lines.named("WORKER_SILENT")
         self.assertEqual((line["state"], line["error"]), ("leaving", "refused"))
 
+    def test_the_workers_that_hold_up_lasting_tasks_are_logged_with_the_tasks(self) -> None:
+        for places, worker in (({(0, 0, 0): Place(1, "w1")}, "w1"), (None, "")):
+            with self.subTest(worker=worker):
+                cell = Cell(settled=False)
+                cell.dispatcher.take_over([host("w1")], cell.now + 60)
+                row = claimed_progress(EPOCH - 1, places=places)
+                lasting = job("1" * 16, step(1, lasting=True))
+                cell.dispatcher.adopt(lasting, row, 1, cell.now)
+                cell.dispatcher.tick(cell.now, cell.now)
+                line = self.lines.named("CELL_STATE")[-1]
+                self.assertEqual(line["held_by"], [["1" * 16, 0, worker, 1]])
+
+    def test_a_task_that_waits_for_the_answer_of_a_worker_is_reported_as_such(self) -> None:
+        cell = Cell(host("w1"))
+        new_job, row = job("1" * 16, step(1, lasting=True)), claimed_progress()
+        for run in range(1, MAX_AMBIGUOUS_CRASHES + 1):
+            doubt = Doubt(run, f"w{run + 1}", f"w{run + 1}:1", BORN, 10, CELL)
+            row.add_doubt((0, 0, 0), doubt)
+        cell.dispatcher.adopt(new_job, row, 1, cell.now)
+        self.assertEqual(self.waits(cell), {"answer": 1})
+
     def test_too_few_cores_in_total_are_reported_as_full(self) -> None:
         cell = self.busy_cell(host("w1"))
         cell.add(job("1" * 16, step(2, cores=4)))
