Bind a task to the worker that left its start unanswered

Cause: a start without an answer may be executed by any later boot of its worker, up to 12 s after it was sent, before that boot is fenced. The proof that it was over (an answered stop and a list, a list under a raised or a successor's token) held for one boot. The task preferred that worker once, and went elsewhere when it was not usable at that moment, for its second start in a row, as a member of a gang, with its job to another cell, and under the next holder, which knew of no open start.

Now an open start binds its task: it starts on that worker or waits, until no boot can execute the start any more; it is not moved, neither alone nor with its job or gang. Lasting tasks wait 6 s, as the platform expects them to run 3 s later; steps that allow duplicates are not bound. The details row names the open starts with each renewal and release, and binds them under the next holder, too.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -200,9 +200,9 @@
             target = _roomiest(targets, batch, must_start)
         if target is None:
             return False
-        waiting = sorted(batch.waiting)
+        waiting = dispatcher.open_starts.list_movable(batch, now)
         count = min(int(target.room(batch, must_start) / cores + ROUNDING), len(waiting))
-        if count < (len(waiting) if batch.step.gang else 1):
+        if count < (len(batch.waiting) if batch.step.gang else 1):
             return False
         numbers = waiting[:count]
         move = _Move(now, target.cell, batch.tracked.queue.service, batch.step, count)
@@ -253,7 +253,7 @@
 ) -> None:
     tracked = batch.tracked
     # Move the whole job only if no task of it can be running, here or in a cell it was moved to.
-    whole = not dispatcher.may_have_started(tracked) and len(numbers) == batch.step.width
+    whole = not dispatcher.may_have_started(tracked, now) and len(numbers) == batch.step.width
     dispatcher.move(tracked, batch, None if whole else numbers, target.cell, now, target.epoch)
     _log_move(dispatcher, batch, len(numbers), target.cell, whole)
 
--- a/src/curranthall/cells/boot_log.py
+++ b/src/curranthall/cells/boot_log.py
@@ -38,8 +38,6 @@
     """Return what kept a task's next run from the worker of a former run."""
     if run.worker == worker:
         return "same"
-    if run.step.gang:
-        return "gang"
     if member is None:
         return "gone"
     if not member.is_listed_live:
--- a/src/curranthall/cells/copies.py
+++ b/src/curranthall/cells/copies.py
@@ -371,7 +371,7 @@
     def _may_copy(self, batch: Batch, run: Run, member: Member, now: float) -> bool:
         """Return whether a second run of a task is allowed and certainly harmless."""
         tracked, key = batch.tracked, run.task[1:]
-        unanswered = tracked.unanswered.get(key)
+        start = tracked.open_starts.get(key)
         failed = len(tracked.progress.failures.get(key, ()))
         return (
             run.state is RunState.RUNNING
@@ -383,7 +383,7 @@
             # It has outlasted its start, and no worker crashed with the task.
             and not run.probation_until
             and not count_suspicions(batch, run.task.number)
-            and (unanswered is None or now >= unanswered.sent_at + LATE_CALL_S)
+            and (start is None or now >= start.sent_at + LATE_CALL_S)
             # If both fail, that is no more failed runs than the queue allows.
             and failed + 2 <= tracked.queue.max_attempts
         )
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -16,7 +16,6 @@
 from curranthall.cells.departure import Departures, has_room_elsewhere
 from curranthall.cells.fencing import Fencing
 from curranthall.cells.fleet import (
-    LATE_CALL_S,
     NO_EFFECT,
     NO_END_LISTED,
     EndReason,
@@ -37,6 +36,7 @@
 )
 from curranthall.cells.interference import Interference
 from curranthall.cells.load import Load, count_slots, measure, measure_cores
+from curranthall.cells.open_starts import OpenStarts, StartRow
 from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.order import Order as PlacementOrder
 from curranthall.cells.owner import UNKNOWN_WORKER
@@ -166,6 +166,7 @@
         self._newest_token = epoch
         # Former members to which late calls may still be under way.
         self._dropped: dict[str, Member] = {}
+        self.open_starts = OpenStarts(self.members, self._dropped, bounds.lease_s)
         self.tracked: dict[str, TrackedJob] = {}
         self._poison = PoisonDetector(self.tracked, cell)
         self.orders: deque[Order] = deque()
@@ -349,8 +350,10 @@
 
     def _drop_member(self, member: Member, now: float) -> None:
         del self.members[member.name]
-        dropped = [*self._dropped.values(), member]
-        self._dropped = {each.name: each for each in dropped if now - each.used_at < LATE_CALL_S}
+        self._dropped[member.name] = member
+        for each in list(self._dropped.values()):
+            if now >= late_lease_end(each.used_at, self.bounds.lease_s):
+                del self._dropped[each.name]
 
     def mark_host_missing(self, name: str, now: float) -> None:
         """Record that a worker is no longer listed."""
@@ -379,6 +382,10 @@
         """Return the workers that have not answered this holder, or are silent for long."""
         return [each for each in self.members.values() if not each.born or each.is_lost(now)]
 
+    def list_open_starts(self, now: float, unanswered_s: float) -> list[StartRow]:
+        """Return the open starts to publish, also those without an answer after some seconds."""
+        return self.open_starts.publish(self.tracked.values(), now, unanswered_s)
+
     def departing_members(self) -> list[Member]:
         """Return the answering workers with runs that have announced their shutdown."""
         return [
@@ -433,6 +440,7 @@
         tracked.given_version = progress.given_version or version
         tracked.prior = progress.claims.get(self.cell, 0) != self.epoch
         self.tracked[job.id] = tracked
+        self.open_starts.adopt(tracked)
         self._update_queue(tracked)
         self._poison.note_row(tracked)
         self._classify(tracked, self.order.note_job(tracked), now)
@@ -570,6 +578,7 @@
                 self.closed
                 or (batch.unplaced_since is not None and now - batch.unplaced_since >= after_s)
             )
+            and self.open_starts.list_movable(batch, now)
         ]
         return sorted(found, key=lambda batch: self.order.key(batch, now))
 
@@ -583,13 +592,16 @@
             for batch, indexes in self._idle_gangs.list_strays()
             if not self._is_held(batch, now)
             and not any(self._may_still_run(batch, batch.key(index)) for index in indexes)
+            and not any(self.open_starts.find(batch, index, now) for index in indexes)
         ]
 
-    def may_have_started(self, tracked: TrackedJob) -> bool:
+    def may_have_started(self, tracked: TrackedJob, now: float) -> bool:
         """Return whether any task of a job may have been started, here or elsewhere."""
         progress = tracked.progress
         if tracked.active() or tracked.has_started or progress.moved_to or progress.places:
             return True
+        if self.open_starts.has_any(tracked, now):
+            return True
         return tracked.prior and (not self._is_proven(tracked) or self._has_unheard_workers())
 
     def move(
@@ -839,8 +851,7 @@
             if (run.task, run.number) in listed or not run.is_over(asked_at, token):
                 continue
             if member.is_fenced or not run.may_restart(now):
-                if run.may_begin:
-                    self._note_unanswered(run, member)
+                self._note_open_start(run, member)
                 self._remove_run(run, now, EndReason.REBORN if reborn else EndReason.VANISHED)
         if snapshot.complete:
             # Only now: an answer whose processing failed above proves nothing.
@@ -859,23 +870,11 @@
                 tail_over_target=round(worst_tail_ratio(member), 2),
             )
 
-    def _note_unanswered(self, run: Run, member: Member) -> None:
-        """Record that a later boot may execute a start that the present one can't any more.
-
-        The task starts next on the same worker, so that its run is over when that boot begins.
-        """
-        member.late_start_until = max(member.late_start_until, run.sent_at + LATE_CALL_S)
+    def _note_open_start(self, run: Run, member: Member) -> None:
+        """Record that a later boot may execute a start that the present one can't any more."""
         tracked = self.tracked.get(run.task.job)
-        if tracked is not None:
-            tracked.unanswered[run.task[1:]] = run
-
-    def _find_unanswered(self, batch: Batch, index: int, now: float) -> Run | None:
-        """Return a task's last run if a later boot may execute its unanswered start."""
-        run = batch.tracked.unanswered.get(batch.key(index))
-        member = self.members.get(run.worker) if run is not None else None
-        if run is None or member is None or now >= run.sent_at + LATE_CALL_S:
-            return None
-        return run
+        if run.may_begin and tracked is not None:
+            self.open_starts.note(run, member, tracked)
 
     def _note_fenced(self, worker: str) -> None:
         """Record that a worker listed all its runs and ends, or is gone."""
@@ -1071,6 +1070,7 @@
             run.state = RunState.RUNNING
         run.absence_valid_after, run.has_begun = known_at, True
         tracked = self.tracked[run.task.job]
+        self.open_starts.note_begun(tracked, run.task, run.number, known_at)
         if not tracked.has_started:
             tracked.has_started = True
             log(
@@ -1098,6 +1098,7 @@
         run = member.runs.get((task, ending.run))
         if run is None:
             self._boot_log.check_listed(member, task, ending.run, ending.kind.value, now)
+            self.open_starts.note_begun(tracked, task, ending.run, now)
         if tracked.progress.phase.is_final or not tracked.job.has_task(task):
             # The end needs no record of its own once the row holds the final phase.
             member.pending_acks[ending.number] = PendingAck(task.job, tracked.change)
@@ -1800,7 +1801,7 @@
                 index
                 for index in startable(batch)
                 if not count_for_placement(batch, index)
-                and self._find_unanswered(batch, index, now) is None
+                and self.open_starts.find(batch, index, now) is None
             ]
             if not indexes or self._is_held(batch, now) or not self.quota.allows(batch):
                 continue
@@ -1908,16 +1909,24 @@
         headroom = self._headroom_for(step, now)
         req = PlacementRequest(service, step, siblings, takes_headroom=takes_headroom)
         indexes = startable(batch)
-        if indexes and any(refusal.covers(req) for refusal in refused):
-            self._handle_unplaced(batch, indexes[0], req, usable, now)
+        movable = set(self.open_starts.list_movable(batch, now))
+        free = [index for index in indexes if index in movable]
+        if free and any(refusal.covers(req) for refusal in refused):
+            self._handle_unplaced(batch, free[0], req, usable, now)
             return
         racks = self._racks(siblings) if step.same_rack else frozenset()
         held_back: tuple[int, PlacementRequest] | None = None
-        for index in indexes:
+        is_bound = False
+        # Those bound to a worker go first: no other one will do for them.
+        for index in sorted(indexes, key=lambda each: each in movable):
             if not self.quota.admits(batch):
                 return
             crashes = count_for_placement(batch, index)
             avoid = tracked.avoided_workers(batch.key(index))
+            candidates = usable
+            if index not in movable:
+                avoid = frozenset(tracked.failed_on.get(batch.key(index), ()))
+                candidates = self.open_starts.choose_from(batch, index, usable, now)
             req = PlacementRequest(
                 service,
                 step,
@@ -1931,9 +1940,11 @@
                 crashes=crashes,
                 needs_quiet=needs_quiet(batch, crashes, now),
             )
-            preferred = self._preferred(batch, index, usable, now)
-            member = choose_worker(req, preferred) if preferred else None
-            member = member or choose_worker(req, usable)
+            member = choose_worker(req, candidates)
+            if member is None and index not in movable:
+                # It can't start elsewhere, so the wait is only noted.
+                batch.unplaced_since, is_bound = batch.unplaced_since or now, True
+                continue
             if member is None and crashes:
                 held_back = index, req
                 continue
@@ -1949,18 +1960,9 @@
                 racks = self._racks(siblings)
         if held_back is not None:
             self._handle_unplaced(batch, *held_back, usable, now)
-        else:
+        elif not is_bound:
             batch.note_placed()
 
-    def _preferred(
-        self, batch: Batch, index: int, usable: list[Member], now: float
-    ) -> list[Member]:
-        """Return the worker that a task starts on again after one unanswered start, if any."""
-        run = self._find_unanswered(batch, index, now)
-        if run is None or run.unanswered_at:
-            return []
-        return [member for member in usable if member.name == run.worker]
-
     def _handle_unplaced(
         self, batch: Batch, index: int, req: PlacementRequest, usable: list[Member], now: float
     ) -> None:
@@ -2001,11 +2003,12 @@
         tracked, step = batch.tracked, batch.step
         if not batch.waiting or needs_answer(batch, 0):
             return
-        chosen: list[Member] = []
+        chosen: dict[int, Member] = {}
         tentative: list[tuple[Member, Run]] = []
         siblings: dict[str, int] = {}
         crashes = count_for_placement(batch, 0)
-        for index in range(step.width):
+        # Those bound to a worker go first: no other one will do for them.
+        for index in self.open_starts.bound_first(batch, now):
             racks = self._racks(siblings) if step.same_rack else frozenset()
             member = choose_worker(
                 PlacementRequest(
@@ -2018,11 +2021,11 @@
                     crashes=crashes,
                     needs_quiet=needs_quiet(batch, crashes, now),
                 ),
-                usable,
+                self.open_starts.choose_from(batch, index, usable, now),
             )
             if member is None:
                 break
-            chosen.append(member)
+            chosen[index] = member
             placeholder = Run(batch.task(index), 0, member.name, step, RunState.STARTING, now)
             member.add(placeholder)
             tentative.append((member, placeholder))
@@ -2040,7 +2043,7 @@
         )
         for key in keys:
             tracked.checkpoints[key] = checkpoint
-        for index, member in enumerate(chosen):
+        for index, member in sorted(chosen.items()):
             self._start(batch, index, member, number, now)
         batch.note_placed()
         self._idle_gangs.drop(batch)
@@ -2062,9 +2065,9 @@
         run = Run(task, number, member.name, batch.step, RunState.STARTING, now, checkpoint)
         run.probation_until, run.crashes = now + PROBATION_S, count_suspicions(batch, index)
         run.is_atypical = bool(checkpoint)
-        unanswered = self._find_unanswered(batch, index, now)
-        if unanswered is not None and unanswered.worker == member.name:
-            run.unanswered_at = unanswered.sent_at
+        open_start = self.open_starts.find(batch, index, now)
+        if open_start is not None and open_start.worker == member.name:
+            run.unanswered_at = open_start.sent_at
         run.wait = batch.wait()
         run.note_progress(now)
         self._add_run(batch, run, member)
--- a/src/curranthall/cells/early_moves.py
+++ b/src/curranthall/cells/early_moves.py
@@ -76,9 +76,11 @@
     job, progress = tracked.job, tracked.progress
     if not is_predictable(job) or any(step.gang for step in job.steps):
         return False
-    if progress.cell != dispatcher.cell or progress.doubts or dispatcher.may_have_started(tracked):
+    if progress.cell != dispatcher.cell or progress.doubts:
         return False
-    if tracked.unanswered or tracked.former:
+    if dispatcher.may_have_started(tracked, now):
+        return False
+    if tracked.open_starts or tracked.former:
         return False
     if not progress.moves:
         return True
--- /dev/null
+++ b/src/curranthall/cells/open_starts.py
@@ -0,0 +1,148 @@
+"""Starts without an answer that a later boot of their worker may still execute.
+
+While a task has one, it starts again on that worker only: a run there ends with its boot, before a
+later boot can execute the first start.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from curranthall.cells.fleet import LATE_CALL_S, Member, Run, late_lease_end
+from curranthall.cells.tracking import Batch, OpenStart, TrackedJob
+from curranthall.dag import Step, TaskId
+
+# The platform expects a lasting task to run again by this long after its last run, and 3 s more.
+LASTING_WAIT_S = 6.0
+# A worker that answers no start of a task in this many attempts gets no further one of it.
+MAX_ATTEMPTS = 3
+# A start without an answer for this long is published before its call has failed.
+UNANSWERED_S = 0.3
+# The most starts that are published, the latest ones: a row has a limited size.
+MAX_PUBLISHED = 1_000
+
+
+class StartRow(NamedTuple):
+    """An open start as published for a successor, with a time when it was sent."""
+
+    worker: str
+    task: TaskId
+    run: int
+    sent_at: float
+
+
+class OpenStarts:
+    """Tells which tasks of a cell are bound to a worker, and until when.
+
+    `dropped` are former members; they are kept until late calls to them are over.
+    """
+
+    def __init__(
+        self, members: Mapping[str, Member], dropped: Mapping[str, Member], lease_s: float
+    ) -> None:
+        self._members = members
+        self._dropped = dropped
+        self._lease_s = lease_s
+        # Those of a former holder, by job that is not tracked yet.
+        self._inherited: dict[str, list[StartRow]] = {}
+
+    def note(self, run: Run, member: Member, tracked: TrackedJob) -> None:
+        """Record a start that the present boot of its worker does not execute any more."""
+        member.late_start_until = max(member.late_start_until, run.sent_at + LATE_CALL_S)
+        key, start = run.task[1:], OpenStart(run.worker, run.number, run.sent_at, run.sent_at, 1)
+        former = tracked.open_starts.get(key)
+        if former is not None and former.worker == run.worker:
+            start = start._replace(since=former.since, attempts=former.attempts + 1)
+        tracked.open_starts[key] = start
+
+    def note_begun(self, tracked: TrackedJob, task: TaskId, run: int, now: float) -> None:
+        """Record that a worker has begun a run of a task; a start is executed only once."""
+        start = tracked.open_starts.get(task[1:])
+        if start is None:
+            return
+        if start.run == run and start.attempts <= 1:
+            del tracked.open_starts[task[1:]]
+        else:
+            tracked.open_starts[task[1:]] = start._replace(since=now, attempts=0)
+
+    def find(self, batch: Batch, index: int, now: float) -> OpenStart | None:
+        """Return the open start of a task, if any."""
+        start = batch.tracked.open_starts.get(batch.key(index))
+        if start is None or batch.step.copies or self._is_over(start, batch.step, now):
+            return None
+        return start
+
+    def has_any(self, tracked: TrackedJob, now: float) -> bool:
+        """Return whether any task of a job has an open start."""
+        return any(
+            not self._is_over(start, tracked.job.steps[key[1]], now)
+            for key, start in tracked.open_starts.items()
+        )
+
+    def list_movable(self, batch: Batch, now: float) -> list[int]:
+        """Return the waiting tasks that may start on any worker; of a gang all or none."""
+        if not batch.tracked.open_starts:
+            return sorted(batch.waiting)
+        found = [index for index in sorted(batch.waiting) if self.find(batch, index, now) is None]
+        return [] if batch.step.gang and len(found) < len(batch.waiting) else found
+
+    def bound_first(self, batch: Batch, now: float) -> list[int]:
+        """Return the members of a gang, those bound to a worker first."""
+        return sorted(range(batch.step.width), key=lambda at: self.find(batch, at, now) is None)
+
+    def choose_from(
+        self, batch: Batch, index: int, usable: list[Member], now: float
+    ) -> list[Member]:
+        """Return the usable workers on which a task may start."""
+        start = self.find(batch, index, now)
+        if start is None:
+            return usable
+        if start.attempts >= MAX_ATTEMPTS:
+            return []
+        return [member for member in usable if member.name == start.worker]
+
+    def inherit(self, rows: Iterable[StartRow]) -> None:
+        """Take over the open starts that a former holder has published."""
+        for row in rows:
+            self._inherited.setdefault(row.task.job, []).append(row)
+            member = self._members.get(row.worker)
+            if member is not None:
+                late_until = row.sent_at + LATE_CALL_S
+                member.late_start_until = max(member.late_start_until, late_until)
+
+    def adopt(self, tracked: TrackedJob) -> None:
+        """Attach the inherited open starts of a job that is tracked from now on."""
+        for row in self._inherited.pop(tracked.job.id, ()):
+            if tracked.job.has_task(row.task):
+                start = OpenStart(row.worker, row.run, row.sent_at, row.sent_at)
+                tracked.open_starts[row.task[1:]] = start
+
+    def publish(
+        self, jobs: Iterable[TrackedJob], now: float, unanswered_s: float
+    ) -> list[StartRow]:
+        """List the open starts, and those that have no answer after some seconds."""
+        found = [row for rows in self._inherited.values() for row in rows]
+        for tracked in jobs:
+            if tracked.progress.phase.is_final:
+                continue
+            for key, start in tracked.open_starts.items():
+                if not self._is_over(start, tracked.job.steps[key[1]], now):
+                    task = TaskId(tracked.job.id, *key)
+                    found.append(StartRow(start.worker, task, start.run, start.sent_at))
+        for member in self._members.values():
+            for run in member.runs.values():
+                is_awaited = run.is_unsure or now - run.sent_at >= unanswered_s
+                if run.may_begin and is_awaited:
+                    found.append(StartRow(run.worker, run.task, run.number, run.sent_at))
+        found = [row for row in found if now < late_lease_end(row.sent_at, self._lease_s)]
+        return sorted(found, key=lambda row: row.sent_at)[-MAX_PUBLISHED:]
+
+    def _is_over(self, start: OpenStart, step: Step, now: float) -> bool:
+        """Return whether no boot executes a start any more, nor runs what it has started."""
+        if step.lasting and now >= start.since + LASTING_WAIT_S:
+            return True
+        member = self._members.get(start.worker)
+        if member is not None and member.is_fenced and member.silent_since is None:
+            return member.all_ends_listed and member.asked_at >= start.sent_at + LATE_CALL_S
+        former = member or self._dropped.get(start.worker)
+        used_at = max(start.sent_at, former.used_at if former is not None else 0.0)
+        return now >= late_lease_end(used_at, self._lease_s)
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -9,6 +9,7 @@
 from cbor2 import dumps, loads
 
 from curranthall.cells.load import Load, decode_loads, encode_loads
+from curranthall.dag import TaskId
 from curranthall.events import Event, log
 from curranthall.model import Host, HostState, Size
 from curranthall.store import Listing, Row
@@ -180,6 +181,8 @@
     epoch: int = 0
     # With a release, the workers that never answered the holder that released the cell.
     unheard: tuple[str, ...] = ()
+    # Starts without an answer: worker, task, run, and when each was sent, by the store's clock.
+    open_starts: tuple[tuple[str, str, int, int], ...] = ()
     # The version of the row as read; not stored in it.
     version: int = 0
     readable: bool = True
@@ -187,20 +190,22 @@
     def encode(self) -> bytes:
         """Encode the row's value."""
         roster = [[*host._replace(state=host.state.value)] for host in self.roster]  # type: ignore
-        return dumps([roster, self.learned, self.lease_ends, self.epoch, self.unheard])
+        starts = self.open_starts
+        return dumps([roster, self.learned, self.lease_ends, self.epoch, self.unheard, starts])
 
 
 def decode_details(data: bytes) -> Details:
     """Decode a row's value; raise one of DECODE_ERRORS when it is invalid."""
     roster, learned, *more = items(loads(data))
     # Rows written by earlier versions lack these fields.
-    lease_ends, epoch, unheard = (*more, *({}, 0, [])[len(more) :])[:3]
+    lease_ends, epoch, unheard, starts = (*more, *({}, 0, [], [])[len(more) :])[:4]
     return Details(
         [_host(values) for values in items(roster)],
         list(map(_learned, items(learned))),
         {text(name): whole(end_ms) for name, end_ms in fields(lease_ends).items()},
         whole(epoch),
         tuple(map(text, items(unheard))),
+        tuple(map(_open_start, items(starts))),
     )
 
 
@@ -232,6 +237,11 @@
     return checked(host._replace(size=size, state=HostState(host.state), labels=labels))
 
 
+def _open_start(row: object) -> tuple[str, str, int, int]:
+    worker, task, run, sent_ms = items(row)
+    return text(worker), str(TaskId.parse(text(task))), whole(run), whole(sent_ms)
+
+
 def _learned(row: object) -> list[Any]:
     serving, image, weight, variance = items(row)
     return [text(serving), text(image), finite(weight), finite(variance)]
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -10,6 +10,7 @@
 from curranthall.cells.dispatcher import START_WINDOW_S, Dispatcher
 from curranthall.cells.fleet import Member
 from curranthall.cells.guard import GuardedPort, first_answer, guard
+from curranthall.cells.open_starts import UNANSWERED_S
 from curranthall.cells.owner import (
     CELL_PART,
     CELL_TABLE,
@@ -261,6 +262,7 @@
             roster=self.dispatcher.roster(),
             lease_ends=self._lease_ends(members),
             unheard=tuple(member.name for member in members if not member.born),
+            open_starts=self._open_starts(0.0),
         )
         retry_until = self._clock() + RELEASE_RETRY_S
         while not await self._write_release(released, details) and self._clock() < retry_until:
@@ -290,6 +292,17 @@
                 found[member.name] = min(known)
         return found
 
+    def _open_starts(self, unanswered_s: float) -> tuple[tuple[str, str, int, int], ...]:
+        """Return the starts that later boots may execute, if the store's clock is known."""
+        offset_ms = self._store_offset_ms
+        if offset_ms is None:
+            return ()
+        rows = self.dispatcher.list_open_starts(self._clock(), unanswered_s)
+        return tuple(
+            (row.worker, str(row.task), row.run, math.ceil(row.sent_at * 1000 + offset_ms))
+            for row in rows
+        )
+
     def _lease_limit(self, member: Member) -> float:
         """Return the local time by which a worker's leases must be over."""
         end_ms = self._lease_limits.get(member.name)
@@ -429,7 +442,11 @@
         limits, lease_ends = self._lease_limits, self._lease_ends(self._unheard_members(now))
         lease_ends |= self._departing_lease_ends(now)
         suspended = self.dispatcher.suspend(lease_ends)
-        details = self._details._replace(roster=self.dispatcher.roster(), lease_ends=lease_ends)
+        details = self._details._replace(
+            roster=self.dispatcher.roster(),
+            lease_ends=lease_ends,
+            open_starts=self._open_starts(UNANSWERED_S),
+        )
         boot_ids = self.dispatcher.boot_ids()
         for name in lease_ends:
             boot_ids.pop(name, None)
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -9,6 +9,7 @@
 from curranthall.cells.advice import Advice
 from curranthall.cells.balance import CellLoads, WorkerKind, group_kinds
 from curranthall.cells.dispatcher import Dispatcher
+from curranthall.cells.open_starts import StartRow
 from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.owner import (
     ABSTAIN_S,
@@ -33,7 +34,7 @@
 from curranthall.cells.shares import SharesKeeper
 from curranthall.cells.tracking import Bounds, JobMove
 from curranthall.customers import NO_CUSTOMERS, Customer, Customers
-from curranthall.dag import Job, Queue
+from curranthall.dag import Job, Queue, TaskId
 from curranthall.dag.progress import decode_progress
 from curranthall.errors import AnswerLost, PlatformDown
 from curranthall.events import Event, log
@@ -278,6 +279,10 @@
             Quota(keeper, env.customers, env.customer_of),
         )
         dispatcher.take_over(roster, vacancy.proof_at, lease_ends, now)
+        dispatcher.open_starts.inherit(
+            StartRow(worker, TaskId.parse(task), run, min(now, self.watch.local_time_of(sent_ms)))
+            for worker, task, run, sent_ms in taken.details.open_starts
+        )
         dispatcher.interference.import_rows(taken.details.learned)
         dispatcher.closed = vacancy.cell in env.evacuated()
         for moved in owner.moved:
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -69,6 +69,20 @@
         return min(self.max_hold_s, MAX_LEASE_S)
 
 
+class OpenStart(NamedTuple):
+    """A task's start that its worker did not answer, and that a later boot may still execute.
+
+    `run` is its number. `since` is when the first of `attempts` such starts in a row was sent, or
+    the last one answered.
+    """
+
+    worker: str
+    run: int
+    sent_at: float
+    since: float
+    attempts: int = 0
+
+
 @dataclass(slots=True, eq=False)
 class Batch:
     """One occurrence of one step: its waiting tasks and those with runs."""
@@ -200,8 +214,7 @@
     failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     refused_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     former: dict[TaskKey, FormerRun] = field(default_factory=dict)
-    # Runs whose start the worker did not answer and no longer carries out, unless it restarts.
-    unanswered: dict[TaskKey, Run] = field(default_factory=dict)
+    open_starts: dict[TaskKey, OpenStart] = field(default_factory=dict)
     # Number of the last local change, and of the last one that the row contains.
     change: int = 0
     recorded: int = 0
@@ -273,7 +286,7 @@
             self.failed_on,
             self.refused_on,
             self.former,
-            self.unanswered,
+            self.open_starts,
         )
         for table in tables:
             drop_keys_below(table, first)
