Tell by its clock that a later boot answers a start

Cause: a worker crashes and is back before a hold on it fails. Its holder starts tasks there, and the new boot answers; an answer to a start names no boot. The run counted as begun under the former boot: its lease as that of the last hold, up to 2 s shorter than what the new boot took by its own clock, and without any late call to the former boot. Once the worker was cut off, the lapse (or the lease end that a release hands over) came too early, for all runs of that boot. A proof about one boot was taken for one about the worker, again.

Each answer has the worker's clock, which begins anew with a boot. A clock behind that of the last hold's answer now shows the later boot: the worker counts as restarted, its leases by that clock; finite runs on a silent worker that isn't fenced wait for late calls, listed or not.

test_platform reads the result from the answer to a start, and checks its clock, too.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1252,6 +1252,18 @@
         member = self.members.get(order.worker)
         return member.runs.get((order.task, order.run)) if member else None
 
+    def note_clock(self, worker: str, clock_ms: int | None, asked_at: float, now: float) -> bool:
+        """Process the clock in an answer that names no boot; return whether it is a later boot's.
+
+        Then the worker needs another fencing token.
+        """
+        member = self.members.get(worker)
+        if member is None or clock_ms is None or not member.is_behind(clock_ms, asked_at):
+            return False
+        log(Event.WORKER_CLOCK_BEHIND, worker=worker, clock_ms=clock_ms, born=member.born)
+        member.note_later_boot(clock_ms, now, self.bounds.lease_s)
+        return True
+
     def on_start_result(self, order: StartTask, result: StartResult, now: float) -> None:
         """Process a worker's answer to a start."""
         run, member = self.find(order), self.members.get(order.worker)
@@ -1461,10 +1473,11 @@
     def _may_run_late(self, run: Run, now: float) -> bool:
         """Return whether a silent worker may run a start that it did not answer.
 
-        It may have restarted: the deadline and the lease then count on the new boot's clock.
+        It may have restarted: the deadline and the lease then count on the new boot's clock. A boot
+        that is not fenced may also extend the lease of any run by a call to a former one.
         """
         member = self.members[run.worker]
-        if not (run.may_begin or run.unanswered_at):
+        if member.is_fenced and not (run.may_begin or run.unanswered_at):
             return False
         if run.step.lasting and member.missing_since is not None:
             # The platform expects a lasting task to run again sooner than that.
--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -13,6 +13,8 @@
 # A worker's clock may run up to 2 % slow (the platform's bound); the slack covers answer delay.
 CLOCK_DRIFT = 0.02
 LAPSE_SLACK_S = 0.2
+# Rounding of the clock in a worker's answers.
+CLOCK_SLACK_MS = 20
 # The longest after it was sent that a worker, or its next boot, executes an unanswered call.
 LATE_CALL_S = 12.0
 # A lapse shows that a worker's runs are over, but not how they ended. As long as the worker is
@@ -445,6 +447,21 @@
         """Estimate the worker's clock in milliseconds; it may run slower than this, not faster."""
         return self.clock_ms + int((now - self.clock_at) * 1000)
 
+    def is_behind(self, clock_ms: int, asked_at: float) -> bool:
+        """Return whether a clock is lower than that of the boot that answered last."""
+        passed_s = max(0.0, asked_at - self.clock_at) * (1 - CLOCK_DRIFT)
+        return clock_ms < self.clock_ms + int(passed_s * 1000) - CLOCK_SLACK_MS
+
+    def note_later_boot(self, clock_ms: int, now: float, max_hold_s: float) -> None:
+        """Record that a later boot than the known one answers, by its clock; it has a lease now."""
+        self._note_restart(max_hold_s)
+        self.clock_ms, self.clock_at = clock_ms, now
+        self.granted_ms = clock_ms + int(max_hold_s * 1000)
+
+    def _note_restart(self, max_hold_s: float) -> None:
+        self.is_fenced, self.former_token = False, self.used_token
+        self.late_leases_over_at = late_lease_end(self.used_at, max_hold_s)
+
     def clock_reached_by(self, clock_ms: int) -> float:
         """Return the local time by which the worker's clock has certainly passed a value."""
         left_s = (clock_ms + 1 - self.clock_ms) / 1000
@@ -521,8 +538,7 @@
         """Update the clock from an answer to a call; return whether the worker has restarted."""
         has_restarted = self.born not in (0, snapshot.born)
         if has_restarted:
-            self.is_fenced, self.former_token = False, self.used_token
-            self.late_leases_over_at = late_lease_end(self.used_at, max_hold_s)
+            self._note_restart(max_hold_s)
         is_newly_fenced = not self.is_fenced and token > self.former_token
         self.is_fenced |= is_newly_fenced
         if snapshot.born != self.born or is_newly_fenced:
--- a/src/curranthall/cells/guard.py
+++ b/src/curranthall/cells/guard.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from curranthall.cells.ports import PaceTask, Snapshot, StartResult, StartTask, StopTask, WorkerPort
+from curranthall.cells.ports import PaceTask, Snapshot, StartAnswer, StartTask, StopTask, WorkerPort
 from curranthall.errors import AnswerLost, ConnectFailed, CurranthallError
 from curranthall.events import Event, log
 from curranthall.model import Host
@@ -66,7 +66,7 @@
             self._host.name, lambda: self._port().hold(token, cursor, lease_ms, wait_ms)
         )
 
-    async def start(self, token: int, order: StartTask) -> StartResult:
+    async def start(self, token: int, order: StartTask) -> StartAnswer:
         """Start a run."""
         return await guard(self._host.name, lambda: self._port().start(token, order))
 
--- a/src/curranthall/cells/ports.py
+++ b/src/curranthall/cells/ports.py
@@ -104,6 +104,13 @@
 WorkerOrder = StartTask | StopTask | PaceTask
 
 
+class StartAnswer(NamedTuple):
+    """A worker's answer to a start, with its monotonic clock if that can be read."""
+
+    result: StartResult
+    clock_ms: int | None = None
+
+
 class AskAdvice(NamedTuple):
     """A request to the advisor: which of `workers` may run a step."""
 
@@ -122,7 +129,7 @@
     async def hold(self, token: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
         """Extend the lease, acknowledge ends up to `cursor`, and return the runs and ends."""
 
-    async def start(self, token: int, order: StartTask) -> StartResult:
+    async def start(self, token: int, order: StartTask) -> StartAnswer:
         """Start a run."""
 
     async def stop(self, token: int, order: StopTask) -> None:
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -756,9 +756,9 @@
             raise ConnectFailed(peer=worker, why="token raised since") from exc
 
     async def _send_start(self, port: WorkerPort, token: int, order: StartTask) -> None:
-        dispatcher = self.dispatcher
+        dispatcher, asked_at = self.dispatcher, self._clock()
         try:
-            result = await self._unless_outdated(order.worker, token, port.start(token, order))
+            answer = await self._unless_outdated(order.worker, token, port.start(token, order))
         except ConnectFailed:
             dispatcher.on_start_unsent(order, self._clock())
         except AnswerLost:
@@ -766,7 +766,10 @@
         except OtherBoot:
             dispatcher.on_gone(order.worker, self._clock(), order)
         else:
-            dispatcher.on_start_result(order, result, self._clock())
+            now = self._clock()
+            if dispatcher.note_clock(order.worker, answer.clock_ms, asked_at, now):
+                self._renew_now.set()
+            dispatcher.on_start_result(order, answer.result, now)
         self.wake()
 
     async def _send_stop(self, port: WorkerPort, token: int, order: StopTask) -> None:
--- a/src/curranthall/platform/worker.py
+++ b/src/curranthall/platform/worker.py
@@ -14,6 +14,7 @@
     ListedRun,
     PaceTask,
     Snapshot,
+    StartAnswer,
     StartResult,
     StartTask,
     StopTask,
@@ -79,7 +80,7 @@
             why = f"unreadable answer: {reason(exc)}"
             raise AnswerLost(peer=self._host.name, why=why) from exc
 
-    async def start(self, token: int, order: StartTask) -> StartResult:
+    async def start(self, token: int, order: StartTask) -> StartAnswer:
         """Start a run."""
         body = {
             "task": str(order.task),
@@ -99,7 +100,7 @@
             result = STATUS_RESULTS.get(answer.status, StartResult.UNHEALTHY)
         if result is StartResult.FENCED:
             raise Fenced(worker=self._host.name, token=token)
-        return result
+        return StartAnswer(result, _clock_ms(answer))
 
     async def stop(self, token: int, order: StopTask) -> None:
         """Stop a run."""
@@ -159,6 +160,13 @@
         return ""
 
 
+def _clock_ms(answer: Response) -> int | None:
+    try:
+        return whole(fields(orjson.loads(answer.body))["clock-ms"])
+    except DECODE_ERRORS:
+        return None
+
+
 class _SnapshotDecoder:
     """Decodes a worker's answer to a hold; logs what it cannot read.
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -15,6 +15,7 @@
     EndKind,
     PaceTask,
     Snapshot,
+    StartAnswer,
     StartResult,
     StartTask,
     StopTask,
@@ -705,14 +706,14 @@
             answer.cancel()
             crash.cancel()
 
-    async def start(self, token: int, order: StartTask) -> StartResult:
+    async def start(self, token: int, order: StartTask) -> StartAnswer:
         """Start a run, at random late."""
 
-        async def start(runner: Runner) -> StartResult:
+        async def start(runner: Runner) -> StartAnswer:
             result = runner.start(token, order)
             if result is StartResult.STARTED and order.task in self._cluster.poison:
                 asyncio.ensure_future(self._cluster.poison_worker(self._name, order.task))
-            return result
+            return StartAnswer(result, runner.clock_ms)
 
         self._cluster.judge.note_sent(order.task, self._name)
         runner = await self._reach(start)
--- a/tests/test_former_lives.py
+++ b/tests/test_former_lives.py
@@ -9,7 +9,7 @@
 
 import tests.cluster
 from curranthall.cells.fleet import FAILURES_TO_QUARANTINE
-from curranthall.cells.ports import EndKind, StartResult, StartTask
+from curranthall.cells.ports import EndKind, StartAnswer, StartTask
 from curranthall.errors import AnswerLost, CurranthallError, Fenced
 from curranthall.lease import LOST, MARGIN_S, HeldWorker, LeaseKeeper
 from curranthall.model import Host, Outcome, Size, StartOrder, Task
@@ -169,7 +169,7 @@
     losing = ""
     lost: list[tuple[int, StartTask]] = []
 
-    async def start(self, epoch: int, order: StartTask) -> StartResult:
+    async def start(self, epoch: int, order: StartTask) -> StartAnswer:
         """Start a run, or lose the call."""
         if self._name != self.losing:
             return await super().start(epoch, order)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -519,7 +519,7 @@
         for body in (b"", b"[]", b"{", b'{"reason":[]}', b"null", nest(DEPTHS[1])):
             self.server.body = body
             with self.subTest(body=body[:20]):
-                self.assertIs(await self.worker.start(3, order), StartResult.MALFORMED)
+                self.assertIs((await self.worker.start(3, order)).result, StartResult.MALFORMED)
 
 
 class OddAdvice(unittest.IsolatedAsyncioTestCase):
@@ -570,7 +570,11 @@
 
     async def test_a_run_starts_and_its_end_is_listed_until_acknowledged(self) -> None:
         order = self.make_order()
-        self.assertIs(await self.worker.start(3, order), StartResult.STARTED)
+        clock_ms = self.fake.runner.clock_ms
+        answer = await self.worker.start(3, order)
+        self.assertIs(answer.result, StartResult.STARTED)
+        assert answer.clock_ms is not None
+        self.assertGreaterEqual(answer.clock_ms, clock_ms)
         await asyncio.sleep(0.1)
         snapshot = await self.worker.hold(3, 0, None, 0)
         self.assertEqual([end.kind for end in snapshot.ended], [EndKind.DONE])
@@ -580,10 +584,12 @@
 
     async def test_refusal_reasons_are_distinguished(self) -> None:
         self.assertIs(
-            await self.worker.start(3, self.make_order(deadline_in_ms=-100)), StartResult.TOO_LATE
+            (await self.worker.start(3, self.make_order(deadline_in_ms=-100))).result,
+            StartResult.TOO_LATE,
         )
         await self.worker.stop(3, StopTask("i-1", self.make_order().task, 5))
-        self.assertIs(await self.worker.start(3, self.make_order(5)), StartResult.OLD_RUN)
+        answer = await self.worker.start(3, self.make_order(5))
+        self.assertIs(answer.result, StartResult.OLD_RUN)
         with self.assertRaises(Fenced):
             await self.worker.start(2, self.make_order(9))
         with self.assertRaises(Fenced):
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -27,6 +27,7 @@
     ListedRun,
     PaceTask,
     Snapshot,
+    StartAnswer,
     StartResult,
     StartTask,
     StopTask,
@@ -214,8 +215,8 @@
         await asyncio.sleep(wait_ms / 1000)
         return Snapshot(int(self._clock() * 1000), 1, [], [])
 
-    async def start(self, epoch: int, order: StartTask) -> StartResult:
-        return StartResult.UNHEALTHY
+    async def start(self, epoch: int, order: StartTask) -> StartAnswer:
+        return StartAnswer(StartResult.UNHEALTHY)
 
     async def stop(self, epoch: int, order: StopTask) -> None:
         pass
@@ -298,7 +299,7 @@
         self._fail("hold")
         return await super().hold(epoch, cursor, lease_ms, wait_ms)
 
-    async def start(self, epoch: int, order: StartTask) -> StartResult:
+    async def start(self, epoch: int, order: StartTask) -> StartAnswer:
         self._fail("start")
         return await super().start(epoch, order)
 
@@ -1079,7 +1080,7 @@
     async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
         return (await super().hold(epoch, cursor, lease_ms, wait_ms))._replace(running=self.running)
 
-    async def start(self, epoch: int, order: StartTask) -> StartResult:
+    async def start(self, epoch: int, order: StartTask) -> StartAnswer:
         self.started.add(order.task.job)
         return await super().start(epoch, order)
 
