Record that a lasting task's run is over, so that no successor waits for its worker

Seen: a lasting task that waits for room is held back again by each holder that takes its cell, for up to 12.5 s, though its run was over long before: 28.05 s from the crash of its worker to the next start in virtual time, where the holder is killed 16 s after the crash (24.0 s with a kill after 12 s).

Cause: the row names the worker of the task's last start for good. What the holder learned since, that the run ended or its lease lapsed, was stored nowhere and died with it. If the worker is still in the roster without a stored lease end (it left the start of another task without an answer, so it counts for 18 s), the successor waits for it as for any worker that may go on.

The place of a run that is over names no worker now; it is written with the job's next row. It keeps its worker while a boot may still execute its start, or the one before.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1186,12 +1186,27 @@
         batch = self._detach_run(run, why, how)
         if batch is None:
             return
+        self._end_place(batch, run, why, now)
         if run.step.gang:
             self._stop_gang(batch, now)
         self._update_waiting(batch, now, (run.task.number,))
         if why in NO_EFFECT and run.task.number in batch.waiting:
             batch.resume(run.wait)
 
+    def _end_place(self, batch: Batch, run: Run, why: EndReason, now: float) -> None:
+        """Record that a lasting task's last start is over, so that no successor waits for it.
+
+        Not while a boot may still execute that start or the one before.
+        """
+        is_spent = run.has_begun or why in NO_EFFECT
+        if not batch.step.records_starts or not is_spent or run.may_restart(now):
+            return
+        tracked = batch.tracked
+        if self._find_unanswered(batch, run.task.number, now) is not None:
+            return
+        if tracked.progress.end_place(run.task[1:], run.number):
+            self._mark_dirty(tracked)
+
     def _detach_run(self, run: Run, why: EndReason, how: str = "") -> Batch | None:
         """Remove a run that is over; return its batch if its job is tracked and not final."""
         if why in NO_END_LISTED:
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -43,7 +43,7 @@
 
 
 class Place(NamedTuple):
-    """The last start of a lasting task: its run and worker."""
+    """The last start of a lasting task: its run and worker, empty once the run is over for good."""
 
     run: int
     worker: str
@@ -225,13 +225,26 @@
         if self.places is not None:
             self.places[key] = Place(run, worker)
 
+    def end_place(self, key: TaskKey, run: int) -> bool:
+        """Record that a run is over and its start has no effect any more, if it is the last one.
+
+        Return whether that is new.
+        """
+        place = self.places.get(key) if self.places else None
+        if self.places is None or place is None or place.run != run or not place.worker:
+            return False
+        self.places[key] = Place(run, "")
+        return True
+
     def _merge_places(self, other: dict[TaskKey, Place] | None) -> None:
         """Keep each task's last start; a later holder's run has a greater number."""
         if self.places is None or other is None:
             self.places = None
             return
         for key, place in other.items():
-            if key not in self.places or place.run > self.places[key].run:
+            known = self.places.get(key)
+            is_over = known is not None and place == (known.run, "")
+            if known is None or place.run > known.run or is_over:
                 self.places[key] = place
 
     def is_step_done(self, job: Job, occurrence: int, step: int) -> bool:
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -8,10 +8,10 @@
 from curranthall.cells.balance import Balancer, CellLoads
 from curranthall.cells.load import Load
 from curranthall.cells.owner import guess_roster
-from curranthall.cells.ports import Ending, EndKind, ListedRun, StartTask
+from curranthall.cells.ports import Ending, EndKind, ListedRun, StartResult, StartTask
 from curranthall.dag import Phase, Progress, Step
 from curranthall.dag.progress import Place, decode_progress
-from curranthall.model import HostState
+from curranthall.model import HostState, Size
 from tests import takeover
 from tests.cell_fixtures import (
     BORN,
@@ -20,6 +20,7 @@
     SERVICE,
     Cell,
     claimed_progress,
+    ended,
     host,
     job,
     listed,
@@ -326,6 +327,66 @@
         self.assertEqual(cell.dispatcher.load(cell.now)[SERVICE].waiting.lasting, 1)
 
 
+class Over(unittest.TestCase):
+    """A run that is over is recorded, so that no later holder waits for its worker."""
+
+    def setUp(self) -> None:
+        """Start the only task of a lasting job on the only worker, unanswered so far."""
+        self.cell = Cell(host("w1"))
+        self.cell.add(job(JOB, step(1, lasting=True)))
+        (self.order,) = self.cell.plan()
+
+    def place(self) -> str:
+        """Return the worker that the job's row names once it is written."""
+        self.cell.record()
+        progress = self.cell.dispatcher.tracked[JOB].progress
+        return (stored(progress).places or {})[FIRST].worker
+
+    def test_the_place_of_a_run_that_ended_or_lapsed_or_went_names_no_worker(self) -> None:
+        def end(cell: Cell) -> None:
+            cell.answer("w1", [], [ended(1, self.order, EndKind.FAILED)])
+
+        def lapse(cell: Cell) -> None:
+            cell.dispatcher.on_silence("w1", cell.now)
+            cell.now += 20
+            cell.dispatcher.tick(cell.now, cell.now)
+
+        def restart(cell: Cell) -> None:
+            cell.answer("w1", born=BORN + 1)
+
+        def go(cell: Cell) -> None:
+            cell.dispatcher.on_gone("w1", cell.now)
+
+        for lose in (end, lapse, restart, go):
+            with self.subTest(lose.__name__):
+                self.setUp()
+                self.cell.started(self.order)
+                self.cell.answer("w1", [listed(self.order)])
+                self.assertEqual(self.place(), "w1")
+                lose(self.cell)
+                self.assertEqual(self.place(), "")
+
+    def test_the_place_of_a_refused_start_names_no_worker(self) -> None:
+        self.cell.dispatcher.on_start_result(self.order, StartResult.NO_ROOM, self.cell.now)
+        self.assertEqual(self.place(), "")
+
+    def test_the_place_of_an_unanswered_start_that_may_come_late_names_its_worker(self) -> None:
+        cell = self.cell
+        cell.dispatcher.on_start_unanswered(self.order, cell.now)
+        cell.now += 5
+        cell.answer("w1")
+        self.assertEqual(cell.member("w1").runs, {})
+        self.assertEqual(self.place(), "w1")
+
+    def test_the_end_of_an_earlier_run_leaves_the_place_of_the_last_start(self) -> None:
+        cell = self.cell
+        cell.started(self.order)
+        tracked = cell.dispatcher.tracked[JOB]
+        tracked.progress.set_place(FIRST, self.order.run + 1, "w2")
+        cell.answer("w1", [], [ended(1, self.order, EndKind.FAILED)])
+        self.assertEqual(self.place(), "w2")
+
+
 class Rows(unittest.TestCase):
     """The record of places in a job's row."""
 
@@ -342,6 +403,14 @@
             row.merge(Progress(CELL, places={FIRST: Place(second, f"w{second}")}), CELL, EPOCH)
             self.assertEqual(row.places, {FIRST: Place(6, "w6")})
 
+    def test_a_start_that_is_over_stays_so_beside_the_row_that_names_its_worker(self) -> None:
+        for own, other in (("", "w1"), ("w1", "")):
+            row = Progress(CELL, places={FIRST: Place(5, own)})
+            row.merge(Progress(CELL, places={FIRST: Place(5, other)}), CELL, EPOCH)
+            self.assertEqual(stored(row).places, {FIRST: Place(5, "")})
+            row.merge(Progress(CELL, places={FIRST: Place(6, "w2")}), CELL, EPOCH)
+            self.assertEqual(row.places, {FIRST: Place(6, "w2")})
+
     def test_a_writer_without_the_record_makes_it_unknown(self) -> None:
         row = Progress(CELL, places={FIRST: Place(5, "w1")})
         row.merge(Progress(CELL, places=None), CELL, EPOCH)
@@ -406,6 +475,30 @@
 
         self.play(scenario)
 
+    def test_a_task_that_waited_for_room_does_not_wait_again_for_its_lost_worker(self) -> None:
+        """A start to the worker of another task got no answer, so its lease ends are unknown."""
+
+        async def scenario(split: SplitCell) -> None:
+            cluster = split.cluster
+            lasting = make_job(1, Step(4, Size(5, 1_000), 1_000, lasting=True))
+            await split.submit("b-e1", lasting)
+            await asyncio.sleep(1)
+            lost = self.busy(split)[0]
+            cluster.withhold("start", lost)
+            await split.submit("b-e1", make_job(2, make_step(4)._replace(size=Size(2, 1_000))))
+            await asyncio.sleep(0.3)
+            self.assertEqual(len(cluster.withheld["start", lost]), 1)
+            cluster.crash_worker(lost)
+            await asyncio.sleep(12)
+            cluster.kill(split.former)
+            cluster.add_worker("a-w4", SPLIT_CELL, cores=16)
+            await asyncio.sleep(TAKE_S + WAIT_S)
+            running = {task for at in cluster.runners.values() for task in at.running}
+            self.assertEqual(sum(task.job == lasting.id for task in running), 4)
+            await asyncio.sleep(10)
+
+        self.play(scenario)
+
     def test_no_start_is_sent_before_its_row_however_the_store_answers(self) -> None:
         """The judge reads the row at each start."""
 
