--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1209,7 +1209,7 @@
         if not batch.step.records_starts or not is_spent or run.may_restart(now):
             return
         tracked = batch.tracked
-        if self._find_unanswered(batch, run.task.number, now) is not None:
+        if self.open_starts.may_begin(batch, run.task.number, now):
             return
         if tracked.progress.end_place(run.task[1:], run.number):
             self._mark_dirty(tracked)
--- a/src/curranthall/cells/open_starts.py
+++ b/src/curranthall/cells/open_starts.py
@@ -65,16 +65,21 @@
             tracked.open_starts[task[1:]] = start._replace(since=now, attempts=0)
 
     def find(self, batch: Batch, index: int, now: float) -> OpenStart | None:
-        """Return the open start of a task, if any."""
+        """Return the open start that binds a task to its worker, if any."""
         start = batch.tracked.open_starts.get(batch.key(index))
-        if start is None or batch.step.copies or self._is_over(start, batch.step, now):
+        if start is None or batch.step.copies or not self._binds(start, batch.step, now):
             return None
         return start
 
+    def may_begin(self, batch: Batch, index: int, now: float) -> bool:
+        """Return whether a boot may still execute an earlier start of a task."""
+        start = batch.tracked.open_starts.get(batch.key(index))
+        return start is not None and not self._is_over(start, now)
+
     def has_any(self, tracked: TrackedJob, now: float) -> bool:
         """Return whether any task of a job has an open start."""
         return any(
-            not self._is_over(start, tracked.job.steps[key[1]], now)
+            self._binds(start, tracked.job.steps[key[1]], now)
             for key, start in tracked.open_starts.items()
         )
 
@@ -125,7 +130,7 @@
             if tracked.progress.phase.is_final:
                 continue
             for key, start in tracked.open_starts.items():
-                if not self._is_over(start, tracked.job.steps[key[1]], now):
+                if self._binds(start, tracked.job.steps[key[1]], now):
                     task = TaskId(tracked.job.id, *key)
                     found.append(StartRow(start.worker, task, start.run, start.sent_at))
         for member in self._members.values():
@@ -136,10 +141,12 @@
         found = [row for row in found if now < late_lease_end(row.sent_at, self._lease_s)]
         return sorted(found, key=lambda row: row.sent_at)[-MAX_PUBLISHED:]
 
-    def _is_over(self, start: OpenStart, step: Step, now: float) -> bool:
+    def _binds(self, start: OpenStart, step: Step, now: float) -> bool:
+        is_too_long = step.lasting and now >= start.since + LASTING_WAIT_S
+        return not is_too_long and not self._is_over(start, now)
+
+    def _is_over(self, start: OpenStart, now: float) -> bool:
         """Return whether no boot executes a start any more, nor runs what it has started."""
-        if step.lasting and now >= start.since + LASTING_WAIT_S:
-            return True
         member = self._members.get(start.worker)
         if member is not None and member.is_fenced and member.silent_since is None:
             return member.all_ends_listed and member.asked_at >= start.sent_at + LATE_CALL_S
