Tests: second runs on a worker that left a start without an answer

The task starts again on that worker, and this run is stopped while a later boot may still execute the first start: for a departing worker, an urgent task or a lack of progress. The task runs elsewhere then, and the worker's next boot executes the first start.

--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -3,12 +3,19 @@
 import asyncio
 import unittest
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
+from unittest import mock
 
+from curranthall.cells.options import Options
 from curranthall.cells.ports import EndKind, StartResult, StartTask
-from curranthall.dag import Job, Step
+from curranthall.cells.preemption import MIN_RUN_S
+from curranthall.dag import Job, Step, TaskId
 from curranthall.errors import ConnectFailed
-from tests.cluster import Effect, now
+from curranthall.model import Size
+from tests import test_takeover
+from tests.cluster import Cluster, Effect, now
+from tests.preempting import LOW
 from tests.test_returned_workers import LONG_S, WORKERS, ReturnedWorkers, Returns, Scene
 from tests.test_takeover import CELL, POLL_S, make_job, make_step
 
@@ -22,6 +29,8 @@
 SHORT_S = 0.1
 # By then holders have read a change of the list of workers, and a renewal is confirmed.
 LISTED_S = 1.5
+# A worker that departs moves its lasting tasks in this time.
+EXIT_S = 4.0
 CORES = 8
 # Where starts are lost, and where else tasks run: it comes first of those with equal room.
 OTHER, WORKER = WORKERS[:2]
@@ -60,11 +69,13 @@
         returns.cluster.leaving.clear()
         await asyncio.sleep(LISTED_S)
 
-    async def fill(self, returns: Returns, worker: str, tasks: int) -> Job:
+    async def fill(
+        self, returns: Returns, worker: str, tasks: int, step: Step | None = None
+    ) -> Job:
         """Let a worker run tasks of a new job; so it is chosen before those with more room."""
         cluster = returns.cluster
         await self.use_only(returns, worker)
-        job = self.build_job(returns, make_step(tasks), 60.0)
+        job = self.build_job(returns, (step or make_step(1))._replace(width=tasks), 60.0)
         await returns.submit("b-e1", job)
         while len(self.runs(returns, job)) < tasks:
             await asyncio.sleep(POLL_S)
@@ -96,6 +107,7 @@
         step: Step | None = None,
         prepare: Scene | None = None,
         seconds: float = 60.0,
+        queue: str = "q",
     ) -> Loss:
         """Submit a task, one that has run before if it is lasting, whose start gets no answer.
 
@@ -103,7 +115,8 @@
         """
         cluster = returns.cluster
         await self.use_only(returns, WORKER)
-        job = self.build_job(returns, step or make_step(1, lasting=lasting), seconds)
+        step = step or make_step(1, lasting=lasting)
+        job = self.build_job(returns, step, seconds)._replace(queue=queue)
         if lasting:
             await returns.submit("b-e1", job)
             while not self.runs(returns, job):
@@ -118,8 +131,9 @@
             self.end_runs(returns, job, first, EndKind.FAILED)
         else:
             await returns.submit("b-e1", job)
-        while not lost:
-            await asyncio.sleep(0.001)
+        async with asyncio.timeout(LONG_S):
+            while not lost:
+                await asyncio.sleep(0.001)
         cluster.withheld.clear()
         cluster.leaving.clear()
         return Loss(job, lost, ended_at + LASTING_LAST_S if lasting else now() + LAST_S)
@@ -507,5 +521,69 @@
         self.check(scene)
 
 
+class SecondRuns(LateStarts):
+    """The task runs on the same worker again, and its run ends there before the start may."""
+
+    async def run_again(self, returns: Returns, loss: Loss) -> TaskId:
+        """Wait until the task's second start has effect; return the task."""
+        while not self.runs(returns, loss.job) and now() < loss.last_at:
+            await asyncio.sleep(POLL_S)
+        self.assertEqual(self.runs(returns, loss.job), [WORKER])
+        return TaskId(loss.job.id, 0, 0, 0)
+
+    def check_departing(self, lasting: bool) -> None:
+        """Let the worker announce its shutdown, exit, and be back."""
+
+        async def scene(returns: Returns) -> None:
+            loss = await self.lose(returns, lasting)
+            await self.run_again(returns, loss)
+            returns.cluster.announce(WORKER, EXIT_S)
+            await self.return_and_execute(returns, loss._replace(last_at=now() + EXIT_S))
+
+        self.check(scene)
+
+    def test_a_lasting_task_that_leaves_a_departing_worker_does_not_run_twice(self) -> None:
+        self.check_departing(True)
+
+    def test_a_finite_task_of_a_departing_worker_does_not_run_twice(self) -> None:
+        self.check_departing(False)
+
+    def test_a_task_that_stands_still_does_not_run_twice(self) -> None:
+        async def scene(returns: Returns) -> None:
+            loss = await self.lose(returns)
+            task = await self.run_again(returns, loss)
+            returns.runner(WORKER).running[task].pace = 0
+            await self.return_and_execute(returns, loss)
+
+        self.check(scene)
+
+    def test_a_task_that_fails_does_not_run_twice(self) -> None:
+        async def scene(returns: Returns) -> None:
+            loss = await self.lose(returns)
+            task = await self.run_again(returns, loss)
+            returns.runner(WORKER).end(task, EndKind.FAILED)
+            await self.return_and_execute(returns, loss)
+
+        self.check(scene)
+
+    def test_a_task_that_is_preempted_does_not_run_twice(self) -> None:
+        async def scene(returns: Returns) -> None:
+            long = make_step(1)._replace(estimate_ms=60_000)
+            for name in WORKERS:
+                cores = CORES - (4 if name == WORKER else 1)
+                await self.fill(returns, name, cores, long)
+            step = long._replace(checkpointing=True)
+            loss = await self.lose(returns, step=step, queue=LOW.name)
+            await self.run_again(returns, loss)
+            await asyncio.sleep(MIN_RUN_S + SHORT_S)
+            urgent = self.build_job(returns, make_step(1)._replace(size=Size(4, 1_000)), 60.0)
+            await returns.submit("b-e1", urgent)
+            await self.return_and_execute(returns, loss)
+
+        cluster = partial(Cluster, options=Options(preemption=True), queues=(LOW,))
+        with mock.patch.object(test_takeover, "Cluster", cluster):
+            self.check(scene)
+
+
 if __name__ == "__main__":
     unittest.main()
