Placing: build the request of a batch once

_place had grown by the tasks bound to a worker. Its request differs by task in four fields only; test_dispatcher, test_poison and test_order pass. No change of behaviour.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1934,13 +1934,20 @@
         tracked, step = batch.tracked, batch.step
         service = tracked.queue.service
         siblings, takes_headroom = batch.siblings(), self._takes_headroom(batch, now)
-        headroom = self._headroom_for(step, now)
-        req = PlacementRequest(service, step, siblings, takes_headroom=takes_headroom)
+        base = PlacementRequest(
+            service,
+            step,
+            siblings,
+            interference=self.interference,
+            now=now,
+            headroom=self._headroom_for(step, now),
+            takes_headroom=takes_headroom,
+        )
         indexes = startable(batch)
         movable = set(self.open_starts.list_movable(batch, now))
         free = [index for index in indexes if index in movable]
-        if free and any(refusal.covers(req) for refusal in refused):
-            self._handle_unplaced(batch, free[0], req, usable, now)
+        if free and any(refusal.covers(base) for refusal in refused):
+            self._handle_unplaced(batch, free[0], base, usable, now)
             return
         racks = self._racks(siblings) if step.same_rack else frozenset()
         held_back: tuple[int, PlacementRequest] | None = None
@@ -1955,19 +1962,8 @@
             if index not in movable:
                 avoid = frozenset(tracked.failed_on.get(batch.key(index), ()))
                 candidates = self.open_starts.choose_from(batch, index, usable, now)
-            req = PlacementRequest(
-                service,
-                step,
-                siblings,
-                avoid,
-                racks,
-                self.interference,
-                now=now,
-                headroom=headroom,
-                takes_headroom=takes_headroom,
-                crashes=crashes,
-                needs_quiet=needs_quiet(batch, crashes, now),
-            )
+            quiet = needs_quiet(batch, crashes, now)
+            req = base._replace(avoid=avoid, racks=racks, crashes=crashes, needs_quiet=quiet)
             member = choose_worker(req, candidates)
             if member is None and index not in movable:
                 # It can't start elsewhere, so the wait is only noted.
