Known red: a row doesn't name the worker of a run that the holder found

Callers would see a lasting task run twice at once after its holder was lost.

Cause: _find_listed adopts, or stops, a listed run without set_place, and _end_place looks at the number of the last start only, not at other runs of the task. The place names a later start's worker, or none. A successor holds a lasting task back for the place's worker alone, so it starts it while the found run goes on at a worker that it doesn't reach.

Evidence: the scene fails at 134.405 s (the run lapses at 137.800 s): the later starts are refused for want of room, the late start is executed 6.1 s after it was sent and found, and the holder is killed 0.6 s later. The two tests of rows read '' and 'w2' in place of 'w1'.

--- a/tests/test_open_starts.py
+++ b/tests/test_open_starts.py
@@ -2,10 +2,16 @@
 
 import asyncio
 import unittest
+from functools import partial
 
+from curranthall.cells.ports import EndKind, StartResult, StartTask
+from curranthall.dag.progress import decode_progress
+from curranthall.model import HostState
+from tests.cell_fixtures import BORN, Cell, ended, host, job, listed, step
 from tests.cluster import now
-from tests.test_late_starts import LAST_S, WORKER, LateStarts
-from tests.test_returned_workers import LONG_S, Returns
+from tests.test_late_starts import LAST_S, STOPPED_S, WORKER, LateStarts
+from tests.test_returned_workers import LONG_S, WORKERS, Returns
+from tests.test_takeover import POLL_S
 
 # A lasting task may wait this long for the worker that left its start unanswered.
 LASTING_WAIT_S = 6.0
@@ -73,5 +79,99 @@
         self.check(scene)
 
 
+class ListedRuns(LateStarts):
+    """The holder finds the late start's run, after a later start of the task had no effect."""
+
+    def test_a_lasting_task_whose_later_start_was_refused_does_not_run_twice(self) -> None:
+        async def scene(returns: Returns) -> None:
+            cluster, refused = returns.cluster, list[str]()
+            loss = await self.lose(returns, lasting=True)
+            cluster.announce(WORKER, LONG_S)
+
+            def refuse(worker: str, *order: object) -> StartResult:
+                refused.append(worker)
+                return StartResult.NO_ROOM
+
+            for name in {*WORKERS} - {WORKER}:
+                runner = returns.runner(name)
+                runner.start = partial(refuse, name)  # type: ignore[assignment]
+            while not refused:
+                await asyncio.sleep(POLL_S)
+            await self.execute_late(returns, loss)
+            await returns.hear_of(WORKER)
+            await asyncio.sleep(STOPPED_S)
+            self.assertEqual(self.runs(returns, loss.job), [WORKER])
+            for name in {*WORKERS} - {WORKER}:
+                del returns.runner(name).start  # type: ignore[method-assign]
+            returns.isolate(WORKER)
+            cluster.kill(returns.former)
+
+        self.check(scene)
+
+
+def make_cell() -> Cell:
+    """Build a cell of two workers, the second of which takes no tasks."""
+    return Cell(host("w1"), host("w2", state=HostState.LEAVING), max_attempts=9)
+
+
+class LastingTasks(unittest.TestCase):
+    """A lasting task with an open start."""
+
+    def setUp(self) -> None:
+        """Start the only task of a lasting job on the first worker, unanswered so far."""
+        self.cell = make_cell()
+        self.cell.add(job(JOB, step(1, lasting=True)))
+        (self.order,) = self.cell.plan()
+
+    def swap(self) -> None:
+        """Let the second worker take tasks, and the first one no more."""
+        self.cell.dispatcher.update_host(host("w1", state=HostState.LEAVING))
+        self.cell.dispatcher.update_host(host("w2"))
+
+    def wait(self, seconds: float) -> None:
+        """Let time pass until both workers answer without any run."""
+        self.cell.now += seconds
+        self.cell.answer("w1")
+        self.cell.answer("w2")
+
+
+class Rows(LastingTasks):
+    """What a successor reads of a late start that the holder has found."""
+
+    def lose(self) -> None:
+        """Let the start get no answer, and another worker take the task 6 s later."""
+        self.cell.dispatcher.on_start_unanswered(self.order, self.cell.now)
+        self.wait(DEADLINE_S)
+        self.swap()
+        self.wait(LASTING_WAIT_S)
+
+    def place(self) -> str:
+        """Return the worker that the job's row names once it is written."""
+        self.cell.record()
+        progress = self.cell.dispatcher.tracked[JOB].progress
+        return (decode_progress(progress.encode()).places or {})[0, 0, 0].worker
+
+    def test_a_late_start_that_is_found_before_the_next_one_is_sent_is_in_the_row(self) -> None:
+        cell = self.cell
+        self.lose()
+        cell.dispatcher.plan(cell.now)
+        self.assertEqual(self.place(), "w2")
+        cell.answer("w1", [listed(self.order)], born=BORN + 1)
+        cell.dispatcher.send_recorded(cell.now)
+        self.assertEqual(cell.take(StartTask), [])
+        self.assertEqual(self.place(), "w1")
+
+    def test_a_duplicate_that_outlives_the_last_run_is_in_the_row(self) -> None:
+        cell = self.cell
+        self.lose()
+        (second,) = cell.plan()
+        cell.started(second)
+        cell.answer("w2", [listed(second)])
+        cell.answer("w1", [listed(self.order)], born=BORN + 1)
+        cell.answer("w2", ended=[ended(1, second, EndKind.FAILED)])
+        self.assertEqual([run.worker for run in cell.member("w1").runs.values()], ["w1"])
+        self.assertEqual(self.place(), "w1")
+
+
 if __name__ == "__main__":
     unittest.main()
