Known red: the time of an open start is that of its placement

Callers would see a finite task run twice at once.

Cause: run.sent_at and Member.used_at are taken by the plan (_start, _send_start of the dispatcher). The call leaves later: after a pause of the process, or a wait for one of six connections (up to the timeout of 0.6 s, by reading). A later boot may execute it for 12 s from then, so the proof is too early by the difference; late_lease_end has 0.2 s of slack.

--- a/tests/test_open_starts.py
+++ b/tests/test_open_starts.py
@@ -9,8 +9,8 @@
 from curranthall.model import HostState
 from tests.cell_fixtures import BORN, Cell, ended, host, job, listed, step
 from tests.cluster import now
-from tests.test_late_starts import LAST_S, STOPPED_S, WORKER, LateStarts
-from tests.test_returned_workers import LONG_S, WORKERS, Returns
+from tests.test_late_starts import LAST_S, SHORT_S, STOPPED_S, WORKER, LateStarts
+from tests.test_returned_workers import LATE_CALL_S, LONG_S, WORKERS, Returns
 from tests.test_takeover import POLL_S
 
 # A lasting task may wait this long for the worker that left its start unanswered.
@@ -109,6 +109,50 @@
         self.check(scene)
 
 
+class PausedHolders(LateStarts):
+    """A start leaves its process some time after it was placed."""
+
+    def check_paused(self, pause_s: float) -> None:
+        """Pause the holder as it sends the start; let a later boot execute it just in time."""
+
+        async def scene(returns: Returns) -> None:
+            cluster, sent = returns.cluster, list[float]()
+            note_sent = cluster.judge.note_sent
+
+            def pause(task: object, worker: str) -> None:
+                note_sent(task, worker)  # type: ignore[arg-type]
+                if not sent:
+                    cluster.freeze(returns.former)
+                    sent.append(now() + pause_s)
+                    asyncio.get_running_loop().call_later(pause_s, cluster.thaw, returns.former)
+
+            running = await self.fill(returns, WORKER, 4)
+            cluster.judge.note_sent = pause  # type: ignore[method-assign]
+            loss = await self.lose(returns)
+            cluster.announce(WORKER, LONG_S)
+            self.assertGreaterEqual(now(), sent[0])
+            await asyncio.sleep(sent[0] - pause_s + LATE_CALL_S + SHORT_S - now())
+            # Each end answers a hold; the second one was sent after the start's time by the plan.
+            for _ in range(2):
+                self.end_runs(returns, running, WORKER, EndKind.DONE, count=1)
+                await asyncio.sleep(SHORT_S)
+            while now() < sent[0] + LAST_S and not {*self.runs(returns, loss.job)} - {WORKER}:
+                await asyncio.sleep(POLL_S)
+            await returns.restart(WORKER, 0.05)
+            self.assertLess(now(), sent[0] + LAST_S + SHORT_S)
+            await returns.execute(WORKER, loss.starts)
+
+        self.check(scene)
+
+    def test_a_start_sent_by_a_process_that_was_paused_for_a_second_has_its_full_time(self) -> None:
+        self.check_paused(1.0)
+
+    def test_a_start_sent_by_a_process_that_was_paused_for_two_seconds_has_its_full_time(
+        self,
+    ) -> None:
+        self.check_paused(2.0)
+
+
 def make_cell() -> Cell:
     """Build a cell of two workers, the second of which takes no tasks."""
     return Cell(host("w1"), host("w2", state=HostState.LEAVING), max_attempts=9)
