Known red: an open start is forgotten with a later one of the same task

Callers would see a task run twice at once, if a third boot of the worker executes the first start.

Cause: TrackedJob.open_starts has one OpenStart a task, of its latest unanswered start; `attempts` tells whether earlier ones are open. note_begun sets it to 0 when another run begins, the next note counts from there to 1, and adopt begins with 0, as rows name the latest start only. When that start then begins, note_begun deletes the entry, and the task may go anywhere.

--- a/tests/test_open_starts.py
+++ b/tests/test_open_starts.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import unittest
+from collections.abc import Sequence
 from functools import partial
 
-from curranthall.cells.ports import EndKind, StartResult, StartTask
+from curranthall.cells.ports import Ending, EndKind, ListedRun, StartResult, StartTask
 from curranthall.dag.progress import decode_progress
 from curranthall.model import HostState
 from tests.cell_fixtures import BORN, Cell, ended, host, job, listed, step
@@ -158,6 +159,81 @@
     return Cell(host("w1"), host("w2", state=HostState.LEAVING), max_attempts=9)
 
 
+class SeveralStarts(unittest.TestCase):
+    """Several starts of one task got no answer; a boot may still execute the first of them."""
+
+    def setUp(self) -> None:
+        """Track a finite task."""
+        self.cell = make_cell()
+        self.cell.add(job(JOB, step(1)))
+
+    def answer(
+        self, running: Sequence[ListedRun] = (), ends: Sequence[Ending] = (), born: int = BORN
+    ) -> None:
+        """Let both workers answer."""
+        self.cell.answer("w2")
+        self.cell.answer("w1", list(running), list(ends), born)
+
+    def start(self) -> StartTask:
+        """Place the task on the first worker."""
+        (order,) = self.cell.plan()
+        self.assertEqual(order.worker, "w1")
+        return order
+
+    def lose(self) -> StartTask:
+        """Place the task on the first worker, which leaves the start unanswered."""
+        order = self.start()
+        self.cell.dispatcher.on_start_unanswered(order, self.cell.now)
+        self.cell.now += DEADLINE_S
+        self.answer()
+        return order
+
+    def leave(self) -> None:
+        """Let the second worker take tasks, and the first one no more."""
+        self.cell.dispatcher.update_host(host("w1", state=HostState.LEAVING))
+        self.cell.dispatcher.update_host(host("w2"))
+
+    def check_bound(self, sent_at: float) -> None:
+        """Check that the task doesn't leave its worker before a late start's time is over."""
+        self.leave()
+        self.assertLess(self.cell.now, sent_at + LATE_CALL_S - 1.0)
+        self.assertEqual(self.cell.plan(), [])
+
+    def test_an_answered_start_between_two_lost_ones_does_not_hide_the_first(self) -> None:
+        cell, sent_at = self.cell, self.cell.now
+        self.lose()
+        second = self.start()
+        cell.started(second)
+        self.answer([listed(second)])
+        self.answer(ends=[ended(1, second, EndKind.STOPPED)])
+        third = self.lose()
+        # A later boot executes the third start, and may execute the first one once it has ended.
+        self.answer([listed(third)], born=BORN + 1)
+        self.answer(ends=[ended(1, third, EndKind.STOPPED)], born=BORN + 1)
+        self.check_bound(sent_at)
+
+    def test_a_later_start_that_begins_under_the_next_holder_does_not_hide_the_first(self) -> None:
+        sent_at = self.cell.now
+        self.lose()
+        second = self.lose()
+        rows, at = self.cell.dispatcher.list_open_starts(self.cell.now, 0.0), self.cell.now
+        self.cell = make_cell()
+        self.cell.now = at
+        self.cell.dispatcher.open_starts.inherit(rows)
+        self.cell.add(job(JOB, step(1)))
+        self.answer([listed(second)], born=BORN + 1)
+        self.answer(ends=[ended(1, second, EndKind.STOPPED)], born=BORN + 1)
+        self.check_bound(sent_at)
+
+    def test_two_lost_starts_of_which_a_boot_executes_the_second_bind_the_task(self) -> None:
+        sent_at = self.cell.now
+        self.lose()
+        second = self.lose()
+        self.answer([listed(second)], born=BORN + 1)
+        self.answer(ends=[ended(1, second, EndKind.STOPPED)], born=BORN + 1)
+        self.check_bound(sent_at)
+
+
 class LastingTasks(unittest.TestCase):
     """A lasting task with an open start."""
 
