Known red: an overtaken answer to a start counts as a later boot's

Callers would see a sound worker left out until a renewal, and its tasks wait 18 s instead of 6 s if it falls silent then.

Cause: is_behind bounds the worker's clock by that of the last hold's answer as of its arrival. If the start was sent before that, the bound is the whole clock of the hold, though the start may have been processed first. The platform says that answers may overtake each other; a loop that was held up handles both in any order.

Evidence: the test fails: a start asked 0.1 s before the hold's answer and handled 0.01 s after it.

--- a/tests/test_open_starts.py
+++ b/tests/test_open_starts.py
@@ -350,5 +350,19 @@
         self.assertEqual(bool(stops), bool(cell.plan()))
 
 
+class Clocks(unittest.TestCase):
+    """The clock in an answer to a start, which names no boot."""
+
+    def test_an_answer_that_a_later_one_has_overtaken_shows_no_restart(self) -> None:
+        cell = Cell(host("w1"))
+        cell.now += 1.0
+        asked_at, clock_ms = cell.now, int(cell.now * 1000)
+        cell.now += 0.1
+        cell.answer("w1")
+        cell.now += 0.01
+        self.assertFalse(cell.dispatcher.note_clock("w1", clock_ms, asked_at, cell.now))
+        self.assertTrue(cell.member("w1").is_usable(cell.now))
+
+
 if __name__ == "__main__":
     unittest.main()
