Tests: a finite task leaves the worker of its open start in time

Three tests that pass bound the wait: 15 s where the worker answers (12 s, and the 3 s that the platform allows), 19 s where it is lost or cut off.

Places, in place of Rows, is the class on what a job's row names.

--- a/tests/test_open_starts.py
+++ b/tests/test_open_starts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import unittest
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 
 from curranthall.cells.ports import Ending, EndKind, ListedRun, StartResult, StartTask
@@ -16,6 +16,11 @@
 
 # A lasting task may wait this long for the worker that left its start unanswered.
 LASTING_WAIT_S = 6.0
+# The longest lease, and what clocks and the answer to the last call may add.
+LEASE_S = 6.0
+SLACK_S = 1.0
+# The platform lets a job go without a run this long where there is room.
+STANDSTILL_S = 3.0
 # Just before the end of a lease of 6 s.
 LEASED_S = 5.9
 # A start that its worker left unanswered is over on the boot it was sent to after this time.
@@ -80,6 +85,41 @@
         self.check(scene)
 
 
+class Ends(LateStarts):
+    """A finite task runs elsewhere once no boot can execute its start any more, and not later."""
+
+    def check_runs_by(self, limit_s: float, prepare: Callable[[Returns], None]) -> None:
+        """Check that the task runs on another worker some seconds after its start was sent."""
+
+        async def scene(returns: Returns) -> None:
+            loss = await self.lose(returns)
+            sent_at = loss.last_at - LAST_S
+            prepare(returns)
+            while not {*self.runs(returns, loss.job)} - {WORKER}:
+                self.assertLess(now(), sent_at + limit_s)
+                await asyncio.sleep(POLL_S)
+
+        self.check(scene)
+
+    def test_a_task_of_a_worker_that_answers_runs_elsewhere(self) -> None:
+        def leave(returns: Returns) -> None:
+            returns.cluster.announce(WORKER, LONG_S)
+
+        self.check_runs_by(LATE_CALL_S + STANDSTILL_S, leave)
+
+    def test_a_task_of_a_worker_that_is_lost_runs_elsewhere(self) -> None:
+        def crash(returns: Returns) -> None:
+            returns.cluster.crash_worker(WORKER)
+
+        self.check_runs_by(LATE_CALL_S + LEASE_S + SLACK_S, crash)
+
+    def test_a_task_of_a_worker_that_is_cut_off_runs_elsewhere(self) -> None:
+        def cut(returns: Returns) -> None:
+            returns.isolate(WORKER)
+
+        self.check_runs_by(LATE_CALL_S + LEASE_S + SLACK_S, cut)
+
+
 class ListedRuns(LateStarts):
     """The holder finds the late start's run, after a later start of the task had no effect."""
 
@@ -255,7 +295,7 @@
         self.cell.answer("w2")
 
 
-class Rows(LastingTasks):
+class Places(LastingTasks):
     """What a successor reads of a late start that the holder has found."""
 
     def lose(self) -> None:
