Known red: open starts can exceed the size of a row

Callers would see a large cell without a holder that starts tasks.

Cause: MAX_PUBLISHED bounds the open starts by number, 1,000 of 53 to 55 bytes. They are in the details row beside the roster, of 84 bytes a worker with real names, and the platform's rows have at most 65,536 bytes (DEPLOY.md, max-row-bytes). The row is written together with the renewal and the release, so, by reading, a refused row costs the cell; the holder stops its orders after 12 s.

Evidence: the test fails: 300 workers and 1,000 starts take 69,911 bytes.

--- a/tests/test_open_starts.py
+++ b/tests/test_open_starts.py
@@ -5,10 +5,14 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
+from curranthall.cells.dispatcher import RUNS_PER_EPOCH
+from curranthall.cells.open_starts import MAX_PUBLISHED, StartRow
+from curranthall.cells.owner import Details
 from curranthall.cells.ports import Ending, EndKind, ListedRun, StartResult, StartTask
+from curranthall.dag import TaskId
 from curranthall.dag.progress import decode_progress
 from curranthall.model import HostState
-from tests.cell_fixtures import BORN, Cell, ended, host, job, listed, step
+from tests.cell_fixtures import BORN, EPOCH, Cell, ended, host, job, listed, step
 from tests.cluster import now
 from tests.test_late_starts import LAST_S, LASTING_LAST_S, SHORT_S, STOPPED_S, WORKER, LateStarts
 from tests.test_returned_workers import LATE_CALL_S, LONG_S, WORKERS, Returns
@@ -26,6 +30,10 @@
 # A start that its worker left unanswered is over on the boot it was sent to after this time.
 DEADLINE_S = 1.6
 JOB = "1" * 16
+# The platform's limit of a row, workers of a cell at the size that sites grow to, and a date.
+MAX_ROW_BYTES = 65_536
+LARGE_CELL = 300
+START_MS = 1_780_000_000_000
 
 
 class LateLeases(LateStarts):
@@ -404,5 +412,26 @@
         self.assertTrue(cell.member("w1").is_usable(cell.now))
 
 
+class Rows(unittest.TestCase):
+    """The details row, which the holder writes together with the renewal of its cell."""
+
+    def test_as_many_open_starts_as_are_published_fit_in_the_row_of_a_large_cell(self) -> None:
+        cell = Cell()
+        names = [f"i-{number:010x}" for number in range(LARGE_CELL)]
+        tasks = [TaskId(f"{number:016x}", 0, 0, 0) for number in range(2 * MAX_PUBLISHED)]
+        cell.dispatcher.open_starts.inherit(
+            StartRow(names[number % LARGE_CELL], task, EPOCH * RUNS_PER_EPOCH + number, cell.now)
+            for number, task in enumerate(tasks)
+        )
+        rows = cell.dispatcher.list_open_starts(cell.now, 0.0)
+        self.assertTrue(rows)
+        starts = tuple(
+            (row.worker, str(row.task), row.run, int(row.sent_at * 1000) + START_MS) for row in rows
+        )
+        details = Details([host(name) for name in names], open_starts=starts)
+        self.assertLess(len(details._replace(open_starts=()).encode()), MAX_ROW_BYTES)
+        self.assertLess(len(details.encode()), MAX_ROW_BYTES)
+
+
 if __name__ == "__main__":
     unittest.main()
