Tests: an answer asked for within 12 s of an open start proves nothing

OpenStarts._is_over needs an answer that was asked for 12 s after the start, as a boot may execute it between the question and the answer.

--- a/tests/test_open_starts.py
+++ b/tests/test_open_starts.py
@@ -273,6 +273,19 @@
         self.answer(ends=[ended(1, second, EndKind.STOPPED)], born=BORN + 1)
         self.check_bound(sent_at)
 
+    def test_an_answer_asked_for_before_the_time_of_a_late_start_is_over_proves_nothing(
+        self,
+    ) -> None:
+        sent_at = self.cell.now
+        self.lose()
+        self.leave()
+        self.cell.now = sent_at + LATE_CALL_S + SHORT_S
+        self.cell.answer("w2")
+        self.cell.answer("w1", asked_at=sent_at + LAST_S)
+        self.assertEqual(self.cell.plan(), [])
+        self.cell.answer("w1")
+        self.assertEqual([order.worker for order in self.cell.plan()], ["w2"])
+
     def test_two_lost_starts_of_which_a_boot_executes_the_second_bind_the_task(self) -> None:
         sent_at = self.cell.now
         self.lose()
