Known red: a lasting task that starts on the same worker again lapses too early

Callers would see a lasting task run twice at once.

Cause: _start takes run.unanswered_at from OpenStarts.find, which returns no start of a lasting task once it has waited for 6 s. If it then starts on the same worker, _may_run_late and may_restart know nothing of the first start: the run lapses 6.6 s after it was sent, up to 6 s before the first start, executed by the next boot, is over.

--- a/tests/test_open_starts.py
+++ b/tests/test_open_starts.py
@@ -158,6 +158,31 @@
         self.check(scene)
 
 
+class Restarts(LateStarts):
+    """A lasting task starts again on the worker of its open start once it may go anywhere."""
+
+    def test_a_run_on_the_worker_of_an_open_start_does_not_lapse_before_that_is_over(self) -> None:
+        async def scene(returns: Returns) -> None:
+            cluster = returns.cluster
+            loss = await self.lose(returns, lasting=True)
+            sent_at = now()
+            for name in WORKERS:
+                cluster.announce(name, LONG_S)
+            await asyncio.sleep(sent_at + LASTING_WAIT_S + SHORT_S - now())
+            cluster.leaving.discard(WORKER)
+            while not self.runs(returns, loss.job):
+                await asyncio.sleep(POLL_S)
+            self.assertEqual(self.runs(returns, loss.job), [WORKER])
+            self.assertLess(now(), sent_at + LAST_S - LEASE_S / 2)
+            cluster.leaving.clear()
+            returns.isolate(WORKER)
+            await returns.restart(WORKER, 0.05)
+            await asyncio.sleep(sent_at + LAST_S - now())
+            await returns.execute(WORKER, loss.starts)
+
+        self.check(scene)
+
+
 class PausedHolders(LateStarts):
     """A start leaves its process some time after it was placed."""
 
