Tests: no member of a gang moves while one is bound to a worker

Without the rule on gangs in OpenStarts.list_movable, none of the 164 tests of seven modules (the gangs' among them) fails that passes with it. This one does; it passes on the code.

--- a/tests/test_open_starts.py
+++ b/tests/test_open_starts.py
@@ -320,6 +320,28 @@
         self.check_bound(sent_at)
 
 
+class Gangs(unittest.TestCase):
+    """A gang of which one member left a start unanswered."""
+
+    def test_no_member_moves_while_one_is_bound_to_a_worker(self) -> None:
+        cell = Cell(host("w1", cores=1), host("w2", cores=1))
+        cell.add(job(JOB, step(2, gang=True)))
+        first, second = cell.plan()
+        cell.started(first)
+        cell.answer(first.worker, [listed(first)])
+        cell.dispatcher.on_start_unanswered(second, cell.now)
+        cell.now += DEADLINE_S
+        cell.answer(second.worker)
+        cell.answer(first.worker, ended=[ended(1, first, EndKind.STOPPED)])
+        cell.dispatcher.update_host(host(second.worker, state=HostState.LEAVING))
+        self.assertEqual(cell.plan(), [])
+        cell.now += 1.0
+        self.assertEqual(cell.dispatcher.stranded(0.0, cell.now), [])
+        cell.now += LATE_CALL_S
+        cell.answer(second.worker)
+        self.assertEqual(len(cell.dispatcher.stranded(0.0, cell.now)), 1)
+
+
 class LastingTasks(unittest.TestCase):
     """A lasting task with an open start."""
 
