Known red: a worker that answers holds but no start keeps tasks for good

Callers would see jobs that don't begin beside idle workers.

Cause: nothing is held against a worker that leaves starts unanswered. It keeps the most room, so each new task goes there, and a task whose open start is over goes there again: choose_worker avoids workers that refused it or on which it failed, not those that didn't answer.

--- a/tests/test_open_starts.py
+++ b/tests/test_open_starts.py
@@ -14,7 +14,15 @@
 from curranthall.model import HostState
 from tests.cell_fixtures import BORN, EPOCH, Cell, ended, host, job, listed, step
 from tests.cluster import now
-from tests.test_late_starts import LAST_S, LASTING_LAST_S, SHORT_S, STOPPED_S, WORKER, LateStarts
+from tests.test_late_starts import (
+    LAST_S,
+    LASTING_LAST_S,
+    OTHER,
+    SHORT_S,
+    STOPPED_S,
+    WORKER,
+    LateStarts,
+)
 from tests.test_returned_workers import LATE_CALL_S, LONG_S, WORKERS, Returns
 from tests.test_takeover import POLL_S
 
@@ -127,6 +135,20 @@
 
         self.check_runs_by(LATE_CALL_S + LEASE_S + SLACK_S, cut)
 
+    def test_a_task_of_a_worker_that_answers_holds_but_no_start_runs_elsewhere(self) -> None:
+        async def scene(returns: Returns) -> None:
+            lost = returns.cluster.withhold("start", OTHER)
+            job = returns.new_job(1, 60.0)
+            await returns.submit("b-e1", job)
+            while not lost:
+                await asyncio.sleep(POLL_S)
+            sent_at = now()
+            while not self.runs(returns, job):
+                self.assertLess(now(), sent_at + LONG_S)
+                await asyncio.sleep(POLL_S)
+
+        self.check(scene)
+
 
 class ListedRuns(LateStarts):
     """The holder finds the late start's run, after a later start of the task had no effect."""
