Clocks: an answer that a later one has overtaken shows no restart

The worker then took no tasks until it was fenced again, 0.1 s and a renewal later. The bound goes back by that time now. tests.test_open_starts.Clocks failed before.

--- a/src/curranthall/cells/fleet.py
+++ b/src/curranthall/cells/fleet.py
@@ -449,7 +449,9 @@
 
     def is_behind(self, clock_ms: int, asked_at: float) -> bool:
         """Return whether a clock is lower than that of the boot that answered last."""
-        passed_s = max(0.0, asked_at - self.clock_at) * (1 - CLOCK_DRIFT)
+        passed_s = asked_at - self.clock_at
+        if passed_s > 0:
+            passed_s *= 1 - CLOCK_DRIFT
         return clock_ms < self.clock_ms + int(passed_s * 1000) - CLOCK_SLACK_MS
 
     def note_later_boot(self, clock_ms: int, now: float, max_hold_s: float) -> None:
