Open starts: count from when a call left, keep all of them, and wait no longer than allowed

- Two runs at once, new with the mends: a lasting task that starts on its worker again after 6 s had no unanswered_at, so its run lapsed while the next boot might execute the first start (Restarts).
- sent_at was when a start was placed.
It is when its call failed now, by when it has certainly left (PausedHolders).
- Holders waited for the last call to a silent worker, but handed over when the start was sent; after 12 s a release handed over the lapse of the known boot (LateLeases: the release; one case of a killed holder stays known red).
- The row named no worker, or another one, for a lasting run that the holder had found: it names that worker now (ListedRuns, Places).
- One answered start, or a takeover, hid an earlier start that was still open (SeveralStarts).
- 1,000 published starts exceed a row beside 300 workers: 400 now, what is left out is logged (Rows).
- A worker that answers holds but no start got the task again once the start was over (Ends).
- LOST: lasting tasks counted their 6 s from the lost start, not from the loss of the last run; bound runs were stopped for a shutdown; idle workers were reserved for bound tasks (Waits).

test_late_calls_log: the time that is left of a late start counts from when its call failed.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -241,10 +241,16 @@
 
         None if a late call may have effect: a restarted worker does not know its deadline.
         """
+        former = self._fencing.lease_end(member.name)
+        if not (member.born or member.used_at):
+            # It got nothing from this holder.
+            return former
         if member.has_open_start(now) or (member.born and not member.is_fenced):
             return None
-        former = self._fencing.lease_end(member.name)
-        return max(former, member.lapses_at()) if member.born else former
+        end = max(former, member.lapses_at()) if member.born else former
+        if member.silent_since is not None and member.silent_since < member.late_start_until:
+            end = max(end, late_lease_end(member.used_at, self.bounds.lease_s))
+        return end
 
     @property
     def is_fully_fenced(self) -> bool:
@@ -851,7 +857,7 @@
             if (run.task, run.number) in listed or not run.is_over(asked_at, token):
                 continue
             if member.is_fenced or not run.may_restart(now):
-                self._note_open_start(run, member)
+                self._note_open_start(run, member, now)
                 self._remove_run(run, now, EndReason.REBORN if reborn else EndReason.VANISHED)
         if snapshot.complete:
             # Only now: an answer whose processing failed above proves nothing.
@@ -870,11 +876,11 @@
                 tail_over_target=round(worst_tail_ratio(member), 2),
             )
 
-    def _note_open_start(self, run: Run, member: Member) -> None:
+    def _note_open_start(self, run: Run, member: Member, now: float) -> None:
         """Record that a later boot may execute a start that the present one can't any more."""
         tracked = self.tracked.get(run.task.job)
         if run.may_begin and tracked is not None:
-            self.open_starts.note(run, member, tracked)
+            self.open_starts.note(run, member, tracked, now)
 
     def _note_fenced(self, worker: str) -> None:
         """Record that a worker listed all its runs and ends, or is gone."""
@@ -1028,6 +1034,8 @@
             if not (tracked.progress.phase.is_final or run.step.copies):
                 self._boot_log.log_duplicate(run, tracked.progress.is_done(*task[1:]), others)
             self._stop(run, now)
+        else:
+            self._place_listed(batch, run)
         return run
 
     def _infer_done(self, tracked: TrackedJob, task: TaskId, now: float) -> bool:
@@ -1205,6 +1213,10 @@
 
         Not while a boot may still execute that start or the one before.
         """
+        others = batch.active.get(run.task.number)
+        if others:
+            self._place_listed(batch, others[-1])
+            return
         is_spent = run.has_begun or why in NO_EFFECT
         if not batch.step.records_starts or not is_spent or run.may_restart(now):
             return
@@ -1214,6 +1226,12 @@
         if tracked.progress.end_place(run.task[1:], run.number):
             self._mark_dirty(tracked)
 
+    def _place_listed(self, batch: Batch, run: Run) -> None:
+        """Record where a lasting task runs that this holder has found there."""
+        tracked = batch.tracked
+        if batch.step.records_starts and tracked.progress.move_place(run.task[1:], run.worker):
+            self._mark_dirty(tracked, urgent=True)
+
     def _detach_run(self, run: Run, why: EndReason, how: str = "") -> Batch | None:
         """Remove a run that is over; return its batch if its job is tracked and not final."""
         if why in NO_END_LISTED:
@@ -1337,7 +1355,11 @@
     def on_start_unanswered(self, order: StartTask, now: float) -> None:
         """Stop a run whose start was not answered: the worker may have started it or not."""
         run, member = self.find(order), self.members.get(order.worker)
-        if run is None or member is None or run.state is not RunState.STARTING:
+        if run is None or member is None:
+            return
+        # The call left before now, perhaps well after it was planned.
+        run.sent_at, member.used_at = now, max(member.used_at, now)
+        if run.state is not RunState.STARTING:
             return
         self._boot_log.note_unsure(run, member)
         if member.is_fenced:
@@ -1714,7 +1736,8 @@
                     members = without_reserved(batch.step, usable, reserved)
                     self._place(batch, members, refused, now)
                 self._place_at_last_resort(batch, reserved, now)
-                if batch.step.lasting and batch.waiting and self.quota.allows(batch):
+                may_move = batch.step.lasting and self.open_starts.list_movable(batch, now)
+                if may_move and self.quota.allows(batch):
                     self._reserve_worker(batch, usable, reserved, now)
 
     def _may_use_reserved(self, batch: Batch, now: float) -> bool:
@@ -1733,6 +1756,9 @@
             batch = self._get_restartable_batch(run, now)
             if batch is None or batch in unplaced or not self._departures.may_stop(run, batch, now):
                 continue
+            if self.open_starts.find(batch, run.task.number, now) is not None:
+                # It could not start elsewhere yet.
+                continue
             members = without_reserved(batch.step, usable, reserved)
             if batch.tracked.queue.advised:
                 members = self._approved_workers(batch, members, now)
@@ -1797,6 +1823,8 @@
         if tracked is None:
             return False
         batch = self._get_batch(tracked, run.task)
+        if self.open_starts.find(batch, run.task.number, now) is not None:
+            return False
         if tracked.queue.advised:
             free = batch.tickets.approved(free, now)
         return self._choose_worker(batch, free, now) is not None
@@ -2089,9 +2117,7 @@
         run = Run(task, number, member.name, batch.step, RunState.STARTING, now, checkpoint)
         run.probation_until, run.crashes = now + PROBATION_S, count_suspicions(batch, index)
         run.is_atypical = bool(checkpoint)
-        open_start = self.open_starts.find(batch, index, now)
-        if open_start is not None and open_start.worker == member.name:
-            run.unanswered_at = open_start.sent_at
+        run.unanswered_at = self.open_starts.sent_at(batch, index, member.name, now)
         run.wait = batch.wait()
         run.note_progress(now)
         self._add_run(batch, run, member)
--- a/src/curranthall/cells/early_moves.py
+++ b/src/curranthall/cells/early_moves.py
@@ -80,7 +80,7 @@
         return False
     if dispatcher.may_have_started(tracked, now):
         return False
-    if tracked.open_starts or tracked.former:
+    if tracked.former:
         return False
     if not progress.moves:
         return True
--- a/src/curranthall/cells/open_starts.py
+++ b/src/curranthall/cells/open_starts.py
@@ -10,6 +10,7 @@
 from curranthall.cells.fleet import LATE_CALL_S, Member, Run, late_lease_end
 from curranthall.cells.tracking import Batch, OpenStart, TrackedJob
 from curranthall.dag import Step, TaskId
+from curranthall.events import Event, log
 
 # The platform expects a lasting task to run again by this long after its last run, and 3 s more.
 LASTING_WAIT_S = 6.0
@@ -18,7 +19,7 @@
 # A start without an answer for this long is published before its call has failed.
 UNANSWERED_S = 0.3
 # The most starts that are published, the latest ones: a row has a limited size.
-MAX_PUBLISHED = 1_000
+MAX_PUBLISHED = 400
 
 
 class StartRow(NamedTuple):
@@ -45,21 +46,28 @@
         # Those of a former holder, by job that is not tracked yet.
         self._inherited: dict[str, list[StartRow]] = {}
 
-    def note(self, run: Run, member: Member, tracked: TrackedJob) -> None:
+    def note(self, run: Run, member: Member, tracked: TrackedJob, now: float) -> None:
         """Record a start that the present boot of its worker does not execute any more."""
         member.late_start_until = max(member.late_start_until, run.sent_at + LATE_CALL_S)
-        key, start = run.task[1:], OpenStart(run.worker, run.number, run.sent_at, run.sent_at, 1)
+        key, since = run.task[1:], run.sent_at
+        if run.wait.expected_since is not None:
+            since = min(since, run.wait.expected_since - LASTING_WAIT_S)
+        start = OpenStart(run.worker, run.number, run.sent_at, since, 1)
         former = tracked.open_starts.get(key)
         if former is not None and former.worker == run.worker:
-            start = start._replace(since=former.since, attempts=former.attempts + 1)
+            start = start._replace(
+                since=former.since, attempts=former.attempts + 1, is_only=self._is_over(former, now)
+            )
         tracked.open_starts[key] = start
+        if start.attempts >= MAX_ATTEMPTS:
+            tracked.refused_on.setdefault(key, set()).add(run.worker)
 
     def note_begun(self, tracked: TrackedJob, task: TaskId, run: int, now: float) -> None:
         """Record that a worker has begun a run of a task; a start is executed only once."""
         start = tracked.open_starts.get(task[1:])
         if start is None:
             return
-        if start.run == run and start.attempts <= 1:
+        if start.run == run and start.is_only:
             del tracked.open_starts[task[1:]]
         else:
             tracked.open_starts[task[1:]] = start._replace(since=now, attempts=0)
@@ -76,6 +84,13 @@
         start = batch.tracked.open_starts.get(batch.key(index))
         return start is not None and not self._is_over(start, now)
 
+    def sent_at(self, batch: Batch, index: int, worker: str, now: float) -> float:
+        """Return when the open start of a task on a worker was sent; 0 if there is none."""
+        start = batch.tracked.open_starts.get(batch.key(index))
+        if start is None or start.worker != worker or self._is_over(start, now):
+            return 0.0
+        return start.sent_at
+
     def has_any(self, tracked: TrackedJob, now: float) -> bool:
         """Return whether any task of a job has an open start."""
         return any(
@@ -118,7 +133,7 @@
         """Attach the inherited open starts of a job that is tracked from now on."""
         for row in self._inherited.pop(tracked.job.id, ()):
             if tracked.job.has_task(row.task):
-                start = OpenStart(row.worker, row.run, row.sent_at, row.sent_at)
+                start = OpenStart(row.worker, row.run, row.sent_at, row.sent_at, is_only=False)
                 tracked.open_starts[row.task[1:]] = start
 
     def publish(
@@ -132,13 +147,17 @@
             for key, start in tracked.open_starts.items():
                 if self._binds(start, tracked.job.steps[key[1]], now):
                     task = TaskId(tracked.job.id, *key)
-                    found.append(StartRow(start.worker, task, start.run, start.sent_at))
+                    used_at = self._used_at(start.worker, start.sent_at)
+                    found.append(StartRow(start.worker, task, start.run, used_at))
         for member in self._members.values():
             for run in member.runs.values():
                 is_awaited = run.is_unsure or now - run.sent_at >= unanswered_s
                 if run.may_begin and is_awaited:
-                    found.append(StartRow(run.worker, run.task, run.number, run.sent_at))
+                    used_at = self._used_at(run.worker, run.sent_at)
+                    found.append(StartRow(run.worker, run.task, run.number, used_at))
         found = [row for row in found if now < late_lease_end(row.sent_at, self._lease_s)]
+        if len(found) > MAX_PUBLISHED:
+            log(Event.STARTS_UNPUBLISHED, starts=len(found) - MAX_PUBLISHED)
         return sorted(found, key=lambda row: row.sent_at)[-MAX_PUBLISHED:]
 
     def _binds(self, start: OpenStart, step: Step, now: float) -> bool:
@@ -150,6 +169,11 @@
         member = self._members.get(start.worker)
         if member is not None and member.is_fenced and member.silent_since is None:
             return member.all_ends_listed and member.asked_at >= start.sent_at + LATE_CALL_S
-        former = member or self._dropped.get(start.worker)
-        used_at = max(start.sent_at, former.used_at if former is not None else 0.0)
-        return now >= late_lease_end(used_at, self._lease_s)
+        return now >= late_lease_end(self._used_at(start.worker, start.sent_at), self._lease_s)
+
+    def _used_at(self, worker: str, sent_at: float) -> float:
+        """Return when the last call was sent that may extend the lease of what a start began."""
+        member = self._members.get(worker) or self._dropped.get(worker)
+        if member is None or (member.is_fenced and member.silent_since is None):
+            return sent_at
+        return max(sent_at, member.used_at)
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -299,7 +299,7 @@
             return ()
         rows = self.dispatcher.list_open_starts(self._clock(), unanswered_s)
         return tuple(
-            (row.worker, str(row.task), row.run, math.ceil(row.sent_at * 1000 + offset_ms))
+            (row.worker, str(row.task), row.run, max(0, math.ceil(row.sent_at * 1000 + offset_ms)))
             for row in rows
         )
 
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -73,7 +73,7 @@
     """A task's start that its worker did not answer, and that a later boot may still execute.
 
     `run` is its number. `since` is when the first of `attempts` such starts in a row was sent, or
-    the last one answered.
+    the last one answered; of a task whose last run lapsed, when that was lost.
     """
 
     worker: str
@@ -81,6 +81,8 @@
     sent_at: float
     since: float
     attempts: int = 0
+    # No earlier start of the task is open.
+    is_only: bool = True
 
 
 @dataclass(slots=True, eq=False)
--- a/src/curranthall/dag/progress.py
+++ b/src/curranthall/dag/progress.py
@@ -225,6 +225,17 @@
         if self.places is not None:
             self.places[key] = Place(run, worker)
 
+    def move_place(self, key: TaskKey, worker: str) -> bool:
+        """Record that a task runs on another worker than its last start was sent to.
+
+        Return whether that is new.
+        """
+        place = self.places.get(key) if self.places else None
+        if self.places is None or place is None or place.worker == worker:
+            return False
+        self.places[key] = Place(place.run, worker)
+        return True
+
     def end_place(self, key: TaskKey, run: int) -> bool:
         """Record that a run is over and its start has no effect any more, if it is the last one.
 
