--- a/src/curranthall/cells/boot_log.py
+++ b/src/curranthall/cells/boot_log.py
@@ -148,7 +148,7 @@
         self._log_left("moved", to, map(self._open_row, found), now)
 
     def log_lost(self, why: str, members: Iterable[Member], now: float) -> None:
-        """Log the open starts that a successor in the cell does not know of."""
+        """Log the open starts that the holder of a cell leaves."""
         rows = [
             [run.sent_at, run.task, run.number, run.worker, run.sent_to, run.state.value]
             for member in members
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -372,7 +372,7 @@
         return [member.host._replace(remaining_ms=0) for member in self.members.values()]
 
     def log_open_starts(self, why: str, now: float) -> None:
-        """Log the starts that a successor does not know of; `why` this holder ends."""
+        """Log the open starts that this holder leaves; `why` it ends."""
         self._boot_log.log_lost(why, self.members.values(), now)
 
     def token(self, worker: str) -> int:
--- a/src/curranthall/cells/open_starts.py
+++ b/src/curranthall/cells/open_starts.py
@@ -141,6 +141,8 @@
     ) -> list[StartRow]:
         """List the open starts, and those that have no answer after some seconds."""
         found = [row for rows in self._inherited.values() for row in rows]
+        if not any(self._is_recent(row, now) for row in found):
+            self._inherited.clear()
         for tracked in jobs:
             if tracked.progress.phase.is_final:
                 continue
@@ -155,11 +157,14 @@
                 if run.may_begin and is_awaited:
                     used_at = self._used_at(run.worker, run.sent_at)
                     found.append(StartRow(run.worker, run.task, run.number, used_at))
-        found = [row for row in found if now < late_lease_end(row.sent_at, self._lease_s)]
+        found = [row for row in found if self._is_recent(row, now)]
         if len(found) > MAX_PUBLISHED:
             log(Event.STARTS_UNPUBLISHED, starts=len(found) - MAX_PUBLISHED)
         return sorted(found, key=lambda row: row.sent_at)[-MAX_PUBLISHED:]
 
+    def _is_recent(self, row: StartRow, now: float) -> bool:
+        return now < late_lease_end(row.sent_at, self._lease_s)
+
     def _binds(self, start: OpenStart, step: Step, now: float) -> bool:
         is_too_long = step.lasting and now >= start.since + LASTING_WAIT_S
         return not is_too_long and not self._is_over(start, now)
