Placing: list the tasks bound to a worker, none where no start is open

Each pass sorted the waiting tasks of every batch to find the few that are bound. A batch without open starts costs one look now; names say what the flag means.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -1972,30 +1972,30 @@
             takes_headroom=takes_headroom,
         )
         indexes = startable(batch)
-        movable = set(self.open_starts.list_movable(batch, now))
-        free = [index for index in indexes if index in movable]
+        bound = self.open_starts.list_bound(batch, now)
+        free = [index for index in indexes if index not in bound]
         if free and any(refusal.covers(base) for refusal in refused):
             self._handle_unplaced(batch, free[0], base, usable, now)
             return
         racks = self._racks(siblings) if step.same_rack else frozenset()
         held_back: tuple[int, PlacementRequest] | None = None
-        is_bound = False
+        waits_for_worker = False
         # Those bound to a worker go first: no other one will do for them.
-        for index in sorted(indexes, key=lambda each: each in movable):
+        for index in sorted(indexes, key=lambda each: each not in bound):
             if not self.quota.admits(batch):
                 return
             crashes = count_for_placement(batch, index)
             avoid = tracked.avoided_workers(batch.key(index))
             candidates = usable
-            if index not in movable:
+            if index in bound:
                 avoid = frozenset(tracked.failed_on.get(batch.key(index), ()))
                 candidates = self.open_starts.choose_from(batch, index, usable, now)
             quiet = needs_quiet(batch, crashes, now)
             req = base._replace(avoid=avoid, racks=racks, crashes=crashes, needs_quiet=quiet)
             member = choose_worker(req, candidates)
-            if member is None and index not in movable:
+            if member is None and index in bound:
                 # It can't start elsewhere, so the wait is only noted.
-                batch.unplaced_since, is_bound = batch.unplaced_since or now, True
+                batch.unplaced_since, waits_for_worker = batch.unplaced_since or now, True
                 continue
             if member is None and crashes:
                 held_back = index, req
@@ -2012,7 +2012,7 @@
                 racks = self._racks(siblings)
         if held_back is not None:
             self._handle_unplaced(batch, *held_back, usable, now)
-        elif not is_bound:
+        elif not waits_for_worker:
             batch.note_placed()
 
     def _handle_unplaced(
@@ -2060,7 +2060,8 @@
         siblings: dict[str, int] = {}
         crashes = count_for_placement(batch, 0)
         # Those bound to a worker go first: no other one will do for them.
-        for index in self.open_starts.bound_first(batch, now):
+        bound = self.open_starts.list_bound(batch, now)
+        for index in sorted(range(step.width), key=lambda each: each not in bound):
             racks = self._racks(siblings) if step.same_rack else frozenset()
             member = choose_worker(
                 PlacementRequest(
--- a/src/curranthall/cells/open_starts.py
+++ b/src/curranthall/cells/open_starts.py
@@ -100,14 +100,14 @@
 
     def list_movable(self, batch: Batch, now: float) -> list[int]:
         """Return the waiting tasks that may start on any worker; of a gang all or none."""
-        if not batch.tracked.open_starts:
-            return sorted(batch.waiting)
-        found = [index for index in sorted(batch.waiting) if self.find(batch, index, now) is None]
-        return [] if batch.step.gang and len(found) < len(batch.waiting) else found
+        bound = self.list_bound(batch, now)
+        return [] if batch.step.gang and bound else sorted(batch.waiting - bound)
 
-    def bound_first(self, batch: Batch, now: float) -> list[int]:
-        """Return the members of a gang, those bound to a worker first."""
-        return sorted(range(batch.step.width), key=lambda at: self.find(batch, at, now) is None)
+    def list_bound(self, batch: Batch, now: float) -> set[int]:
+        """Return the waiting tasks that may start on one worker only."""
+        if not batch.tracked.open_starts:
+            return set()
+        return {index for index in batch.waiting if self.find(batch, index, now) is not None}
 
     def choose_from(
         self, batch: Batch, index: int, usable: list[Member], now: float
