--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -451,11 +451,13 @@
         job, _, step, _ = task.split(".")
         wanted = self.rig.jobs[job]["steps"][int(step)]
         used = sum(run["cpu"] for run in self.running.values())
-        if self.guards and used + wanted.get("cpu", 0) > self.cpu:
+        used_mb = sum(run["mem-mb"] for run in self.running.values())
+        is_full = used + wanted.get("cpu", 0) > self.cpu
+        if self.guards and (is_full or used_mb + wanted.get("mem-mb", 0) > self.mem_mb):
             return 409, {**clock, "reason": "room"}
         lasts = wanted.get("long-running", False)
         self.running[task] = {
-            "run": number, "cpu": wanted.get("cpu", 0), "began": time.monotonic(), "stop_at": None,
+            "run": number, "cpu": wanted.get("cpu", 0), "mem-mb": wanted.get("mem-mb", 0), "began": time.monotonic(), "stop_at": None,
             "work_s": None if lasts else wanted["estimated-ms"] / 1000,
             "fails": self.rig.fails(task),
         }  # fmt: skip
@@ -640,6 +642,12 @@
         used = sum(run["cpu"] for machine in up for run in machine.running.values())
         return used / max(1, sum(machine.cpu for machine in up))
 
+    def memory_in_use(self) -> float:
+        """Return the share of all workers' memory that runs reserve."""
+        up = [machine for machine in self.machines.values() if machine.up]
+        used = sum(run["mem-mb"] for machine in up for run in machine.running.values())
+        return used / max(1, sum(machine.mem_mb for machine in up))
+
     def of_job(self, job: str, what: str):
         return [each for each in self.events if each[1] == what and each[2].startswith(job + ".")]
 
