--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -487,6 +487,7 @@
                 self._notify_cell_holders(progress, row)
                 return True
             found = await records.read_progress(self._store, job_id)
+        log(Event.JOB_NOT_STORED, job=job_id)
         return False
 
     def _notify_cell_holders(self, progress: Progress, row: Row) -> None:
