Intake: record the cancel of a job that isn't stored before answering 410

What callers saw: a job was submitted and not answered in time, then cancelled at another entry (410).

Cause: the 410 rested on a read alone. A creation requires only that the job has no row and no newer refusal, so one that was sent before the cancel, or one that comes later with the same id, still took effect. It needs no fault of the store: a cancel that overtakes its submission did the same.

Evidence: the store's record of the case has both creations before the 410, no write by the cancel and none by an entry afterwards (docs/incidents/cancelled-job-starts.md).

Fix: a cancel that finds no row writes one in `cancellations`, in a transaction that requires that the job isn't stored; a creation requires that no such row exists. Both are in one part, so the store decides which of the two is first, and the other fails whenever it arrives. A submission that meets the row is answered 429. A cancel of a stored job reads and writes as before. A row that can't be read is no longer taken for a missing job: 504.

Tests: tests.test_cancellation, all orders of overlapping calls with lost and late answers, and random plays of tests.cancel_plays.

--- a/src/curranthall/cells/records.py
+++ b/src/curranthall/cells/records.py
@@ -14,8 +14,9 @@
 JOB_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
 REFUSAL_TABLE = "refusals"
-# The value of a refusal's row, of which only the version counts.
-REFUSAL = b"\x01"
+CANCELLATION_TABLE = "cancellations"
+# The value of a row in the two tables above, of which only the version counts.
+MARK = b"\x01"
 # The store runs the transactions of a part one after another. With eight parts, a store that takes
 # 0.3 s per transaction (60 times the usual latency, the example in its documentation) still does
 # 26 per second.
@@ -34,6 +35,18 @@
         return [self.job.encode(), self.progress.encode(), self.version]
 
 
+class Refused(NamedTuple):
+    """A job that isn't stored was refused; the version is ABSENT if its refusal is gone."""
+
+    version: int
+
+
+class Cancelled(NamedTuple):
+    """A job was cancelled before it was stored, and never will be."""
+
+    version: int
+
+
 def decode_stored_job(value: object) -> StoredJob:
     """Decode a message from a peer; raise one of DECODE_ERRORS when it is invalid."""
     job, progress, version = items(value)
@@ -51,7 +64,7 @@
 async def create_job(
     store: Store, job: Job, progress: Progress, refusal_version: int = ABSENT
 ) -> Committed | Stale:
-    """Insert both rows of a job; return Stale when the job exists or its refusal has changed.
+    """Insert both rows of a job; return Stale when the job exists, was cancelled or refused anew.
 
     The row of an earlier refusal, of the given version, is removed.
     """
@@ -59,7 +72,8 @@
         part_of(job.id),
         [
             Check(PROGRESS_TABLE, job.id, ABSENT),
-            # A creation that was sent before a refusal was recorded must never take effect.
+            # A creation that was sent before one of these was recorded must never take effect.
+            Check(CANCELLATION_TABLE, job.id, ABSENT),
             Check(REFUSAL_TABLE, job.id, refusal_version),
         ],
         [
@@ -78,25 +92,46 @@
     return await store.commit(
         part_of(job_id),
         [Check(PROGRESS_TABLE, job_id, ABSENT)],
-        [Put(REFUSAL_TABLE, job_id, REFUSAL)],
+        [Put(REFUSAL_TABLE, job_id, MARK)],
         [],
     )
 
 
-async def find_conflict(store: Store, job_id: str, answer: Stale) -> int | None:
-    """Return why a creation was stale: the version of the job's refusal, or None if it exists.
+async def cancel_unstored(store: Store, job_id: str) -> Committed | Stale:
+    """Record that a job is cancelled, so that no creation, sent before or later, can take effect.
 
-    The version is ABSENT if both rows are gone. The store is read unless the answer tells.
+    Return Stale when the job exists.
     """
-    if any(row.table == PROGRESS_TABLE and row.value is not None for row in answer.rows):
-        return None
+    return await store.commit(
+        part_of(job_id),
+        [Check(PROGRESS_TABLE, job_id, ABSENT)],
+        [Put(CANCELLATION_TABLE, job_id, MARK)],
+        [],
+    )
+
+
+async def find_conflict(store: Store, job_id: str, answer: Stale) -> Refused | Cancelled | None:
+    """Return why a creation was stale, None if the job exists.
+
+    The store is read unless the answer tells.
+    """
+    for row in answer.rows:
+        if row.value is not None and row.table == PROGRESS_TABLE:
+            return None
+        if row.value is not None and row.table == CANCELLATION_TABLE:
+            return Cancelled(row.version)
     # Read in this order: if the refusal goes in between, it does so as the job is created.
-    listing = await store.scan(REFUSAL_TABLE, part_of(job_id), job_id, job_id + "\0")
-    versions = [row.version for row in listing.rows if row.value is not None]
-    stored = await store.scan(PROGRESS_TABLE, part_of(job_id), job_id, job_id + "\0")
-    if any(row.value is not None for row in stored.rows):
+    refused = await _find_version(store, REFUSAL_TABLE, job_id)
+    cancelled = await _find_version(store, CANCELLATION_TABLE, job_id)
+    if await _find_version(store, PROGRESS_TABLE, job_id) != ABSENT:
         return None
-    return max(versions, default=ABSENT)
+    return Refused(refused) if cancelled == ABSENT else Cancelled(cancelled)
+
+
+async def _find_version(store: Store, table: str, job_id: str) -> int:
+    """Return the version of a job's row in a table, ABSENT if there is none."""
+    listing = await store.scan(table, part_of(job_id), job_id, job_id + "\0")
+    return max((row.version for row in listing.rows if row.value is not None), default=ABSENT)
 
 
 async def read_progress(store: Store, job_id: str) -> tuple[Progress, int] | None:
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -26,7 +26,13 @@
     retry_after_s,
 )
 from curranthall.cells.load import HOME_BONUS, Load, rate_cell, widest_step
-from curranthall.cells.records import PROGRESS_TABLE, StoredJob, decode_stored_job
+from curranthall.cells.records import (
+    PROGRESS_TABLE,
+    Cancelled,
+    Refused,
+    StoredJob,
+    decode_stored_job,
+)
 from curranthall.cells.succession import Succession
 from curranthall.dag import Job, Phase, Progress, Queue
 from curranthall.errors import AnswerLost, CurranthallError, PeerUnreachable, PlatformDown
@@ -64,6 +70,8 @@
     UNKNOWN = "unknown"
     # Refused, as it would be done too late in every cell.
     TOO_LATE = "too-late"
+    # Refused, as it was cancelled before it could be stored.
+    CANCELLED = "cancelled"
 
 
 class Answer(NamedTuple):
@@ -152,7 +160,7 @@
     # Submission
 
     async def submit(self, job: Job, wait_s: float) -> Verdict:
-        """Store a job; ACCEPTED means it is committed, REFUSED and TOO_LATE that it never runs."""
+        """Store a job; ACCEPTED means it is committed, a refusal that it never runs."""
         return (await self.accept(job, wait_s)).verdict
 
     async def accept(self, job: Job, wait_s: float) -> Answer:
@@ -230,13 +238,21 @@
                 may_be_stored = True
                 log(Event.STORE_FAILED, what="accept", job=job.id, error=exc)
             else:
-                if isinstance(answer, Committed) or conflict is None:
+                if isinstance(answer, Committed):
                     return self._handle_commit(job, progress, answer)
-                if conflict > seen:
-                    # It ends all creations that were sent before, so nothing of them gets stored.
-                    log(Event.JOB_TOO_LATE, job=job.id, queue=job.queue, version=conflict)
-                    return Verdict.TOO_LATE
-                refusal_version = conflict
+                match conflict:
+                    case None:
+                        return self._handle_commit(job, progress, answer)
+                    case Cancelled():
+                        why = "cancelled before it was stored"
+                        log(Event.JOB_REFUSED, job=job.id, queue=job.queue, why=why)
+                        return Verdict.CANCELLED
+                    case Refused(version) if version > seen:
+                        # It ends all creations sent before, so nothing of them gets stored.
+                        log(Event.JOB_TOO_LATE, job=job.id, queue=job.queue, version=version)
+                        return Verdict.TOO_LATE
+                    case Refused(version):
+                        refusal_version = version
                 continue
             await asyncio.sleep(STORE_RETRY_S)
 
@@ -255,7 +271,7 @@
             log(Event.JOB_RELAYED, job=job.id, via=address, verdict=verdict.value)
             if verdict is Verdict.REFUSED:
                 continue
-            if verdict is not Verdict.TOO_LATE:
+            if verdict not in (Verdict.TOO_LATE, Verdict.CANCELLED):
                 self._phases[job.id] = _CachedPhase(progress.cell, Phase.QUEUED, self._clock())
             return verdict
         log(Event.JOB_REFUSED, job=job.id, queue=job.queue, why="the store is away")
@@ -468,6 +484,13 @@
 
     async def _cancel(self, job_id: str) -> bool:
         found = await records.read_progress(self._store, job_id)
+        if found is None:
+            # A creation that is under way must not take effect once the caller was told.
+            answer = await records.cancel_unstored(self._store, job_id)
+            if isinstance(answer, Committed):
+                log(Event.JOB_NOT_STORED, job=job_id, version=answer.version)
+                return False
+            found = await records.read_progress(self._store, job_id)
         while found is not None:
             progress, version = found
             if progress.phase.is_final:
@@ -487,8 +510,7 @@
                 self._notify_cell_holders(progress, row)
                 return True
             found = await records.read_progress(self._store, job_id)
-        log(Event.JOB_NOT_STORED, job=job_id)
-        return False
+        raise AnswerLost(job=job_id, why="its row can't be read")
 
     def _notify_cell_holders(self, progress: Progress, row: Row) -> None:
         self._phases[row.key] = _CachedPhase(progress.cell, progress.phase, self._clock())
--- a/src/curranthall/platform/front.py
+++ b/src/curranthall/platform/front.py
@@ -84,6 +84,9 @@
             case Verdict.TOO_LATE:
                 error = {"error": "the job would be too late; it was not accepted"}
                 return json_response(error, 429, Retry_After=str(answer.retry_after_s))
+            case Verdict.CANCELLED:
+                # Without Retry-After: it stays so.
+                return json_response({"error": "the job was cancelled; it was not accepted"}, 429)
             case Verdict.ACCEPTED:
                 return json_response({})
             case Verdict.REFUSED:
--- a/tests/test_refusal.py
+++ b/tests/test_refusal.py
@@ -3,153 +3,61 @@
 import asyncio
 import itertools
 import unittest
-from collections.abc import Callable, Iterator
-from functools import partial
-from typing import Any, NamedTuple
+from collections.abc import Callable, Coroutine
+from typing import Any
 from unittest.mock import AsyncMock, Mock, patch
 
 from curranthall.cells.options import Options
 from curranthall.cells.owner import VACANT_S
-from curranthall.cells.records import PROGRESS_TABLE, REFUSAL_TABLE, part_of
+from curranthall.cells.records import REFUSAL_TABLE, part_of
 from curranthall.dag import Job, Phase, Step
-from curranthall.errors import AnswerLost
 from curranthall.http import Request
 from curranthall.intake import Intake, Verdict
-from curranthall.intake.intake import STORE_RETRY_S, Answer
+from curranthall.intake.intake import Answer
 from curranthall.model import Size
 from curranthall.platform.front import Frontend
-from curranthall.standin.store import MemoryStore
 from curranthall.store import Put
+from tests import store_orders
 from tests.cluster import SERVICE, Cluster, now
+from tests.store_orders import JOB, WAIT_S, Choose, Op
 from tests.virtual import run
 
-JOB = Job("1" * 16, "q", SERVICE, "spec", (Step(1, Size(1, 1), 1_000),), 0)
-WAIT_S = 60.0
-# How many answers get lost in one order of events, by the number of attempts; each transaction may
-# take effect later.
-MAX_LOST = {2: 2, 3: 1}
 
-
-class Op(NamedTuple):
-    """A call to the store that waits for its turn."""
-
-    attempt: int
-    effect: Callable[[], Any]
-    answer: asyncio.Future[Any]
-
-
-class OrderedStore:
-    """One attempt's view of the store, whose calls take effect when the test says so."""
-
-    failing = False
-
-    def __init__(self, play: "Play", attempt: int) -> None:
-        self._play, self._attempt = play, attempt
-
-    async def commit(self, *transaction: Any) -> Any:
-        """Wait for the turn of a transaction."""
-        return await self._wait(partial(self._play.store.apply, *transaction))
-
-    async def scan(self, *rows: Any) -> Any:
-        """Read at once: the order against transactions is that of the events before and after."""
-        return await self._play.store.scan(*rows)
-
-    async def feed(self, *rows: Any) -> Any:
-        """Follow the store's changes; no attempt does."""
-        return await self._play.store.feed(*rows)
-
-    async def _wait(self, effect: Callable[[], Any]) -> Any:
-        op = Op(self._attempt, effect, asyncio.get_running_loop().create_future())
-        self._play.ops.append(op)
-        return await op.answer
-
-
-class Play:
-    """Attempts to submit one job, each at another entry; `choose` picks the next event.
+class Play(store_orders.Play):
+    """Attempts to submit a job, each at an entry that has read the rows just now, or never.
 
     The caller gives up an attempt before it begins the next one.
     """
 
-    def __init__(self, is_late: tuple[bool, ...], is_fresh: bool, choose: Callable[[int], int]):
-        self.is_late, self.is_fresh, self.choose = is_late, is_fresh, choose
-        self.store = MemoryStore(now)
-        self.ops: list[Op] = []
-        self.attempts: list[asyncio.Task[Verdict]] = []
-        # Lost transactions that may still take effect.
-        self.late: list[Op] = []
-        self.lost = 0
+    def __init__(self, is_late: tuple[bool, ...], is_fresh: bool, choose: Choose) -> None:
+        super().__init__(len(is_late), choose)
+        self.is_late, self.is_fresh = is_late, is_fresh
         self.refused_up_to = -1
         self.seen_answers: set[int] = set()
         self.verdicts: list[Verdict] = []
 
-    def begin(self) -> None:
-        """Begin the next attempt at an entry that has read the rows just now, or never."""
-        number = len(self.attempts)
-        succession = Mock()
-        succession.watch.epoch_seen = self.store.version if self.is_fresh else 0
-        succession.watch.epoch.return_value = 1
-        succession.watch.row_age_ms.return_value = 0
-        succession.me.name = f"e{number}"
-        intake = Intake(
-            succession, OrderedStore(self, number), Mock(), now, frozenset, lambda job: None
-        )
+    def seen_version(self) -> int:
+        """Return the newest version that the next entry has read."""
+        return self.store.version if self.is_fresh else 0
+
+    def call(self, intake: Intake, number: int) -> Coroutine[Any, Any, Verdict]:
+        """Submit the job, at an entry that refuses it if it would be late."""
         delay_s = 5.0 if self.is_late[number] else None
         intake._refusal_delay_s = lambda job: delay_s  # type: ignore[method-assign]
-        intake.choose_cell = lambda job: "a"  # type: ignore[method-assign]
-        self.attempts.append(asyncio.ensure_future(intake.submit(JOB, WAIT_S)))
-
-    def is_stored(self) -> bool:
-        """Return whether the job is stored."""
-        return self.store.find(PROGRESS_TABLE, part_of(JOB.id), JOB.id) is not None
+        return intake.submit(JOB, WAIT_S)
 
-    def apply(self, op: Op) -> Any:
-        """Let a transaction take effect; fail if it stores a job that it must not store."""
-        was_stored = self.is_stored()
-        answer = op.effect()
+    def on_applied(self, op: Op, was_stored: bool) -> None:
+        """Fail if a transaction stored a job that it must not store."""
         if self.is_stored() and not was_stored:
-            assert op.attempt > self.refused_up_to, "a refused job was stored"
-        return answer
-
-    def events(self) -> Iterator[Callable[[], None]]:
-        """Yield the events that may happen next."""
-        # A call that timed out may still take effect.
-        self.late += [op for op in self.ops if op.answer.done()]
-        self.ops = [op for op in self.ops if not op.answer.done()]
-        for op in self.ops:
-            yield partial(self._answer, op)
-            if self.lost < MAX_LOST[len(self.is_late)]:
-                yield partial(self._lose, op, True)
-                yield partial(self._lose, op, False)
-        for op in self.late:
-            yield partial(self._apply_late, op)
-        if len(self.attempts) < len(self.is_late):
-            yield self.begin
-
-    def _answer(self, op: Op) -> None:
-        self.ops.remove(op)
-        op.answer.set_result(self.apply(op))
-
-    def _lose(self, op: Op, is_applied: bool) -> None:
-        self.ops.remove(op)
-        self.lost += 1
-        if is_applied:
-            self.apply(op)
-        else:
-            self.late.append(op)
-        op.answer.set_exception(AnswerLost(why="lost"))
-
-    def _apply_late(self, op: Op) -> None:
-        self.late.remove(op)
-        self.apply(op)
-
-    async def _settle(self) -> None:
-        """Let the attempts go on to their next call; check the answer that the caller sees."""
-        await asyncio.sleep(STORE_RETRY_S * 1.5)
-        last = len(self.attempts) - 1
-        if last in self.seen_answers or not self.attempts[last].done():
+            assert op.call > self.refused_up_to, "a refused job was stored"
+
+    def on_answers(self) -> None:
+        """Check the answer that the caller sees."""
+        last = len(self.calls) - 1
+        if last in self.seen_answers or not self.calls[last].done():
             return
         self.seen_answers.add(last)
-        verdict = self.attempts[last].result()
+        verdict = self.calls[last].result()
         self.verdicts.append(verdict)
         match verdict:
             case Verdict.TOO_LATE | Verdict.REFUSED:
@@ -158,40 +66,16 @@
             case Verdict.ACCEPTED:
                 assert self.is_stored(), "an accepted job is not stored"
 
-    async def run(self) -> None:
-        """Play until nothing can happen."""
-        self.begin()
-        await self._settle()
-        while events := list(self.events()):
-            events[self.choose(len(events))]()
-            await self._settle()
-        for attempt in self.attempts:
-            attempt.cancel()
-
 
 def explore(is_late: tuple[bool, ...], is_fresh: bool) -> list[list[Verdict]]:
     """Play all orders of events; return the answers that the caller saw in each."""
-    found, path = [], list[tuple[int, int]]()
-    while True:
-        depth = itertools.count()
-
-        def choose(count: int, depth: Iterator[int] = depth) -> int:
-            at = next(depth)
-            if at == len(path):
-                path.append((0, count))
-            return path[at][0]
-
-        async def main(choose: Callable[[int], int] = choose) -> Play:
-            play = Play(is_late, is_fresh, choose)
-            await play.run()
-            return play
-
-        found.append(run(main()).verdicts)
-        while path and path[-1][0] + 1 == path[-1][1]:
-            path.pop()
-        if not path:
-            return found
-        path[-1] = path[-1][0] + 1, path[-1][1]
+
+    async def main(choose: Choose) -> list[Verdict]:
+        play = Play(is_late, is_fresh, choose)
+        await play.run()
+        return play.verdicts
+
+    return store_orders.explore(main)
 
 
 class Orders(unittest.TestCase):
