Intake: cache the phase of a relayed job only once it is known to be stored

What callers saw: an entry that is cut off from the store and got no answer from the peer that it had relayed a submission to showed the job as queued for 0.3 s, though it may never be stored, and also after its cancel had been answered 410.

Cause: the phase was cached unless the job was refused. The new test failed before (QUEUED in place of no phase).

--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -271,7 +271,7 @@
             log(Event.JOB_RELAYED, job=job.id, via=address, verdict=verdict.value)
             if verdict is Verdict.REFUSED:
                 continue
-            if verdict not in (Verdict.TOO_LATE, Verdict.CANCELLED):
+            if verdict is Verdict.ACCEPTED:
                 self._phases[job.id] = _CachedPhase(progress.cell, Phase.QUEUED, self._clock())
             return verdict
         log(Event.JOB_REFUSED, job=job.id, queue=job.queue, why="the store is away")
--- a/tests/test_refusal.py
+++ b/tests/test_refusal.py
@@ -11,6 +11,7 @@
 from curranthall.cells.owner import VACANT_S
 from curranthall.cells.records import REFUSAL_TABLE, part_of
 from curranthall.dag import Job, Phase, Step
+from curranthall.errors import AnswerLost
 from curranthall.http import Request
 from curranthall.intake import Intake, Verdict
 from curranthall.intake.intake import Answer
@@ -226,6 +227,21 @@
 
         self.play(scene, Options(), jobs=0)
 
+    def test_a_job_that_a_peer_may_have_stored_is_not_shown_as_queued(self) -> None:
+        """An entry showed a job of which the peer's answer was not known, also after its cancel."""
+
+        async def scene(cluster: Cluster) -> None:
+            intake, job = cluster.entries["b-e0"].intake, make_job(1_000)
+            for answer in (AsyncMock(return_value="unknown"), AsyncMock(side_effect=AnswerLost())):
+                with (
+                    patch.object(intake, "_store", Mock(failing=True)),
+                    patch.object(intake, "_peers", Mock(call=answer)),
+                ):
+                    self.assertIs(await intake.submit(job, 2.5), Verdict.UNKNOWN)
+                self.assertIsNone((await intake.phase(job.id)).phase)
+
+        self.play(scene, Options(), jobs=0)
+
     def test_rows_that_cannot_be_told_apart_are_read(self) -> None:
         """An answer of the store that names no tables is no proof that the job exists."""
 
