Customers: record the refusal of an oversized job before answering 429

What callers saw: a try of a job got no answer under a customer's higher limit; a later try, under a lower one, was answered 429, "not accepted and never runs", and then the write of the first took effect: the job was stored and waited until the limit was raised. It was listed as not covered in docs/design/customers.md.

Fix: the refusal is recorded as that of a job which would be too late. The stub of test_customers fails in `refuse`, which is called now, in place of `phase`.

--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -196,6 +196,13 @@
         predictions = self._predict_all(job).values()
         return refusal_delay_s(predictions, objective_s(job, queue))
 
+    async def refuse(self, job_id: str) -> bool:
+        """Record the refusal of a job; return False if it is stored.
+
+        Nothing that was sent before can store it then. Raise PlatformDown or AnswerLost.
+        """
+        return isinstance(await records.refuse_job(self._store, job_id), Committed)
+
     async def _refuse(self, job: Job, until: float) -> Verdict | None:
         """Record a refusal; return None if it may not be recorded and the job is to be stored."""
         try:
--- a/src/curranthall/platform/front.py
+++ b/src/curranthall/platform/front.py
@@ -96,11 +96,11 @@
     async def _refuse_oversize(self, job: Job) -> Response:
         """Refuse a job that can never run, unless it was stored under a higher limit."""
         try:
-            status = await self._daemon.intake.phase(job.id)
+            is_refused = await self._daemon.intake.refuse(job.id)
         except (PlatformDown, AnswerLost) as exc:
             log(Event.JOB_UNSURE, job=job.id, queue=job.queue, error=exc)
             return json_response({"error": "not known whether the job was accepted"}, 504)
-        if status.phase is not None:
+        if not is_refused:
             log(Event.JOB_KNOWN, job=job.id, queue=job.queue)
             return json_response({})
         why = "a task exceeds the customer's limit"
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -6,27 +6,30 @@
 import tempfile
 import unittest
 from pathlib import Path
+from time import monotonic
 from types import SimpleNamespace
 from typing import Any, cast
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 from cbor2 import dumps, loads
 
 from curranthall.catalogue import Catalogue, Operations
+from curranthall.cells.records import create_job
 from curranthall.customers import Customer
 from curranthall.daemon import Daemon
-from curranthall.dag import Job, Phase
+from curranthall.dag import Job, Phase, Progress
 from curranthall.dag.model import decode_job
 from curranthall.errors import MalformedHttp, PlatformDown
 from curranthall.events import counts
 from curranthall.http import HttpServer, Request, Response
-from curranthall.intake import Verdict
+from curranthall.intake import Intake, Verdict
 from curranthall.intake.intake import Answer, JobStatus
 from curranthall.model import Size
 from curranthall.platform.decode import decode_operation
 from curranthall.platform.front import Frontend
 from curranthall.platform.settings import decode_deployment
-from curranthall.store import Listing, Row
+from curranthall.standin.store import MemoryStore
+from curranthall.store import Listing, Row, Stale
 from curranthall.watch import TableWatch
 from tests.cell_fixtures import job as make_job
 from tests.platform_fakes import LOOPBACK
@@ -149,9 +152,12 @@
         return Answer(Verdict.ACCEPTED)
 
     async def phase(self, job_id: str) -> JobStatus:
+        return JobStatus(self.stored)
+
+    async def refuse(self, job_id: str) -> bool:
         if self.is_down:
             raise PlatformDown()
-        return JobStatus(self.stored)
+        return self.stored is None
 
     async def cancel(self, job_id: str, wait_s: float) -> bool:
         return True
@@ -262,6 +268,16 @@
         self.assertEqual((await self.call("acme-key-1", cpu=9_000)).status, 504)
         self.assertEqual(self.intake.jobs, [])
 
+    async def test_an_earlier_try_is_not_stored_after_the_refusal_of_an_oversized_job(self) -> None:
+        """Its write was sent under a higher limit, and took effect after a later try got 429."""
+        store, succession = MemoryStore(monotonic), Mock(held={})
+        self.daemon.intake = Intake(
+            succession, store, Mock(), monotonic, frozenset, lambda job: None
+        )
+        self.assertEqual((await self.call("acme-key-1", cpu=9_000)).status, 429)
+        earlier = await create_job(store, make_job(JOB), Progress("a"))
+        self.assertIsInstance(earlier, Stale)
+
 
 class ReadingAge(unittest.IsolatedAsyncioTestCase):
     async def test_a_reading_counts_from_when_it_was_sent_and_once_it_is_applied(self) -> None:
