Intake: bound what cancels of unknown jobs cost the store

Without such writes nothing is read. An entry records 5 cancels of unknown jobs a second and answers the others 429, not done. Cancels of stored jobs cost what they did: one read, one write.

The token bucket of the stand-in moved to curranthall.ratelimit. Tests: tests.test_tombstones.

--- a/src/curranthall/errors.py
+++ b/src/curranthall/errors.py
@@ -71,6 +71,13 @@
     status = 409
 
 
+class RateExceeded(CurranthallError):
+    """The caller made too many calls of a kind; the call had no effect."""
+
+    code = "rate-exceeded"
+    status = 429
+
+
 class NotRun(CurranthallError):
     """The request certainly did not run."""
 
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -38,6 +38,7 @@
 from curranthall.errors import AnswerLost, CurranthallError, PeerUnreachable, PlatformDown
 from curranthall.events import Event, log
 from curranthall.intake.pending import PendingJobs
+from curranthall.intake.tombstones import Tombstones
 from curranthall.store import ABSENT, Check, Committed, Put, Row, Stale, Store
 from curranthall.telemetry import acceptance_seconds, early_refusals, predicted_finish_seconds
 from curranthall.values import checked, items, reason, text, whole
@@ -156,6 +157,7 @@
         self.estimates: Estimates = CALLER_ESTIMATES
         self._usual_work = UsualWork()
         self._pending = PendingJobs(succession, store, clock)
+        self._tombstones = Tombstones(store, clock)
 
     # Submission
 
@@ -201,13 +203,13 @@
 
         Nothing that was sent before can store it then. Raise PlatformDown or AnswerLost.
         """
-        return isinstance(await records.refuse_job(self._store, job_id), Committed)
+        return isinstance(await self._tombstones.refuse(job_id), Committed)
 
     async def _refuse(self, job: Job, until: float) -> Verdict | None:
         """Record a refusal; return None if it may not be recorded and the job is to be stored."""
         try:
             async with asyncio.timeout(min(REFUSAL_TIMEOUT_S, until - self._clock())):
-                answer = await records.refuse_job(self._store, job.id)
+                answer = await self._tombstones.refuse(job.id)
         except (TimeoutError, PlatformDown, AnswerLost) as exc:
             log(Event.REFUSAL_UNSURE, job=job.id, queue=job.queue, error=exc or "timeout")
             early_refusals.count(outcome="unsure")
@@ -468,7 +470,10 @@
     # Cancellation
 
     async def cancel(self, job_id: str, wait_s: float) -> bool:
-        """Cancel a job; return whether it exists. Raise PlatformDown or AnswerLost."""
+        """Cancel a job; return whether it exists.
+
+        Raise PlatformDown, AnswerLost, or RateExceeded if too many unknown jobs are cancelled.
+        """
         until = self._clock() + wait_s - ANSWER_MARGIN_S
         while True:
             try:
@@ -493,7 +498,7 @@
         found = await records.read_progress(self._store, job_id)
         if found is None:
             # A creation that is under way must not take effect once the caller was told.
-            answer = await records.cancel_unstored(self._store, job_id)
+            answer = await self._tombstones.cancel(job_id)
             if isinstance(answer, Committed):
                 log(Event.JOB_NOT_STORED, job=job_id, version=answer.version)
                 return False
--- a/src/curranthall/standin/table.py
+++ b/src/curranthall/standin/table.py
@@ -7,6 +7,7 @@
 
 from curranthall.errors import AnswerLost, Conflict, PlatformDown
 from curranthall.model import Change, Commit, Host, HostState, Scan
+from curranthall.ratelimit import TokenBucket
 
 WRITES_PER_S = 300
 READS_PER_S = 2_000
@@ -15,25 +16,6 @@
 Clock = Callable[[], float]
 
 
-class TokenBucket:
-    """Token bucket that holds the tokens of one second."""
-
-    def __init__(self, per_s: int, clock: Clock) -> None:
-        self._per_s = per_s
-        self._clock = clock
-        self._tokens = float(per_s)
-        self._updated_at = clock()
-
-    def take(self) -> None:
-        """Take one token; raise PlatformDown if none is left."""
-        now = self._clock()
-        self._tokens = min(self._per_s, self._tokens + (now - self._updated_at) * self._per_s)
-        self._updated_at = now
-        if self._tokens < 1:
-            raise PlatformDown(why="rate", limit=self._per_s)
-        self._tokens -= 1
-
-
 class TableCore:
     """Rows with versions; every commit raises the revision by one."""
 
@@ -57,7 +39,7 @@
         """Apply a transaction; raise AnswerLost after its effect while that fault is set."""
         self._check_outage()
         if not self.unlimited_writes:
-            self._write_bucket.take()
+            _take(self._write_bucket, WRITES_PER_S)
         self.counts["writes"] += 1
         stale = [key for key, version in commit.checks.items() if self._version(key) != version]
         if stale:
@@ -73,7 +55,7 @@
     def scan(self, since: int, prefixes: list[str]) -> Scan:
         """List the rows that changed after a revision, oldest change first."""
         self._check_outage()
-        self._read_bucket.take()
+        _take(self._read_bucket, READS_PER_S)
         self.counts["reads"] += 1
         found = []
         wanted = tuple(prefixes)
@@ -87,7 +69,7 @@
     def hosts(self) -> list[Host]:
         """Return the host list as it was LIST_LAG_S ago."""
         self._check_outage()
-        self._read_bucket.take()
+        _take(self._read_bucket, READS_PER_S)
         horizon = self._clock() - LIST_LAG_S
         while self._pending_hosts and self._pending_hosts[0][0] <= horizon:
             host = self._pending_hosts.pop(0)[1]
@@ -116,3 +98,9 @@
         if self.lose_answers > 0:
             self.lose_answers -= 1
             raise AnswerLost(what="commit")
+
+
+def _take(bucket: TokenBucket, limit_per_s: int) -> None:
+    """Take one token; raise PlatformDown if none is left."""
+    if not bucket.take():
+        raise PlatformDown(why="rate", limit=limit_per_s)
