Jobs: cancel, close and resume leave out no block in an unknown domain

What callers saw: on the product's own interface, a job was confirmed as cancelled while its block in a failure domain that had just been added ran on. An entry looks for blocks in the domains that it knows, and learns of a new one up to a poll (0.5 s) after another entry may have claimed a block into it.

--- a/src/curranthall/jobs.py
+++ b/src/curranthall/jobs.py
@@ -191,7 +191,10 @@
 
     async def _change_blocks(self, job: str, change: BlockChange) -> None:
         for _ in range(CHANGE_TRIES):
-            _, blocks = await self._read(job)
+            row, blocks = await self._read(job)
+            if sum(block.value["count"] for block in blocks if block.value) < row["tasks"]:
+                why = "a block is in a domain that this entry doesn't know yet; try again"
+                raise Conflict(job=job, why=why)
             writes: dict[str, Row | None] = {}
             checks = {}
             for block in blocks:
