Intake: answer the cancel of a job whose row can't be read at once

It was tried again until the caller's wait was over, though only another release can read the row. The refusal of a submission names the version of the cancel that it met; both rows that keep a job from being stored are written by one function.

--- a/src/curranthall/cells/records.py
+++ b/src/curranthall/cells/records.py
@@ -89,12 +89,7 @@
 
     Return Stale when the job exists.
     """
-    return await store.commit(
-        part_of(job_id),
-        [Check(PROGRESS_TABLE, job_id, ABSENT)],
-        [Put(REFUSAL_TABLE, job_id, MARK)],
-        [],
-    )
+    return await _mark_unstored(store, REFUSAL_TABLE, job_id)
 
 
 async def cancel_unstored(store: Store, job_id: str) -> Committed | Stale:
@@ -102,12 +97,13 @@
 
     Return Stale when the job exists.
     """
-    return await store.commit(
-        part_of(job_id),
-        [Check(PROGRESS_TABLE, job_id, ABSENT)],
-        [Put(CANCELLATION_TABLE, job_id, MARK)],
-        [],
-    )
+    return await _mark_unstored(store, CANCELLATION_TABLE, job_id)
+
+
+async def _mark_unstored(store: Store, table: str, job_id: str) -> Committed | Stale:
+    """Write a job's row in a table unless the job is stored."""
+    checks = [Check(PROGRESS_TABLE, job_id, ABSENT)]
+    return await store.commit(part_of(job_id), checks, [Put(table, job_id, MARK)], [])
 
 
 async def find_conflict(store: Store, job_id: str, answer: Stale) -> Refused | Cancelled | None:
--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -35,7 +35,13 @@
 )
 from curranthall.cells.succession import Succession
 from curranthall.dag import Job, Phase, Progress, Queue
-from curranthall.errors import AnswerLost, CurranthallError, PeerUnreachable, PlatformDown
+from curranthall.errors import (
+    AnswerLost,
+    CurranthallError,
+    PeerUnreachable,
+    PlatformDown,
+    Unknown,
+)
 from curranthall.events import Event, log
 from curranthall.intake.pending import PendingJobs
 from curranthall.intake.tombstones import Tombstones
@@ -252,9 +258,15 @@
                 match conflict:
                     case None:
                         return self._handle_commit(job, progress, answer)
-                    case Cancelled():
+                    case Cancelled(version):
                         why = "cancelled before it was stored"
-                        log(Event.JOB_REFUSED, job=job.id, queue=job.queue, why=why)
+                        log(
+                            Event.JOB_REFUSED,
+                            job=job.id,
+                            queue=job.queue,
+                            why=why,
+                            version=version,
+                        )
                         return Verdict.CANCELLED
                     case Refused(version) if version > seen:
                         # It ends all creations sent before, so nothing of them gets stored.
@@ -472,7 +484,8 @@
     async def cancel(self, job_id: str, wait_s: float) -> bool:
         """Cancel a job; return whether it exists.
 
-        Raise PlatformDown, AnswerLost, or RateExceeded if too many unknown jobs are cancelled.
+        Raise PlatformDown or AnswerLost if the store fails, RateExceeded if too many unknown jobs
+        are cancelled, and Unknown if the job's row can't be read.
         """
         until = self._clock() + wait_s - ANSWER_MARGIN_S
         while True:
@@ -522,7 +535,7 @@
                 self._notify_cell_holders(progress, row)
                 return True
             found = await records.read_progress(self._store, job_id)
-        raise AnswerLost(job=job_id, why="its row can't be read")
+        raise Unknown(job=job_id, why="its row can't be read")
 
     def _notify_cell_holders(self, progress: Progress, row: Row) -> None:
         self._phases[row.key] = _CachedPhase(progress.cell, progress.phase, self._clock())
--- a/src/curranthall/platform/front.py
+++ b/src/curranthall/platform/front.py
@@ -6,7 +6,7 @@
 from curranthall.customers import Customer, Denial
 from curranthall.daemon import Daemon, wall_ms
 from curranthall.dag import Job, Phase, Queue
-from curranthall.errors import AnswerLost, BadInput, PlatformDown, RateExceeded
+from curranthall.errors import AnswerLost, BadInput, PlatformDown, RateExceeded, Unknown
 from curranthall.events import Event, log
 from curranthall.http import Request, Response, json_response
 from curranthall.intake import Verdict
@@ -119,7 +119,7 @@
     async def _cancel(self, job_id: str, req: Request) -> Response:
         try:
             exists = await self._daemon.intake.cancel(job_id, _wait_s(req))
-        except (PlatformDown, AnswerLost) as exc:
+        except (PlatformDown, AnswerLost, Unknown) as exc:
             return json_response({"error": str(exc)}, 504)
         except RateExceeded as exc:
             log(Event.CANCEL_REFUSED, job=job_id, why=exc)
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -7,7 +7,7 @@
 from unittest.mock import AsyncMock, Mock, patch
 
 from curranthall.cells.records import PROGRESS_TABLE, part_of
-from curranthall.errors import AnswerLost
+from curranthall.errors import Unknown
 from curranthall.http import Request
 from curranthall.intake import Intake, Verdict
 from curranthall.intake.intake import Answer
@@ -121,8 +121,8 @@
         store = MemoryStore(lambda: 0.0)
         store.apply(part_of(JOB.id), [], [Put(PROGRESS_TABLE, JOB.id, b"\xff")], [])
         intake = Intake(Mock(), store, Mock(), monotonic, frozenset, lambda job: None)
-        with self.assertRaises(AnswerLost):
-            await intake.cancel(JOB.id, 0.0)
+        with self.assertRaises(Unknown):
+            await intake.cancel(JOB.id, WAIT_S)
 
 
 class Plays(unittest.TestCase):
