--- a/src/curranthall/intake/intake.py
+++ b/src/curranthall/intake/intake.py
@@ -179,7 +179,7 @@
         seen = self._succession.watch.epoch_seen
         self._usual_work.observe(job)
         delay_s = self._refusal_delay_s(job)
-        verdict = None if delay_s is None else await self._refuse(job, until)
+        verdict = None if delay_s is None else await self._refuse_late(job, until)
         if verdict is None:
             verdict = await self._store_job(job, until, seen)
         acceptance_seconds.observe(self._clock() - started_at, verdict=verdict.value)
@@ -211,7 +211,7 @@
         """
         return isinstance(await self._tombstones.refuse(job_id), Committed)
 
-    async def _refuse(self, job: Job, until: float) -> Verdict | None:
+    async def _refuse_late(self, job: Job, until: float) -> Verdict | None:
         """Record a refusal; return None if it may not be recorded and the job is to be stored."""
         try:
             async with asyncio.timeout(min(REFUSAL_TIMEOUT_S, until - self._clock())):
--- a/src/curranthall/intake/tombstones.py
+++ b/src/curranthall/intake/tombstones.py
@@ -24,7 +24,7 @@
 
 
 class _Sweep(NamedTuple):
-    """When a part was swept last, and the store's version then."""
+    """When a part was swept last, and a version of the store from before."""
 
     at: float
     version: int
@@ -64,7 +64,6 @@
 
     async def _sweep(self, part: str, last: _Sweep | None) -> None:
         """Remove the rows that were there at the last sweep and haven't changed since."""
-        started_at = self._clock()
         try:
             refused = await self._store.scan(REFUSAL_TABLE, part)
             cancelled = await self._store.scan(CANCELLATION_TABLE, part)
@@ -76,7 +75,7 @@
             # The next row of this part that is written starts another sweep.
             log(Event.STORE_FAILED, what="sweep", part=part, error=exc)
         else:
-            self._sweeps[part] = _Sweep(started_at, refused.version)
+            self._sweeps[part] = _Sweep(self._clock(), refused.version)
 
     async def _remove(self, table: str, part: str, rows: list[Row]) -> None:
         for at in range(0, len(rows), ROWS_PER_TRANSACTION):
