Soak: cancel jobs while their submission is under way

A fifth of the jobs is cancelled beside its submission, at another entry; no task of a job whose cancel was answered 410 may start.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -143,6 +143,8 @@
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.cancelled: set[str] = set()
+        # Jobs whose cancel was answered 410.
+        self.absent: set[str] = set()
         # The customer of each job.
         self.customers: dict[str, str] = {}
         self.broken: list[str] = []
@@ -276,6 +278,8 @@
     def _note_event(self, what: str, task: TaskId, run: int, worker: str) -> None:
         if what == "start" and task.job in self.refused:
             self.broken.append(f"{now():.2f} refused, but run: {task} on {worker}")
+        if what == "start" and task.job in self.absent:
+            self.broken.append(f"{now():.2f} cancelled as absent, but run: {task} on {worker}")
         self.judge.note(what, task, run, worker)
 
     async def _step_workers(self) -> None:
@@ -306,7 +310,10 @@
             job = self._make_job(f"{number:04x}{count:012x}", rng)
             self.judge.jobs[job.id] = job
             self.customers[job.id] = sorted(self.keys)[number % len(self.keys)]
-            await self._submit(job, rng)
+            if rng.random() < 0.2:
+                await asyncio.gather(self._submit(job, rng), self._cancel_beside(job.id, rng))
+            else:
+                await self._submit(job, rng)
             if job.id in self.accepted and rng.random() < 0.15:
                 await asyncio.sleep(rng.uniform(0, 1.5))
                 await self._cancel(job.id, rng)
@@ -340,10 +347,18 @@
         if all(status in NOT_RUN for status in outcomes):
             self.refused.add(job.id)
 
+    async def _cancel_beside(self, job_id: str, rng: random.Random) -> None:
+        """Cancel a job whose submission may still be under way, or may have got no answer."""
+        await asyncio.sleep(rng.choice((0.0, 0.0, 0.0, 0.005, 1.0)))
+        await self._cancel(job_id, rng)
+
     async def _cancel(self, job_id: str, rng: random.Random) -> None:
         self.cancelled.add(job_id)
         for _ in range(TRIES):
-            if await self._call("DELETE", job_id, rng) in (200, 410):
+            status = await self._call("DELETE", job_id, rng)
+            if status == 410:
+                self.absent.add(job_id)
+            if status in (200, 410):
                 return
             await asyncio.sleep(0.3)
 
@@ -559,7 +574,8 @@
     print(
         f"soak: seed={seed} seconds={seconds:g} faults={run.faults} jobs={len(run.judge.jobs)}"
         f" accepted={len(run.accepted)} cancelled={len(run.cancelled)}"
-        f" refused={len(run.refused)} starts={run.judge.starts} broken={len(violations)}",
+        f" absent={len(run.absent)} refused={len(run.refused)} starts={run.judge.starts}"
+        f" broken={len(violations)}",
         flush=True,
     )
     return violations
