List lasting tasks without a run: python -m tools.explain lasting LOG...

No command told how long a lasting task was without a run, since its lines are spread over several processes, nor what it waited for meanwhile: a proof (held), room (full, fragments, kept), the lapse of its worker's lease, or no cell at all.

--- a/tools/explain.py
+++ b/tools/explain.py
@@ -1,7 +1,8 @@
 """Report where jobs spent their time, from all entries' logs: `python -m tools.explain LOG...`.
 
 `python -m tools.explain sizes LOG...` counts outcomes and wait reasons by queue and job size;
-`python -m tools.explain twice LOG...` lists suspect second starts of a task.
+`python -m tools.explain twice LOG...` lists suspect second starts of a task;
+`python -m tools.explain lasting LOG...` lists lasting tasks that were without a run.
 
 A log line is a JSON object, optionally after a prefix (time, process name).
 """
@@ -13,6 +14,8 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+from tools import lasting
+
 
 class StepTimes(NamedTuple):
     """Seconds from ready to first start, first to last start, and last start to last end."""
@@ -306,17 +309,39 @@
         yield "left out by the writers: " + " ".join(f"{k}:{n}" for k, n in total.items())
 
 
+def find_zero(lines: Iterable[str]) -> float:
+    """Return the time from which the times before the lines count, or that of the first event."""
+    for line in lines:
+        for event in parse_events([line]):
+            prefix = line.partition("{")[0].split()
+            try:
+                return float(event["t"]) - float(prefix[0])
+            except (IndexError, ValueError):
+                return float(event["t"])
+    return 0.0
+
+
 def main(arguments: list[str]) -> None:
-    """Print a table of the given logs: `sizes`, `twice` or, by default, the times of jobs."""
-    table = {"sizes": sizes, "twice": twice}.get(arguments[0]) if arguments else None
+    """Print a table of the given logs, by default the times of jobs."""
+    name = arguments[0] if arguments and arguments[0] in ("sizes", "twice", "lasting") else ""
     events: list[dict[str, Any]] = []
-    for path in arguments[1:] if table else arguments:
+    zero: float | None = None
+    for path in arguments[1:] if name else arguments:
         with open(path, encoding="utf-8", errors="replace") as log:
+            if zero is None:
+                zero = find_zero(log)
+                log.seek(0)
             events.extend(parse_events(log))
-    for line in (
-        *(table(events) if table else tabulate_times(trace(events))),
-        *format_left_out(events),
-    ):
+    match name:
+        case "sizes":
+            rows = sizes(events)
+        case "twice":
+            rows = twice(events)
+        case "lasting":
+            rows = lasting.report(events, zero or 0.0)
+        case _:
+            rows = tabulate_times(trace(events))
+    for line in (*rows, *format_left_out(events)):
         print(line)
 
 
