Log what a move of lasting tasks saw, and the time without a run at each start

JOB_MOVED named only the cells: whether it went to room that a row still showed (slots), that recent moves had taken (left), or that an old row had promised (row_age_ms) couldn't be told, nor a move out of a closed cell from one of stranded tasks. It has these now, with why, cores, waited_s and must_start. RUN_PLACED of a lasting task has gap_ms since the end of its last run as this holder knows it; waited_ms counts from the job's acceptance and said nothing about it.

Lines with `lasting` have a limit of their own, 60 a second and event; RUN_PLACED and RUN_ENDED have that field for lasting tasks only.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -52,6 +52,8 @@
     epoch: int = 0
     # The number of its workers by kind, or None if they are not known.
     kinds: Mapping[WorkerKind, int] | None = None
+    # For how long the row has not changed, or None if that is not known.
+    row_age_ms: int | None = None
 
     def can_run(self, service: str, step: Step) -> bool:
         """Return whether the cell, if it is empty, can run a task of a step, or a whole gang."""
@@ -87,6 +89,7 @@
     def __init__(self, published: CellLoads, moves: Iterable[_Move]) -> None:
         self.cell, self.epoch = published.cell, published.epoch
         self._can_run = published.can_run
+        self.row_age_ms = published.row_age_ms
         self.published = published.loads
         self.left = dict(published.loads)
         # What tasks that must start may use: they start before short ones that were moved there.
@@ -147,7 +150,7 @@
         for batch, indexes in dispatcher.list_strays(now):
             cell = batch.tracked.progress.owner(batch.key(0))
             dispatcher.move(batch.tracked, batch, indexes, cell, now)
-            _log_move(dispatcher, batch, len(indexes), cell)
+            _log_move(dispatcher, batch, len(indexes), cell, why="stray")
         self._moves = [row for row in self._moves if now - row.at < MOVED_S]
         targets = [_Target(other, self._moves) for other in others]
         dispatcher.other_cell_loads = _by_service(target.published for target in targets)
@@ -206,9 +209,10 @@
             return False
         numbers = waiting[:count]
         move = _Move(now, target.cell, batch.tracked.queue.service, batch.step, count)
+        seen = _describe_move(dispatcher, batch, target, must_start, now)
         self._moves.append(move)
         target.subtract(move)
-        _move_tasks(dispatcher, batch, numbers, target, now)
+        _move_tasks(dispatcher, batch, numbers, target, now, seen)
         return True
 
     def _log_refusal(
@@ -249,13 +253,38 @@
 
 
 def _move_tasks(
-    dispatcher: Dispatcher, batch: Batch, numbers: list[int], target: _Target, now: float
+    dispatcher: Dispatcher,
+    batch: Batch,
+    numbers: list[int],
+    target: _Target,
+    now: float,
+    seen: dict[str, object],
 ) -> None:
     tracked = batch.tracked
     # Move the whole job only if no task of it can be running, here or in a cell it was moved to.
     whole = not dispatcher.may_have_started(tracked, now) and len(numbers) == batch.step.width
     dispatcher.move(tracked, batch, None if whole else numbers, target.cell, now, target.epoch)
-    _log_move(dispatcher, batch, len(numbers), target.cell, whole)
+    _log_move(dispatcher, batch, len(numbers), target.cell, whole, **seen)
+
+
+def _describe_move(
+    dispatcher: Dispatcher, batch: Batch, target: _Target, must_start: bool, now: float
+) -> dict[str, object]:
+    """Return why a batch moves and the room that was seen, as fields of its log line."""
+    service, step, none = batch.tracked.queue.service, batch.step, Load()
+    rooms: dict[str, object] = {}
+    if step.lasting:
+        slots = target.published.get(service, none).slots(step)
+        left = target.left_by_lasting.get(service, none).slots(step)
+        rooms = {"lasting": True, "slots": slots, "left": left}
+    return {
+        "why": "closed" if dispatcher.closed else "stranded",
+        "cores": step.size.cores,
+        "waited_s": round(now - (now if batch.waiting_since is None else batch.waiting_since), 2),
+        "must_start": must_start,
+        "row_age_ms": target.row_age_ms,
+        **rooms,
+    }
 
 
 def _log_early_move(dispatcher: Dispatcher, early: EarlyMove) -> None:
@@ -272,7 +301,12 @@
 
 
 def _log_move(
-    dispatcher: Dispatcher, batch: Batch, tasks: int, to: str, whole: bool = False
+    dispatcher: Dispatcher,
+    batch: Batch,
+    tasks: int,
+    to: str,
+    whole: bool = False,
+    **seen: object,
 ) -> None:
     log(
         Event.JOB_MOVED,
@@ -284,4 +318,5 @@
         cell=dispatcher.cell,
         epoch=dispatcher.epoch,
         version=batch.tracked.version,
+        **seen,
     )
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -630,6 +630,9 @@
             keys = [batch.key(index) for index in batch.together_with(numbers)]
             own = [key for key in keys if progress.owner(key) == self.cell]
             progress.move_tasks(own, cell, epoch)
+        for key in list(tracked.ran_until) if own is None else own:
+            # They may run elsewhere before they come back.
+            tracked.ran_until.pop(key, None)
         self._boot_log.log_moved(tracked.job.id, own, cell, now)
         progress.highest_run = max(progress.highest_run, self._last_run)
         self._mark_dirty(tracked, urgent=True)
@@ -1118,7 +1121,7 @@
         step = tracked.job.steps[task.step]
         if member.note_end(ending.kind, now):
             log(Event.WORKER_QUARANTINED, worker=member.name, why="its runs fail")
-        self._log_end(member, ending)
+        self._log_end(member, ending, step.lasting)
         if run is not None:
             run.checkpoint = ending.checkpoint or run.checkpoint
             if run.is_suspect and ending.kind in (EndKind.DONE, EndKind.FAILED):
@@ -1146,7 +1149,7 @@
         if tracked.progress.phase.is_final and tracked.final_at is None:
             self._close_job(tracked, now)
 
-    def _log_end(self, member: Member, ending: Ending) -> None:
+    def _log_end(self, member: Member, ending: Ending, lasting: bool = False) -> None:
         log(
             Event.RUN_ENDED,
             task=ending.task,
@@ -1157,6 +1160,7 @@
             born=member.born,
             cell=self.cell,
             epoch=self.epoch,
+            **({"lasting": True} if lasting else {}),
         )
 
     def _on_done(self, tracked: TrackedJob, task: TaskId, now: float) -> None:
@@ -1202,6 +1206,8 @@
         if batch is None:
             return
         self._end_place(batch, run, why, now)
+        if run.step.lasting and (run.has_begun or why is EndReason.ENDED):
+            batch.tracked.ran_until[run.task[1:]] = now
         if run.step.gang:
             self._stop_gang(batch, now)
         self._update_waiting(batch, now, (run.task.number,))
@@ -2200,8 +2206,19 @@
             open=self._boot_log.open_starts(run, self.members, now),
             born=member.born,
             token=self.token(member.name),
+            **(
+                {"lasting": True, "gap_ms": self._gap_ms(tracked, run, now)}
+                if run.step.lasting
+                else {}
+            ),
         )
 
+    @staticmethod
+    def _gap_ms(tracked: TrackedJob, run: Run, now: float) -> int | None:
+        """Return the time since the end of the task's last run, or None if none ended here."""
+        ended_at = tracked.ran_until.get(run.task[1:])
+        return None if ended_at is None else round((now - ended_at) * 1000)
+
     # Metrics
 
     def waiting_jobs(self, counted_to: int = MAX_WHOLE) -> dict[str, int]:
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -320,7 +320,9 @@
             if owner is None or other == cell or other in evacuated:
                 continue
             if not self.may_be_gone(other, owner, now):
-                found.append(CellLoads(other, owner.load, owner.epoch, self._kinds.get(other)))
+                age_ms = self.watch.row_age_ms(other, now)
+                kinds = self._kinds.get(other)
+                found.append(CellLoads(other, owner.load, owner.epoch, kinds, age_ms))
         return found
 
     def _group_hosts(self) -> bool:
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -216,6 +216,8 @@
     failed_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     refused_on: dict[TaskKey, set[str]] = field(default_factory=dict)
     former: dict[TaskKey, FormerRun] = field(default_factory=dict)
+    # When the last run of a lasting task here was over, for the log.
+    ran_until: dict[TaskKey, float] = field(default_factory=dict)
     open_starts: dict[TaskKey, OpenStart] = field(default_factory=dict)
     # Number of the last local change, and of the last one that the row contains.
     change: int = 0
@@ -288,6 +290,7 @@
             self.failed_on,
             self.refused_on,
             self.former,
+            self.ran_until,
             self.open_starts,
         )
         for table in tables:
--- a/src/curranthall/logwriter.py
+++ b/src/curranthall/logwriter.py
@@ -9,7 +9,8 @@
 
 import orjson
 
-# Per second; further lines are counted and reported in one LEFT_OUT line.
+# Per second; further lines are counted and reported in one LEFT_OUT line. Lines about lasting tasks
+# have a limit of their own, so that bursts of short ones don't hide them.
 MAX_LINES_PER_EVENT = 60
 # Buffer for a slow reader; lines beyond it are dropped and counted.
 MAX_PENDING_BYTES = 262_144
@@ -34,11 +35,12 @@
         now = self._wall_clock()
         if int(now) != self._second:
             self._begin_second(now)
-        written = self._line_counts.get(event.name, 0)
+        kind = f"{event.name} lasting" if fields.get("lasting") is True else event.name
+        written = self._line_counts.get(kind, 0)
         if written >= MAX_LINES_PER_EVENT:
-            self.left_out[event.name] = self.left_out.get(event.name, 0) + 1
+            self.left_out[kind] = self.left_out.get(kind, 0) + 1
             return
-        self._line_counts[event.name] = written + 1
+        self._line_counts[kind] = written + 1
         line = {"t": round(now, 3), "event": event.value, "name": event.name, **fields}
         self.dropped += not self._enqueue(line)
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -41,6 +41,21 @@
         left_out = next(line for line in lines if line["name"] == "LEFT_OUT")
         self.assertEqual(left_out["counts"], {"RUN_PLACED": 25})
 
+    def test_lines_about_lasting_tasks_have_their_own_limit(self) -> None:
+        for _ in range(MAX_LINES_PER_EVENT + 25):
+            self.writer.write(Event.RUN_PLACED, {"task": "short"})
+        for number in range(MAX_LINES_PER_EVENT + 2):
+            self.writer.write(Event.RUN_PLACED, {"task": f"x{number}", "lasting": True})
+            self.writer.write(Event.RUN_VANISHED, {"task": "short", "lasting": False})
+        self.now += 1
+        self.writer.write(Event.CELL_STATE, {"lasting": {"waiting": 1}})
+        lines = self.lines()
+        found = [line["task"] for line in lines if line.get("lasting") is True]
+        self.assertEqual(found, [f"x{number}" for number in range(MAX_LINES_PER_EVENT)])
+        left_out = next(line for line in lines if line["name"] == "LEFT_OUT")
+        expected = {"RUN_PLACED": 25, "RUN_PLACED lasting": 2, "RUN_VANISHED": 2}
+        self.assertEqual(left_out["counts"], expected)
+
     def test_a_stalled_reader_blocks_nothing_and_gets_a_drop_count(self) -> None:
         text = "x" * 5_000
         for _ in range(200):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -20,6 +20,7 @@
 from curranthall.model import Size
 from tests.cluster import SERVICE, Cluster, now
 from tests.virtual import run
+from tools import lasting
 
 PAGE = Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
 Line = dict[str, Any]
@@ -160,6 +161,54 @@
             found = list(tools.explain.parse_events(log))
         return list(getattr(tools.explain, table)(found))
 
+    def test_lasting_tasks_that_move_after_their_worker_was_lost(self) -> None:
+        async def scenario(cluster: Cluster) -> None:
+            cluster.evacuated = frozenset("bc")
+            job = make_job(1, Step(3, Size(1, 1_000), 1_000, lasting=True))
+            await cluster.submit("a-e0", job)
+            await asyncio.sleep(1)
+            self.worker = next(n for n, r in cluster.runners.items() if r.running)
+            self.lost = len(cluster.runners[self.worker].running)
+            self.lost_at = now()
+            cluster.crash_worker(self.worker)
+            cluster.evacuated = frozenset("abc")
+            await asyncio.sleep(8)
+            cluster.evacuated = frozenset("a")
+            await asyncio.sleep(4)
+            self.job = job.id
+
+        self.run_scenario(scenario)
+        runs = self.grep_logs("grep -E '\"RUN_(PLACED|ENDED", ID=self.job)
+        moved_to = {line["cell"] for line in runs} - {"a"}
+        self.assertTrue(moved_to)
+        starts = [line for line in runs if line["name"] == "RUN_PLACED" and line["cell"] != "a"]
+        self.assertEqual([line["gap_ms"] for line in starts], [None] * self.lost)
+        lost = self.grep_logs(
+            "grep WORKER LOGS | grep -E 'WORKER_(SILENT|LAPSED", WORKER=self.worker
+        )
+        self.assertEqual(lost[0]["name"], "WORKER_SILENT")
+        states = self.grep_logs("grep '\"CELL_STATE\"' LOGS | grep ID", ID=self.job)
+        self.assertEqual(states[-1]["cell"], "a")
+        waits = [row[2:4] + row[5:] for row in states[-1]["lasting_waits"]]
+        self.assertEqual(waits, [[self.lost, 1, "closed"]])
+        way = self.grep_logs("grep -E 'JOB_(ADOPTED|MOVED|NOT_MOVED", ID=self.job)
+        moves = [line for line in way if line["name"] == "JOB_MOVED"]
+        self.assertEqual({line["to"] for line in moves}, moved_to)
+        for line in moves:
+            self.assertEqual((line["why"], line["lasting"]), ("closed", True))
+            self.assertGreaterEqual(line["slots"], line["left"])
+            self.assertTrue(0 <= line["row_age_ms"] < VACANT_S * 1000, line)
+        self.assertIn("`python -m tools.explain lasting LOG...`", PAGE.read_text())
+        with open(self.logs.name, encoding="utf-8") as log:
+            rows = list(lasting.report(list(tools.explain.parse_events(log)), self.lost_at))
+        found = [row for row in rows if row.startswith(f"  {self.job}.0.0.")]
+        self.assertEqual(len(found), self.lost, rows)
+        for row in found:
+            self.assertRegex(
+                row, f"0.0 .lapsed on {self.worker}. to .* .placed in [bc].: lease:.* closed:"
+            )
+        self.assertFalse([row for row in rows if "no cell" in row])
+
     def test_jobs_that_fit_no_worker_are_counted_by_size(self) -> None:
         async def scenario(cluster: Cluster) -> None:
             small, large = make_job(1, make_step()), make_job(2, Step(1, Size(90, 1_000), 1_000))
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -103,6 +103,74 @@
         self.assertEqual(self.restart_line(cell)["after"], ["refused old-run", first.run, "w1"])
         self.assertEqual(self.lines.named("RUN_REFUSED")[0]["run"], first.run)
 
+    def start_lasting(self) -> Cell:
+        """Start the one task of a lasting job."""
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1, lasting=True)))
+        self.first = cell.plan()[0]
+        cell.started(self.first)
+        return cell
+
+    def gaps(self) -> list[int | None]:
+        """Return the logged times without a run before each start."""
+        return [line["gap_ms"] for line in self.lines.named("RUN_PLACED")]
+
+    def test_a_start_of_a_lasting_task_logs_the_time_since_its_last_run(self) -> None:
+        cell = self.start_lasting()
+        cell.answer("w1", [], [ended(1, self.first, EndKind.FAILED)])
+        cell.now += 9.5
+        cell.answer("w1")
+        cell.plan()
+        self.assertEqual(self.gaps(), [None, 9500])
+        self.assertTrue(self.lines.named("RUN_ENDED")[0]["lasting"])
+
+    def test_the_time_since_the_last_run_includes_starts_without_effect(self) -> None:
+        cell = self.start_lasting()
+        cell.answer("w1", [], [ended(1, self.first, EndKind.FAILED)])
+        for result in (StartResult.OLD_RUN, StartResult.OLD_RUN, StartResult.STARTED):
+            # The refusal pauses the worker.
+            cell.now += 3
+            cell.answer("w1")
+            (order,) = cell.plan()
+            cell.dispatcher.on_start_result(order, result, cell.now)
+        self.assertEqual(self.gaps(), [None, 3000, 6000, 9000])
+        cell.answer("w1", [], [ended(2, order, EndKind.FAILED)])
+        cell.now += 1
+        cell.plan()
+        self.assertEqual(self.gaps()[4:], [1000])
+
+    def test_a_task_that_never_ran_here_logs_no_time_since_its_last_run(self) -> None:
+        cell = Cell(host("w1"))
+        cell.add(job("0" * 16, step(1, lasting=True)))
+        (first,) = cell.plan()
+        cell.dispatcher.on_start_result(first, StartResult.OLD_RUN, cell.now)
+        cell.now += 1
+        cell.plan()
+        self.assertEqual(self.gaps(), [None, None])
+
+    def test_a_task_that_was_moved_and_is_back_logs_no_time_since_its_last_run(self) -> None:
+        for numbers in ([0], None):
+            self.lines.records.clear()
+            cell = self.start_lasting()
+            cell.answer("w1", [], [ended(1, self.first, EndKind.FAILED)])
+            tracked = cell.dispatcher.tracked["0" * 16]
+            batch = tracked.batches[0, 0]
+            cell.dispatcher.move(tracked, batch, numbers, "south", cell.now)
+            tracked.progress.move_job(CELL, EPOCH)
+            tracked.progress.move_tasks([batch.key(0)], CELL, EPOCH)
+            cell.now += 30
+            cell.answer("w1")
+            cell.dispatcher.move(tracked, batch, [], CELL, cell.now)
+            cell.plan()
+            self.assertEqual(self.gaps(), [None, None])
+
+    def test_lines_of_other_tasks_are_not_marked_as_lasting(self) -> None:
+        cell = self.started("w1")
+        cell.answer("w1", [], [ended(1, self.first, EndKind.FAILED)])
+        for name in ("RUN_PLACED", "RUN_ENDED"):
+            (line,) = self.lines.named(name)
+            self.assertFalse({"lasting", "gap_ms"} & line.keys())
+
     def vanished_line(self, why: str) -> dict[str, Any]:
         """Return the only line about a run without a listed end."""
         (line,) = self.lines.named("RUN_VANISHED")
@@ -342,6 +410,36 @@
         (line,) = self.lines.named("JOB_MOVED")
         expected = {"cell": CELL, "epoch": EPOCH, "to": "south", "version": 5, "whole": True}
         self.assertEqual({key: line[key] for key in expected}, expected)
+        self.assertFalse({"lasting", "slots", "left"} & line.keys())
+
+    def test_a_move_of_lasting_tasks_logs_what_was_seen(self) -> None:
+        """Two tasks move to a cell with three slots, then one to what is left."""
+        cell, balancer = Cell(host("w1", cores=1)), Balancer()
+        for number, width in ((0, 2), (1, 1)):
+            cell.add(job(str(number) * 16, step(width, cores=2, lasting=True)))
+        cell.plan()
+        cell.now += 0.5
+        kinds = group_kinds([host("s1", cores=16, domain="south")])
+        south = CellLoads(
+            "south", {SERVICE: rooms(2, 2, 2, lasting=6, largest_lasting=2)}, 3, kinds["south"], 700
+        )
+        balancer.move_stranded(cell.dispatcher, [south], cell.now)
+        lines = self.lines.named("JOB_MOVED")
+        expected = {"why": "stranded", "cores": 2, "waited_s": 0.5, "must_start": False}
+        for line, left in zip(lines, (3, 1), strict=True):
+            seen = {**expected, "row_age_ms": 700, "lasting": True, "slots": 3, "left": left}
+            self.assertEqual({key: line[key] for key in seen}, seen)
+
+    def test_a_move_out_of_a_closed_cell_says_so(self) -> None:
+        cell = Cell(host("w1", cores=1))
+        cell.add(job("0" * 16, step(1, cores=2)))
+        cell.plan()
+        cell.dispatcher.closed = True
+        Balancer().move_stranded(
+            cell.dispatcher, [CellLoads("south", {SERVICE: rooms(4)})], cell.now
+        )
+        (line,) = self.lines.named("JOB_MOVED")
+        self.assertEqual((line["why"], line["waited_s"], line["row_age_ms"]), ("closed", 0, None))
 
 
 class BegunLines(LogTestCase):
