--- a/tests/load.py
+++ b/tests/load.py
@@ -527,6 +527,19 @@
                 if other is not dispatcher:
                     other.interference.import_rows(dispatcher.interference.export_rows())
 
+    def _list_loads(self, name: str) -> list[CellLoads]:
+        """Return the loads of the other cells as a cell has read them."""
+        return [
+            CellLoads(
+                other,
+                {} if self.cells[other].closed else loads,
+                self.cells[other].epoch,
+                self._kinds.get(other),
+            )
+            for other, loads in self.loads.items()
+            if other != name
+        ]
+
     def _cancel_lasting_jobs(self) -> None:
         for sim_job in self.jobs.values():
             if sim_job.profile.lasting and sim_job.cancel_at <= self.now < sim_job.done_at:
@@ -586,17 +599,7 @@
             self._send_snapshot(worker)
         for name, dispatcher in self.cells.items():
             dispatcher.tick(self.now, self.now)
-            rooms = [
-                CellLoads(
-                    other,
-                    {} if self.cells[other].closed else loads,
-                    self.cells[other].epoch,
-                    self._kinds.get(other),
-                )
-                for other, loads in self.loads.items()
-                if other != name
-            ]
-            self.balancers[name].move_stranded(dispatcher, rooms, self.now)
+            self.balancers[name].move_stranded(dispatcher, self._list_loads(name), self.now)
             dispatcher.plan(self.now)
             self._execute_orders(dispatcher)
             self._commit_rows(dispatcher)
--- a/tests/room_plays.py
+++ b/tests/room_plays.py
@@ -7,12 +7,15 @@
 import sys
 from typing import NamedTuple
 
-from curranthall.cells.balance import Balancer
+from curranthall.cells.balance import Balancer, CellLoads
 from curranthall.cells.dispatcher import Dispatcher
+from curranthall.cells.load import Load
+from curranthall.cells.ports import WorkerOrder
 from curranthall.cells.tracking import Bounds
 from curranthall.dag import Step, TaskId
 from tests.load import (
     BATCHES,
+    LOAD_INTERVAL_S,
     PROOFS,
     STEP_S,
     WATCHES,
@@ -40,6 +43,18 @@
     losses: tuple[float, ...] = (2.0,)
     share: float = 0.1
     limited: float = 0.0
+    # The share of cell a's workers that are lost together at the last of `losses`.
+    cell_share: float = 0.0
+    short_cores: Lognormal = PROOFS.cores
+    short_s: Lognormal = Lognormal(0.4, 0.5, 1.2)
+    lasting_cores: Lognormal = Lognormal(8, 0.4, 20)
+    # From when no more finite jobs come, and how long the play goes on.
+    drained_at: float = SECONDS
+    seconds: float = SECONDS
+    # Lost workers fall silent, so that their runs end with their leases, and are unlisted later.
+    silent: bool = False
+    # Each cell publishes and reads rows at its own times, not all at once.
+    staggered: bool = False
 
 
 def draw_mix(seed: int) -> Mix:
@@ -56,13 +71,37 @@
     )
 
 
+def draw_full_mix(seed: int) -> Mix:
+    """Draw a play of nearly full cells, one of which loses 30 % of its workers for good."""
+    rng = random.Random(seed)
+    return Mix(
+        rng.choice((3, 4)),
+        rng.choice((8, 12, 16)),
+        rng.uniform(0.83, 0.87),
+        rng.uniform(3.0, 9.0),
+        rng.uniform(0.0, 2.0),
+        losses=(2.0,),
+        cell_share=0.3,
+        short_cores=Lognormal(6, 0.5, 14),
+        short_s=Lognormal(1.0, 0.4, 2.0),
+        lasting_cores=Lognormal(7, 0.3, 10),
+        drained_at=rng.uniform(8.0, 14.0),
+        seconds=20.0,
+        silent=True,
+        staggered=True,
+    )
+
+
+DRAWS = {"mixed": draw_mix, "full": draw_full_mix}
+
+
 def build_profiles(mix: Mix) -> tuple[JobProfile, ...]:
     """Return the jobs of a play: short, filling and lasting ones that are never cancelled."""
     scale = mix.cells * mix.workers / 24
-    short = PROOFS._replace(rate=mix.short_rate * scale, seconds=Lognormal(0.4, 0.5, 1.2))
+    short = PROOFS._replace(rate=mix.short_rate * scale, cores=mix.short_cores, seconds=mix.short_s)
     filling = BATCHES._replace(rate=mix.filling_rate * scale)
     lasting = WATCHES._replace(
-        cores=Lognormal(8, 0.4, 20),
+        cores=mix.lasting_cores,
         memory=Lognormal(12_000, 0.3, 40_000),
         initial_share=mix.lasting,
         rate=0.0,
@@ -78,7 +117,9 @@
     def __init__(self, seed: int, mix: Mix) -> None:
         self.mix = mix
         profiles = build_profiles(mix)
-        super().__init__(seed, Plan(seconds=SECONDS, drain_s=0, workers=mix.workers), profiles)
+        super().__init__(
+            seed, Plan(mix.drained_at, mix.seconds - mix.drained_at, workers=mix.workers), profiles
+        )
         queues = {profile.queue.name: profile.queue for profile in profiles}
         for epoch, cell in enumerate("defgh"[: mix.cells - len(self.cells)], 4):
             self.cells[cell] = Dispatcher(
@@ -88,6 +129,9 @@
             for number in range(mix.workers):
                 self._add_worker(cell, number)
         self._losses = list(mix.losses)
+        # The loads that cells last published, and those that each cell has read.
+        self._rows: dict[str, dict[str, Load]] = {}
+        self._read: dict[str, dict[str, dict[str, Load]]] = {}
         # By lasting task, when its last run ended or its job came, and since when it waits beside
         # room for two.
         self._idle_since: dict[TaskId, float] = {}
@@ -101,14 +145,48 @@
         """Advance the play by one time step."""
         if self._losses and self.now - self.started_at >= self._losses[0]:
             self._losses.pop(0)
-            self._lose_workers()
+            self._lose_workers(self.mix.cell_share if not self._losses else 0.0)
         super().step()
         self._judge()
 
-    def _lose_workers(self) -> None:
-        names = sorted(self.workers)
-        for name in self.rng.sample(names, max(1, round(self.mix.share * len(names)))):
-            self.cells[self.workers.pop(name).cell].on_gone(name, self.now)
+    def _lose_workers(self, cell_share: float) -> None:
+        names = sorted(name for name in self.workers if not cell_share or name[0] == "a")
+        share = cell_share or self.mix.share
+        for name in self.rng.sample(names, max(1, round(share * len(names)))):
+            dispatcher = self.cells[self.workers.pop(name).cell]
+            if self.mix.silent:
+                dispatcher.on_silence(name, self.now)
+                dispatcher.mark_host_missing(name, self.now)
+            else:
+                dispatcher.on_gone(name, self.now)
+
+    def _execute_orders(self, dispatcher: Dispatcher) -> None:
+        for order in list(dispatcher.orders):
+            if isinstance(order, WorkerOrder) and order.worker not in self.workers:
+                dispatcher.orders.remove(order)
+        super()._execute_orders(dispatcher)
+
+    def _exchange_loads(self) -> None:
+        super()._exchange_loads()
+        if not self.mix.staggered:
+            return
+        for number, (name, dispatcher) in enumerate(self.cells.items()):
+            if self._is_turn(2 * number):
+                self._rows[name] = dispatcher.load(self.now)
+            if self._is_turn(2 * number + 1):
+                self._read[name] = dict(self._rows)
+
+    def _is_turn(self, phase: int) -> bool:
+        """Return whether a loop that runs at the interval of renewals runs in this step."""
+        steps = round(LOAD_INTERVAL_S / STEP_S)
+        return (round((self.now - self.started_at) / STEP_S) - phase) % steps == 0
+
+    def _list_loads(self, name: str) -> list[CellLoads]:
+        read = self._read.get(name, self.loads)
+        return [
+            each._replace(loads=read.get(each.cell, each.loads))
+            for each in super()._list_loads(name)
+        ]
 
     def _judge(self) -> None:
         running = {task for worker in self.workers.values() for task in worker.runs}
@@ -148,10 +226,10 @@
 
 
 def main() -> None:
-    """Play the given seeds and print what each lost."""
-    first, count = int(sys.argv[1]), int(sys.argv[2])
+    """Play the given seeds of a kind of mix and print what each lost."""
+    first, count, kind = int(sys.argv[1]), int(sys.argv[2]), [*sys.argv[3:], "mixed"][0]
     for seed in range(first, first + count):
-        found = play(seed)
+        found = play(seed, DRAWS[kind](seed))
         lost = {str(task): round(waited_s, 1) for task, waited_s in found.lost.items()}
         print(seed, found.mix, f"beside_s={found.beside_s:.1f} lost={lost}", flush=True)
 
--- a/tests/test_room_plays.py
+++ b/tests/test_room_plays.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.room_plays import Mix, play
+from tests.room_plays import Mix, draw_full_mix, play
 
 # Two losses within a second: tasks have run in two cells, then wait in both in turn.
 LOST_TWICE = Mix(
@@ -15,6 +15,7 @@
     share=0.10258027753616161,
 )
 SEEDS = (300, 301, 302, 303)
+FULL_SEEDS = (13, 14, 21, 28)
 
 
 class RoomPlays(unittest.TestCase):
@@ -26,6 +27,13 @@
             with self.subTest(seed=seed):
                 self.assertEqual(play(seed).lost, {})
 
+    def test_lasting_tasks_of_a_cell_that_lost_workers_start_beside_room_in_full_cells(
+        self,
+    ) -> None:
+        for seed in FULL_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(play(seed, draw_full_mix(seed)).lost, {})
+
 
 if __name__ == "__main__":
     unittest.main()
