Lasting tasks of a released cell wait for their own runs, not for another task's open start

Cause: a release names one end a worker, and none while any start there has no answer, as a later boot may carry that out for 12 s. Runs of other tasks on that worker ended with its boot all the same.

The details row now names, beside that, when the runs that have begun are over (`run_ends`), by the proof with which a holder that stays starts them again. Tasks with an open start wait as before.

Rows of earlier releases have no such times; earlier releases ignore the field.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -14,7 +14,7 @@
 from curranthall.cells.boot_log import BootLog
 from curranthall.cells.copies import COPY_START_WINDOW_S, Copies, CopyContext
 from curranthall.cells.departure import Departures, has_room_elsewhere
-from curranthall.cells.fencing import Fencing
+from curranthall.cells.fencing import Fencing, RunEnd
 from curranthall.cells.fleet import (
     NO_EFFECT,
     NO_END_LISTED,
@@ -226,14 +226,15 @@
         proof_at: float,
         lease_ends: Mapping[str, float] = MappingProxyType({}),
         now: float = 0.0,
+        run_ends: Mapping[str, RunEnd] = MappingProxyType({}),
     ) -> None:
         """Start with the former holder's workers, whose leases will be over at `proof_at`.
 
-        `lease_ends` are earlier local times by worker.
+        `lease_ends` are earlier local times by worker, `run_ends` those of runs that have begun.
         """
         for host in roster:
             self._add_member(host, prior=True)
-        self._fencing.take_over(self.members, proof_at, lease_ends, now)
+        self._fencing.take_over(self.members, proof_at, lease_ends, now, run_ends)
         self.proven = self.is_fully_fenced
 
     def lease_end(self, member: Member, now: float) -> float | None:
@@ -252,6 +253,21 @@
             end = max(end, late_lease_end(member.used_at, self.bounds.lease_s))
         return end
 
+    def run_end(self, member: Member, now: float) -> RunEnd | None:
+        """Return when the runs of a worker with open starts are over that have begun, if known.
+
+        Only a later boot may execute an open start, and a run that has begun ends with its boot.
+        """
+        if not (member.born or member.used_at):
+            return self._fencing.run_end(member.name)
+        if not (member.born and member.is_fenced):
+            return None
+        open_tasks = self.open_starts.list_tasks(member, self.tracked.values(), now)
+        if not (open_tasks or member.has_open_start(now)):
+            return None
+        end = max(self._fencing.lease_end(member.name), member.lapses_at())
+        return RunEnd(end, open_tasks)
+
     @property
     def is_fully_fenced(self) -> bool:
         """Return whether no worker accepts orders of a former holder any more."""
@@ -306,11 +322,12 @@
             return False
         if self._is_proven(batch.tracked):
             return False
-        places, unproven = batch.tracked.progress.places, self._fencing.unproven
-        if places is None or UNKNOWN_WORKER in unproven:
+        places = batch.tracked.progress.places
+        if places is None or UNKNOWN_WORKER in self._fencing.unproven:
             return True
         place = places.get(key)
-        return place is not None and place.worker in unproven
+        task = TaskId(batch.tracked.job.id, *key)
+        return place is not None and self._fencing.may_run(place.worker, task)
 
     def _claim_if_safe(self, tracked: TrackedJob) -> None:
         """Claim a job once its tasks may start; one with lasting steps even before all of them.
@@ -1427,6 +1444,7 @@
                 if tracked is not None and not tracked.progress.phase.is_final:
                     self._open_due(tracked, now)
         lapsed = self._fencing.lapse(now)
+        self._recheck_held |= self._fencing.lapse_runs(confirmed_at)
         if lapsed:
             log(
                 Event.CELL_PROVEN,
--- a/src/curranthall/cells/open_starts.py
+++ b/src/curranthall/cells/open_starts.py
@@ -162,6 +162,28 @@
             log(Event.STARTS_UNPUBLISHED, starts=len(found) - MAX_PUBLISHED)
         return sorted(found, key=lambda row: row.sent_at)[-MAX_PUBLISHED:]
 
+    def list_tasks(
+        self, member: Member, jobs: Iterable[TrackedJob], now: float
+    ) -> frozenset[TaskId]:
+        """Return the tasks that a later boot of a worker may begin, or that it may have begun."""
+        found = {
+            run.task
+            for run in member.runs.values()
+            if run.may_begin
+            or 0 < run.unanswered_at
+            and now < late_lease_end(run.unanswered_at, self._lease_s)
+        }
+        for rows in self._inherited.values():
+            found.update(row.task for row in rows if row.worker == member.name)
+        for tracked in jobs:
+            if not tracked.progress.phase.is_final:
+                found.update(
+                    TaskId(tracked.job.id, *key)
+                    for key, start in tracked.open_starts.items()
+                    if start.worker == member.name and not self._is_over(start, now)
+                )
+        return frozenset(found)
+
     def _is_recent(self, row: StartRow, now: float) -> bool:
         return now < late_lease_end(row.sent_at, self._lease_s)
 
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -165,6 +165,10 @@
         return UNREADABLE_OWNER
 
 
+# Starts without an answer: worker, task, run, and when each was sent, by the store's clock.
+OpenStartRows = tuple[tuple[str, str, int, int], ...]
+
+
 class Details(NamedTuple):
     """A cell's workers and interference estimates; written only together with the owner row.
 
@@ -181,8 +185,10 @@
     epoch: int = 0
     # With a release, the workers that never answered the holder that released the cell.
     unheard: tuple[str, ...] = ()
-    # Starts without an answer: worker, task, run, and when each was sent, by the store's clock.
-    open_starts: tuple[tuple[str, str, int, int], ...] = ()
+    open_starts: OpenStartRows = ()
+    # By worker with open starts, as in `lease_ends`, when all runs there are over but those of the
+    # tasks in `open_starts`.
+    run_ends: dict[str, int] = {}
     # The version of the row as read; not stored in it.
     version: int = 0
     readable: bool = True
@@ -190,15 +196,24 @@
     def encode(self) -> bytes:
         """Encode the row's value."""
         roster = [[*host._replace(state=host.state.value)] for host in self.roster]  # type: ignore
-        starts = self.open_starts
-        return dumps([roster, self.learned, self.lease_ends, self.epoch, self.unheard, starts])
+        starts, ends = self.open_starts, self.run_ends
+        return dumps(
+            [roster, self.learned, self.lease_ends, self.epoch, self.unheard, starts, ends]
+        )
+
+    @property
+    def lease_limits(self) -> dict[str, int]:
+        """Return by worker, until when its leases may last at most while the row is stored."""
+        ends = self.lease_ends
+        return ends | {name: min(at, ends.get(name, at)) for name, at in self.run_ends.items()}
 
 
 def decode_details(data: bytes) -> Details:
     """Decode a row's value; raise one of DECODE_ERRORS when it is invalid."""
     roster, learned, *more = items(loads(data))
     # Rows written by earlier versions lack these fields.
-    lease_ends, epoch, unheard, starts = (*more, *({}, 0, [], [])[len(more) :])[:4]
+    defaults: tuple[Any, ...] = {}, 0, [], [], {}
+    lease_ends, epoch, unheard, starts, run_ends = (*more, *defaults[len(more) :])[:5]
     return Details(
         [_host(values) for values in items(roster)],
         list(map(_learned, items(learned))),
@@ -206,6 +221,7 @@
         whole(epoch),
         tuple(map(text, items(unheard))),
         tuple(map(_open_start, items(starts))),
+        {text(name): whole(end_ms) for name, end_ms in fields(run_ends).items()},
     )
 
 
@@ -321,7 +337,7 @@
         epoch = self.owner.epoch if self.owner else 0
         if details.epoch == epoch and details.version <= self.version:
             return details
-        return details._replace(lease_ends={})
+        return details._replace(lease_ends={}, run_ends={})
 
 
 @dataclass(slots=True)
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -21,6 +21,7 @@
     RENEW_S,
     Details,
     MovedJobs,
+    OpenStartRows,
     Owner,
     WaitingJobs,
     decode_details_row,
@@ -185,7 +186,7 @@
         self._details = taken.details
         self._details_stored = True
         # By worker, the lease ends of all rows that may be stored now: no lease goes beyond them.
-        self._lease_limits = taken.details.lease_ends
+        self._lease_limits = taken.details.lease_limits
         self._renewal_failed = False
         self._exchanged_at = 0.0
         self._commits = 0
@@ -257,12 +258,13 @@
             counted_to=waiting.counted_to,
             moved=waiting.moved,
         )
-        members = self.dispatcher.members.values()
+        members, open_starts = self.dispatcher.members.values(), self._open_starts(0.0)
         details = self._details._replace(
             roster=self.dispatcher.roster(),
             lease_ends=self._lease_ends(members),
             unheard=tuple(member.name for member in members if not member.born),
-            open_starts=self._open_starts(0.0),
+            open_starts=open_starts,
+            run_ends=self._run_ends(members, open_starts),
         )
         retry_until = self._clock() + RELEASE_RETRY_S
         while not await self._write_release(released, details) and self._clock() < retry_until:
@@ -286,13 +288,30 @@
             if end is None:
                 continue
             # Nothing was granted beyond the limit: converting the time back only makes it later.
-            known = [self._lease_limits[member.name]] if member.name in self._lease_limits else []
+            stored = self._details.lease_ends
+            known = [stored[member.name]] if member.name in stored else []
             known.extend(self._by_stores_clock(member, end).values())
             if known:
                 found[member.name] = min(known)
         return found
 
-    def _open_starts(self, unanswered_s: float) -> tuple[tuple[str, str, int, int], ...]:
+    def _run_ends(self, members: Iterable[Member], open_starts: OpenStartRows) -> dict[str, int]:
+        """Return by worker with open starts, if known, when its other runs are over.
+
+        Only if a successor is told of all its open starts.
+        """
+        now, found = self._clock(), dict[str, int]()
+        told = {(worker, task) for worker, task, *_ in open_starts}
+        for member in members:
+            end = self.dispatcher.run_end(member, now)
+            if end is None or any((member.name, str(task)) not in told for task in end.open_tasks):
+                continue
+            ends = self._by_stores_clock(member, end.at)
+            stored = self._details.run_ends
+            found |= {name: min(at, stored.get(name, at)) for name, at in ends.items()}
+        return found
+
+    def _open_starts(self, unanswered_s: float) -> OpenStartRows:
         """Return the starts that later boots may execute, if the store's clock is known."""
         offset_ms = self._store_offset_ms
         if offset_ms is None:
@@ -518,7 +537,7 @@
             puts.append(Put(DETAIL_TABLE, self.cell, details.encode()))
             # If the answer is lost, the row may have the old or the new details.
             self._details_stored = False
-            self._limit_leases(details.lease_ends)
+            self._limit_leases(details.lease_limits)
         for _ in range(2):
             sent_at = self._clock()
             match await self._store.commit(
@@ -529,7 +548,7 @@
                     self._orders_end = self._bound_orders(owner)
                     self.owner, self._version = owner, version
                     self._details, self._details_stored = details, True
-                    self._lease_limits = details.lease_ends
+                    self._lease_limits = details.lease_limits
                     self._on_renewed(self.cell, owner, version)
                     return True
                 case Stale(rows):
--- a/src/curranthall/cells/succession.py
+++ b/src/curranthall/cells/succession.py
@@ -9,6 +9,7 @@
 from curranthall.cells.advice import Advice
 from curranthall.cells.balance import CellLoads, WorkerKind, group_kinds
 from curranthall.cells.dispatcher import Dispatcher
+from curranthall.cells.fencing import RunEnd
 from curranthall.cells.open_starts import StartRow
 from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.owner import (
@@ -174,8 +175,8 @@
     async def _take(self, vacancy: Vacancy, details: Details) -> None:
         env = self._env
         # The store's version never decreases, so the epoch is greater than any before.
-        former = vacancy.owner.epoch if vacancy.owner else 0
-        epoch = max(self.watch.epoch_seen, former) + 1
+        former_epoch = vacancy.owner.epoch if vacancy.owner else 0
+        epoch = max(self.watch.epoch_seen, former_epoch) + 1
         me = self.me
         # Publish the former holder's counts until the jobs are loaded.
         waiting = vacancy.waiting
@@ -197,10 +198,10 @@
             counted_to=waiting.counted_to,
             moved=waiting.moved,
         )
-        former_ends = details.lease_ends
+        former = details
         # A holder that is lost before its first renewal does not start the wait anew.
         lease_ends = self._lease_ends(vacancy, details)
-        details = details._replace(lease_ends=lease_ends, epoch=epoch, unheard=())
+        details = details._replace(lease_ends=lease_ends, run_ends={}, epoch=epoch, unheard=())
         try:
             answer = await env.store.commit(
                 CELL_PART,
@@ -217,7 +218,7 @@
         match answer:
             case Committed(version, now_ms):
                 taken = TakenCell(owner, version, sent_at, now_ms, details)
-                runtime = self._start_runtime(vacancy, taken, former_ends)
+                runtime = self._start_runtime(vacancy, taken, former)
                 if self._leaving:
                     # The shutdown began during the call and did not find this cell.
                     await runtime.release()
@@ -244,19 +245,26 @@
             for host in details.roster
         }
 
-    def _start_runtime(
-        self, vacancy: Vacancy, taken: TakenCell, former_ends: dict[str, int]
-    ) -> CellRuntime:
+    def _start_runtime(self, vacancy: Vacancy, taken: TakenCell, former: Details) -> CellRuntime:
         env, owner, now = self._env, taken.owner, self._env.clock()
         roster = taken.details.roster
         lease_ends = {
             name: min(vacancy.proof_at, self.watch.local_time_of(end_ms))
-            for name, end_ms in former_ends.items()
+            for name, end_ms in former.lease_ends.items()
         }
         if lease_ends and vacancy.is_released:
             # A release names no worker of which a later boot may execute a start.
             unnamed = {host.name for host in roster} - lease_ends.keys()
             lease_ends |= dict.fromkeys(unnamed, vacancy.silent_until)
+        run_ends = {
+            name: RunEnd(
+                min(vacancy.proof_at, self.watch.local_time_of(end_ms)),
+                frozenset(
+                    TaskId.parse(task) for worker, task, *_ in former.open_starts if worker == name
+                ),
+            )
+            for name, end_ms in former.run_ends.items()
+        }
         ends = [lease_ends.get(host.name, vacancy.proof_at) for host in roster]
         log(
             Event.CELL_TAKEN,
@@ -265,7 +273,8 @@
             former=vacancy.owner.holder if vacancy.owner else None,
             workers=len(roster),
             proof_in_s=round(max(0.0, max(ends, default=now) - now), 2),
-            handed_over=len(former_ends),
+            handed_over=len(former.lease_ends),
+            run_ends=len(run_ends),
             waiting=owner.waiting,
         )
         keeper = SharesKeeper(vacancy.cell, self.watch.cells)
@@ -278,7 +287,7 @@
             self.options,
             Quota(keeper, env.customers, env.customer_of),
         )
-        dispatcher.take_over(roster, vacancy.proof_at, lease_ends, now)
+        dispatcher.take_over(roster, vacancy.proof_at, lease_ends, now, run_ends)
         dispatcher.open_starts.inherit(
             StartRow(worker, TaskId.parse(task), run, min(now, self.watch.local_time_of(sent_ms)))
             for worker, task, run, sent_ms in taken.details.open_starts
