Lasting tasks of a worker lost with its holder wait for their own runs, not for an open start there

Callers saw a lasting task without a run for 16.1 s when its worker crashed and the holder was killed 4 s later, before it noted the lapse: the run was over at 6.3 s, but the start of another task on that worker had no answer, so the successor waited in full for the worker.

Cause: a renewal named no lease end of a silent worker with an open start. It now names in `run_ends` when the runs that have begun are over, as a release does, and the next holder's renewals hand it on. No start goes to that worker, and no lease beyond the time, until a renewal without it is confirmed.

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -458,16 +458,18 @@
             counted_to=waiting.counted_to,
             moved=waiting.moved,
         )
-        limits, lease_ends = self._lease_limits, self._lease_ends(self._unheard_members(now))
-        lease_ends |= self._departing_lease_ends(now)
-        suspended = self.dispatcher.suspend(lease_ends)
+        limits, unheard = self._lease_limits, self._unheard_members(now)
+        open_starts = self._open_starts(UNANSWERED_S)
         details = self._details._replace(
             roster=self.dispatcher.roster(),
-            lease_ends=lease_ends,
-            open_starts=self._open_starts(UNANSWERED_S),
+            lease_ends=self._lease_ends(unheard) | self._departing_lease_ends(now),
+            open_starts=open_starts,
+            run_ends=self._run_ends(unheard, open_starts),
         )
+        limited = details.lease_limits.keys()
+        suspended = self.dispatcher.suspend(limited)
         boot_ids = self.dispatcher.boot_ids()
-        for name in lease_ends:
+        for name in limited:
             boot_ids.pop(name, None)
         if now - self._exchanged_at >= EXCHANGE_S:
             self._exchanged_at = now
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -89,6 +89,15 @@
                 # A renewal after the lapse shows that no other holder extended the leases.
                 self.assertLess(self.play(3, scene, seed), LAPSE_S + RENEW_S + START_S)
 
+    def test_a_holder_killed_before_the_lapse(self) -> None:
+        async def scene(split: SplitCell, job: Job) -> None:
+            await asyncio.sleep(4.0)
+            split.cluster.kill(split.former)
+
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                self.assertLess(self.play(1, scene, seed), 4.0 + TAKE_S + START_S)
+
 
 class Handed(unittest.TestCase):
     """What a holder hands over of a worker with an open start, and how the next one uses it."""
