A lasting task whose last start got no answer waits no longer than that start may have effect

Callers saw such a task held by a successor for the full wait for the start's worker, also when the start had been over for long: a worker in use was lost together with its holder 25 s after it left the start without an answer, and the task began 6.8 to 7.4 s later, beside free room.

Cause: the place in the job's row goes on naming the worker of a start that got no answer, though the holder knows from some time on that no boot can execute it. The place of such a start now names no worker once the start is over, by the proofs that the holder has for it, or, under a successor, by the time in the details row. That time has to cover every call that may extend a late start's run. So run ends are named of silent workers only, and such a worker gets no lease before a renewal without it is confirmed.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -254,13 +254,13 @@
         return end
 
     def run_end(self, member: Member, now: float) -> RunEnd | None:
-        """Return when the runs of a worker with open starts are over that have begun, if known.
+        """Return when the begun runs of a silent worker with open starts are over, if known.
 
         Only a later boot may execute an open start, and a run that has begun ends with its boot.
         """
         if not (member.born or member.used_at):
             return self._fencing.run_end(member.name)
-        if not (member.born and member.is_fenced):
+        if not (member.born and member.is_fenced and member.silent_since is not None):
             return None
         open_tasks = self.open_starts.list_tasks(member, self.tracked.values(), now)
         if not (open_tasks or member.has_open_start(now)):
@@ -1243,6 +1243,23 @@
         if tracked.progress.end_place(run.task[1:], run.number):
             self._mark_dirty(tracked)
 
+    def _end_places_of_open_starts(self, confirmed_at: float) -> None:
+        """Record which last starts without an answer are over, as `_end_place` does for runs.
+
+        A successor may extend the lease of what a start began if it is not over by `confirmed_at`.
+        """
+        for tracked in self.tracked.values():
+            if tracked.progress.phase.is_final:
+                continue
+            for key, worker, run in self.open_starts.list_over(tracked, confirmed_at):
+                if not self._fencing.knows_runs(worker):
+                    continue
+                batch = tracked.batches.get(key[:2])
+                is_active = batch is not None and key[2] in batch.active
+                if not is_active and tracked.progress.end_place(key, run):
+                    self._mark_dirty(tracked)
+                    self._recheck_held = True
+
     def _place_listed(self, batch: Batch, run: Run) -> None:
         """Record where a lasting task runs that this holder has found there."""
         tracked = batch.tracked
@@ -1445,6 +1462,7 @@
                     self._open_due(tracked, now)
         lapsed = self._fencing.lapse(now)
         self._recheck_held |= self._fencing.lapse_runs(confirmed_at)
+        self._end_places_of_open_starts(confirmed_at)
         if lapsed:
             log(
                 Event.CELL_PROVEN,
--- a/src/curranthall/cells/fencing.py
+++ b/src/curranthall/cells/fencing.py
@@ -86,6 +86,10 @@
         """Return when the runs that former holders know to have begun are over, if known."""
         return self._run_ends.get(worker) or self._runs_over.get(worker)
 
+    def knows_runs(self, worker: str) -> bool:
+        """Return whether no former holder sent a worker a call that this one does not know of."""
+        return worker not in self.unproven or self.run_end(worker) is not None
+
     def lease_end(self, worker: str) -> float:
         """Return when the leases of former holders are over; 0 if there can be none."""
         return self._lease_ends.get(worker, 0.0)
--- a/src/curranthall/cells/open_starts.py
+++ b/src/curranthall/cells/open_starts.py
@@ -10,6 +10,7 @@
 from curranthall.cells.fleet import LATE_CALL_S, Member, Run, late_lease_end
 from curranthall.cells.tracking import Batch, OpenStart, TrackedJob
 from curranthall.dag import Step, TaskId
+from curranthall.dag.progress import TaskKey
 from curranthall.events import Event, log
 
 # The platform expects a lasting task to run again by this long after its last run, and 3 s more.
@@ -98,6 +99,14 @@
             for key, start in tracked.open_starts.items()
         )
 
+    def list_over(self, tracked: TrackedJob, now: float) -> list[tuple[TaskKey, str, int]]:
+        """Return the tasks of a job whose open starts are over, and their workers and runs."""
+        return [
+            (key, start.worker, start.run)
+            for key, start in tracked.open_starts.items()
+            if self._is_over(start, now)
+        ]
+
     def list_movable(self, batch: Batch, now: float) -> list[int]:
         """Return the waiting tasks that may start on any worker; of a gang all or none."""
         bound = self.list_bound(batch, now)
--- a/src/curranthall/cells/owner.py
+++ b/src/curranthall/cells/owner.py
@@ -186,8 +186,8 @@
     # With a release, the workers that never answered the holder that released the cell.
     unheard: tuple[str, ...] = ()
     open_starts: OpenStartRows = ()
-    # By worker with open starts, as in `lease_ends`, when all runs there are over but those of the
-    # tasks in `open_starts`.
+    # By silent worker with open starts, as in `lease_ends`, when all runs there are over but those
+    # of the tasks in `open_starts`.
     run_ends: dict[str, int] = {}
     # The version of the row as read; not stored in it.
     version: int = 0
--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -187,6 +187,8 @@
         self._details_stored = True
         # By worker, the lease ends of all rows that may be stored now: no lease goes beyond them.
         self._lease_limits = taken.details.lease_limits
+        # Workers with run ends in any row that may be stored now: they get no lease.
+        self._unleased: set[str] = set()
         self._renewal_failed = False
         self._exchanged_at = 0.0
         self._commits = 0
@@ -458,7 +460,8 @@
             counted_to=waiting.counted_to,
             moved=waiting.moved,
         )
-        limits, unheard = self._lease_limits, self._unheard_members(now)
+        limits, unleased = self._lease_limits, set(self._unleased)
+        unheard = self._unheard_members(now)
         open_starts = self._open_starts(UNANSWERED_S)
         details = self._details._replace(
             roster=self.dispatcher.roster(),
@@ -488,7 +491,7 @@
             self._renewal_failed = True
             if isinstance(exc, PlatformDown):
                 # Nothing was written, so it binds to nothing.
-                self._lease_limits = limits
+                self._lease_limits, self._unleased = limits, unleased
                 self.dispatcher.confirm_roster(suspended)
             return False
         self._renewal_failed = False
@@ -540,6 +543,7 @@
             # If the answer is lost, the row may have the old or the new details.
             self._details_stored = False
             self._limit_leases(details.lease_limits)
+            self._unleased |= details.run_ends.keys()
         for _ in range(2):
             sent_at = self._clock()
             match await self._store.commit(
@@ -551,6 +555,7 @@
                     self.owner, self._version = owner, version
                     self._details, self._details_stored = details, True
                     self._lease_limits = details.lease_limits
+                    self._unleased = {*details.run_ends}
                     self._on_renewed(self.cell, owner, version)
                     return True
                 case Stale(rows):
@@ -633,8 +638,10 @@
         dispatcher, asked_at = self.dispatcher, self._clock()
         # Successors assume that no lease outlasts the time in which this holder may send orders.
         hold_s = min(dispatcher.bounds.lease_s, self._order_time_s())
+        # A later boot may carry this call out late, and extend what an open start has begun there.
+        is_unleased = member.name in self._unleased
         # An extension that a silent worker may not receive would only delay the proof of its lapse.
-        extend = hold_s > 0 and member.silent_since is None
+        extend = hold_s > 0 and member.silent_since is None and not is_unleased
         limit = self._lease_limit(member)
         lease = member.grant(asked_at, hold_s, limit) if extend else None
         wait_ms = BUSY_WAIT_MS if member.runs else IDLE_WAIT_MS
@@ -642,9 +649,10 @@
             wait_ms = SHARED_WAIT_MS
         if not member.is_fenced:
             wait_ms = SHARED_WAIT_MS if self._renewal_failed else LIMITED_WAIT_MS
-        if limit < asked_at + hold_s:
+        if is_unleased or limit < asked_at + hold_s:
             wait_ms = LIMITED_WAIT_MS
-        retry_now = lease is None and hold_s > 0
+        is_unheard = member.silent_since is not None or not member.born
+        retry_now = lease is None and hold_s > 0 and is_unheard
         if retry_now:
             # The answer has the worker's clock, on which the next lease is based.
             wait_ms = 0
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -6,13 +6,16 @@
 from typing import Any
 
 from curranthall.cells.fencing import RunEnd
+from curranthall.cells.fleet import LATE_CALL_S
+from curranthall.cells.open_starts import StartRow
 from curranthall.cells.owner import RENEW_S, Details, decode_details
 from curranthall.cells.ports import ListedRun
-from curranthall.dag import Job
+from curranthall.dag import Job, TaskId
 from curranthall.dag.progress import Place
-from curranthall.model import Size
+from curranthall.model import HostState, Size
 from tests.cell_fixtures import EPOCH, Cell, claimed_progress, host, job, listed, step, task
 from tests.cluster import now
+from tests.test_runtime import IdleWorker, LossyStore, make_runtime
 from tests.test_takeover import CELL, POLL_S, SplitCell, make_job, make_step
 from tests.virtual import run
 
@@ -99,6 +102,98 @@
                 self.assertLess(self.play(1, scene, seed), 4.0 + TAKE_S + START_S)
 
 
+class OldStarts(unittest.TestCase):
+    """The last start of a lasting task got no answer; its cell is full until its holder is lost."""
+
+    def play(self, crash_s: float, kill_s: float, seed: int) -> float:
+        """Crash the worker, kill the holder, add room; return when the task runs.
+
+        All times count from when the start was sent.
+        """
+
+        async def main() -> float:
+            split = SplitCell(seed)
+            cluster = split.cluster
+            await split.start()
+            split.close_cells("b", "c")
+            names = [name for name in cluster.runners if name[0] == CELL]
+            # All cores but those kept for short tasks.
+            await split.submit("b-e1", full := make_job(1, make_step(27, lasting=True)))
+            await asyncio.sleep(1.0 + 0.3 * seed)
+            starts = {name: cluster.withhold("start", name) for name in names}
+            await split.submit("b-e1", job := make_job(2, make_step(1, lasting=True)))
+            async with asyncio.timeout(TAKE_S):
+                while not any(starts.values()):
+                    await asyncio.sleep(POLL_S)
+            sent_at = now()
+            (lost,) = (name for name in names if starts[name])
+            cluster.withheld.clear()
+            # This worker takes no more tasks, and no other one has room.
+            cluster.announce(lost, 1_000.0)
+            rest = make_job(3, make_step(8))
+            cluster.work[rest.id] = 100.0
+            await split.submit("b-e1", rest)
+            await asyncio.sleep(sent_at + crash_s - now())
+            self.assertEqual(count_runs(split, job), 0)
+            # A worker that is not listed is dropped once its leases are over.
+            cluster.listed_after_crash_s = 60.0
+            cluster.crash_worker(lost)
+            await asyncio.sleep(sent_at + kill_s - now())
+            self.assertEqual(count_runs(split, job), 0)
+            cluster.kill(split.former)
+            cluster.add_worker("a-w8", CELL, cores=32)
+            while not count_runs(split, job) and now() - sent_at < 60.0:
+                await asyncio.sleep(POLL_S)
+            ran_at = now()
+            await asyncio.sleep(SETTLE_S)
+            cluster.close()
+            self.assertEqual(cluster.judge.broken, [])
+            self.assertEqual(count_runs(split, full), 27)
+            return ran_at - sent_at
+
+        found: float = run(main())
+        return found
+
+    def test_a_start_that_is_over_when_its_worker_is_lost(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                self.assertLess(self.play(25.0, 25.0, seed), 25.0 + TAKE_S + START_S)
+
+    def test_a_start_that_is_not_over_when_its_holder_is_lost(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                limit_s = LATE_CALL_S + LAPSE_S + RENEW_S + START_S
+                self.assertLess(self.play(0.0, 11.0, seed), limit_s)
+
+
+class Leases(unittest.TestCase):
+    def test_a_worker_with_run_ends_in_the_row_gets_no_lease_before_the_next_renewal(self) -> None:
+        async def main() -> None:
+            runtime = make_runtime(LossyStore(now), [], now, lambda host: IdleWorker(now))
+            await runtime._renew()
+            runtime.on_hosts({name: host(name) for name in ("w1", "w2", "w3")})
+            await asyncio.sleep(0.5)
+            await runtime._renew()
+            member = runtime.dispatcher.members["w1"]
+            runtime._holds["w1"].cancel()
+            runtime.dispatcher.on_silence("w1", now())
+            member.late_start_until = now() + LATE_CALL_S
+            await asyncio.sleep(1.5)
+            await runtime._renew()
+            self.assertIn("w1", runtime._details.run_ends)
+            await runtime._hold(member)
+            self.assertIsNone(member.silent_since)
+            granted_ms = member.granted_ms
+            await runtime._hold(member)
+            self.assertEqual(member.granted_ms, granted_ms)
+            await runtime._renew()
+            await runtime._hold(member)
+            self.assertGreater(member.granted_ms, granted_ms)
+            runtime.end("test")
+
+        run(main())
+
+
 class Handed(unittest.TestCase):
     """What a holder hands over of a worker with an open start, and how the next one uses it."""
 
@@ -125,20 +220,55 @@
         cell.now += 2.0
         cell.answer("w1", [listed(self.begun)])
         self.assertEqual(len(member.runs), 1)
-        end = cell.dispatcher.run_end(member, cell.now)
-        self.assertEqual(end and end.open_tasks, {self.open.task})
+        self.assertEqual(self.open_tasks(), {self.open.task})
+        cell.answer("w1", [listed(self.begun)])
         (again,) = cell.plan()
         cell.started(again)
         cell.answer("w1", [listed(self.begun), listed(again)])
-        end = cell.dispatcher.run_end(member, cell.now)
-        self.assertEqual(end and end.open_tasks, {self.open.task})
+        self.assertEqual(self.open_tasks(), {self.open.task})
+
+    def open_tasks(self) -> frozenset[TaskId]:
+        """Return the tasks with open starts if the worker falls silent now."""
+        member = self.cell.member("w1")
+        self.assertIsNone(self.cell.dispatcher.run_end(member, self.cell.now))
+        self.cell.dispatcher.on_silence("w1", self.cell.now)
+        end = self.cell.dispatcher.run_end(member, self.cell.now)
+        assert end is not None
+        return end.open_tasks
 
     def test_a_boot_that_is_not_fenced_has_no_known_end(self) -> None:
         cell, member = self.cell, self.cell.member("w1")
         cell.dispatcher.on_start_unanswered(self.open, cell.now)
+        cell.dispatcher.on_silence("w1", cell.now)
         member.is_fenced = False
         self.assertIsNone(cell.dispatcher.run_end(member, cell.now))
 
+    def place(self) -> str:
+        """Return the worker that the row names for the task with the open start."""
+        self.cell.dispatcher.tick(self.cell.now, self.cell.now)
+        self.cell.record()
+        places = self.cell.dispatcher.tracked[JOB].progress.places or {}
+        return places[self.open.task[1:]].worker
+
+    def test_the_place_of_an_open_start_names_its_worker_until_that_is_over(self) -> None:
+        cell, sent_at = self.cell, self.cell.now
+        cell.dispatcher.on_start_unanswered(self.open, cell.now)
+        cell.dispatcher.update_host(host("w1", state=HostState.LEAVING))
+        for after_s, place in ((2.0, "w1"), (LATE_CALL_S - 0.1, "w1"), (LATE_CALL_S + 0.1, "")):
+            cell.now = sent_at + after_s
+            cell.answer("w1", [listed(self.begun)])
+            self.assertEqual(self.place(), place)
+
+    def test_the_place_of_an_open_start_on_a_silent_worker_waits_for_its_lease(self) -> None:
+        cell, sent_at = self.cell, self.cell.now
+        cell.dispatcher.on_start_unanswered(self.open, cell.now)
+        cell.now += 2.0
+        cell.answer("w1", [listed(self.begun)])
+        cell.dispatcher.on_silence("w1", cell.now)
+        for after_s, place in ((LATE_CALL_S + 0.1, "w1"), (LATE_CALL_S + LAPSE_S + 2.0, "")):
+            cell.now = sent_at + after_s
+            self.assertEqual(self.place(), place)
+
     def taken(self) -> Cell:
         """Build a taken cell of w1, with an open start of the first task, and of w2."""
         cell, self.running = Cell(settled=False), []
@@ -174,6 +304,23 @@
         cell.now += 1.1
         self.assertEqual(self.planned(cell, taken_at), [])
 
+    def test_a_start_of_a_former_holder_is_over_only_on_a_worker_that_was_silent(self) -> None:
+        for silent, started in ((True, [0]), (False, [])):
+            with self.subTest(silent=silent):
+                cell, self.running = Cell(settled=False), []
+                member_ends = {"w1": RunEnd(cell.now, frozenset({task()}))} if silent else {}
+                hosts, late_s = [host("w1"), host("w2")], LATE_CALL_S + LAPSE_S
+                proof_at = cell.now + 2 * late_s
+                cell.dispatcher.take_over(hosts, proof_at, now=cell.now, run_ends=member_ends)
+                cell.dispatcher.open_starts.inherit([StartRow("w1", task(), FORMER_RUN, cell.now)])
+                row = claimed_progress(EPOCH - 1, places={(0, 0, 0): Place(FORMER_RUN, "w1")})
+                cell.dispatcher.adopt(job(JOB, step(1, lasting=True)), row, 1, cell.now)
+                cell.record()
+                cell.now += late_s - 0.2
+                self.assertEqual(self.planned(cell, cell.now), [])
+                cell.now += 0.4
+                self.assertEqual(self.planned(cell, cell.now), started)
+
     def test_an_unheard_worker_is_handed_on(self) -> None:
         cell = self.taken()
         end = cell.dispatcher.run_end(cell.member("w1"), cell.now)
