--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -7,7 +7,7 @@
 
 from curranthall.cells.fencing import RunEnd
 from curranthall.cells.fleet import LATE_CALL_S
-from curranthall.cells.open_starts import StartRow
+from curranthall.cells.open_starts import MAX_PUBLISHED, StartRow
 from curranthall.cells.owner import RENEW_S, Details, decode_details
 from curranthall.cells.ports import ListedRun
 from curranthall.dag import Job, TaskId
@@ -15,6 +15,7 @@
 from curranthall.model import HostState, Size
 from tests.cell_fixtures import EPOCH, Cell, claimed_progress, host, job, listed, step, task
 from tests.cluster import now
+from tests.test_open_starts import LARGE_CELL, MAX_ROW_BYTES, START_MS
 from tests.test_runtime import IdleWorker, LossyStore, make_runtime
 from tests.test_takeover import CELL, POLL_S, SplitCell, make_job, make_step
 from tests.virtual import run
@@ -328,6 +329,16 @@
         cell.answer("w1")
         self.assertIsNone(cell.dispatcher.run_end(cell.member("w1"), cell.now))
 
+    def test_the_row_of_a_large_cell_of_silent_workers_is_not_too_large(self) -> None:
+        names = [f"i-{number:010x}" for number in range(LARGE_CELL)]
+        starts = tuple(
+            (names[number % LARGE_CELL], f"{number:016x}.0.0.0", 10**13 + number, START_MS)
+            for number in range(MAX_PUBLISHED)
+        )
+        ends = dict.fromkeys(names, START_MS)
+        row = Details([host(name) for name in names], [], ends, open_starts=starts, run_ends=ends)
+        self.assertLess(len(row.encode()), MAX_ROW_BYTES)
+
     def test_rows_name_the_earlier_end_as_limit_of_leases(self) -> None:
         row = Details([], lease_ends={"w1": 9, "w2": 5}, run_ends={"w1": 4, "w2": 7, "w3": 6})
         self.assertEqual(decode_details(row.encode()).lease_limits, {"w1": 4, "w2": 5, "w3": 6})
