The end of a former boot's runs is not named for the runs of the boot that is back

No caller saw it: found by reading. A renewal named the lesser of the stored and the new time of a silent worker; if it had answered as a later boot since the row was stored, and had executed an open start, that run was named as over before its lease was. Now only times that were handed over are copied.

Evidence: tests.test_run_ends Leases, on the runtime directly: the second row named 106424 ms, the time of the first one (the test asks for more than 107424 ms); the test failed before.

--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -309,7 +309,8 @@
             if end is None or any((member.name, str(task)) not in told for task in end.open_tasks):
                 continue
             ends = self._by_stores_clock(member, end.at)
-            stored = self._details.run_ends
+            # A time that was handed over is copied; a former boot's tells nothing of this one.
+            stored = {} if member.born else self._details.run_ends
             found |= {name: min(at, stored.get(name, at)) for name, at in ends.items()}
         return found
 
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -9,7 +9,7 @@
 from curranthall.cells.fleet import LATE_CALL_S
 from curranthall.cells.open_starts import MAX_PUBLISHED, StartRow
 from curranthall.cells.owner import RENEW_S, Details, decode_details
-from curranthall.cells.ports import ListedRun
+from curranthall.cells.ports import ListedRun, Snapshot
 from curranthall.dag import Job, TaskId
 from curranthall.dag.progress import Place
 from curranthall.model import HostState, Size
@@ -194,6 +194,34 @@
 
         run(main())
 
+    def test_a_run_of_a_boot_that_is_back_is_not_over_by_the_time_named_for_the_former_one(
+        self,
+    ) -> None:
+        async def main() -> None:
+            runtime = make_runtime(LossyStore(now), [], now, lambda host: IdleWorker(now))
+            await runtime._renew()
+            runtime.on_hosts({name: host(name) for name in ("w1", "w2", "w3")})
+            await asyncio.sleep(0.5)
+            await runtime._renew()
+            member = runtime.dispatcher.members["w1"]
+            runtime._holds["w1"].cancel()
+            runtime.dispatcher.on_silence("w1", now())
+            member.late_start_until = now() + LATE_CALL_S
+            await asyncio.sleep(1.5)
+            await runtime._renew()
+            named = runtime._details.run_ends["w1"]
+            await asyncio.sleep(0.5)
+            snapshot = Snapshot(0, member.born + 1, [], [])
+            runtime.dispatcher.on_snapshot(member, snapshot, now(), now(), member.token)
+            self.assertTrue(member.is_fenced)
+            runtime.dispatcher.on_silence("w1", now())
+            member.silent_since = now() - 1.5
+            await runtime._renew()
+            self.assertGreater(runtime._details.run_ends["w1"], named + 1_000)
+            runtime.end("test")
+
+        run(main())
+
 
 class Handed(unittest.TestCase):
     """What a holder hands over of a worker with an open start, and how the next one uses it."""
