--- a/src/curranthall/cells/runtime.py
+++ b/src/curranthall/cells/runtime.py
@@ -21,6 +21,7 @@
     RENEW_S,
     Details,
     MovedJobs,
+    OpenStartRows,
     Owner,
     WaitingJobs,
     decode_details_row,
@@ -185,7 +186,9 @@
         self._details = taken.details
         self._details_stored = True
         # By worker, the lease ends of all rows that may be stored now: no lease goes beyond them.
-        self._lease_limits = taken.details.lease_ends
+        self._lease_limits = taken.details.lease_limits
+        # Workers with run ends in any row that may be stored now: they get no lease.
+        self._unleased: set[str] = set()
         self._renewal_failed = False
         self._exchanged_at = 0.0
         self._commits = 0
@@ -257,12 +260,13 @@
             counted_to=waiting.counted_to,
             moved=waiting.moved,
         )
-        members = self.dispatcher.members.values()
+        members, open_starts = self.dispatcher.members.values(), self._open_starts(0.0)
         details = self._details._replace(
             roster=self.dispatcher.roster(),
             lease_ends=self._lease_ends(members),
             unheard=tuple(member.name for member in members if not member.born),
-            open_starts=self._open_starts(0.0),
+            open_starts=open_starts,
+            run_ends=self._run_ends(members, open_starts),
         )
         retry_until = self._clock() + RELEASE_RETRY_S
         while not await self._write_release(released, details) and self._clock() < retry_until:
@@ -286,13 +290,31 @@
             if end is None:
                 continue
             # Nothing was granted beyond the limit: converting the time back only makes it later.
-            known = [self._lease_limits[member.name]] if member.name in self._lease_limits else []
+            stored = self._details.lease_ends
+            known = [stored[member.name]] if member.name in stored else []
             known.extend(self._by_stores_clock(member, end).values())
             if known:
                 found[member.name] = min(known)
         return found
 
-    def _open_starts(self, unanswered_s: float) -> tuple[tuple[str, str, int, int], ...]:
+    def _run_ends(self, members: Iterable[Member], open_starts: OpenStartRows) -> dict[str, int]:
+        """Return by worker with open starts, if known, when its other runs are over.
+
+        Only if a successor is told of all its open starts.
+        """
+        now, found = self._clock(), dict[str, int]()
+        told = {(worker, task) for worker, task, *_ in open_starts}
+        for member in members:
+            end = self.dispatcher.run_end(member, now)
+            if end is None or any((member.name, str(task)) not in told for task in end.open_tasks):
+                continue
+            ends = self._by_stores_clock(member, end.at)
+            # A time that was handed over is copied; a former boot's tells nothing of this one.
+            stored = {} if member.born else self._details.run_ends
+            found |= {name: min(at, stored.get(name, at)) for name, at in ends.items()}
+        return found
+
+    def _open_starts(self, unanswered_s: float) -> OpenStartRows:
         """Return the starts that later boots may execute, if the store's clock is known."""
         offset_ms = self._store_offset_ms
         if offset_ms is None:
@@ -439,16 +461,19 @@
             counted_to=waiting.counted_to,
             moved=waiting.moved,
         )
-        limits, lease_ends = self._lease_limits, self._lease_ends(self._unheard_members(now))
-        lease_ends |= self._departing_lease_ends(now)
-        suspended = self.dispatcher.suspend(lease_ends)
+        limits, unleased = self._lease_limits, set(self._unleased)
+        unheard = self._unheard_members(now)
+        open_starts = self._open_starts(UNANSWERED_S)
         details = self._details._replace(
             roster=self.dispatcher.roster(),
-            lease_ends=lease_ends,
-            open_starts=self._open_starts(UNANSWERED_S),
+            lease_ends=self._lease_ends(unheard) | self._departing_lease_ends(now),
+            open_starts=open_starts,
+            run_ends=self._run_ends(unheard, open_starts),
         )
+        limited = details.lease_limits.keys()
+        suspended = self.dispatcher.suspend(limited)
         boot_ids = self.dispatcher.boot_ids()
-        for name in lease_ends:
+        for name in limited:
             boot_ids.pop(name, None)
         if now - self._exchanged_at >= EXCHANGE_S:
             self._exchanged_at = now
@@ -467,7 +492,7 @@
             self._renewal_failed = True
             if isinstance(exc, PlatformDown):
                 # Nothing was written, so it binds to nothing.
-                self._lease_limits = limits
+                self._lease_limits, self._unleased = limits, unleased
                 self.dispatcher.confirm_roster(suspended)
             return False
         self._renewal_failed = False
@@ -518,7 +543,8 @@
             puts.append(Put(DETAIL_TABLE, self.cell, details.encode()))
             # If the answer is lost, the row may have the old or the new details.
             self._details_stored = False
-            self._limit_leases(details.lease_ends)
+            self._limit_leases(details.lease_limits)
+            self._unleased |= details.run_ends.keys()
         for _ in range(2):
             sent_at = self._clock()
             match await self._store.commit(
@@ -529,7 +555,8 @@
                     self._orders_end = self._bound_orders(owner)
                     self.owner, self._version = owner, version
                     self._details, self._details_stored = details, True
-                    self._lease_limits = details.lease_ends
+                    self._lease_limits = details.lease_limits
+                    self._unleased = {*details.run_ends}
                     self._on_renewed(self.cell, owner, version)
                     return True
                 case Stale(rows):
@@ -612,8 +639,10 @@
         dispatcher, asked_at = self.dispatcher, self._clock()
         # Successors assume that no lease outlasts the time in which this holder may send orders.
         hold_s = min(dispatcher.bounds.lease_s, self._order_time_s())
+        # A later boot may carry this call out late, and extend what an open start has begun there.
+        is_unleased = member.name in self._unleased
         # An extension that a silent worker may not receive would only delay the proof of its lapse.
-        extend = hold_s > 0 and member.silent_since is None
+        extend = hold_s > 0 and member.silent_since is None and not is_unleased
         limit = self._lease_limit(member)
         lease = member.grant(asked_at, hold_s, limit) if extend else None
         wait_ms = BUSY_WAIT_MS if member.runs else IDLE_WAIT_MS
@@ -621,9 +650,10 @@
             wait_ms = SHARED_WAIT_MS
         if not member.is_fenced:
             wait_ms = SHARED_WAIT_MS if self._renewal_failed else LIMITED_WAIT_MS
-        if limit < asked_at + hold_s:
+        if is_unleased or limit < asked_at + hold_s:
             wait_ms = LIMITED_WAIT_MS
-        retry_now = lease is None and hold_s > 0
+        is_unheard = member.silent_since is not None or not member.born
+        retry_now = lease is None and hold_s > 0 and is_unheard
         if retry_now:
             # The answer has the worker's clock, on which the next lease is based.
             wait_ms = 0
