Lasting tasks without room in any cell wait where the most cores become free

Callers saw jobs whose lasting tasks had no run for seconds although workers had room for them (LOST): after a cell lost a part of its workers, its tasks waited in it while room came and went in other cells.

Cause: room is seen in time, and kept from short tasks, only by the holder of its cell, for tasks that wait there. A lasting task waited where it ran last, however little becomes free there. Other cells saw it in no way, and their rooms reached it by rows 0.8 to 1.6 s old, less what moves of the last 1.8 s had taken.

Now lasting tasks that found no room for 1.5 s are spread over the cells, at most once a renewal, so that the cores that wait are about the same share everywhere of those that no lasting task reserves and that become free as other tasks end (the turnover, a new figure of the published load). A task moves only to where it waits with less of a crowd than it leaves, so cells send none to and fro. A task that was moved takes kept room at once only for 1.8 s after, as it may have been moved to wait. This works because the cell that has the room then has the task, too, and places lasting tasks before short ones.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -4,9 +4,11 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from curranthall.cells.crowding import Crowd, count_crowd, spread_out
 from curranthall.cells.dispatcher import Dispatcher
 from curranthall.cells.early_moves import EarlyMove, EarlyMoves
-from curranthall.cells.load import MIN_CORES, ROUNDING, Load
+from curranthall.cells.load import MIN_CORES, MOVED_S, ROUNDING, Load
+from curranthall.cells.owner import RENEW_S
 from curranthall.cells.tracking import Batch
 from curranthall.dag import Step
 from curranthall.events import Event, log
@@ -15,8 +17,6 @@
 
 # A task is moved after it has found no worker for this long; a closed cell moves tasks at once.
 STRANDED_S = 0.4
-# Published loads are up to two renewals old, so moved tasks are subtracted for this long.
-MOVED_S = 1.8
 # At most this share of the room that another cell published is used.
 ROOM_SHARE = 0.7
 # Interval between log lines about one batch that no cell has room for.
@@ -81,6 +81,8 @@
     service: str
     step: Step
     tasks: int
+    # No room was seen for them: they wait there.
+    waits: bool = False
 
 
 class _Target:
@@ -94,6 +96,8 @@
         self.left = dict(published.loads)
         # What tasks that must start may use: they start before short ones that were moved there.
         self.left_by_lasting = dict(published.loads)
+        # Cores of the lasting tasks that were moved there, by service.
+        self._sent_lasting: dict[str, float] = {}
         for move in moves:
             self.subtract(move)
 
@@ -105,9 +109,18 @@
         """Subtract a move if it went to this cell."""
         if move.service not in self.published or move.cell != self.cell:
             return
+        if move.step.lasting:
+            cores = move.tasks * move.step.size.cores
+            self._sent_lasting[move.service] = self._sent_lasting.get(move.service, 0.0) + cores
+        if move.waits:
+            return
         for loads in (self.left, self.left_by_lasting) if move.step.lasting else (self.left,):
             loads[move.service] = loads[move.service].less(move.step, move.tasks)
 
+    def crowd(self, service: str) -> Crowd:
+        """Return the lasting tasks of a service that wait here."""
+        return count_crowd(self.cell, self.published[service], self._sent_lasting.get(service, 0.0))
+
     def room(self, batch: Batch, must_start: bool) -> float:
         """Return the cores that tasks of a batch may use here, all of them if it must start."""
         service, step = batch.tracked.queue.service, batch.step
@@ -142,6 +155,7 @@
     def __init__(self) -> None:
         self._moves: list[_Move] = []
         self._early = EarlyMoves()
+        self._spread_at = -float("inf")
         # By lasting batch that no cell has room for, when that was last logged.
         self._logged_at: dict[Batch, float] = {}
 
@@ -164,11 +178,14 @@
         self._logged_at = {
             batch: self._logged_at[batch] for batch in stranded if batch in self._logged_at
         }
+        refused: list[Batch] = []
         for batch in stranded:
             if self._move_batch(dispatcher, batch, targets, batch in must_start, now):
                 dispatcher.other_cell_rooms = _by_service(target.left for target in targets)
             elif batch.step.lasting:
                 self._log_refusal(batch, targets, batch in must_start, now)
+                refused.append(batch)
+        self._spread_crowd(dispatcher, refused, targets, now)
         if dispatcher.options.projected_load and not dispatcher.closed and self._early.is_due(now):
             self._move_early(dispatcher, targets, now)
 
@@ -215,6 +232,43 @@
         _move_tasks(dispatcher, batch, numbers, target, now, seen)
         return True
 
+    def _spread_crowd(
+        self, dispatcher: Dispatcher, refused: list[Batch], targets: list[_Target], now: float
+    ) -> None:
+        """Let lasting tasks that no cell has room for wait where the most cores become free.
+
+        Only the holder of a cell sees its room in time, and it keeps it for tasks that wait there.
+        """
+        crowded = dispatcher.list_crowded(refused, now)
+        # Other cells publish no newer loads sooner.
+        if not crowded or now - self._spread_at < RENEW_S:
+            return
+        self._spread_at = now
+        loads, crowds = dispatcher.load(now), dict[str, Crowd]()
+        for batch in crowded:
+            service, step = batch.tracked.queue.service, batch.step
+            able = [
+                each
+                for each in targets
+                if service in each.published and each.can_run(service, step)
+            ]
+            movable = dispatcher.open_starts.list_movable(batch, now)
+            if service not in crowds:
+                crowds[service] = count_crowd(dispatcher.cell, loads.get(service, Load()))
+            others, cores = [each.crowd(service) for each in able], max(step.size.cores, MIN_CORES)
+            moved = spread_out(crowds[service], others, cores, len(movable))
+            for target in able:
+                count = moved[target.cell]
+                numbers, movable = movable[:count], movable[count:]
+                if numbers:
+                    move = _Move(now, target.cell, service, step, count, waits=True)
+                    seen = _describe_move(dispatcher, batch, target, False, now)
+                    self._moves.append(move)
+                    target.subtract(move)
+                    if not dispatcher.closed:
+                        seen["why"] = "crowded"
+                    _move_tasks(dispatcher, batch, numbers, target, now, seen)
+
     def _log_refusal(
         self, batch: Batch, targets: list[_Target], must_start: bool, now: float
     ) -> None:
--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -35,7 +35,7 @@
     keep_headroom,
 )
 from curranthall.cells.interference import Interference
-from curranthall.cells.load import Load, count_slots, measure, measure_cores
+from curranthall.cells.load import MOVED_S, Load, count_slots, measure, measure_cores
 from curranthall.cells.open_starts import OpenStarts, StartRow
 from curranthall.cells.options import NO_OPTIONS, Options
 from curranthall.cells.order import Order as PlacementOrder
@@ -605,6 +605,25 @@
         ]
         return sorted(found, key=lambda batch: self.order.key(batch, now))
 
+    def list_crowded(self, refused: Iterable[Batch], now: float) -> list[Batch]:
+        """Return those of the lasting batches without room in any cell that may wait elsewhere.
+
+        Gangs are left out, as all members need room in one cell.
+        """
+        return [
+            batch
+            for batch in refused
+            if not batch.step.gang
+            and self.quota.allows(batch)
+            and self._has_found_no_room(batch, now)
+        ]
+
+    def _has_found_no_room(self, batch: Batch, now: float) -> bool:
+        """Return whether a batch waited for LASTING_WAIT_S in this cell, or can't start here."""
+        if self.closed:
+            return not self.releasing
+        return batch.unplaced_since is not None and now - batch.unplaced_since >= LASTING_WAIT_S
+
     def list_strays(self, now: float) -> list[tuple[Batch, list[int]]]:
         """Return split gangs and their members here that another cell may start now.
 
@@ -1667,9 +1686,10 @@
             return KeptRoomAccess.RECENT
         if not self.must_start(batch, now):
             return KeptRoomAccess.FEW_ROOMS
-        # A moved task takes the room that it was moved for.
+        # A moved task takes the room that it was moved for, unless it has found none by now.
+        waited_s = now - (batch.unplaced_since or now)
         is_granted = (
-            batch.has_moved_in(self.cell)
+            (batch.has_moved_in(self.cell) and waited_s < MOVED_S)
             or batch.overdue_s >= MAX_OVERDUE_S
             or self._spare_room.fits(batch.step, batch.tracked.queue.service, now)
         )
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -20,6 +20,8 @@
 HOME_BONUS = 0.05
 # Cores counted for a task that requests fewer.
 MIN_CORES = 0.1
+# Published loads are up to two renewals old, so moved tasks are subtracted for this long.
+MOVED_S = 1.8
 # The rooms listed in a load; more would enlarge the rows that every entry reads.
 LISTED_ROOMS = 16
 # The other rooms are counted by lower bounds, so many to each power of two of cores.
@@ -118,7 +120,9 @@
     of it on one worker; `largest` holds the free cores of the LISTED_ROOMS workers with the most,
     `quarantined` those of quarantined ones, which count nowhere else. `others` counts the workers
     with fewer free cores by lower bounds of these, for gangs that need many rooms at once.
-    `backlog` is None in rows of earlier code and while no feature needs it.
+    `backlog` is None in rows of earlier code and while no feature needs it. `turnover` is the cores
+    that lasting tasks don't reserve, so that they become free as other tasks end; 0 in rows of
+    earlier code.
     """
 
     cores: float = 0.0
@@ -133,6 +137,7 @@
     quarantined: tuple[float, ...] = ()
     others: tuple[tuple[float, int], ...] = ()
     backlog: Backlog | None = None
+    turnover: float = 0.0
 
     def room(self, step: Step) -> float:
         """Return the cores available to tasks of a step, less those requested by waiting tasks."""
@@ -288,6 +293,7 @@
             largest=_add_room(load.largest, free),
             largest_lasting=max(load.largest_lasting, lasting),
             idle=load.idle + _idle_cores(member),
+            turnover=load.turnover + max(0.0, cores - member.lasting.cores),
         )
     for service, each_free in free_by_service.items():
         others = _count_rooms(sorted(each_free, reverse=True)[LISTED_ROOMS:])
@@ -400,6 +406,7 @@
             quarantined=tuple(map(finite, load.quarantined)),
             others=tuple((finite(room), whole(count)) for room, count in load.others),
             backlog=_decode_backlog(load.backlog),
+            turnover=finite(load.turnover),
         )
     )
 
