Lasting tasks wait only in cells whose workers can come to hold them

Callers would have seen lasting tasks wait for good in a cell where none of the workers ever has room for them: found in review, run as tests.test_crowded_cells Fragments and Labels (2 of 6 and 5 of 6 tasks left a cell that would run them; both failed before).

Cause: the turnover was a sum of cores. It counts workers by lower bounds now, and only pieces that hold a task of the step count, no more than max-per-worker in each; a step with a label waits only where all workers have it. A cell without turnover gets none (it did beside an own turnover near 0). At most 16 steps move at once, as each is a write of a row.

Trial mutants of the spread: 11 of 12 fail tests.test_crowding or test_crowded_cells; without the check of the customer's limit none does.

--- a/src/curranthall/cells/balance.py
+++ b/src/curranthall/cells/balance.py
@@ -19,6 +19,8 @@
 STRANDED_S = 0.4
 # At most this share of the room that another cell published is used.
 ROOM_SHARE = 0.7
+# The most steps of which tasks are moved to wait elsewhere at once: each is a write.
+MAX_SPREAD_STEPS = 16
 # Interval between log lines about one batch that no cell has room for.
 REFUSAL_LOG_INTERVAL_S = 2.0
 
@@ -64,6 +66,12 @@
         slots = (workers * kind.slots(service, step) for kind, workers in self.kinds.items())
         return sum(slots) >= step.width
 
+    def is_uniform(self, service: str, step: Step) -> bool:
+        """Return whether all workers of a service have the label that a step requires."""
+        if not step.requires or self.kinds is None:
+            return True
+        return all(step.requires in kind.labels for kind in self.kinds if kind.service == service)
+
 
 def group_kinds(hosts: Iterable[Host]) -> dict[str, Counter[WorkerKind]]:
     """Count the workers by failure domain and kind."""
@@ -90,7 +98,7 @@
 
     def __init__(self, published: CellLoads, moves: Iterable[_Move]) -> None:
         self.cell, self.epoch = published.cell, published.epoch
-        self._can_run = published.can_run
+        self._can_run, self.is_uniform = published.can_run, published.is_uniform
         self.row_age_ms = published.row_age_ms
         self.published = published.loads
         self.left = dict(published.loads)
@@ -117,9 +125,10 @@
         for loads in (self.left, self.left_by_lasting) if move.step.lasting else (self.left,):
             loads[move.service] = loads[move.service].less(move.step, move.tasks)
 
-    def crowd(self, service: str) -> Crowd:
-        """Return the lasting tasks of a service that wait here."""
-        return count_crowd(self.cell, self.published[service], self._sent_lasting.get(service, 0.0))
+    def crowd(self, service: str, step: Step) -> Crowd:
+        """Return the lasting tasks of a service that wait here, as they concern a step."""
+        sent = self._sent_lasting.get(service, 0.0)
+        return count_crowd(self.cell, self.published[service], step, sent)
 
     def room(self, batch: Batch, must_start: bool) -> float:
         """Return the cores that tasks of a batch may use here, all of them if it must start."""
@@ -244,30 +253,42 @@
         if not crowded or now - self._spread_at < RENEW_S:
             return
         self._spread_at = now
-        loads, crowds = dispatcher.load(now), dict[str, Crowd]()
-        for batch in crowded:
+        loads, left = dispatcher.load(now), dict[str, float]()
+        for batch in crowded[:MAX_SPREAD_STEPS]:
             service, step = batch.tracked.queue.service, batch.step
+            # The turnover doesn't tell which workers have the label.
             able = [
                 each
                 for each in targets
-                if service in each.published and each.can_run(service, step)
+                if service in each.published
+                and each.can_run(service, step)
+                and each.is_uniform(service, step)
             ]
             movable = dispatcher.open_starts.list_movable(batch, now)
-            if service not in crowds:
-                crowds[service] = count_crowd(dispatcher.cell, loads.get(service, Load()))
-            others, cores = [each.crowd(service) for each in able], max(step.size.cores, MIN_CORES)
-            moved = spread_out(crowds[service], others, cores, len(movable))
+            own = count_crowd(dispatcher.cell, loads.get(service, Load()), step)
+            own.waiting = left.get(service, own.waiting)
+            others, cores = [each.crowd(service, step) for each in able], max(
+                step.size.cores, MIN_CORES
+            )
+            moved = spread_out(own, others, cores, len(movable))
+            left[service] = own.waiting
             for target in able:
                 count = moved[target.cell]
                 numbers, movable = movable[:count], movable[count:]
                 if numbers:
-                    move = _Move(now, target.cell, service, step, count, waits=True)
-                    seen = _describe_move(dispatcher, batch, target, False, now)
-                    self._moves.append(move)
-                    target.subtract(move)
-                    if not dispatcher.closed:
-                        seen["why"] = "crowded"
-                    _move_tasks(dispatcher, batch, numbers, target, now, seen)
+                    self._send_to_wait(dispatcher, batch, numbers, target, now)
+
+    def _send_to_wait(
+        self, dispatcher: Dispatcher, batch: Batch, numbers: list[int], target: _Target, now: float
+    ) -> None:
+        seen = _describe_move(dispatcher, batch, target, False, now)
+        if not dispatcher.closed:
+            seen["why"] = "crowded"
+        service, tasks = batch.tracked.queue.service, len(numbers)
+        move = _Move(now, target.cell, service, batch.step, tasks, waits=True)
+        self._moves.append(move)
+        target.subtract(move)
+        _move_tasks(dispatcher, batch, numbers, target, now, seen)
 
     def _log_refusal(
         self, batch: Batch, targets: list[_Target], must_start: bool, now: float
--- a/src/curranthall/cells/crowding.py
+++ b/src/curranthall/cells/crowding.py
@@ -5,13 +5,14 @@
 from dataclasses import dataclass
 
 from curranthall.cells.load import MIN_CORES, Load
+from curranthall.dag import Step
 
 
 @dataclass(slots=True)
 class Crowd:
-    """The lasting tasks of a service that wait in a cell.
+    """The lasting tasks of a service that wait in a cell, as they concern tasks of one step.
 
-    `waiting` is their cores, `turnover` the cores that become free there as finite tasks end.
+    `waiting` is their cores, `turnover` the cores that become free there in pieces for the step.
     """
 
     cell: str
@@ -23,14 +24,14 @@
         return (self.waiting + more) / max(self.turnover, MIN_CORES)
 
 
-def count_crowd(cell: str, load: Load, moved: float = 0.0) -> Crowd:
+def count_crowd(cell: str, load: Load, step: Step, moved: float = 0.0) -> Crowd:
     """Return the waiting tasks that a load tells, and those moved there since."""
-    return Crowd(cell, load.waiting.lasting + moved, load.turnover)
+    return Crowd(cell, load.waiting.lasting + moved, load.turnover_for(step))
 
 
 def spread_out(own: Crowd, others: Iterable[Crowd], cores: float, tasks: int) -> Counter[str]:
     """Move waiting tasks of the given cores to less crowded cells; return how many by cell."""
-    others, moved = list(others), Counter[str]()
+    others, moved = [crowd for crowd in others if crowd.turnover > 0], Counter[str]()
     while others and moved.total() < tasks:
         target = min(others, key=lambda crowd: crowd.pressure(cores))
         if target.pressure(cores) >= own.pressure():
--- a/src/curranthall/cells/load.py
+++ b/src/curranthall/cells/load.py
@@ -120,9 +120,9 @@
     of it on one worker; `largest` holds the free cores of the LISTED_ROOMS workers with the most,
     `quarantined` those of quarantined ones, which count nowhere else. `others` counts the workers
     with fewer free cores by lower bounds of these, for gangs that need many rooms at once.
-    `backlog` is None in rows of earlier code and while no feature needs it. `turnover` is the cores
-    that lasting tasks don't reserve, so that they become free as other tasks end; 0 in rows of
-    earlier code.
+    `backlog` is None in rows of earlier code and while no feature needs it. `turnover` counts the
+    workers by lower bounds of the cores that lasting tasks don't reserve there, so that they become
+    free as other tasks end; empty in rows of earlier code.
     """
 
     cores: float = 0.0
@@ -137,7 +137,7 @@
     quarantined: tuple[float, ...] = ()
     others: tuple[tuple[float, int], ...] = ()
     backlog: Backlog | None = None
-    turnover: float = 0.0
+    turnover: tuple[tuple[float, int], ...] = ()
 
     def room(self, step: Step) -> float:
         """Return the cores available to tasks of a step, less those requested by waiting tasks."""
@@ -174,6 +174,12 @@
         """Return how many tasks of a step fit on the quarantined workers with the most."""
         return count_slots(step, self.quarantined)
 
+    def turnover_for(self, step: Step) -> float:
+        """Return the cores that become free in pieces which hold tasks of a step."""
+        cores, most = max(step.size.cores, MIN_CORES), step.max_per_worker or math.inf
+        slots = (workers * min(count_slots(step, (room,)), most) for room, workers in self.turnover)
+        return sum(slots) * cores
+
     def holds_gang(self, step: Step) -> bool:
         """Return whether all members of a gang find room at once, in the last resort quarantined.
 
@@ -271,6 +277,7 @@
     """Return the load of the given usable workers, and the room on quarantined ones, by service."""
     loads: dict[str, Load] = {}
     free_by_service: dict[str, list[float]] = {}
+    turnover_by_service: dict[str, list[float]] = {}
     members = list(members)
     images = known.filling_images()
     weights = _tabulate_weights(members, images, known)
@@ -284,6 +291,8 @@
                 load.serving[image] = load.serving.get(image, 0.0) + run.step.size.cores
         free, cores = _free_cores(member), member.host.size.cores
         free_by_service.setdefault(member.host.service, []).append(free)
+        turnover = max(0.0, cores - member.lasting.cores)
+        turnover_by_service.setdefault(member.host.service, []).append(turnover)
         kept = headroom.kept_on(member).cores
         lasting = max(0.0, min(free, cores - kept - member.lasting.cores))
         loads[member.host.service] = load._replace(
@@ -293,11 +302,11 @@
             largest=_add_room(load.largest, free),
             largest_lasting=max(load.largest_lasting, lasting),
             idle=load.idle + _idle_cores(member),
-            turnover=load.turnover + max(0.0, cores - member.lasting.cores),
         )
     for service, each_free in free_by_service.items():
         others = _count_rooms(sorted(each_free, reverse=True)[LISTED_ROOMS:])
-        loads[service] = loads[service]._replace(others=others)
+        turnovers = _count_rooms(turnover_by_service[service])
+        loads[service] = loads[service]._replace(others=others, turnover=turnovers)
     for member in quarantined:
         load = loads.get(member.host.service, Load(filling={}, serving={}))
         rooms = _add_room(load.quarantined, _free_cores(member))
@@ -406,7 +415,7 @@
             quarantined=tuple(map(finite, load.quarantined)),
             others=tuple((finite(room), whole(count)) for room, count in load.others),
             backlog=_decode_backlog(load.backlog),
-            turnover=finite(load.turnover),
+            turnover=tuple((finite(room), whole(count)) for room, count in load.turnover),
         )
     )
 
