A task that was moved for a room takes it though others of its step have waited in the cell

Callers would have seen a moved lasting task wait 0.7 s beside the room that it was moved for (0.35 s at most before): found in review, run as tests.test_crowded_cells KeptRoom, which failed before. Cause: the limit of 1.8 s after a move was counted from when the first task of the step found no room in the cell. It counts from when a task that has had no run there last began to wait.

--- a/src/curranthall/cells/dispatcher.py
+++ b/src/curranthall/cells/dispatcher.py
@@ -760,11 +760,14 @@
                 # Should it come back, it has waited elsewhere since its last run here.
                 batch.tracked.former.pop(key, None)
             done = progress.is_done(*key) and not batch.step.lasting
+            has_waited = index in batch.waiting or index in batch.held
             batch.waiting.discard(index)
             batch.held.discard(index)
             if is_own and not done and index not in batch.active:
                 held = self._may_still_run(batch, key)
                 (batch.held if held else batch.waiting).add(index)
+                if not has_waited and key not in batch.tracked.former:
+                    batch.moved_in_at = now
             if done:
                 for run in list(batch.active.get(index, ())):
                     self._stop(run, now)
@@ -1687,9 +1690,8 @@
         if not self.must_start(batch, now):
             return KeptRoomAccess.FEW_ROOMS
         # A moved task takes the room that it was moved for, unless it has found none by now.
-        waited_s = now - (batch.unplaced_since or now)
         is_granted = (
-            (batch.has_moved_in(self.cell) and waited_s < MOVED_S)
+            (batch.has_moved_in(self.cell) and now - batch.moved_in_at < MOVED_S)
             or batch.overdue_s >= MAX_OVERDUE_S
             or self._spare_room.fits(batch.step, batch.tracked.queue.service, now)
         )
--- a/src/curranthall/cells/tracking.py
+++ b/src/curranthall/cells/tracking.py
@@ -100,6 +100,8 @@
     # When the oldest of the tasks without a run began to wait at the latest, held or not.
     waiting_since: float | None = None
     unplaced_since: float | None = None
+    # When a task last began to wait here that has had no run under this holder.
+    moved_in_at: float = -float("inf")
     # Since when the platform has expected a run of a task whose last one lapsed.
     expected_since: float | None = None
     # Seconds, summed up over that time, for which the platform expected the tasks to start, less a
