--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -4,12 +4,15 @@
 import unittest
 from collections.abc import Callable, Coroutine
 from typing import Any
+from unittest.mock import patch
 
 from curranthall.cells.fencing import RunEnd
-from curranthall.cells.fleet import LATE_CALL_S
+from curranthall.cells.fleet import LATE_CALL_S, Member
 from curranthall.cells.open_starts import MAX_PUBLISHED, StartRow
-from curranthall.cells.owner import RENEW_S, Details, decode_details
+from curranthall.cells.owner import RENEW_S, Details, Owner, Vacancy, decode_details
 from curranthall.cells.ports import ListedRun, Snapshot
+from curranthall.cells.records import read_details
+from curranthall.cells.runtime import CellRuntime
 from curranthall.dag import Job, TaskId
 from curranthall.dag.progress import Place
 from curranthall.model import HostState, Size
@@ -102,6 +105,19 @@
             with self.subTest(seed=seed):
                 self.assertLess(self.play(1, scene, seed), 4.0 + TAKE_S + START_S)
 
+    def test_a_take_names_no_run_ends_of_the_former_row(self) -> None:
+        async def scene(split: SplitCell, job: Job) -> None:
+            store = split.cluster.store
+            await asyncio.sleep(4.0)
+            self.assertTrue((await read_details(store, CELL)).run_ends)
+            split.cluster.kill(split.former)
+            while split.cluster.holder(CELL) is None:
+                await asyncio.sleep(0.001)
+            # The first renewal comes later.
+            self.assertEqual((await read_details(store, CELL)).run_ends, {})
+
+        self.play(1, scene)
+
 
 class OldStarts(unittest.TestCase):
     """The last start of a lasting task got no answer; its cell is full until its holder is lost."""
@@ -167,6 +183,18 @@
                 self.assertLess(self.play(0.0, 11.0, seed), limit_s)
 
 
+class LeaseLog(IdleWorker):
+    """Keeps the leases that it was offered."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        super().__init__(clock)
+        self.leases: list[int | None] = []
+
+    async def hold(self, epoch: int, cursor: int, lease_ms: int | None, wait_ms: int) -> Snapshot:
+        self.leases.append(lease_ms)
+        return await super().hold(epoch, cursor, lease_ms, wait_ms)
+
+
 class Leases(unittest.TestCase):
     def test_a_worker_with_run_ends_in_the_row_gets_no_lease_before_the_next_renewal(self) -> None:
         async def main() -> None:
@@ -194,6 +222,80 @@
 
         run(main())
 
+    def test_a_renewal_without_an_answer_binds_the_leases_of_workers_with_run_ends(self) -> None:
+        async def main() -> None:
+            store, worker = LossyStore(now), LeaseLog(now)
+            runtime, member = await self.silence(store, worker)
+            store.lose = 1
+            self.assertFalse(await runtime._renew())
+            await runtime._hold(member)
+            self.assertIsNone(member.silent_since)
+            worker.leases.clear()
+            await runtime._hold(member)
+            self.assertEqual(worker.leases, [None])
+            self.assertTrue(await runtime._renew())
+            self.assertTrue(await runtime._renew())
+            await runtime._hold(member)
+            self.assertIsNotNone(worker.leases[-1])
+            runtime.end("test")
+
+        run(main())
+
+    def test_a_worker_with_run_ends_in_the_row_gets_no_start_before_the_next_renewal(self) -> None:
+        async def main() -> None:
+            runtime, member = await self.silence(LossyStore(now), IdleWorker(now))
+            await runtime._renew()
+            self.assertIn("w1", runtime._details.run_ends)
+            self.assertNotIn("w1", runtime._details.lease_ends)
+            await runtime._hold(member)
+            await runtime._hold(member)
+            self.assertIsNone(member.silent_since)
+            self.assertFalse(member.is_usable(now()))
+            await runtime._renew()
+            await runtime._hold(member)
+            self.assertTrue(member.is_usable(now()))
+            runtime.end("test")
+
+        run(main())
+
+    def test_no_time_is_named_for_a_worker_with_an_open_start_that_the_row_does_not_tell(
+        self,
+    ) -> None:
+        async def main() -> None:
+            runtime, _ = await self.silence(LossyStore(now), IdleWorker(now))
+            end = RunEnd(now() + 1.0, frozenset({task()}))
+            other = StartRow("w2", task(), 1, now())
+            for rows, named in (
+                ([], set()),
+                ([other], set()),
+                ([other._replace(worker="w1")], {"w1"}),
+            ):
+                with (
+                    self.subTest(rows=rows),
+                    patch.object(runtime.dispatcher, "run_end", return_value=end),
+                    patch.object(runtime.dispatcher, "list_open_starts", return_value=rows),
+                ):
+                    await runtime._renew()
+                    self.assertEqual(runtime._details.run_ends.keys() & {"w1"}, named)
+            runtime.end("test")
+
+        run(main())
+
+    async def silence(self, store: LossyStore, worker: IdleWorker) -> tuple[CellRuntime, Member]:
+        """Return a runtime and its worker w1, silent for long with a start that may come late."""
+        runtime = make_runtime(store, [], now, lambda host: worker)
+        await runtime._renew()
+        runtime.on_hosts({name: host(name) for name in ("w1", "w2", "w3")})
+        await asyncio.sleep(0.5)
+        await runtime._renew()
+        member = runtime.dispatcher.members["w1"]
+        for hold in runtime._holds.values():
+            hold.cancel()
+        runtime.dispatcher.on_silence("w1", now())
+        member.late_start_until = now() + LATE_CALL_S
+        await asyncio.sleep(1.5)
+        return runtime, member
+
     def test_a_run_of_a_boot_that_is_back_is_not_over_by_the_time_named_for_the_former_one(
         self,
     ) -> None:
@@ -367,6 +469,15 @@
         row = Details([host(name) for name in names], [], ends, open_starts=starts, run_ends=ends)
         self.assertLess(len(row.encode()), MAX_ROW_BYTES)
 
+    def test_run_ends_count_only_if_the_holder_in_the_owner_row_wrote_them(self) -> None:
+        owner = Owner("e", "e:1", 1, 7, {}, {})
+        vacancy = Vacancy("north", owner, 50, 0.0, 9.0, 0.0)
+        for epoch, version, counts in ((7, 50, True), (6, 50, False), (7, 51, False)):
+            with self.subTest(epoch=epoch, version=version):
+                details = Details([], epoch=epoch, run_ends={"w1": 5}, version=version)
+                found = vacancy.drop_foreign_ends(details).run_ends
+                self.assertEqual(found, {"w1": 5} if counts else {})
+
     def test_rows_name_the_earlier_end_as_limit_of_leases(self) -> None:
         row = Details([], lease_ends={"w1": 9, "w2": 5}, run_ends={"w1": 4, "w2": 7, "w3": 6})
         self.assertEqual(decode_details(row.encode()).lease_limits, {"w1": 4, "w2": 5, "w3": 6})
