--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -188,11 +188,12 @@
         rows = loads(dumps(encode_loads(loads_now)))
         self.assertEqual(decode_loads(rows), loads_now)
         (values,) = rows.values()
-        (load,) = decode_loads({SERVICE: values[:-1]}).values()
+        at = Load._fields.index("backlog")
+        (load,) = decode_loads({SERVICE: values[:at]}).values()
         self.assertIsNone(load.backlog)
         for wrong in ([1], [1, 2, 3, 4], [1, 2, [[0, 0]], []], [1, 2, [[0, -1, 5]], []], "no"):
             with self.subTest(wrong), self.assertRaises((ValueError, TypeError)):
-                decode_loads({SERVICE: [*values[:-1], wrong]})
+                decode_loads({SERVICE: [*values[:at], wrong, *values[at + 1 :]]})
 
     def test_the_field_is_small(self) -> None:
         """Every entry reads the row every 0.8 s."""
